--- /dev/null
+++ b/crates/core/src/blackboard.rs
@@ -0,0 +1,1 @@
+//! The blackboard that an instance's controllers read and write.
--- /dev/null
+++ b/crates/core/src/claims.rs
@@ -0,0 +1,1 @@
+//! Claims that let a non-idempotent request run at most once.
--- /dev/null
+++ b/crates/core/src/fair_queue.rs
@@ -0,0 +1,1 @@
+//! Weighted fair queuing between teams.
--- /dev/null
+++ b/crates/core/src/hash.rs
@@ -0,0 +1,99 @@
+//! Digests and stable hashes.
+//!
+//! Provides the digest under which keys are stored and the 64-bit hash that
+//! every instance computes alike, on which placement and slot assignment rest.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
+use sha2::Digest as _;
+use sha2::Sha256;
+
+use crate::errors::Error;
+
+/// A `Digest` is the SHA-256 digest of a secret or an object.
+#[derive(
+    Clone, Copy, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
+)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Returns the digest of `bytes`.
+    ///
+    /// ```
+    /// use limpetsaddle_core::hash::Digest;
+    ///
+    /// let text = Digest::of(b"secret").to_string();
+    /// assert_eq!(text.parse::<Digest>()?, Digest::of(b"secret"));
+    /// # Ok::<(), limpetsaddle_core::Error>(())
+    /// ```
+    #[must_use]
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let mut bytes = [0; 32];
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(Error::InvalidDigest);
+        }
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[2 * i..2 * i + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| Error::InvalidDigest)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// Returns a 64-bit hash of `parts` that is the same on every instance.
+///
+/// The parts are separated, so that `["ab", "c"]` and `["a", "bc"]` differ.
+///
+/// ```
+/// use limpetsaddle_core::hash::stable_hash;
+///
+/// assert_ne!(stable_hash(&[b"ab", b"c"]), stable_hash(&[b"a", b"bc"]));
+/// ```
+#[must_use]
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut state = FNV_OFFSET;
+    for part in parts {
+        for byte in *part {
+            state = (state ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+        }
+        state = mix(state ^ part.len() as u64);
+    }
+    mix(state)
+}
+
+/// Returns a well-mixed permutation of `x`.
+#[must_use]
+pub const fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/core/src/keys.rs
@@ -0,0 +1,1 @@
+//! Callers' keys and their authentication.
--- /dev/null
+++ b/crates/core/src/limits.rs
@@ -0,0 +1,1 @@
+//! Teams' rates and bursts, held over all instances together.
--- /dev/null
+++ b/crates/core/src/orders.rs
@@ -0,0 +1,1 @@
+//! Orders to engines, given from one place under a fencing number.
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,1 @@
+//! Choice of the upstream that serves a request.
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retries within one budget over the whole path.
--- /dev/null
+++ b/crates/core/src/store.rs
@@ -0,0 +1,1 @@
+//! The configuration in force: a join of object revisions that never reverts.
--- /dev/null
+++ b/crates/core/src/stream.rs
@@ -0,0 +1,1 @@
+//! Progress of a streamed answer, token by token.
--- /dev/null
+++ b/crates/core/src/upstreams.rs
@@ -0,0 +1,1 @@
+//! What an instance knows of the state of its upstreams.
