--- /dev/null
+++ b/crates/router/src/clock.rs
@@ -0,0 +1,72 @@
+//! The monotonic clock and the source of randomness of a process.
+
+use std::cell::Cell;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use limpetsaddle_core::hash::mix;
+use limpetsaddle_core::units::Time;
+
+/// A `Clock` tells the time since the start of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+}
+
+impl Clock {
+    /// Returns the present time on the monotonic clock.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time::from_origin(self.origin.elapsed())
+    }
+}
+
+/// Returns the time of day since the Unix epoch.
+#[must_use]
+pub fn time_of_day() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+/// A `Random` draws numbers from a seed that the operating system gave.
+///
+/// The numbers spread load and delays; keys and identities do not rest on them.
+#[derive(Debug)]
+pub struct Random {
+    state: Cell<u64>,
+}
+
+impl Random {
+    /// Returns a source whose sequence starts from `seed`.
+    ///
+    /// ```
+    /// use limpetsaddle_router::clock::Random;
+    ///
+    /// let random = Random::from_seed(7);
+    /// assert_ne!(random.draw(), random.draw());
+    /// ```
+    #[must_use]
+    pub const fn from_seed(seed: u64) -> Self {
+        Self {
+            state: Cell::new(seed),
+        }
+    }
+
+    /// Returns the next number.
+    pub fn draw(&self) -> u64 {
+        let next = self.state.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.state.set(next);
+        mix(next)
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,15 @@
-//! Stub.
+//! The entry daemon of limpetsaddle.
+//!
+//! Controllers read and write the blackboard of [`limpetsaddle_core`]; this
+//! crate gives them sockets, clocks and randomness.
+
+pub mod answers;
+pub mod clock;
+pub mod completion;
+pub mod errors;
+pub mod logging;
+pub mod settings;
+pub mod shutdown;
+
+pub use crate::errors::Error;
+pub use crate::errors::Result;
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,253 @@
+//! Counters, histograms and gauges of the daemon.
+//!
+//! Labels come from closed sets only, so that the number of time series does
+//! not grow with keys, prompts or teams.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use limpetsaddle_core::refusal::Reason;
+use limpetsaddle_core::retry::RetryReason;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::errors::MetricsError;
+
+/// Upper bounds of the buckets for times, in seconds.
+const TIME_BUCKETS: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.2, 0.3, 0.44, 0.6, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// An `Event` is something that is counted without further detail.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// A caller left before its answer was complete.
+    CallerLeft,
+    /// A stream was resumed on another upstream.
+    StreamResumed,
+    /// A stream ended with an error event.
+    StreamBroken,
+    /// An engine sent an event twice.
+    DuplicateToken,
+    /// An engine sent an event of another request.
+    ForeignToken,
+    /// An engine left out events.
+    TokenGap,
+    /// A configuration object came into force.
+    ConfigTaken,
+    /// An invalid configuration object was left out.
+    ConfigInvalid,
+    /// An older revision of a configuration object was ignored.
+    ConfigStale,
+    /// A connection with the platform's watch was opened.
+    WatchOpened,
+    /// A call to the platform failed.
+    PlatformFailed,
+    /// A call to the platform succeeded.
+    PlatformOk,
+    /// A call to another instance failed.
+    PeerFailed,
+    /// A call to another instance succeeded.
+    PeerOk,
+    /// A request for tokens was sent to another instance.
+    GrantAsked,
+    /// A request for tokens was answered for another instance.
+    GrantServed,
+    /// The owners of slots were changed.
+    SlotsWritten,
+    /// A change of the owners of slots lost against another one.
+    SlotsLost,
+    /// A connection was turned away because too many were open.
+    ConnectionRefused,
+    /// An order was given to an engine.
+    OrderGiven,
+}
+
+impl Event {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::CallerLeft => "caller_left",
+            Self::StreamResumed => "stream_resumed",
+            Self::StreamBroken => "stream_broken",
+            Self::DuplicateToken => "duplicate_token",
+            Self::ForeignToken => "foreign_token",
+            Self::TokenGap => "token_gap",
+            Self::ConfigTaken => "config_taken",
+            Self::ConfigInvalid => "config_invalid",
+            Self::ConfigStale => "config_stale",
+            Self::WatchOpened => "watch_opened",
+            Self::PlatformFailed => "platform_failed",
+            Self::PlatformOk => "platform_ok",
+            Self::PeerFailed => "peer_failed",
+            Self::PeerOk => "peer_ok",
+            Self::GrantAsked => "grant_asked",
+            Self::GrantServed => "grant_served",
+            Self::SlotsWritten => "slots_written",
+            Self::SlotsLost => "slots_lost",
+            Self::ConnectionRefused => "connection_refused",
+            Self::OrderGiven => "order_given",
+        }
+    }
+}
+
+/// A `Level` is a quantity that is shown as it stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Level {
+    /// The revision up to which configuration is in force.
+    Revision,
+    /// The milliseconds since the platform last confirmed the configuration.
+    PlatformAge,
+    /// The upstreams that take new work.
+    LiveUpstreams,
+    /// The instances of this failure domain that are alive.
+    LivePeers,
+    /// The requests in progress.
+    Running,
+    /// The requests in the queue.
+    Queued,
+    /// The slots that this instance owns.
+    OwnedSlots,
+}
+
+impl Level {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Revision => "revision",
+            Self::PlatformAge => "platform_age_ms",
+            Self::LiveUpstreams => "live_upstreams",
+            Self::LivePeers => "live_peers",
+            Self::Running => "running",
+            Self::Queued => "queued",
+            Self::OwnedSlots => "owned_slots",
+        }
+    }
+}
+
+/// A `Metrics` counts what an instance does.
+pub struct Metrics {
+    registry: Registry,
+    // The provider ends its instruments when it is dropped.
+    _provider: SdkMeterProvider,
+    events: Counter<u64>,
+    levels: Gauge<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    requests: Counter<u64>,
+    tokens: Counter<u64>,
+    first_token: Histogram<f64>,
+    between_tokens: Histogram<f64>,
+    refusal_counts: [Cell<u64>; Reason::ALL.len()],
+}
+
+impl Metrics {
+    /// Returns metrics that nothing has been counted in.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MetricsError::Exporter`] when the exporter cannot be registered.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .without_scope_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("limpetsaddle");
+        Ok(Self {
+            events: meter.u64_counter("limpetsaddle_events").build(),
+            levels: meter.u64_gauge("limpetsaddle_level").build(),
+            refusals: meter.u64_counter("limpetsaddle_refusals").build(),
+            retries: meter.u64_counter("limpetsaddle_retries").build(),
+            requests: meter.u64_counter("limpetsaddle_requests").build(),
+            tokens: meter.u64_counter("limpetsaddle_tokens").build(),
+            first_token: times(&meter, "limpetsaddle_first_token_seconds"),
+            between_tokens: times(&meter, "limpetsaddle_between_tokens_seconds"),
+            refusal_counts: [const { Cell::new(0) }; Reason::ALL.len()],
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an event.
+    pub fn count(&self, event: Event) {
+        self.events.add(1, &[KeyValue::new("event", event.label())]);
+    }
+
+    /// Shows the present value of a level.
+    pub fn set(&self, level: Level, value: u64) {
+        self.levels
+            .record(value, &[KeyValue::new("of", level.label())]);
+    }
+
+    /// Counts a request that has been read.
+    pub fn request(&self) {
+        self.requests.add(1, &[]);
+    }
+
+    /// Counts a refusal by its reason.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals
+            .add(1, &[KeyValue::new("reason", reason.code())]);
+        if let Some(i) = Reason::ALL.iter().position(|r| *r == reason) {
+            let count = &self.refusal_counts[i];
+            count.set(count.get() + 1);
+        }
+    }
+
+    /// Returns the reasons that requests were refused for, with their counts.
+    pub fn refusals(&self) -> impl Iterator<Item = (Reason, u64)> {
+        let counts = self.refusal_counts.iter().map(Cell::get);
+        Reason::ALL
+            .into_iter()
+            .zip(counts)
+            .filter(|(_, count)| *count > 0)
+    }
+
+    /// Counts a retry by its reason.
+    pub fn retried(&self, reason: RetryReason) {
+        self.retries
+            .add(1, &[KeyValue::new("reason", reason.code())]);
+    }
+
+    /// Counts the prompt tokens of an answer, cached and computed.
+    pub fn prompt_tokens(&self, cached: u64, computed: u64) {
+        self.tokens.add(cached, &[KeyValue::new("kind", "cached")]);
+        self.tokens
+            .add(computed, &[KeyValue::new("kind", "computed")]);
+    }
+
+    /// Records the time from a request's arrival to its first token.
+    pub fn first_token(&self, span: Duration) {
+        self.first_token.record(span.as_secs_f64(), &[]);
+    }
+
+    /// Records the time between two tokens of one answer.
+    pub fn between_tokens(&self, span: Duration) {
+        self.between_tokens.record(span.as_secs_f64(), &[]);
+    }
+
+    /// Returns all samples in the text format of Prometheus.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MetricsError::Encode`] when the samples cannot be encoded.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        let families = self.registry.gather();
+        Ok(TextEncoder::new().encode_to_string(&families)?)
+    }
+}
+
+fn times(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_boundaries(TIME_BUCKETS.to_vec())
+        .build()
+}
--- /dev/null
+++ b/crates/router/src/shutdown.rs
@@ -0,0 +1,91 @@
+//! Planned stop: a channel whose closing ends the tasks that hold it.
+
+use std::io::ErrorKind;
+use std::os::unix::net::UnixStream as StdUnixStream;
+
+use futures::FutureExt as _;
+use futures::channel::oneshot;
+use futures::future::Shared;
+use monoio::io::AsyncReadRent as _;
+use monoio::net::UnixStream;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::low_level::pipe;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// A `Stopper` keeps its [`Stopping`] receivers waiting until it is dropped.
+#[derive(Debug)]
+pub struct Stopper {
+    _tx: oneshot::Sender<()>,
+}
+
+/// A `Stopping` resolves when its [`Stopper`] has been dropped.
+#[derive(Clone, Debug)]
+pub struct Stopping {
+    rx: Shared<oneshot::Receiver<()>>,
+}
+
+/// Returns a stopper and the receiver that its drop releases.
+///
+/// ```
+/// use limpetsaddle_router::shutdown::channel;
+///
+/// let (stopper, stopping) = channel();
+/// assert!(!stopping.is_closed());
+/// drop(stopper);
+/// assert!(stopping.is_closed());
+/// ```
+#[must_use]
+pub fn channel() -> (Stopper, Stopping) {
+    let (tx, rx) = oneshot::channel();
+    (Stopper { _tx: tx }, Stopping { rx: rx.shared() })
+}
+
+impl Stopping {
+    /// Waits until the stopper has been dropped.
+    pub async fn closed(&self) {
+        // The sender never sends, so that the only result is its closing.
+        let _ = self.rx.clone().await;
+    }
+
+    /// Returns whether the stopper has been dropped.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.rx.clone().now_or_never().is_some()
+    }
+}
+
+/// A `Signals` receives the signals that ask for a stop.
+pub struct Signals {
+    stream: UnixStream,
+}
+
+impl Signals {
+    /// Installs the handlers of SIGTERM and SIGINT.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Signals`] when a handler cannot be installed.
+    pub fn install() -> Result<Self> {
+        let (rx, tx) = StdUnixStream::pair().map_err(Error::Signals)?;
+        let copy = tx.try_clone().map_err(Error::Signals)?;
+        pipe::register(SIGTERM, tx).map_err(Error::Signals)?;
+        pipe::register(SIGINT, copy).map_err(Error::Signals)?;
+        rx.set_nonblocking(true).map_err(Error::Signals)?;
+        let stream = UnixStream::from_std(rx).map_err(Error::Signals)?;
+        Ok(Self { stream })
+    }
+
+    /// Waits for the next signal.
+    pub async fn next(&mut self) {
+        loop {
+            let (read, _) = self.stream.read(vec![0_u8; 1]).await;
+            match read {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                _ => return,
+            }
+        }
+    }
+}
