Add the ledger of teams' rates and bursts

An instance mints only in slots that it owns, starting empty; tokens move to other instances as grants with a time to live. Reservations each keep their own right to a refund, since one shared right would let a reservation bring back tokens that another one has used.

--- /dev/null
+++ b/crates/core/src/limits/grant.rs
@@ -0,0 +1,120 @@
+//! The messages by which tokens move between instances.
+
+use std::time::Duration;
+
+use crate::names::InstanceName;
+use crate::names::TeamName;
+use crate::units::Incarnation;
+use crate::units::Time;
+use crate::units::Tokens;
+
+/// A `RequestId` identifies a request of one incarnation of an instance.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RequestId(pub u64);
+
+/// A `GrantId` identifies a grant of one incarnation of a granter.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GrantId {
+    /// The incarnation of the granter.
+    pub incarnation: Incarnation,
+    /// The number of the grant at its granter.
+    pub number: u64,
+}
+
+/// A `GrantRequest` asks an owner for tokens and reports on earlier grants.
+///
+/// A request that arrives twice is answered with the same reply and has no
+/// further effect. A report that is lost costs its tokens, as the grant then
+/// expires as spent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GrantRequest {
+    /// The instance that asks.
+    pub from: InstanceName,
+    /// The incarnation that asks.
+    pub incarnation: Incarnation,
+    /// The identity of the request at the instance that asks.
+    pub id: RequestId,
+    /// The tokens asked for, or `None` when the request only reports.
+    pub ask: Option<GrantAsk>,
+    /// What became of earlier grants.
+    pub reports: Vec<GrantReport>,
+}
+
+/// A `GrantAsk` names the tokens that an instance asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GrantAsk {
+    /// The team whose tokens are asked for.
+    pub team: TeamName,
+    /// The slot that mints them.
+    pub slot: u16,
+    /// The tokens that a waiting request lacks.
+    pub needed: Tokens,
+    /// The tokens that the instance expects to use soon.
+    pub wanted: Tokens,
+}
+
+/// A `GrantReport` tells what has become of a grant since the last report.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GrantReport {
+    /// The grant.
+    pub id: GrantId,
+    /// The team whose tokens were granted.
+    pub team: TeamName,
+    /// The slot that minted them.
+    pub slot: u16,
+    /// The number of this report on the grant, from one on.
+    pub batch: u32,
+    /// The tokens that reservations have drawn since the last report.
+    pub spent: Tokens,
+    /// The refunds of reservations that earlier reports covered.
+    pub refunds: Vec<Refund>,
+    /// The tokens given back unspent, which ends the grant.
+    pub returned: Tokens,
+}
+
+/// A `Refund` brings back tokens that a reservation did not use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refund {
+    /// The number of the report that covered the reservation.
+    pub batch: u32,
+    /// The unused tokens.
+    pub amount: Tokens,
+}
+
+/// A `GrantReply` answers a [`GrantRequest`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GrantReply {
+    /// The request that is answered.
+    pub request: RequestId,
+    /// The tokens that move, if any.
+    pub offer: Option<GrantOffer>,
+    /// The time after which it makes sense to ask the owner again.
+    pub retry_after: Duration,
+}
+
+/// A `GrantOffer` is a grant as its receiver sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GrantOffer {
+    /// The grant.
+    pub id: GrantId,
+    /// The tokens that move.
+    pub amount: Tokens,
+}
+
+/// An `Outgoing` is a request on its way to a peer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Outgoing {
+    /// The receiving instance.
+    pub to: InstanceName,
+    /// The request.
+    pub request: GrantRequest,
+}
+
+/// A `PendingAsk` is a request whose reply has not arrived.
+#[derive(Clone, Debug)]
+pub(super) struct PendingAsk {
+    pub(super) to: InstanceName,
+    pub(super) team: TeamName,
+    pub(super) slot: u16,
+    pub(super) sent_at: Time,
+}
--- /dev/null
+++ b/crates/core/src/limits/ledger.rs
@@ -0,0 +1,530 @@
+//! The ledger through which an instance admits requests and moves tokens.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::account::PartKey;
+use super::fence::Fence;
+use super::grant::GrantAsk;
+use super::grant::GrantId;
+use super::grant::GrantOffer;
+use super::grant::GrantReply;
+use super::grant::GrantReport;
+use super::grant::GrantRequest;
+use super::grant::Outgoing;
+use super::grant::PendingAsk;
+use super::grant::RequestId;
+use super::options::LimitsOptions;
+use super::replies::Replies;
+use super::replies::Seen;
+use super::reserve::Reservation;
+use super::reserve::Reserve;
+use super::reserve::Round;
+use super::slots::shares;
+use super::tables::Tables;
+use super::team::OwnAccount;
+use super::team::TeamLimits;
+use super::team::TeamSlot;
+use super::team::TeamState;
+use crate::config::DomainSpec;
+use crate::config::SlotTable;
+use crate::config::TeamSpec;
+use crate::names::DomainName;
+use crate::names::InstanceName;
+use crate::names::TeamName;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::units::Incarnation;
+use crate::units::Revision;
+use crate::units::Time;
+use crate::units::Tokens;
+
+/// The shortest time after which a refused caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
+
+/// A `LedgerStats` counts what a ledger has done.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LedgerStats {
+    /// Requests admitted.
+    pub admitted: u64,
+    /// Requests refused since the tokens did not suffice.
+    pub rate_limited: u64,
+    /// Requests refused since they exceed the team's burst.
+    pub exceeds_burst: u64,
+    /// Requests refused for lack of a recent contact or of the team's limits.
+    pub unavailable: u64,
+    /// Asks sent to other owners.
+    pub asks: u64,
+    /// Requests sent that only report.
+    pub reports: u64,
+    /// Grants given to other instances.
+    pub grants: u64,
+    /// Tokens given to other instances.
+    pub granted: u64,
+    /// Repeated, forgotten or misdirected messages that had no effect.
+    pub ignored: u64,
+}
+
+/// A `Ledger` holds all limits at one instance.
+///
+/// ```
+/// use limpetsaddle_core::config::DomainSpec;
+/// use limpetsaddle_core::limits::Ledger;
+/// use limpetsaddle_core::limits::LimitsOptions;
+/// use limpetsaddle_core::limits::Reserve;
+/// use limpetsaddle_core::limits::Round;
+/// use limpetsaddle_core::refusal::Reason;
+/// use limpetsaddle_core::units::Incarnation;
+/// use limpetsaddle_core::units::Time;
+/// use limpetsaddle_core::units::Tokens;
+///
+/// let now = Time::ZERO;
+/// let options = LimitsOptions::default();
+/// let me = "bergen-1".parse()?;
+/// let mut ledger = Ledger::new(me, Incarnation(1), "bergen".parse()?, options);
+///
+/// let team = "yard".parse()?;
+/// let outcome = ledger.reserve(&team, Tokens(10), Round::Home, now);
+/// let Reserve::Refused(refusal) = outcome else {
+///     panic!("the team is not known yet");
+/// };
+/// assert_eq!(refusal.reason, Reason::LimitsUnavailable);
+/// # Ok::<(), limpetsaddle_core::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Ledger {
+    me: InstanceName,
+    incarnation: Incarnation,
+    options: LimitsOptions,
+    fence: Fence,
+    tables: Tables,
+    teams: BTreeMap<TeamName, TeamState>,
+    with_grants: BTreeSet<TeamName>,
+    pending: BTreeMap<RequestId, PendingAsk>,
+    replies: Replies,
+    last_id: u64,
+    stats: LedgerStats,
+}
+
+impl Ledger {
+    /// Returns the ledger of a starting instance, which has no tokens yet.
+    #[must_use]
+    pub fn new(
+        me: InstanceName,
+        incarnation: Incarnation,
+        domain: DomainName,
+        options: LimitsOptions,
+    ) -> Self {
+        Self {
+            tables: Tables::new(me.clone(), incarnation, domain),
+            me,
+            incarnation,
+            options,
+            fence: Fence::new(options.fence),
+            teams: BTreeMap::new(),
+            with_grants: BTreeSet::new(),
+            pending: BTreeMap::new(),
+            replies: Replies::default(),
+            last_id: 0,
+            stats: LedgerStats::default(),
+        }
+    }
+
+    /// Puts a team's limits in force, or ends them with `None`.
+    pub fn set_team(&mut self, name: &TeamName, spec: Option<&TeamSpec>, now: Time) {
+        let Some(spec) = spec else {
+            self.teams.remove(name);
+            self.with_grants.remove(name);
+            return;
+        };
+        let limits = TeamLimits::from(spec);
+        let known = self.teams.entry(name.clone());
+        let team = known.or_insert_with(|| TeamState::new(limits.clone()));
+        for own in team.accounts.values_mut() {
+            own.advance(&team.limits, now);
+        }
+        team.limits = limits;
+        let ready_at = now + self.options.settling();
+        divide(name, team, &self.tables, now, ready_at);
+    }
+
+    /// Puts a failure domain's number of slots in force.
+    pub fn set_domain(&mut self, name: &DomainName, spec: Option<&DomainSpec>, now: Time) {
+        self.tables.set_domain(name, spec);
+        self.divide_all(now);
+    }
+
+    /// Puts the owners of a failure domain's slots in force.
+    ///
+    /// A table that is older than the one held has no effect.
+    pub fn set_slots(
+        &mut self,
+        domain: &DomainName,
+        revision: Revision,
+        table: &SlotTable,
+        now: Time,
+    ) {
+        let Some(lost) = self.tables.set_slots(domain, revision, table) else {
+            self.stats.ignored += 1;
+            return;
+        };
+        for team in self.teams.values_mut() {
+            team.accounts.retain(|slot, _| !lost.contains(slot));
+        }
+        self.divide_all(now);
+    }
+
+    /// Records a confirmed contact whose request was sent at `sent_at`.
+    ///
+    /// A contact is an exchange with the platform, or with a live instance of
+    /// the same failure domain, that has also brought its newer configuration.
+    pub fn on_contact(&mut self, sent_at: Time) {
+        self.fence.confirm(sent_at);
+    }
+
+    /// Records that another incarnation has replaced this one: it mints no more.
+    pub fn on_replaced(&mut self) {
+        self.fence.replace();
+        for team in self.teams.values_mut() {
+            team.accounts.clear();
+        }
+    }
+
+    /// Tries to reserve `amount` tokens for a request of `team`.
+    ///
+    /// When the outcome is [`Reserve::Ask`], the caller sends the requests, feeds
+    /// the replies to [`Ledger::on_grant_reply`] and tries again in the next round.
+    pub fn reserve(&mut self, team: &TeamName, amount: Tokens, round: Round, now: Time) -> Reserve {
+        let open = self.fence.permits(now);
+        let Some(state) = self.teams.get_mut(team) else {
+            return self.refuse(Reason::LimitsUnavailable, None);
+        };
+        if amount > state.limits.burst {
+            return self.refuse(Reason::ExceedsBurst, None);
+        }
+        if round == Round::Home {
+            state.demand.record(amount, now);
+        }
+        let own = state.advance(now);
+        let own = if open { own } else { Tokens::ZERO };
+        let needed = amount + state.debt;
+        let spendable = own + state.pocket.spendable(now);
+        if needed <= spendable {
+            return self.admit(team, amount, open, now);
+        }
+        let deficit = needed - spendable;
+        let asks = self.plan_asks(team, deficit, round, now);
+        if !asks.is_empty() {
+            return Reserve::Ask(asks);
+        }
+        let wait = self.time_to_mint(team, deficit);
+        let reason = if open {
+            Reason::RateLimited
+        } else {
+            Reason::LimitsUnavailable
+        };
+        self.refuse(reason, Some(wait))
+    }
+
+    /// Ends a reservation of which `used` tokens were used.
+    ///
+    /// Unused tokens come back as far as the team's burst has room for them.
+    /// Tokens used beyond the reservation are taken from the team's next one.
+    pub fn settle(&mut self, reservation: Reservation, used: Tokens, now: Time) {
+        let Some(team) = self.teams.get_mut(&reservation.team) else {
+            return;
+        };
+        team.debt += used.saturating_sub(reservation.amount);
+        let unused = reservation.amount.saturating_sub(used);
+        team.settle(reservation.parts, unused, now);
+    }
+
+    /// Answers a peer's request for tokens and takes in its reports.
+    pub fn on_grant_request(&mut self, req: &GrantRequest, now: Time) -> GrantReply {
+        match self.replies.find(req) {
+            Seen::New => {}
+            Seen::Answered(reply) => {
+                self.stats.ignored += 1;
+                return reply;
+            }
+            Seen::Forgotten => {
+                self.stats.ignored += 1;
+                return self.empty_reply(req.id);
+            }
+        }
+        for report in &req.reports {
+            self.take_report(report, now);
+        }
+        let reply = match &req.ask {
+            Some(ask) => self.answer(req.id, ask, now),
+            None => self.empty_reply(req.id),
+        };
+        self.replies.keep(req, reply.clone(), now);
+        reply
+    }
+
+    /// Takes in the reply to a request of this instance.
+    pub fn on_grant_reply(&mut self, reply: &GrantReply, now: Time) {
+        let Some(ask) = self.pending.remove(&reply.request) else {
+            self.stats.ignored += 1;
+            return;
+        };
+        let Some(team) = self.teams.get_mut(&ask.team) else {
+            return;
+        };
+        let asked = |s: &&mut TeamSlot| s.owner == ask.to && s.slot == ask.slot;
+        let mut others = team.others.iter_mut().flatten();
+        if let Some(other) = others.find(asked) {
+            other.retry_at = now + reply.retry_after;
+        }
+        if let Some(offer) = reply.offer {
+            self.with_grants.insert(ask.team.clone());
+            team.pocket.add(ask, offer, now, &self.options);
+        }
+    }
+
+    /// Returns the reports and unspent tokens that are due to their granters.
+    pub fn tick(&mut self, now: Time) -> Vec<Outgoing> {
+        let spend_ttl = self.options.spend_ttl;
+        self.pending
+            .retain(|_, ask| now.since(ask.sent_at) < spend_ttl);
+        self.replies.prune(now, self.options.reply_memory);
+        let mut due = BTreeMap::new();
+        self.with_grants.retain(|name| {
+            let Some(team) = self.teams.get_mut(name) else {
+                return false;
+            };
+            team.pocket.collect(name, now, &self.options, &mut due);
+            !team.pocket.is_empty()
+        });
+        let mut out = Vec::with_capacity(due.len());
+        for (to, reports) in due {
+            self.stats.reports += 1;
+            let request = self.request(None, reports);
+            out.push(Outgoing { to, request });
+        }
+        out
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub const fn stats(&self) -> LedgerStats {
+        self.stats
+    }
+
+    /// Returns the number of slots that this instance owns.
+    #[must_use]
+    pub fn slots_owned(&self) -> usize {
+        self.tables.owned().count()
+    }
+
+    fn divide_all(&mut self, now: Time) {
+        let ready_at = now + self.options.settling();
+        for (name, team) in &mut self.teams {
+            divide(name, team, &self.tables, now, ready_at);
+        }
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    fn refuse(&mut self, reason: Reason, wait: Option<Duration>) -> Reserve {
+        match reason {
+            Reason::RateLimited => self.stats.rate_limited += 1,
+            Reason::ExceedsBurst => self.stats.exceeds_burst += 1,
+            _ => self.stats.unavailable += 1,
+        }
+        let refusal = Refusal::not_run(reason);
+        Reserve::Refused(wait.map_or(refusal, |wait| refusal.retry_after(wait)))
+    }
+
+    fn admit(&mut self, name: &TeamName, amount: Tokens, own: bool, now: Time) -> Reserve {
+        let id = self.next_id();
+        self.stats.admitted += 1;
+        let mut parts = Vec::new();
+        if let Some(team) = self.teams.get_mut(name) {
+            let debt = std::mem::take(&mut team.debt);
+            // The tokens that pay the debt are drawn on their own, so that no
+            // refund brings them back.
+            drop(team.draw(debt, own, id, now));
+            parts = team.draw(amount, own, id, now);
+        }
+        Reserve::Admitted(Reservation {
+            team: name.clone(),
+            amount,
+            parts,
+        })
+    }
+
+    fn plan_asks(
+        &mut self,
+        name: &TeamName,
+        deficit: Tokens,
+        round: Round,
+        now: Time,
+    ) -> Vec<Outgoing> {
+        let Some(team) = self.teams.get_mut(name) else {
+            return Vec::new();
+        };
+        let tables = &self.tables;
+        let others = team
+            .others
+            .get_or_insert_with(|| tables.others(name, &team.limits));
+        let chosen = choose(others, deficit, round, now);
+        let count = chosen.len() as u64;
+        let chunk = team.demand.over(self.options.chunk);
+        let mut out = Vec::with_capacity(chosen.len());
+        for (to, slot) in chosen {
+            let needed = Tokens(deficit.0.div_ceil(count));
+            let wanted = needed + Tokens(chunk.0 / count);
+            let team = name.clone();
+            let pending = PendingAsk {
+                to: to.clone(),
+                team: team.clone(),
+                slot,
+                sent_at: now,
+            };
+            let ask = GrantAsk {
+                team,
+                slot,
+                needed,
+                wanted,
+            };
+            let request = self.request(Some(ask), Vec::new());
+            self.pending.insert(request.id, pending);
+            self.stats.asks += 1;
+            out.push(Outgoing { to, request });
+        }
+        out
+    }
+
+    fn request(&mut self, ask: Option<GrantAsk>, reports: Vec<GrantReport>) -> GrantRequest {
+        GrantRequest {
+            from: self.me.clone(),
+            incarnation: self.incarnation,
+            id: RequestId(self.next_id()),
+            ask,
+            reports,
+        }
+    }
+
+    fn time_to_mint(&self, name: &TeamName, deficit: Tokens) -> Duration {
+        let rate = self.teams.get(name).map_or(1, |t| t.limits.rate.0.max(1));
+        let millis = u128::from(deficit.0) * 1_000 / u128::from(rate);
+        let millis = u64::try_from(millis).unwrap_or(u64::MAX);
+        Duration::from_millis(millis).max(MIN_RETRY_AFTER)
+    }
+
+    fn empty_reply(&self, request: RequestId) -> GrantReply {
+        GrantReply {
+            request,
+            offer: None,
+            retry_after: self.options.max_backoff,
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, ask: &GrantAsk, now: Time) -> GrantReply {
+        let number = self.next_id();
+        let mut reply = self.empty_reply(request);
+        if !self.fence.permits(now) {
+            return reply;
+        }
+        let Some(team) = self.teams.get_mut(&ask.team) else {
+            return reply;
+        };
+        let Some(own) = team.accounts.get_mut(&ask.slot) else {
+            return reply;
+        };
+        own.advance(&team.limits, now);
+        let level = own.account.level();
+        let fair = ask.needed.max(Tokens(level.0 / 2));
+        let amount = ask.wanted.min(fair).min(level);
+        let missing = ask.needed - amount.min(ask.needed);
+        let wait = own.account.time_until(level - amount + missing);
+        reply.retry_after = match missing {
+            Tokens::ZERO => Duration::ZERO,
+            _ => wait
+                .unwrap_or(self.options.max_backoff)
+                .clamp(self.options.min_backoff, self.options.max_backoff),
+        };
+        let expires = now + self.options.grant_ttl;
+        if amount > Tokens::ZERO && own.account.grant(number, amount, expires) {
+            self.stats.grants += 1;
+            self.stats.granted += amount.0;
+            let id = GrantId {
+                incarnation: self.incarnation,
+                number,
+            };
+            reply.offer = Some(GrantOffer { id, amount });
+        }
+        reply
+    }
+
+    fn take_report(&mut self, report: &GrantReport, now: Time) {
+        let team = self.teams.get_mut(&report.team);
+        let own = team.and_then(|t| Some((t.accounts.get_mut(&report.slot)?, &t.limits)));
+        let Some((own, limits)) = own.filter(|_| report.id.incarnation == self.incarnation) else {
+            self.stats.ignored += 1;
+            return;
+        };
+        own.advance(limits, now);
+        let id = report.id.number;
+        let key = |batch| PartKey { id, batch };
+        own.account.spend_grant(key(report.batch), report.spent);
+        for refund in &report.refunds {
+            own.account.refund(key(refund.batch), refund.amount);
+        }
+        own.account.return_grant(id, report.returned);
+    }
+}
+
+/// Divides a team's limits among the own slots.
+fn divide(name: &TeamName, team: &mut TeamState, tables: &Tables, now: Time, ready_at: Time) {
+    team.others = None;
+    let domain = tables.home();
+    let shares = match tables.home_spec() {
+        Some(spec) => shares(name, &team.limits.allotments, domain, spec),
+        None => Vec::new(),
+    };
+    let mine: BTreeMap<u16, _> = shares
+        .into_iter()
+        .filter(|(slot, _)| tables.owns(*slot))
+        .collect();
+    team.accounts.retain(|slot, _| mine.contains_key(slot));
+    for (slot, share) in mine {
+        let account = team.accounts.entry(slot);
+        let own = account.or_insert_with(|| OwnAccount::new(now));
+        own.set(share, &team.limits, now, ready_at);
+    }
+}
+
+/// Chooses the owners to ask: as many as can be expected to cover `deficit`.
+fn choose(
+    others: &[TeamSlot],
+    deficit: Tokens,
+    round: Round,
+    now: Time,
+) -> Vec<(InstanceName, u16)> {
+    let any_home = others.iter().any(|s| s.home);
+    let home = match round {
+        Round::Home => any_home,
+        Round::Away if any_home => false,
+        Round::Away | Round::Last => return Vec::new(),
+    };
+    let mut covered = Tokens::ZERO;
+    let mut chosen = Vec::new();
+    let ready = others
+        .iter()
+        .filter(|s| s.home == home && s.retry_at <= now);
+    for other in ready {
+        if covered >= deficit + deficit {
+            break;
+        }
+        covered += other.burst;
+        chosen.push((other.owner.clone(), other.slot));
+    }
+    chosen
+}
