--- /dev/null
+++ b/crates/core/src/upstreams/table.rs
@@ -0,0 +1,419 @@
+//! The table of upstreams.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::CacheEpoch;
+use super::Identity;
+use super::Upstream;
+use super::UpstreamId;
+use super::health::End;
+use super::health::Health;
+use super::health::probe_delay;
+use super::load::Load;
+use super::load::LoadReport;
+use super::load::LoadState;
+use crate::config::Phase;
+use crate::config::UpstreamSpec;
+use crate::hash::stable_hash;
+use crate::names::DomainName;
+use crate::names::PoolName;
+use crate::names::UpstreamName;
+use crate::units::Time;
+use crate::units::Tokens;
+
+/// An `UpstreamOptions` holds the time constants of an [`UpstreamTable`].
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamOptions {
+    /// The time over which a new upstream's work is raised to its bound.
+    pub warm_up: Duration,
+    /// The delay before the first probe of an upstream that is down.
+    pub probe: Duration,
+    /// The age at which a load report no longer counts.
+    pub report_life: Duration,
+}
+
+impl Default for UpstreamOptions {
+    fn default() -> Self {
+        Self {
+            warm_up: Duration::from_secs(3),
+            probe: Duration::from_millis(250),
+            report_life: Duration::from_secs(2),
+        }
+    }
+}
+
+/// An `Arrival` tells whether an upstream was there before this instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Arrival {
+    /// The upstream was in service when this instance started.
+    InService,
+    /// The upstream is new and warms up.
+    New,
+}
+
+/// A `Ticket` stands for one attempt at an upstream, from start to end.
+///
+/// It must be given back to [`UpstreamTable::finish`]; until then the attempt
+/// counts as outstanding.
+#[derive(Debug)]
+#[must_use]
+pub struct Ticket {
+    upstream: UpstreamId,
+    epoch: CacheEpoch,
+    prefill: Tokens,
+}
+
+impl Ticket {
+    /// Returns the upstream of the attempt.
+    #[must_use]
+    pub const fn upstream(&self) -> UpstreamId {
+        self.upstream
+    }
+
+    /// Returns the epoch of the engine's cache at the start of the attempt.
+    #[must_use]
+    pub const fn epoch(&self) -> CacheEpoch {
+        self.epoch
+    }
+}
+
+/// A `Member` is an upstream of a pool with the seed of its rendezvous hash.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Member {
+    pub(crate) seed: u64,
+    pub(crate) id: UpstreamId,
+}
+
+#[derive(Debug, Default)]
+struct Members {
+    all: Vec<Member>,
+    by_domain: BTreeMap<DomainName, Vec<Member>>,
+}
+
+/// An `UpstreamTable` holds what this instance knows of each upstream.
+///
+/// ```
+/// use limpetsaddle_core::config::Phase;
+/// use limpetsaddle_core::config::UpstreamSpec;
+/// use limpetsaddle_core::units::Time;
+/// use limpetsaddle_core::units::Tokens;
+/// use limpetsaddle_core::upstreams::Arrival;
+/// use limpetsaddle_core::upstreams::End;
+/// use limpetsaddle_core::upstreams::UpstreamOptions;
+/// use limpetsaddle_core::upstreams::UpstreamTable;
+///
+/// let mut table = UpstreamTable::new(UpstreamOptions::default());
+/// let spec = UpstreamSpec {
+///     pool: "lm-pool".parse()?,
+///     domain: "bergen-a".parse()?,
+///     address: ([127, 0, 0, 1], 9000).into(),
+///     phase: Phase::Live,
+/// };
+/// let now = Time::ZERO;
+/// let id = table.insert("engine-1".parse()?, spec, Arrival::InService, now);
+/// let ticket = table.start(id, Tokens(2_000)).expect("the upstream is known");
+/// assert_eq!(table.load(id, now).requests, 1);
+/// table.finish(ticket, End::Answered, now, 0);
+/// assert_eq!(table.load(id, now).requests, 0);
+/// # Ok::<(), limpetsaddle_core::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct UpstreamTable {
+    options: UpstreamOptions,
+    rows: BTreeMap<UpstreamId, Upstream>,
+    names: BTreeMap<UpstreamName, UpstreamId>,
+    pools: BTreeMap<PoolName, Members>,
+    next: u32,
+}
+
+impl UpstreamTable {
+    /// Returns an empty table.
+    #[must_use]
+    pub const fn new(options: UpstreamOptions) -> Self {
+        Self {
+            options,
+            rows: BTreeMap::new(),
+            names: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Takes over an upstream from the configuration and returns its number.
+    ///
+    /// A change of phase keeps what is known. A change of address, pool or
+    /// failure domain makes it another upstream.
+    pub fn insert(
+        &mut self,
+        name: UpstreamName,
+        spec: UpstreamSpec,
+        arrival: Arrival,
+        now: Time,
+    ) -> UpstreamId {
+        if let Some(id) = self.update_phase(&name, &spec) {
+            return id;
+        }
+        self.remove(&name);
+        let id = UpstreamId(self.next);
+        self.next += 1;
+        let health = match arrival {
+            Arrival::InService => Health::Healthy,
+            Arrival::New => Health::Warming { since: now },
+        };
+        let row = Upstream {
+            name: name.clone(),
+            spec,
+            health,
+            identity: None,
+            epoch: CacheEpoch::default(),
+            consecutive_failures: 0,
+            load: LoadState::default(),
+            changed: now,
+        };
+        self.names.insert(name, id);
+        self.rows.insert(id, row);
+        self.enlist(id);
+        id
+    }
+
+    fn update_phase(&mut self, name: &UpstreamName, spec: &UpstreamSpec) -> Option<UpstreamId> {
+        let id = *self.names.get(name)?;
+        let row = self.rows.get_mut(&id)?;
+        let held = &row.spec;
+        let same = held.address == spec.address && held.pool == spec.pool;
+        if !same || held.domain != spec.domain {
+            return None;
+        }
+        row.spec.phase = spec.phase;
+        self.delist(id);
+        self.enlist(id);
+        Some(id)
+    }
+
+    /// Removes an upstream that the configuration no longer holds.
+    pub fn remove(&mut self, name: &UpstreamName) {
+        if let Some(id) = self.names.remove(name) {
+            self.delist(id);
+            self.rows.remove(&id);
+        }
+    }
+
+    fn enlist(&mut self, id: UpstreamId) {
+        let row = &self.rows[&id];
+        if row.spec.phase == Phase::Leaving {
+            return;
+        }
+        let seed = stable_hash(&[row.name.as_str().as_bytes()]);
+        let member = Member { seed, id };
+        let pool = self.pools.entry(row.spec.pool.clone()).or_default();
+        let domain = pool.by_domain.entry(row.spec.domain.clone()).or_default();
+        pool.all.push(member);
+        domain.push(member);
+    }
+
+    fn delist(&mut self, id: UpstreamId) {
+        let spec = &self.rows[&id].spec;
+        let Some(pool) = self.pools.get_mut(&spec.pool) else {
+            return;
+        };
+        pool.all.retain(|m| m.id != id);
+        if let Some(domain) = pool.by_domain.get_mut(&spec.domain) {
+            domain.retain(|m| m.id != id);
+        }
+    }
+
+    /// Returns the number of the upstream with a name.
+    #[must_use]
+    pub fn id(&self, name: &UpstreamName) -> Option<UpstreamId> {
+        self.names.get(name).copied()
+    }
+
+    /// Returns an upstream, or `None` when it has been removed.
+    #[must_use]
+    pub fn get(&self, id: UpstreamId) -> Option<&Upstream> {
+        self.rows.get(&id)
+    }
+
+    /// Returns the estimated load of an upstream.
+    #[must_use]
+    pub fn load(&self, id: UpstreamId, now: Time) -> Load {
+        self.rows
+            .get(&id)
+            .map_or_else(Load::default, |row| row.load.at(now, self.options.report_life))
+    }
+
+    /// Returns the outstanding requests that an upstream may have at `now`,
+    /// when a warm one may have `max`.
+    #[must_use]
+    pub fn bound(&self, id: UpstreamId, max: u32, now: Time) -> u32 {
+        let Some(row) = self.rows.get(&id) else {
+            return 0;
+        };
+        let Health::Warming { since } = row.health else {
+            return max;
+        };
+        let warm_up = self.options.warm_up.as_millis().max(1);
+        let age = now.since(since).as_millis().min(warm_up);
+        let bound = u128::from(max) * age / warm_up;
+        u32::try_from(bound).unwrap_or(max).clamp(1, max)
+    }
+
+    /// Counts an attempt as outstanding, with the tokens that it is expected
+    /// to prefill. Returns `None` when the upstream has been removed.
+    pub fn start(&mut self, id: UpstreamId, prefill: Tokens) -> Option<Ticket> {
+        let row = self.rows.get_mut(&id)?;
+        row.load.own.requests += 1;
+        row.load.own.queued += prefill;
+        Some(Ticket {
+            upstream: id,
+            epoch: row.epoch,
+            prefill,
+        })
+    }
+
+    /// Records that an attempt's first token arrived: its prefill has ended.
+    pub fn first_token(&mut self, ticket: &mut Ticket) {
+        if let Some(row) = self.rows.get_mut(&ticket.upstream) {
+            let own = &mut row.load.own;
+            own.queued = own.queued.saturating_sub(ticket.prefill);
+        }
+        ticket.prefill = Tokens::ZERO;
+    }
+
+    /// Ends an attempt and changes the upstream's health by how it ended.
+    ///
+    /// An answer does not bring back an upstream that is down: it may have
+    /// started before the failure.
+    pub fn finish(&mut self, mut ticket: Ticket, end: End, now: Time, random: u64) {
+        self.first_token(&mut ticket);
+        let probe = self.options.probe;
+        let Some(row) = self.rows.get_mut(&ticket.upstream) else {
+            return;
+        };
+        row.load.own.requests = row.load.own.requests.saturating_sub(1);
+        match end {
+            End::Cancelled => {}
+            End::Answered => {
+                row.consecutive_failures = 0;
+                if row.health == Health::Suspect {
+                    row.health = Health::Healthy;
+                }
+            }
+            End::TimedOut => {
+                row.consecutive_failures += 1;
+                if !matches!(row.health, Health::Down { .. }) {
+                    row.health = Health::Suspect;
+                }
+            }
+            End::Unreachable if ticket.epoch == row.epoch => mark_down(row, probe, now, random),
+            // The failure belongs to an engine that has been replaced since.
+            End::Unreachable => {}
+        }
+    }
+
+    /// Records what an engine says of itself in the answer to an attempt.
+    ///
+    /// Another incarnation or other weights than before make the contents of
+    /// its cache unknown. The answer to an attempt that started before such a
+    /// change is not heeded, as it may speak of the replaced engine.
+    pub fn identify(&mut self, ticket: &Ticket, seen: Identity, now: Time) {
+        let Some(row) = self.rows.get_mut(&ticket.upstream) else {
+            return;
+        };
+        if ticket.epoch == row.epoch {
+            identify(row, seen, now);
+        }
+    }
+
+    /// Takes over a load report whose request was sent at `sent`.
+    ///
+    /// A report that was asked for after an upstream went down brings it back,
+    /// to warm up. An older one is not heeded.
+    pub fn report(
+        &mut self,
+        id: UpstreamId,
+        report: LoadReport,
+        identity: Option<Identity>,
+        sent: Time,
+        now: Time,
+    ) {
+        let Some(row) = self.rows.get_mut(&id) else {
+            return;
+        };
+        if sent < row.changed {
+            return;
+        }
+        if let Some(seen) = identity {
+            identify(row, seen, now);
+        }
+        row.load.report(report, sent);
+        if matches!(row.health, Health::Down { .. }) {
+            row.health = Health::Warming { since: now };
+            row.consecutive_failures = 0;
+            row.changed = now;
+        }
+        if matches!(row.health, Health::Warming { since } if now.since(since) >= self.options.warm_up)
+        {
+            row.health = Health::Healthy;
+        }
+    }
+
+    /// Returns the upstreams that are down and due for a probe, in order.
+    #[must_use]
+    pub fn due_probes(&self, now: Time) -> Vec<UpstreamId> {
+        let due = |row: &Upstream| matches!(row.health, Health::Down { probe_at } if probe_at <= now);
+        self.rows
+            .iter()
+            .filter(|(_, row)| due(row))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Records that a probe failed and puts off the next one.
+    pub fn probe_failed(&mut self, id: UpstreamId, now: Time, random: u64) {
+        let probe = self.options.probe;
+        if let Some(row) = self.rows.get_mut(&id) {
+            mark_down(row, probe, now, random);
+        }
+    }
+
+    /// Returns the live upstreams of a pool, of one failure domain if given.
+    pub(crate) fn members(&self, pool: &PoolName, domain: Option<&DomainName>) -> &[Member] {
+        let Some(pool) = self.pools.get(pool) else {
+            return &[];
+        };
+        let Some(domain) = domain else {
+            return &pool.all;
+        };
+        pool.by_domain.get(domain).map_or(&[], Vec::as_slice)
+    }
+}
+
+fn mark_down(row: &mut Upstream, probe: Duration, now: Time, random: u64) {
+    row.consecutive_failures += 1;
+    let delay = probe_delay(probe, row.consecutive_failures, random);
+    row.health = Health::Down {
+        probe_at: now + delay,
+    };
+    row.changed = now;
+    row.load.forget_report();
+}
+
+fn identify(row: &mut Upstream, seen: Identity, now: Time) {
+    if row.identity == Some(seen) {
+        return;
+    }
+    let restarted = row
+        .identity
+        .is_some_and(|held| held.incarnation != seen.incarnation);
+    if row.identity.is_some() {
+        row.epoch.0 += 1;
+        row.changed = now;
+        row.load.forget_report();
+    }
+    if restarted && !matches!(row.health, Health::Down { .. }) {
+        row.health = Health::Warming { since: now };
+    }
+    row.identity = Some(seen);
+}
