--- /dev/null
+++ b/crates/core/src/fair_queue/queue.rs
@@ -0,0 +1,297 @@
+//! The queue.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::Pushed;
+use super::Rejected;
+use crate::config::Policy;
+use crate::names::TeamName;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::units::Time;
+use crate::units::Tokens;
+
+/// The virtual time of one token at weight one.
+const VIRTUAL_PER_TOKEN: u128 = 1 << 20;
+
+/// The divisor of the weight that one interval has in the learned one.
+const INTERVAL_WEIGHT: u32 = 8;
+
+/// The shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// The longest time after which a refused caller is asked to come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+struct Entry<T> {
+    item: T,
+    start: u128,
+    cost: Tokens,
+    pushed: Time,
+    deadline: Time,
+}
+
+#[derive(Debug)]
+struct Flow<T> {
+    entries: VecDeque<Entry<T>>,
+    weight: u32,
+    queued: Tokens,
+    finish: u128,
+}
+
+impl<T> Flow<T> {
+    /// Returns the virtual time that the waiting entries will take.
+    fn backlog(&self) -> u128 {
+        virtual_span(self.queued, self.weight)
+    }
+}
+
+fn virtual_span(cost: Tokens, weight: u32) -> u128 {
+    u128::from(cost.0.max(1)) * VIRTUAL_PER_TOKEN / u128::from(weight.max(1))
+}
+
+/// A `FairQueue` holds requests that wait for an upstream.
+///
+/// ```
+/// use limpetsaddle_core::config::Policy;
+/// use limpetsaddle_core::fair_queue::FairQueue;
+/// use limpetsaddle_core::names::TeamName;
+/// use limpetsaddle_core::units::Time;
+/// use limpetsaddle_core::units::Tokens;
+///
+/// let (large, small): (TeamName, TeamName) = ("large".parse()?, "small".parse()?);
+/// let policy = Policy::default();
+/// let now = Time::ZERO;
+/// let mut queue = FairQueue::new();
+/// for request in ["large 1", "large 2", "large 3"] {
+///     queue.push(&large, 1, Tokens(500), request, &policy, now).expect("there is room");
+/// }
+/// queue.push(&small, 1, Tokens(500), "small 1", &policy, now).expect("there is room");
+/// assert_eq!(queue.pop(now), Some("large 1"));
+/// assert_eq!(queue.pop(now), Some("small 1"));
+/// # Ok::<(), limpetsaddle_core::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    flows: BTreeMap<TeamName, Flow<T>>,
+    heads: BTreeSet<(u128, TeamName)>,
+    virtual_now: u128,
+    len: usize,
+    last_pop: Time,
+    interval: Duration,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Returns an empty queue.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            flows: BTreeMap::new(),
+            heads: BTreeSet::new(),
+            virtual_now: 0,
+            len: 0,
+            last_pop: Time::ZERO,
+            interval: Duration::ZERO,
+        }
+    }
+
+    /// Returns the number of entries that wait.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether no entry waits.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Takes in a request of a team.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry at once when it would wait for longer than permitted,
+    /// or when the queue is full and no other team has more waiting for its
+    /// weight.
+    pub fn push(
+        &mut self,
+        team: &TeamName,
+        weight: u32,
+        cost: Tokens,
+        item: T,
+        policy: &Policy,
+        now: Time,
+    ) -> Result<Pushed<T>, Rejected<T>> {
+        let start = self.next_start(team);
+        let wait = self.interval * self.entries_before(start);
+        if wait > policy.max_wait {
+            return Err(reject(item, wait));
+        }
+        let max = usize::try_from(policy.max_queued).unwrap_or(usize::MAX);
+        let mut displaced = None;
+        if self.len >= max {
+            displaced = self.displace(team, weight, cost);
+            if displaced.is_none() {
+                return Err(reject(item, self.drain_time()));
+            }
+        }
+        let entry = Entry {
+            item,
+            start,
+            cost,
+            pushed: now,
+            deadline: now + policy.max_wait,
+        };
+        self.append(team, weight, entry);
+        Ok(displaced.map_or(Pushed::Queued, Pushed::Displaced))
+    }
+
+    fn append(&mut self, team: &TeamName, weight: u32, entry: Entry<T>) {
+        let flow = self.flows.entry(team.clone()).or_insert_with(|| Flow {
+            entries: VecDeque::new(),
+            weight,
+            queued: Tokens::ZERO,
+            finish: 0,
+        });
+        flow.weight = weight;
+        flow.queued += entry.cost;
+        flow.finish = entry.start + virtual_span(entry.cost, weight);
+        if flow.entries.is_empty() {
+            self.heads.insert((entry.start, team.clone()));
+        }
+        flow.entries.push_back(entry);
+        self.len += 1;
+    }
+
+    /// Returns the virtual time at which the next entry of a team starts.
+    fn next_start(&self, team: &TeamName) -> u128 {
+        let finish = self.flows.get(team).map_or(0, |flow| flow.finish);
+        finish.max(self.virtual_now)
+    }
+
+    fn entries_before(&self, start: u128) -> u32 {
+        let before = |flow: &Flow<T>| flow.entries.partition_point(|e| e.start <= start);
+        let count: usize = self.flows.values().map(before).sum();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn drain_time(&self) -> Duration {
+        self.interval * u32::try_from(self.len).unwrap_or(u32::MAX)
+    }
+
+    /// Puts out the newest entry of the team with the largest backlog for its
+    /// weight, unless the pushing team's backlog would be as large.
+    fn displace(&mut self, team: &TeamName, weight: u32, cost: Tokens) -> Option<Rejected<T>> {
+        let own = self
+            .flows
+            .get(team)
+            .map_or(Tokens::ZERO, |flow| flow.queued);
+        let own = virtual_span(own + cost, weight);
+        let (largest, flow) = self.flows.iter().max_by_key(|(_, flow)| flow.backlog())?;
+        if largest == team || flow.backlog() <= own {
+            return None;
+        }
+        let largest = largest.clone();
+        let entry = self.take(&largest, VecDeque::pop_back)?;
+        if let Some(flow) = self.flows.get_mut(&largest) {
+            flow.finish = entry.start;
+        }
+        Some(reject(entry.item, self.drain_time()))
+    }
+
+    /// Takes the first or the last entry of a team and keeps the heads in step.
+    fn take(
+        &mut self,
+        team: &TeamName,
+        end: impl FnOnce(&mut VecDeque<Entry<T>>) -> Option<Entry<T>>,
+    ) -> Option<Entry<T>> {
+        let flow = self.flows.get_mut(team)?;
+        let head = flow.entries.front()?.start;
+        let entry = end(&mut flow.entries)?;
+        flow.queued = flow.queued.saturating_sub(entry.cost);
+        self.heads.remove(&(head, team.clone()));
+        if let Some(next) = flow.entries.front() {
+            self.heads.insert((next.start, team.clone()));
+        }
+        self.len -= 1;
+        Some(entry)
+    }
+
+    /// Takes the entry that is to run next.
+    ///
+    /// An entry whose wait has passed is left to [`FairQueue::expire`].
+    pub fn pop(&mut self, now: Time) -> Option<T> {
+        let live = |(_, team): &&(u128, TeamName)| {
+            let head = self.flows.get(team).and_then(|flow| flow.entries.front());
+            head.is_some_and(|entry| entry.deadline > now)
+        };
+        let (start, team) = self.heads.iter().find(live)?.clone();
+        self.virtual_now = self.virtual_now.max(start);
+        let entry = self.take(&team, VecDeque::pop_front)?;
+        self.learn_interval(entry.pushed, now);
+        self.forget_idle();
+        Some(entry.item)
+    }
+
+    /// Learns the time between two entries that are taken out while others
+    /// wait, from which waits are estimated.
+    fn learn_interval(&mut self, pushed: Time, now: Time) {
+        let sample = now.since(pushed.max(self.last_pop));
+        self.last_pop = now;
+        self.interval = (self.interval * (INTERVAL_WEIGHT - 1) + sample) / INTERVAL_WEIGHT;
+    }
+
+    /// Drops the teams that have no entry and whose share has caught up.
+    fn forget_idle(&mut self) {
+        let virtual_now = self.virtual_now;
+        self.flows
+            .retain(|_, flow| !flow.entries.is_empty() || flow.finish > virtual_now);
+    }
+
+    /// Takes out the entries whose wait has passed, each with its refusal.
+    pub fn expire(&mut self, now: Time) -> Vec<Rejected<T>> {
+        let mut expired = Vec::new();
+        let teams: Vec<TeamName> = self.heads.iter().map(|(_, team)| team.clone()).collect();
+        for team in teams {
+            while self.is_head_expired(&team, now) {
+                let Some(entry) = self.take(&team, VecDeque::pop_front) else {
+                    break;
+                };
+                expired.push(reject(entry.item, self.drain_time()));
+            }
+        }
+        self.forget_idle();
+        expired
+    }
+
+    fn is_head_expired(&self, team: &TeamName, now: Time) -> bool {
+        let head = self.flows.get(team).and_then(|flow| flow.entries.front());
+        head.is_some_and(|entry| entry.deadline <= now)
+    }
+
+    /// Returns the earliest time at which an entry's wait passes.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<Time> {
+        let heads = self.flows.values().filter_map(|flow| flow.entries.front());
+        heads.map(|entry| entry.deadline).min()
+    }
+}
+
+fn reject<T>(item: T, wait: Duration) -> Rejected<T> {
+    let after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+    Rejected {
+        item,
+        refusal: Refusal::not_run(Reason::Overloaded).retry_after(after),
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/placer.rs
@@ -0,0 +1,431 @@
+//! The choice of an upstream by its estimated time to first token.
+
+use std::time::Duration;
+
+use super::Basis;
+use super::Choice;
+use super::Feedback;
+use super::PrefixChain;
+use super::Query;
+use super::Unplaced;
+use super::hints::Hint;
+use super::hints::HintTable;
+use super::homes::HomeShares;
+use super::homes::Level;
+use super::homes::MAX_HOMES;
+use super::homes::homes;
+use super::shortlist::Candidate;
+use super::shortlist::Shortlist;
+use crate::hash::mix;
+use crate::units::Time;
+use crate::units::TokenRate;
+use crate::units::Tokens;
+use crate::upstreams::CacheEpoch;
+use crate::upstreams::Health;
+use crate::upstreams::Member;
+use crate::upstreams::UpstreamId;
+use crate::upstreams::UpstreamTable;
+
+/// The candidates that are drawn at random.
+const RANDOM_CANDIDATES: u64 = 2;
+
+/// The hinted candidates at most.
+const MAX_HINTED: usize = 6;
+
+/// The shortest time for which a hint is believed.
+const MIN_HINT_LIFE: Duration = Duration::from_millis(500);
+
+/// The divisor of the weight that one answer has in the learned prefill time.
+const PREFILL_WEIGHT: u64 = 8;
+
+/// The largest factor by which one answer may differ from the learned time.
+const MAX_PREFILL_CHANGE: u64 = 4;
+
+/// The failures that count towards the penalty of a suspect upstream at most.
+const MAX_PENALTIES: u32 = 8;
+
+/// A `PlacerOptions` holds the bounds and starting values of a [`Placer`].
+#[derive(Clone, Copy, Debug)]
+pub struct PlacerOptions {
+    /// The blocks for which hints are kept at most; zero keeps none.
+    pub capacity: usize,
+    /// The longest time for which a hint is believed.
+    pub hint_life: Duration,
+    /// The upstreams that a failure domain needs to have homes of its own.
+    pub home_group: usize,
+    /// The requests per second, as this instance sees them, for which a prefix
+    /// gets another home; `None` leaves it one.
+    pub spread_rate: Option<u32>,
+    /// The rate at which an engine is taken to compute prompts at first.
+    pub prefill: TokenRate,
+    /// The time that each outstanding request of an engine adds.
+    pub request_cost: Duration,
+    /// The time that is added for each failure of a suspect upstream.
+    pub suspect_penalty: Duration,
+    /// The time that is added for an upstream that warms up.
+    pub warm_up_penalty: Duration,
+}
+
+impl Default for PlacerOptions {
+    fn default() -> Self {
+        Self {
+            capacity: 65_536,
+            hint_life: Duration::from_secs(10),
+            home_group: 16,
+            spread_rate: Some(8),
+            prefill: TokenRate(20_000),
+            request_cost: Duration::from_millis(1),
+            suspect_penalty: Duration::from_millis(250),
+            warm_up_penalty: Duration::from_millis(20),
+        }
+    }
+}
+
+/// A `Placer` chooses the upstreams of one pool.
+///
+/// ```
+/// use limpetsaddle_core::config::Phase;
+/// use limpetsaddle_core::config::Policy;
+/// use limpetsaddle_core::config::UpstreamSpec;
+/// use limpetsaddle_core::placement::Placer;
+/// use limpetsaddle_core::placement::PlacerOptions;
+/// use limpetsaddle_core::placement::PrefixChain;
+/// use limpetsaddle_core::placement::Query;
+/// use limpetsaddle_core::units::Time;
+/// use limpetsaddle_core::upstreams::Arrival;
+/// use limpetsaddle_core::upstreams::UpstreamOptions;
+/// use limpetsaddle_core::upstreams::UpstreamTable;
+///
+/// let mut table = UpstreamTable::new(UpstreamOptions::default());
+/// let spec = UpstreamSpec {
+///     pool: "lm-pool".parse()?,
+///     domain: "bergen-a".parse()?,
+///     address: ([127, 0, 0, 1], 9000).into(),
+///     phase: Phase::Live,
+/// };
+/// let now = Time::ZERO;
+/// let id = table.insert("engine-1".parse()?, spec.clone(), Arrival::InService, now);
+/// let placer = Placer::new(PlacerOptions::default());
+/// let query = Query {
+///     pool: &spec.pool,
+///     domain: &spec.domain,
+///     chain: &PrefixChain::EMPTY,
+///     weights: None,
+///     exclude: &[],
+///     policy: &Policy::default(),
+/// };
+/// let choice = placer.choose(&query, &table, now, 0).expect("one upstream is live");
+/// assert_eq!(choice.upstream, id);
+/// # Ok::<(), limpetsaddle_core::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Placer {
+    options: PlacerOptions,
+    hints: HintTable,
+    shares: HomeShares,
+    life: Duration,
+    prefill_nanos: u64,
+}
+
+impl Placer {
+    /// The bytes that one hint takes, without the spare room of its map.
+    pub const HINT_BYTES: usize = HintTable::HINT_BYTES;
+
+    /// Returns a placer without hints.
+    #[must_use]
+    pub fn new(options: PlacerOptions) -> Self {
+        Self {
+            options,
+            hints: HintTable::new(options.capacity, options.hint_life),
+            shares: HomeShares::default(),
+            life: options.hint_life,
+            prefill_nanos: 1_000_000_000 / options.prefill.0.max(1),
+        }
+    }
+
+    /// Returns the number of blocks for which hints are kept.
+    #[must_use]
+    pub fn hint_count(&self) -> usize {
+        self.hints.len()
+    }
+
+    /// Returns the rate at which engines were found to compute prompts.
+    #[must_use]
+    pub const fn prefill_rate(&self) -> TokenRate {
+        TokenRate(1_000_000_000 / self.prefill_nanos)
+    }
+
+    /// Chooses an upstream for a request.
+    ///
+    /// Compares the engines that hints name, the homes of the prompt's levels
+    /// and two drawn by `random`; only when none of them may take the request
+    /// does it look at the whole pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Unplaced::AllFull`] when an upstream may take the request as
+    /// soon as another one ends, and [`Unplaced::NoUpstream`] otherwise.
+    pub fn choose(
+        &self,
+        query: &Query<'_>,
+        table: &UpstreamTable,
+        now: Time,
+        random: u64,
+    ) -> Result<Choice, Unplaced> {
+        let mut shortlist = Shortlist::default();
+        let shared = self.add_hinted(&mut shortlist, query, table, now);
+        self.add_homes(&mut shortlist, query, table, shared, now);
+        add_random(&mut shortlist, query, table, random);
+        shortlist
+            .iter()
+            .filter(|c| is_below_bound(c.id, query, table, now))
+            .filter_map(|c| self.estimate(c, query, table, now))
+            .min_by_key(|choice| choice.estimate)
+            .map_or_else(|| self.scan(&shortlist, query, table, now), Ok)
+    }
+
+    /// Adds the holders of the deepest hinted blocks and returns how many
+    /// blocks of the prompt this instance has seen before.
+    fn add_hinted(
+        &self,
+        shortlist: &mut Shortlist,
+        query: &Query<'_>,
+        table: &UpstreamTable,
+        now: Time,
+    ) -> usize {
+        let mut shared = 0;
+        let mut found = 0;
+        for (i, block) in query.chain.blocks().iter().enumerate().rev() {
+            let Some(hint) = self.hints.get(*block) else {
+                continue;
+            };
+            if shared == 0 && hint.is_fresh(now, self.options.hint_life) {
+                shared = i + 1;
+            }
+            for (holder, age) in hint.holders(now, self.life) {
+                let row = table.get(holder.upstream);
+                let current = row.is_some_and(|row| row.epoch == holder.epoch);
+                if current && !shortlist.contains(holder.upstream) {
+                    let cached = query.chain.tokens_of(i + 1);
+                    shortlist.add(holder.upstream, cached, Basis::Hint { age });
+                    found += 1;
+                }
+            }
+            if found >= MAX_HINTED {
+                break;
+            }
+        }
+        shared
+    }
+
+    fn add_homes(
+        &self,
+        shortlist: &mut Shortlist,
+        query: &Query<'_>,
+        table: &UpstreamTable,
+        shared: usize,
+        now: Time,
+    ) {
+        let blocks = query.chain.blocks();
+        let members = self.home_group(query, table);
+        let levels = [
+            (Level::Shared, shared),
+            (Level::Whole, blocks.len()),
+            (Level::Root, blocks.len().min(1)),
+        ];
+        for (level, depth) in levels {
+            let Some(block) = depth.checked_sub(1).and_then(|last| blocks.get(last)) else {
+                continue;
+            };
+            let prefix = query.chain.tokens_of(depth);
+            let cached = Tokens(self.shares.expected(level, prefix.0));
+            let count = self.home_count(self.hints.get(*block), level, now);
+            for id in homes(*block, members, count) {
+                shortlist.add(id, cached, Basis::Home { level, prefix });
+            }
+        }
+    }
+
+    /// Returns the failure domain's upstreams where it has enough of them, and
+    /// those of the whole pool otherwise.
+    fn home_group<'t>(&self, query: &Query<'_>, table: &'t UpstreamTable) -> &'t [Member] {
+        let domain = table.members(query.pool, Some(query.domain));
+        if domain.len() >= self.options.home_group {
+            return domain;
+        }
+        table.members(query.pool, None)
+    }
+
+    fn home_count(&self, hint: Option<&Hint>, level: Level, now: Time) -> usize {
+        let (Some(hint), Some(per_home)) = (hint, self.options.spread_rate) else {
+            return 1;
+        };
+        if level != Level::Shared {
+            return 1;
+        }
+        let more = hint.rate(now) / per_home.max(1);
+        (1 + usize::try_from(more).unwrap_or(MAX_HOMES)).min(MAX_HOMES)
+    }
+
+    /// Looks for the best upstream of the whole pool. A warm-up bound does not
+    /// count here: a slow start beats a refusal.
+    fn scan(
+        &self,
+        shortlist: &Shortlist,
+        query: &Query<'_>,
+        table: &UpstreamTable,
+        now: Time,
+    ) -> Result<Choice, Unplaced> {
+        let mut unplaced = Unplaced::NoUpstream;
+        let mut best: Option<Choice> = None;
+        for member in table.members(query.pool, None) {
+            let known = shortlist.iter().find(|c| c.id == member.id);
+            let candidate = known.copied().unwrap_or(Candidate {
+                id: member.id,
+                cached: Tokens::ZERO,
+                basis: Basis::Load,
+            });
+            let Some(choice) = self.estimate(&candidate, query, table, now) else {
+                continue;
+            };
+            unplaced = Unplaced::AllFull;
+            let full = table.load(member.id, now).requests >= query.policy.max_outstanding;
+            if !full && best.is_none_or(|held| choice.estimate < held.estimate) {
+                best = Some(choice);
+            }
+        }
+        best.ok_or(unplaced)
+    }
+
+    /// Returns the estimate for an upstream that may take the request at all.
+    fn estimate(
+        &self,
+        candidate: &Candidate,
+        query: &Query<'_>,
+        table: &UpstreamTable,
+        now: Time,
+    ) -> Option<Choice> {
+        let row = table.get(candidate.id)?;
+        let contradicts = query
+            .weights
+            .is_some_and(|weights| row.contradicts(weights));
+        if !row.takes_work() || contradicts || query.exclude.contains(&candidate.id) {
+            return None;
+        }
+        let load = table.load(candidate.id, now);
+        let queue = self.prefill_time(load.queued) + self.options.request_cost * load.requests;
+        let prefill = query.chain.prompt().saturating_sub(candidate.cached);
+        let compute = self.prefill_time(prefill) * query.policy.recompute_weight / 100;
+        let mut estimate = queue + compute;
+        if row.spec.domain != *query.domain {
+            estimate += query.policy.leave_domain;
+        }
+        estimate += match row.health {
+            Health::Suspect => {
+                self.options.suspect_penalty * row.consecutive_failures.clamp(1, MAX_PENALTIES)
+            }
+            Health::Warming { .. } => self.options.warm_up_penalty,
+            Health::Healthy | Health::Down { .. } => Duration::ZERO,
+        };
+        Some(Choice {
+            upstream: candidate.id,
+            epoch: row.epoch,
+            estimate,
+            queue,
+            cached: candidate.cached,
+            prefill,
+            basis: candidate.basis,
+        })
+    }
+
+    fn prefill_time(&self, tokens: Tokens) -> Duration {
+        Duration::from_nanos(tokens.0.saturating_mul(self.prefill_nanos))
+    }
+
+    /// Records that a request was sent to the chosen upstream, which will hold
+    /// the prompt's blocks.
+    pub fn placed(&mut self, chain: &PrefixChain, choice: &Choice, now: Time) {
+        if self.options.capacity == 0 {
+            return;
+        }
+        for block in chain.blocks() {
+            self.hints.count_request(*block, now);
+            self.hints.hold(*block, choice.upstream, choice.epoch, now);
+        }
+    }
+
+    /// Learns from the answer to a placed request.
+    ///
+    /// `epoch` is the epoch of the engine's cache after its answer was
+    /// identified; the blocks are held under it.
+    pub fn answered(
+        &mut self,
+        chain: &PrefixChain,
+        choice: &Choice,
+        epoch: CacheEpoch,
+        feedback: Feedback,
+        now: Time,
+    ) {
+        match choice.basis {
+            Basis::Hint { age } => self.learn_life(feedback.cached >= choice.cached, age),
+            Basis::Home { level, prefix } => {
+                self.shares.learn(level, feedback.cached.0, prefix.0);
+            }
+            Basis::Load => {}
+        }
+        self.learn_prefill(chain, choice, feedback);
+        if self.options.capacity > 0 {
+            for block in chain.blocks() {
+                self.hints.hold(*block, choice.upstream, epoch, now);
+            }
+        }
+    }
+
+    /// Shortens the time for which hints are believed when one of that age was
+    /// wrong, and lengthens it step by step while old ones are right.
+    fn learn_life(&mut self, right: bool, age: Duration) {
+        if !right && age < self.life {
+            self.life = ((self.life * 3 + age) / 4).max(MIN_HINT_LIFE);
+        }
+        if right && age > self.life / 2 {
+            self.life = (self.life + self.life / 16).min(self.options.hint_life);
+        }
+    }
+
+    /// Learns the prefill time from answers that did not wait for other work.
+    fn learn_prefill(&mut self, chain: &PrefixChain, choice: &Choice, feedback: Feedback) {
+        let computed = chain.prompt().saturating_sub(feedback.cached);
+        if choice.queue > Duration::ZERO || computed < chain.tokens_of(1) {
+            return;
+        }
+        let nanos = u64::try_from(feedback.first_token.as_nanos()).unwrap_or(u64::MAX);
+        // One slow answer must not change the rate by an order of magnitude.
+        let sample = (nanos / computed.0.max(1)).clamp(
+            self.prefill_nanos / MAX_PREFILL_CHANGE,
+            self.prefill_nanos.saturating_mul(MAX_PREFILL_CHANGE),
+        );
+        let kept = self.prefill_nanos * (PREFILL_WEIGHT - 1);
+        self.prefill_nanos = (kept.saturating_add(sample) / PREFILL_WEIGHT).max(1);
+    }
+}
+
+fn is_below_bound(id: UpstreamId, query: &Query<'_>, table: &UpstreamTable, now: Time) -> bool {
+    let bound = table.bound(id, query.policy.max_outstanding, now);
+    table.load(id, now).requests < bound
+}
+
+/// Adds an upstream of the failure domain and one of the pool, so that load
+/// finds its way past the homes.
+fn add_random(shortlist: &mut Shortlist, query: &Query<'_>, table: &UpstreamTable, random: u64) {
+    let groups = [Some(query.domain), None];
+    for (draw, domain) in (0..RANDOM_CANDIDATES).zip(groups) {
+        let members = table.members(query.pool, domain);
+        let Some(last) = (members.len() as u64).checked_sub(1) else {
+            continue;
+        };
+        let pick = mix(random.wrapping_add(draw)) % (last + 1);
+        if let Some(member) = usize::try_from(pick).ok().and_then(|i| members.get(i)) {
+            shortlist.add(member.id, Tokens::ZERO, Basis::Load);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/shortlist.rs
@@ -0,0 +1,38 @@
+//! The candidates that are compared for one request.
+
+use super::Basis;
+use crate::units::Tokens;
+use crate::upstreams::UpstreamId;
+
+/// A `Candidate` is an upstream with the tokens that it is expected to hold.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub(super) id: UpstreamId,
+    pub(super) cached: Tokens,
+    pub(super) basis: Basis,
+}
+
+/// A `Shortlist` holds each candidate once, with the largest expectation.
+#[derive(Debug, Default)]
+pub(super) struct Shortlist {
+    candidates: Vec<Candidate>,
+}
+
+impl Shortlist {
+    pub(super) fn add(&mut self, id: UpstreamId, cached: Tokens, basis: Basis) {
+        let candidate = Candidate { id, cached, basis };
+        match self.candidates.iter_mut().find(|c| c.id == id) {
+            Some(held) if held.cached >= cached => {}
+            Some(held) => *held = candidate,
+            None => self.candidates.push(candidate),
+        }
+    }
+
+    pub(super) fn contains(&self, id: UpstreamId) -> bool {
+        self.candidates.iter().any(|c| c.id == id)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Candidate> {
+        self.candidates.iter()
+    }
+}
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -24,6 +24,8 @@
 pub use self::table::UpstreamOptions;
 pub use self::table::UpstreamTable;
 
+pub(crate) use self::table::Member;
+
 /// An `UpstreamId` is the number under which this instance holds an upstream.
 ///
 /// It is never given out twice, so that it cannot name a later upstream.
--- a/crates/core/src/upstreams/load.rs
+++ b/crates/core/src/upstreams/load.rs
@@ -5,6 +5,9 @@
 use crate::units::Time;
 use crate::units::Tokens;
 
+/// The tokens that a report is believed to have queued at most.
+const MAX_QUEUED: Tokens = Tokens(1 << 40);
+
 /// A `LoadReport` is what an engine says of its load.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LoadReport {
@@ -38,9 +41,10 @@
         if self.reported.is_some_and(|last| last > sent) {
             return;
         }
+        let queued = report.queued.min(MAX_QUEUED);
         self.others = LoadReport {
             requests: report.requests.saturating_sub(self.own.requests),
-            queued: report.queued.saturating_sub(self.own.queued),
+            queued: queued.saturating_sub(self.own.queued),
         };
         self.reported = Some(sent);
     }
@@ -60,7 +64,10 @@
         let requests = u64::from(self.others.requests) * parts / 1_000;
         let queued = self.others.queued.0 * parts / 1_000;
         Load {
-            requests: self.own.requests + u32::try_from(requests).unwrap_or(u32::MAX / 2),
+            requests: self
+                .own
+                .requests
+                .saturating_add(u32::try_from(requests).unwrap_or(u32::MAX)),
             queued: self.own.queued + Tokens(queued),
         }
     }
--- a/crates/core/src/upstreams/table.rs
+++ b/crates/core/src/upstreams/table.rs
@@ -238,9 +238,9 @@
     /// Returns the estimated load of an upstream.
     #[must_use]
     pub fn load(&self, id: UpstreamId, now: Time) -> Load {
-        self.rows
-            .get(&id)
-            .map_or_else(Load::default, |row| row.load.at(now, self.options.report_life))
+        self.rows.get(&id).map_or_else(Load::default, |row| {
+            row.load.at(now, self.options.report_life)
+        })
     }
 
     /// Returns the outstanding requests that an upstream may have at `now`,
@@ -293,7 +293,6 @@
         };
         row.load.own.requests = row.load.own.requests.saturating_sub(1);
         match end {
-            End::Cancelled => {}
             End::Answered => {
                 row.consecutive_failures = 0;
                 if row.health == Health::Suspect {
@@ -307,8 +306,8 @@
                 }
             }
             End::Unreachable if ticket.epoch == row.epoch => mark_down(row, probe, now, random),
-            // The failure belongs to an engine that has been replaced since.
-            End::Unreachable => {}
+            // A failure under an earlier epoch is that of a replaced engine.
+            End::Cancelled | End::Unreachable => {}
         }
     }
 
@@ -329,7 +328,8 @@
     /// Takes over a load report whose request was sent at `sent`.
     ///
     /// A report that was asked for after an upstream went down brings it back,
-    /// to warm up. An older one is not heeded.
+    /// to warm up, and takes one failure off a suspect one. A report that was
+    /// asked for before the last change is not heeded.
     pub fn report(
         &mut self,
         id: UpstreamId,
@@ -348,21 +348,26 @@
             identify(row, seen, now);
         }
         row.load.report(report, sent);
-        if matches!(row.health, Health::Down { .. }) {
-            row.health = Health::Warming { since: now };
-            row.consecutive_failures = 0;
-            row.changed = now;
-        }
-        if matches!(row.health, Health::Warming { since } if now.since(since) >= self.options.warm_up)
-        {
-            row.health = Health::Healthy;
-        }
+        row.consecutive_failures = row.consecutive_failures.saturating_sub(1);
+        row.health = match row.health {
+            Health::Down { .. } => {
+                row.consecutive_failures = 0;
+                row.changed = now;
+                Health::Warming { since: now }
+            }
+            Health::Warming { since } if now.since(since) >= self.options.warm_up => {
+                Health::Healthy
+            }
+            Health::Suspect if row.consecutive_failures == 0 => Health::Healthy,
+            health => health,
+        };
     }
 
     /// Returns the upstreams that are down and due for a probe, in order.
     #[must_use]
     pub fn due_probes(&self, now: Time) -> Vec<UpstreamId> {
-        let due = |row: &Upstream| matches!(row.health, Health::Down { probe_at } if probe_at <= now);
+        let due =
+            |row: &Upstream| matches!(row.health, Health::Down { probe_at } if probe_at <= now);
         self.rows
             .iter()
             .filter(|(_, row)| due(row))
