Add the configuration store, keys and membership

Instances had no shared configuration. The store joins objects by revision, keeps tombstones and compares itself with others by digests; membership tells life from advances of heartbeats on the local clock; keys authenticate against the store.

--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -2,6 +2,7 @@
 
 use thiserror::Error as ThisError;
 
+use crate::config::Kind;
 use crate::units::Revision;
 
 /// A `Result` whose error is the core crate's [`Error`].
@@ -35,6 +36,14 @@
     /// A hexadecimal digest does not have the expected length or alphabet.
     #[error("invalid digest: expected 64 hexadecimal digits")]
     InvalidDigest,
+    /// An object's content is not of the kind that its identity names.
+    #[error("content of kind {} under an identity of kind {}", .spec.as_str(), .id.as_str())]
+    KindMismatch {
+        /// The kind that the identity names.
+        id: Kind,
+        /// The kind of the content.
+        spec: Kind,
+    },
 }
 
 /// A `FieldRule` is a rule that a field of a configuration object broke.
--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -33,6 +33,15 @@
     pub fn of(bytes: &[u8]) -> Self {
         Self(Sha256::digest(bytes).into())
     }
+
+    /// Returns whether both digests are equal, in a time that tells nothing of
+    /// where they differ.
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        let pairs = self.0.iter().zip(&other.0);
+        let differing = pairs.fold(0, |bits, (a, b)| bits | std::hint::black_box(a ^ b));
+        differing == 0
+    }
 }
 
 impl fmt::Display for Digest {
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -1,1 +1,140 @@
 //! Callers' keys and their authentication.
+//!
+//! A key is `lsk-<key id>-<secret>`. The platform stores its public part, the
+//! key id, and the digest of the whole key. Provides the issue of keys, the
+//! authentication of requests and of running streams, and the places of a
+//! request where keys are found and from which they are removed.
+
+mod places;
+
+use std::fmt;
+use std::fmt::Write as _;
+
+use crate::config::KeyRecord;
+use crate::hash::Digest;
+use crate::names::KeyId;
+use crate::names::TeamName;
+use crate::refusal::Reason;
+use crate::store::ConfigStore;
+
+pub use self::places::contains_key;
+pub use self::places::is_credential;
+pub use self::places::presented_key;
+pub use self::places::strip_query;
+
+/// The text that every key starts with.
+pub const KEY_PREFIX: &str = "lsk-";
+
+/// The largest length of a key in bytes.
+pub const MAX_KEY_BYTES: usize = 256;
+
+/// The length in bytes of the random number behind a secret.
+pub const SECRET_BYTES: usize = 24;
+
+/// An `IssuedKey` is a new key, whose text exists nowhere else.
+pub struct IssuedKey {
+    /// The whole key, to be shown once.
+    pub text: String,
+    /// The record that the platform stores.
+    pub record: KeyRecord,
+}
+
+impl fmt::Debug for IssuedKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("IssuedKey")
+            .field("record", &self.record)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Returns a new key whose secret is made of `random`.
+///
+/// ```
+/// use limpetsaddle_core::hash::Digest;
+/// use limpetsaddle_core::keys::issue;
+///
+/// let key = issue(&"k1".parse()?, [7; 24]);
+/// assert!(key.text.starts_with("lsk-k1-"));
+/// assert_eq!(key.record.digest, Digest::of(key.text.as_bytes()));
+/// # Ok::<(), limpetsaddle_core::Error>(())
+/// ```
+#[must_use]
+pub fn issue(id: &KeyId, random: [u8; SECRET_BYTES]) -> IssuedKey {
+    let mut text = format!("{KEY_PREFIX}{id}-");
+    for byte in random {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    let record = KeyRecord {
+        id: id.clone(),
+        digest: Digest::of(text.as_bytes()),
+        withdrawn: false,
+    };
+    IssuedKey { text, record }
+}
+
+/// Returns the team and the key id that a presented key belongs to.
+///
+/// Key ids and secrets may both hold dashes, so each dash is tried as their
+/// border; the digest of the whole key decides.
+///
+/// # Errors
+///
+/// Returns [`Reason::MissingKey`] for an empty key, [`Reason::WithdrawnKey`] for
+/// a withdrawn one, and [`Reason::UnknownKey`] for any other that does not
+/// belong to exactly one team.
+///
+/// ```
+/// use limpetsaddle_core::keys::authenticate;
+/// use limpetsaddle_core::refusal::Reason;
+/// use limpetsaddle_core::store::ConfigStore;
+///
+/// let store = ConfigStore::default();
+/// let answer = authenticate(&store, b"lsk-k1-secret");
+/// assert_eq!(answer, Err(Reason::UnknownKey));
+/// ```
+pub fn authenticate(store: &ConfigStore, presented: &[u8]) -> Result<(TeamName, KeyId), Reason> {
+    if presented.is_empty() {
+        return Err(Reason::MissingKey);
+    }
+    let rest = parse(presented).ok_or(Reason::UnknownKey)?;
+    let digest = Digest::of(presented);
+    let mut found = None;
+    for (border, _) in rest.match_indices('-') {
+        for (team, record) in store.teams_by_key(&rest[..border]) {
+            if !record.digest.matches(&digest) {
+                continue;
+            }
+            if record.withdrawn {
+                return Err(Reason::WithdrawnKey);
+            }
+            if found.replace((team, record)).is_some() {
+                return Err(Reason::UnknownKey);
+            }
+        }
+    }
+    let (team, record) = found.ok_or(Reason::UnknownKey)?;
+    Ok((team.clone(), record.id.clone()))
+}
+
+/// Returns whether a key that authenticated earlier still does.
+///
+/// Running streams are checked with it after each change of their team.
+#[must_use]
+pub fn still_valid(store: &ConfigStore, team: &TeamName, key_id: &KeyId) -> bool {
+    let Some(team) = store.team(team) else {
+        return false;
+    };
+    team.keys.iter().any(|k| k.id == *key_id && !k.withdrawn)
+}
+
+/// Returns the key without its prefix, or `None` when it is malformed.
+fn parse(presented: &[u8]) -> Option<&str> {
+    if presented.len() > MAX_KEY_BYTES {
+        return None;
+    }
+    let text = std::str::from_utf8(presented).ok()?;
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"._~-".contains(&b);
+    text.strip_prefix(KEY_PREFIX)
+        .filter(|rest| rest.bytes().all(plain))
+}
--- /dev/null
+++ b/crates/core/src/keys/places.rs
@@ -0,0 +1,142 @@
+//! The places of a request in which clients put keys.
+
+use std::borrow::Cow;
+
+use super::KEY_PREFIX;
+use crate::refusal::Reason;
+
+/// The headers that must never reach an upstream.
+const CREDENTIAL_HEADERS: [&str; 7] = [
+    "api-key",
+    "authorization",
+    "cookie",
+    "proxy-authorization",
+    "x-api-key",
+    "x-auth-token",
+    "x-goog-api-key",
+];
+
+/// The query parameters that must never reach an upstream.
+const CREDENTIAL_PARAMETERS: [&str; 5] = ["access_token", "api-key", "api_key", "apikey", "key"];
+
+const BEARER: &[u8] = b"bearer";
+
+/// Returns the key that the headers of a request present.
+///
+/// The key stands in `Authorization: Bearer` or in `x-api-key`. Names are
+/// compared without regard to case.
+///
+/// # Errors
+///
+/// Returns [`Reason::MissingKey`] when no header presents a key,
+/// [`Reason::UnknownKey`] for an `Authorization` of another scheme, and
+/// [`Reason::BadRequest`] when two headers present differing keys.
+///
+/// ```
+/// use limpetsaddle_core::keys::presented_key;
+///
+/// let headers = [("authorization", b"Bearer lsk-k1-secret".as_slice())];
+/// assert_eq!(presented_key(headers), Ok(b"lsk-k1-secret".as_slice()));
+/// ```
+pub fn presented_key<'a>(
+    headers: impl IntoIterator<Item = (&'a str, &'a [u8])>,
+) -> Result<&'a [u8], Reason> {
+    let mut found = None;
+    for (name, value) in headers {
+        let key = if name.eq_ignore_ascii_case("authorization") {
+            bearer(value).ok_or(Reason::UnknownKey)?
+        } else if name.eq_ignore_ascii_case("x-api-key") {
+            value.trim_ascii()
+        } else {
+            continue;
+        };
+        if found.replace(key).is_some_and(|earlier| earlier != key) {
+            return Err(Reason::BadRequest);
+        }
+    }
+    found
+        .filter(|key| !key.is_empty())
+        .ok_or(Reason::MissingKey)
+}
+
+/// Returns whether a header of this name must never reach an upstream.
+///
+/// ```
+/// use limpetsaddle_core::keys::is_credential;
+///
+/// assert!(is_credential("Authorization"));
+/// assert!(!is_credential("content-type"));
+/// ```
+#[must_use]
+pub fn is_credential(name: &str) -> bool {
+    CREDENTIAL_HEADERS
+        .iter()
+        .any(|h| name.eq_ignore_ascii_case(h))
+}
+
+/// Returns whether `value` holds the start of a caller's key.
+///
+/// Values of any other header, path or parameter that do must not reach an
+/// upstream either.
+#[must_use]
+pub fn contains_key(value: &[u8]) -> bool {
+    let prefix = KEY_PREFIX.as_bytes();
+    value
+        .windows(prefix.len())
+        .any(|part| part.eq_ignore_ascii_case(prefix))
+}
+
+/// Returns the query of a request without the parameters that carry keys.
+///
+/// Escaped names are recognised, as upstreams decode them too.
+///
+/// ```
+/// use limpetsaddle_core::keys::strip_query;
+///
+/// assert_eq!(strip_query("a=1&api_key=lsk-k1-secret&b=2"), "a=1&b=2");
+/// ```
+#[must_use]
+pub fn strip_query(query: &str) -> Cow<'_, str> {
+    if query.split('&').all(is_harmless) {
+        return Cow::Borrowed(query);
+    }
+    let kept: Vec<&str> = query.split('&').filter(|pair| is_harmless(pair)).collect();
+    Cow::Owned(kept.join("&"))
+}
+
+fn is_harmless(pair: &str) -> bool {
+    let (name, _) = pair.split_once('=').unwrap_or((pair, ""));
+    let name = unescape(name);
+    let named = CREDENTIAL_PARAMETERS
+        .iter()
+        .any(|p| name.eq_ignore_ascii_case(p.as_bytes()));
+    !named && !contains_key(&unescape(pair))
+}
+
+/// Returns `text` with its percent escapes resolved.
+fn unescape(text: &str) -> Vec<u8> {
+    let mut plain = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        let escaped = (*first == b'%').then(|| tail.get(..2)).flatten();
+        let byte = escaped.and_then(hex_byte);
+        plain.push(byte.unwrap_or(*first));
+        rest = if byte.is_some() { &tail[2..] } else { tail };
+    }
+    plain
+}
+
+fn hex_byte(digits: &[u8]) -> Option<u8> {
+    if !digits.iter().all(u8::is_ascii_hexdigit) {
+        return None;
+    }
+    let digits = std::str::from_utf8(digits).ok()?;
+    u8::from_str_radix(digits, 16).ok()
+}
+
+fn bearer(value: &[u8]) -> Option<&[u8]> {
+    let value = value.trim_ascii();
+    let (scheme, key) = value.split_at_checked(BEARER.len())?;
+    let spaced = key.first().is_none_or(u8::is_ascii_whitespace);
+    (scheme.eq_ignore_ascii_case(BEARER) && spaced).then(|| key.trim_ascii())
+}
--- /dev/null
+++ b/crates/core/src/membership/exchange.rs
@@ -0,0 +1,285 @@
+//! The exchange by which rows and configuration spread between instances.
+//!
+//! Once a second an instance opens an exchange with a random peer. The request
+//! carries rows and the root digest. Where the roots differ the reply carries
+//! the bucket digests, and the asking instance goes on with the rows of the
+//! differing buckets until both hold the same. Every message stays within a
+//! budget of bytes; what does not fit follows in the next one.
+
+use std::time::Duration;
+
+use super::members::Member;
+use super::members::Members;
+use super::members::Source;
+use super::row::Replaced;
+use super::row::Row;
+use crate::config::Object;
+use crate::config::ObjectId;
+use crate::store::Change;
+use crate::store::ConfigStore;
+use crate::store::DigestRequest;
+use crate::units::Revision;
+use crate::units::Time;
+
+/// An `ExchangeOptions` holds the bounds of a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ExchangeOptions {
+    /// The rows that a message carries beside the sender's.
+    pub rows: usize,
+    /// The bytes of objects that a message carries, one object at least.
+    pub object_bytes: usize,
+    /// The bytes of (id, revision) rows that a request carries.
+    pub version_bytes: usize,
+    /// The requests that one exchange takes.
+    pub rounds: u32,
+}
+
+impl Default for ExchangeOptions {
+    fn default() -> Self {
+        Self {
+            rows: 6,
+            object_bytes: 64 * 1024,
+            version_bytes: 16 * 1024,
+            rounds: 256,
+        }
+    }
+}
+
+/// An `ExchangeRequest` opens or continues an exchange.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExchangeRequest {
+    /// The sender.
+    pub from: Row,
+    /// Rows of other instances.
+    pub rows: Vec<Row>,
+    /// The digest over all objects that the sender holds.
+    pub root: u64,
+    /// What the sender asks for.
+    pub query: DigestRequest,
+    /// Objects that the receiver may lack.
+    pub objects: Vec<Object>,
+}
+
+/// An `ExchangeReply` is the answer to an [`ExchangeRequest`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ExchangeReply {
+    /// What the receiver holds.
+    State(Box<State>),
+    /// The sender's incarnation has been replaced.
+    Replaced(Replaced),
+}
+
+/// A `State` is what a replying instance holds and lacks.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct State {
+    /// The replying instance.
+    pub from: Row,
+    /// Rows of other instances.
+    pub rows: Vec<Row>,
+    /// The digest over all objects that the replying instance holds.
+    pub root: u64,
+    /// How far its configuration is complete, if the platform ever said so.
+    pub completeness: Option<Completeness>,
+    /// The digest of each bucket; empty when the roots are equal.
+    pub buckets: Vec<u64>,
+    /// Objects that the sender of the request lacks.
+    pub objects: Vec<Object>,
+    /// Objects that the replying instance lacks.
+    pub wanted: Vec<ObjectId>,
+    /// Whether the budget left out some objects.
+    pub more: bool,
+}
+
+/// A `Completeness` tells up to which revision a configuration is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Completeness {
+    /// The revision.
+    pub revision: Revision,
+    /// The time since the platform confirmed it.
+    pub age: Duration,
+}
+
+/// A `Pending` is a request with what its sender has to know of it later.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Pending {
+    /// The request to send.
+    pub request: ExchangeRequest,
+    /// The time before it was sent.
+    pub sent: Time,
+    /// The number of requests before it in the same exchange.
+    pub round: u32,
+}
+
+/// An `Outcome` is what a message brought.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Outcome {
+    /// The changes of configuration.
+    pub changes: Vec<Change>,
+    /// The request by which the exchange goes on at once, if it does.
+    pub next: Option<Pending>,
+}
+
+/// Returns the request that opens an exchange.
+#[must_use]
+pub fn open(store: &ConfigStore, members: &Members, opts: &ExchangeOptions, now: Time) -> Pending {
+    let request = ExchangeRequest {
+        from: members.own().clone(),
+        rows: members.news(opts.rows, now),
+        root: store.digests().root(),
+        query: DigestRequest::Root,
+        objects: Vec::new(),
+    };
+    Pending {
+        request,
+        sent: now,
+        round: 0,
+    }
+}
+
+/// Returns the request by which a watcher pushes `objects` to a peer.
+///
+/// It carries no rows and asks for nothing.
+#[must_use]
+pub fn push(store: &ConfigStore, members: &Members, objects: Vec<Object>, now: Time) -> Pending {
+    let request = ExchangeRequest {
+        from: members.own().clone(),
+        rows: Vec::new(),
+        root: store.digests().root(),
+        query: DigestRequest::Nothing,
+        objects,
+    };
+    Pending {
+        request,
+        sent: now,
+        round: 0,
+    }
+}
+
+/// Takes in a request and returns the reply with the changes it brought.
+pub fn answer(
+    store: &mut ConfigStore,
+    members: &mut Members,
+    request: ExchangeRequest,
+    opts: &ExchangeOptions,
+    now: Time,
+) -> (ExchangeReply, Vec<Change>) {
+    if let Err(replaced) = members.admit(&request.from, now) {
+        return (ExchangeReply::Replaced(replaced), Vec::new());
+    }
+    members.absorb_all(&request.rows, now);
+    let changes = store.merge_all(request.objects);
+    let digests = store.answer(request.root, &request.query, opts.object_bytes);
+    let completeness = store.confirmation().map(|c| Completeness {
+        revision: c.revision,
+        age: c.age(now),
+    });
+    let rows = match request.query {
+        DigestRequest::Root => members.news(opts.rows, now),
+        DigestRequest::Nothing | DigestRequest::Versions { .. } => Vec::new(),
+    };
+    let state = State {
+        from: members.own().clone(),
+        rows,
+        root: store.digests().root(),
+        completeness,
+        buckets: digests.buckets,
+        objects: digests.objects,
+        wanted: digests.wanted,
+        more: digests.more,
+    };
+    (ExchangeReply::State(Box::new(state)), changes)
+}
+
+/// Takes in the reply to a request.
+///
+/// # Errors
+///
+/// Returns [`Replaced`] when the peer refused contact to this incarnation.
+pub fn absorb(
+    store: &mut ConfigStore,
+    members: &mut Members,
+    pending: &Pending,
+    reply: ExchangeReply,
+    opts: &ExchangeOptions,
+    now: Time,
+) -> Result<Outcome, Replaced> {
+    let mut state = match reply {
+        ExchangeReply::State(state) => state,
+        ExchangeReply::Replaced(replaced) => {
+            members.refused(replaced);
+            return Err(replaced);
+        }
+    };
+    members.absorb(&state.from, Source::Direct, now);
+    members.absorb_all(&state.rows, now);
+    let changes = store.merge_all(std::mem::take(&mut state.objects));
+    if store.digests().root() == state.root {
+        adopt(store, state.completeness, pending.sent);
+    }
+    let learned = !changes.is_empty() || pending.request.query == DigestRequest::Root;
+    let next = follow_up(store, members, pending, &state, opts, now)
+        .filter(|next| learned || !next.request.objects.is_empty());
+    Ok(Outcome { changes, next })
+}
+
+/// Returns the request by which an exchange goes on, if it does.
+fn follow_up(
+    store: &ConfigStore,
+    members: &Members,
+    pending: &Pending,
+    state: &State,
+    opts: &ExchangeOptions,
+    now: Time,
+) -> Option<Pending> {
+    let round = pending.round + 1;
+    let objects = store.objects(&state.wanted, opts.object_bytes);
+    let root = store.digests().root();
+    let differs = root != state.root && !state.buckets.is_empty();
+    let turn = members.own().heartbeat.wrapping_add(u64::from(round));
+    let query = differs
+        .then(|| store.versions_request(&state.buckets, turn, opts.version_bytes))
+        .flatten();
+    if round >= opts.rounds || (query.is_none() && objects.is_empty()) {
+        return None;
+    }
+    let request = ExchangeRequest {
+        from: members.own().clone(),
+        rows: Vec::new(),
+        root,
+        query: query.unwrap_or(DigestRequest::Nothing),
+        objects,
+    };
+    Some(Pending {
+        request,
+        sent: now,
+        round,
+    })
+}
+
+/// Adopts the confirmation of a peer that holds the same objects.
+///
+/// Its age counts from the time at which the request was sent, which is not
+/// later than the time at which the peer stated it.
+fn adopt(store: &mut ConfigStore, completeness: Option<Completeness>, sent: Time) {
+    if let Some(completeness) = completeness {
+        store.confirm(completeness.revision, completeness.age, sent);
+    }
+}
+
+impl Members {
+    /// Takes in rows that another instance passed on.
+    pub fn absorb_all(&mut self, rows: &[Row], now: Time) {
+        for row in rows {
+            self.absorb(row, Source::Relayed, now);
+        }
+    }
+
+    /// Returns the rows to pass on: those that advanced last, `limit` at most.
+    fn news(&self, limit: usize, now: Time) -> Vec<Row> {
+        let live = self.iter().filter(|member| self.is_live(member, now));
+        let mut live: Vec<&Member> = live.collect();
+        live.sort_by_key(|member| std::cmp::Reverse(member.advanced));
+        let newest = live.into_iter().take(limit);
+        newest.map(|member| member.row.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/members.rs
@@ -0,0 +1,360 @@
+//! The instances known, each with the time at which its heartbeat last advanced.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::row::Replaced;
+use super::row::Row;
+use super::row::Seed;
+use super::row::incarnation_above;
+use crate::config::Phase;
+use crate::hash::stable_hash;
+use crate::names::DomainName;
+use crate::names::InstanceName;
+use crate::units::Incarnation;
+use crate::units::Revision;
+use crate::units::Time;
+
+/// A `MembersOptions` holds the bounds of an instance's knowledge of others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MembersOptions {
+    /// The silence after which an instance no longer counts as live.
+    pub time_to_live: Duration,
+    /// The silence after which a row is forgotten.
+    pub forget_after: Duration,
+    /// The pause between two own heartbeats after which silence counts anew.
+    pub longest_pause: Duration,
+    /// The instances known of each other failure domain.
+    pub contacts: usize,
+}
+
+impl Default for MembersOptions {
+    fn default() -> Self {
+        Self {
+            time_to_live: Duration::from_secs(10),
+            forget_after: Duration::from_mins(10),
+            longest_pause: Duration::from_secs(3),
+            contacts: 3,
+        }
+    }
+}
+
+/// A `Source` tells how a row arrived.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The instance itself sent its row.
+    Direct,
+    /// Another instance passed the row on.
+    Relayed,
+}
+
+/// An `Absorbed` is the outcome of hearing a row.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Absorbed {
+    /// The heartbeat advanced.
+    Advanced,
+    /// The instance was not known; this alone does not show that it lives.
+    Learned,
+    /// The row tells nothing new.
+    Old,
+    /// A higher incarnation of the instance is known.
+    Replaced(Replaced),
+    /// The row carries this instance's own name.
+    Own,
+    /// The failure domain has as many contacts as are kept.
+    Full,
+}
+
+/// A `Standing` tells whether an instance still holds its own name.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// The instance is starting and may still draw a higher incarnation.
+    Starting,
+    /// The instance holds its name.
+    Holder,
+    /// A higher incarnation holds the name; this one must stop minting.
+    Replaced(Replaced),
+}
+
+/// A `Member` is an instance known to another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// The last row heard of it.
+    pub row: Row,
+    /// The time at which its heartbeat was last seen to advance.
+    pub advanced: Option<Time>,
+    /// The time at which this incarnation became known.
+    pub learned: Time,
+}
+
+impl Member {
+    /// Returns the time since which nothing new was heard.
+    fn quiet_since(&self) -> Time {
+        self.advanced.unwrap_or(self.learned)
+    }
+}
+
+/// A `Members` holds the instances that an instance knows.
+///
+/// It knows all instances of its own failure domain and a bounded number of
+/// contacts of each other one. Whether an instance lives is told from advances
+/// of its heartbeat on the local clock alone.
+#[derive(Clone, Debug)]
+pub struct Members {
+    pub(super) own: Row,
+    pub(super) rows: BTreeMap<InstanceName, Member>,
+    pub(super) opts: MembersOptions,
+    standing: Standing,
+    observing: Time,
+    last_beat: Time,
+}
+
+impl Members {
+    /// Creates the members known to a starting instance: itself.
+    #[must_use]
+    pub const fn new(own: Row, opts: MembersOptions, now: Time) -> Self {
+        Self {
+            own,
+            rows: BTreeMap::new(),
+            opts,
+            standing: Standing::Starting,
+            observing: now,
+            last_beat: now,
+        }
+    }
+
+    /// Returns this instance's own row.
+    #[must_use]
+    pub const fn own(&self) -> &Row {
+        &self.own
+    }
+
+    /// Returns whether this instance holds its own name.
+    #[must_use]
+    pub const fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Ends the start: from here on the incarnation stays as it is.
+    pub const fn settle(&mut self) {
+        if matches!(self.standing, Standing::Starting) {
+            self.standing = Standing::Holder;
+        }
+    }
+
+    /// Sets the phase that this instance tells of itself.
+    pub const fn set_phase(&mut self, phase: Phase) {
+        self.own.phase = phase;
+    }
+
+    /// Raises the own heartbeat, notes the revision in force and forgets rows
+    /// that were silent for long.
+    pub fn beat(&mut self, revision: Revision, now: Time) {
+        if now.since(self.last_beat) > self.opts.longest_pause {
+            self.observing = now;
+        }
+        self.last_beat = now;
+        self.own.heartbeat += 1;
+        self.own.revision = revision;
+        let forget_after = self.opts.forget_after;
+        self.rows
+            .retain(|_, member| now.since(member.quiet_since()) <= forget_after);
+    }
+
+    /// Takes in what `row` tells.
+    pub fn absorb(&mut self, row: &Row, source: Source, now: Time) -> Absorbed {
+        if row.name == self.own.name {
+            self.hear_own_name(row.incarnation);
+            return Absorbed::Own;
+        }
+        let Some(member) = self.rows.get_mut(&row.name) else {
+            return self.learn(row, source, now);
+        };
+        if row.incarnation < member.row.incarnation {
+            return Absorbed::Replaced(Replaced {
+                by: member.row.incarnation,
+            });
+        }
+        if row.incarnation > member.row.incarnation {
+            member.learned = now;
+            member.advanced = None;
+        } else if row.heartbeat <= member.row.heartbeat {
+            return Absorbed::Old;
+        }
+        let follows = row.incarnation == member.row.incarnation;
+        member.row = row.clone();
+        if follows || source == Source::Direct {
+            member.advanced = Some(now);
+            return Absorbed::Advanced;
+        }
+        Absorbed::Learned
+    }
+
+    /// Checks that the sender of `row` may make contact, and takes the row in.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Replaced`] when a higher incarnation of the sender is known.
+    pub fn admit(&mut self, row: &Row, now: Time) -> Result<(), Replaced> {
+        match self.absorb(row, Source::Direct, now) {
+            Absorbed::Replaced(replaced) => Err(replaced),
+            Absorbed::Own if row.incarnation < self.own.incarnation => Err(Replaced {
+                by: self.own.incarnation,
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Takes in another instance's refusal of contact.
+    pub const fn refused(&mut self, replaced: Replaced) {
+        self.hear_own_name(replaced.by);
+    }
+
+    /// Takes in the platform's list, which gives addresses and no sign of life.
+    ///
+    /// Entries that are no longer listed and were never heard of are dropped.
+    pub fn seed(&mut self, seeds: &[Seed], now: Time) {
+        let listed = |name: &InstanceName| seeds.iter().any(|seed| seed.name == *name);
+        self.rows
+            .retain(|name, member| !is_mere_seed(member) || listed(name));
+        for seed in seeds {
+            if seed.name == self.own.name {
+                continue;
+            }
+            match self.rows.get_mut(&seed.name) {
+                Some(member) if is_mere_seed(member) => member.row.address = seed.address,
+                Some(_) => {}
+                None => {
+                    self.learn(&seed_row(seed), Source::Relayed, now);
+                }
+            }
+        }
+    }
+
+    /// Returns the member of this name.
+    #[must_use]
+    pub fn get(&self, name: &InstanceName) -> Option<&Member> {
+        self.rows.get(name)
+    }
+
+    /// Returns all members but this instance, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.rows.values()
+    }
+
+    /// Returns the address at which an instance takes calls.
+    #[must_use]
+    pub fn address(&self, name: &InstanceName) -> Option<SocketAddr> {
+        self.rows.get(name).map(|member| member.row.address)
+    }
+
+    /// Returns whether a member's heartbeat advanced within the time to live.
+    #[must_use]
+    pub fn is_live(&self, member: &Member, now: Time) -> bool {
+        member
+            .advanced
+            .is_some_and(|at| now.since(at) <= self.opts.time_to_live)
+    }
+
+    /// Returns how long nothing has been heard of an incarnation.
+    ///
+    /// The time before this instance could listen, because it had not started
+    /// or was paused, does not count. A replaced incarnation counts as heard of
+    /// until its successor became known. One that was never heard of counts as
+    /// silent since this instance listens, so that a caller who learns of it
+    /// from elsewhere has to count from then on its own.
+    #[must_use]
+    pub fn silent_for(&self, name: &InstanceName, incarnation: Incarnation, now: Time) -> Duration {
+        if now.since(self.last_beat) > self.opts.longest_pause {
+            return Duration::ZERO;
+        }
+        if *name == self.own.name && incarnation == self.own.incarnation {
+            return Duration::ZERO;
+        }
+        let since = match self.rows.get(name) {
+            Some(member) if incarnation == member.row.incarnation => member.quiet_since(),
+            Some(member) if incarnation < member.row.incarnation => member.learned,
+            _ => self.observing,
+        };
+        now.since(since.max(self.observing))
+    }
+
+    const fn hear_own_name(&mut self, incarnation: Incarnation) {
+        if incarnation.0 <= self.own.incarnation.0 {
+            return;
+        }
+        match self.standing {
+            Standing::Starting => {
+                self.own.incarnation = incarnation_above(incarnation, self.own.incarnation);
+            }
+            Standing::Holder | Standing::Replaced(_) => {
+                self.standing = Standing::Replaced(Replaced { by: incarnation });
+            }
+        }
+    }
+
+    fn learn(&mut self, row: &Row, source: Source, now: Time) -> Absorbed {
+        let direct = source == Source::Direct;
+        let member = Member {
+            row: row.clone(),
+            advanced: direct.then_some(now),
+            learned: now,
+        };
+        if row.domain != self.own.domain && !self.make_room(&member, now) {
+            return Absorbed::Full;
+        }
+        self.rows.insert(row.name.clone(), member);
+        if direct {
+            Absorbed::Advanced
+        } else {
+            Absorbed::Learned
+        }
+    }
+
+    /// Drops the contact of lowest rank where `new` ranks above it.
+    fn make_room(&mut self, new: &Member, now: Time) -> bool {
+        let domain = &new.row.domain;
+        let contacts = self.rows.values().filter(|m| m.row.domain == *domain);
+        if contacts.clone().count() < self.opts.contacts {
+            return true;
+        }
+        let lowest = contacts.min_by_key(|member| self.contact_rank(member, now));
+        let Some(lowest) = lowest else {
+            return false;
+        };
+        if self.contact_rank(lowest, now) >= self.contact_rank(new, now) {
+            return false;
+        }
+        let name = lowest.row.name.clone();
+        self.rows.remove(&name);
+        true
+    }
+
+    /// Returns the rank of a contact: live ones first, then by a hash that
+    /// differs between instances, so that they do not all keep the same.
+    fn contact_rank(&self, member: &Member, now: Time) -> (bool, u64) {
+        let own = self.own.name.as_str().as_bytes();
+        let name = member.row.name.as_str().as_bytes();
+        (self.is_live(member, now), stable_hash(&[own, name]))
+    }
+}
+
+/// Returns the incarnation that stands for an instance never heard of.
+const UNHEARD: Incarnation = Incarnation(0);
+
+fn is_mere_seed(member: &Member) -> bool {
+    member.row.incarnation == UNHEARD
+}
+
+fn seed_row(seed: &Seed) -> Row {
+    Row {
+        name: seed.name.clone(),
+        incarnation: UNHEARD,
+        domain: DomainName::clone(&seed.domain),
+        address: seed.address,
+        phase: Phase::Live,
+        heartbeat: 0,
+        revision: Revision::ABSENT,
+    }
+}
