Decide claims of non-idempotent requests

Cause: a non-idempotent request with an idempotency key has to run at most once over all instances, also when the answer to its claim is lost, its claimant stays paused or two attempts race.

Ruled out: a second write that moves the claim to sent before the first byte (half as many writes again for the crashes between the two only), and a plain read after a lost answer (a delayed create can take effect after the read).

Change: typed steps Claiming, Held, Sending and Settlement; a lost answer is resolved by repeating the conditional write and comparing the attempt in the record; sending needs the window to be open; a lost claim is given back.

--- /dev/null
+++ b/crates/core/src/claims/attempt.rs
@@ -0,0 +1,369 @@
+//! The steps of one attempt to carry out a claimed request.
+
+use std::time::Duration;
+
+use super::record::AttemptId;
+use super::record::Claim;
+use super::record::ClaimName;
+use super::record::ClaimState;
+use super::record::Outcome;
+use super::record::StoredBody;
+use super::record::VersionedClaim;
+use super::settlement::Settlement;
+use crate::hash::Digest;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::units::Revision;
+use crate::units::Time;
+
+/// A `ClaimOptions` holds the bounds of an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimOptions {
+    /// The time from the start of an attempt within which it may begin to send.
+    ///
+    /// It must be far below `done_time_to_live`: a process that was paused for
+    /// longer than an outcome is kept must not send.
+    pub send_window: Duration,
+    /// The writes that an attempt makes at most to obtain its claim.
+    pub max_writes: u32,
+    /// The time for which the platform keeps an answer for replay.
+    pub done_time_to_live: Duration,
+    /// The time for which the platform keeps the record of a request that did not run.
+    pub not_run_time_to_live: Duration,
+    /// The time after which a caller is told to retry while another attempt runs.
+    pub conflict_retry_after: Duration,
+    /// The time after which a caller is told to retry while the platform is down.
+    pub unavailable_retry_after: Duration,
+    /// The time for which an instance goes on trying to record the end of an attempt.
+    pub settle_window: Duration,
+    /// The pause between two tries to record the end of an attempt.
+    pub settle_pause: Duration,
+}
+
+impl Default for ClaimOptions {
+    fn default() -> Self {
+        Self {
+            send_window: Duration::from_secs(10),
+            max_writes: 4,
+            done_time_to_live: Duration::from_hours(24),
+            not_run_time_to_live: Duration::from_hours(1),
+            conflict_retry_after: Duration::from_secs(1),
+            unavailable_retry_after: Duration::from_secs(2),
+            settle_window: Duration::from_mins(10),
+            settle_pause: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A `ClaimRequest` is a request that needs a claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimRequest {
+    /// The name of the claim's record.
+    pub name: ClaimName,
+    /// The digest of the request's method, path and body.
+    pub digest: Digest,
+    /// The identity of this attempt.
+    pub attempt: AttemptId,
+}
+
+/// A `ClaimWrite` is a conditional write of a claim's record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimWrite {
+    /// The name of the record.
+    pub name: ClaimName,
+    /// The revision that the record must have; [`Revision::ABSENT`] creates it.
+    pub expected: Revision,
+    /// The new value.
+    pub claim: Claim,
+    /// The time for which the platform keeps the record, or `None` for ever.
+    pub time_to_live: Option<Duration>,
+}
+
+/// A `WriteAnswer` is what became of a [`ClaimWrite`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum WriteAnswer {
+    /// The write took effect under this revision.
+    Written(Revision),
+    /// The record was at another revision; this is its current state.
+    Conflict(Option<VersionedClaim>),
+    /// The platform has certainly not carried out the write.
+    Rejected {
+        /// The time after which the platform asks for a retry.
+        retry_after: Option<Duration>,
+    },
+    /// The answer was lost: the write may take effect now, later or never.
+    Unknown,
+}
+
+/// A `Step` is what an attempt does next.
+#[derive(Debug)]
+pub enum Step {
+    /// Carry out the write and hand its answer to [`Claiming::on_write`].
+    Write(Claiming, ClaimWrite),
+    /// The claim is held: the request may be sent.
+    Send(Held),
+    /// The attempt has ended without sending.
+    Finish(Finish),
+}
+
+/// A `Finish` is the end of an attempt.
+#[derive(Debug)]
+pub struct Finish {
+    /// What the caller gets.
+    pub verdict: Verdict,
+    /// What has still to be recorded, after the caller has its answer.
+    pub settlement: Option<Box<Settlement>>,
+}
+
+/// A `Verdict` is what the caller of an attempt gets.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The answer that the upstream has just given to this attempt.
+    Forward,
+    /// The stored answer to an earlier attempt.
+    Replay(Outcome),
+    /// A refusal.
+    Refuse(Refusal),
+}
+
+impl Verdict {
+    const fn end(self) -> Finish {
+        Finish {
+            verdict: self,
+            settlement: None,
+        }
+    }
+}
+
+/// A `Claiming` is an attempt that does not hold its claim yet.
+#[derive(Debug)]
+pub struct Claiming {
+    request: ClaimRequest,
+    options: ClaimOptions,
+    started: Time,
+    expected: Revision,
+    writes: u32,
+    in_doubt: bool,
+}
+
+impl Claiming {
+    /// Returns a new attempt and its first write.
+    #[must_use]
+    pub fn start(request: ClaimRequest, options: ClaimOptions, now: Time) -> (Self, ClaimWrite) {
+        let claiming = Self {
+            request,
+            options,
+            started: now,
+            expected: Revision::ABSENT,
+            writes: 1,
+            in_doubt: false,
+        };
+        let write = claiming.write();
+        (claiming, write)
+    }
+
+    /// Returns the next step after the answer to the last write.
+    ///
+    /// A lost answer is resolved by repeating the same conditional write: either
+    /// it takes effect, or the conflict shows the record and with it the attempt
+    /// that holds the claim.
+    #[must_use]
+    pub fn on_write(mut self, answer: WriteAnswer, now: Time) -> Step {
+        match answer {
+            WriteAnswer::Written(revision) => self.hold(revision),
+            WriteAnswer::Conflict(Some(current)) => self.on_conflict(current, now),
+            WriteAnswer::Conflict(None) => {
+                self.expected = Revision::ABSENT;
+                self.write_again(now)
+            }
+            WriteAnswer::Rejected { retry_after } => self.give_up(retry_after),
+            WriteAnswer::Unknown => {
+                self.in_doubt = true;
+                self.write_again(now)
+            }
+        }
+    }
+
+    fn on_conflict(mut self, current: VersionedClaim, now: Time) -> Step {
+        let VersionedClaim { revision, claim } = current;
+        if claim.attempt == self.request.attempt {
+            return match claim.state {
+                ClaimState::InFlight => self.hold(revision),
+                ClaimState::Done(_) | ClaimState::NotRun => self.give_up(None),
+            };
+        }
+        if claim.request != self.request.digest {
+            let refusal = Refusal::not_run(Reason::IdempotencyMismatch);
+            return Step::Finish(Verdict::Refuse(refusal).end());
+        }
+        match claim.state {
+            ClaimState::InFlight => Step::Finish(self.conflict().end()),
+            ClaimState::Done(outcome) => Step::Finish(replay(outcome).end()),
+            ClaimState::NotRun => {
+                self.expected = revision;
+                self.write_again(now)
+            }
+        }
+    }
+
+    fn conflict(&self) -> Verdict {
+        let refusal = Refusal::unknown(Reason::IdempotencyConflict);
+        Verdict::Refuse(refusal.retry_after(self.options.conflict_retry_after))
+    }
+
+    fn hold(self, revision: Revision) -> Step {
+        Step::Send(Held {
+            request: self.request,
+            options: self.options,
+            started: self.started,
+            revision,
+        })
+    }
+
+    fn write_again(mut self, now: Time) -> Step {
+        let late = now.since(self.started) >= self.options.send_window;
+        if late || self.writes >= self.options.max_writes {
+            return self.give_up(None);
+        }
+        self.writes += 1;
+        let write = self.write();
+        Step::Write(self, write)
+    }
+
+    fn write(&self) -> ClaimWrite {
+        ClaimWrite {
+            name: self.request.name,
+            expected: self.expected,
+            claim: self.request.claim(ClaimState::InFlight),
+            time_to_live: None,
+        }
+    }
+
+    fn give_up(self, retry_after: Option<Duration>) -> Step {
+        let span = retry_after.unwrap_or(self.options.unavailable_retry_after);
+        let refusal = Refusal::not_run(Reason::ClaimUnavailable).retry_after(span);
+        // A write whose answer was lost may still take effect. Nobody else can
+        // tell that this attempt has not sent, so it has to record that itself.
+        let settlement = self.in_doubt.then(|| {
+            Box::new(Settlement::new(
+                self.request,
+                self.options,
+                self.expected,
+                ClaimState::NotRun,
+                self.started,
+            ))
+        });
+        Step::Finish(Finish {
+            verdict: Verdict::Refuse(refusal),
+            settlement,
+        })
+    }
+}
+
+fn replay(outcome: Outcome) -> Verdict {
+    match outcome.body {
+        StoredBody::Text(_) => Verdict::Replay(outcome),
+        // The answer cannot be repeated in full and must not be cut short.
+        StoredBody::Omitted { .. } => {
+            Verdict::Refuse(Refusal::unknown(Reason::IdempotencyConflict))
+        }
+    }
+}
+
+impl ClaimRequest {
+    pub(super) const fn claim(&self, state: ClaimState) -> Claim {
+        Claim {
+            attempt: self.attempt,
+            request: self.digest,
+            state,
+        }
+    }
+}
+
+/// A `Held` is an attempt that holds its claim and has not sent a byte.
+#[derive(Debug)]
+pub struct Held {
+    request: ClaimRequest,
+    options: ClaimOptions,
+    started: Time,
+    revision: Revision,
+}
+
+impl Held {
+    /// Returns the permission to send, to be asked for right before the first byte.
+    ///
+    /// # Errors
+    ///
+    /// Returns the end of the attempt when the window for sending has passed.
+    pub fn begin(self, now: Time) -> Result<Sending, Finish> {
+        if now.since(self.started) >= self.options.send_window {
+            return Err(self.abandon(Reason::ClaimUnavailable, now));
+        }
+        Ok(Sending(self))
+    }
+
+    /// Returns the end of an attempt that gives up before its first byte.
+    #[must_use]
+    pub fn abandon(self, reason: Reason, now: Time) -> Finish {
+        let refusal = Refusal::not_run(reason);
+        let span = self.options.unavailable_retry_after;
+        let refusal = if reason.is_transient() {
+            refusal.retry_after(span)
+        } else {
+            refusal
+        };
+        self.end(Verdict::Refuse(refusal), Some(ClaimState::NotRun), now)
+    }
+
+    fn end(self, verdict: Verdict, state: Option<ClaimState>, now: Time) -> Finish {
+        let settlement = state.map(|state| {
+            Box::new(Settlement::new(
+                self.request,
+                self.options,
+                self.revision,
+                state,
+                now,
+            ))
+        });
+        Finish {
+            verdict,
+            settlement,
+        }
+    }
+}
+
+/// A `SendOutcome` is what became of a request that was sent to an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SendOutcome {
+    /// The upstream ran the request and gave this answer.
+    Answered(Outcome),
+    /// No upstream has run the request, and none will.
+    NotRun(Reason),
+    /// An upstream may have run the request.
+    Unknown(Reason),
+}
+
+/// A `Sending` is the permission to send the request of one attempt once.
+#[derive(Debug)]
+pub struct Sending(Held);
+
+impl Sending {
+    /// Returns the end of the attempt.
+    ///
+    /// After [`SendOutcome::Unknown`] the record stays in flight: no later
+    /// attempt sends the request, until an operator settles the claim.
+    #[must_use]
+    pub fn finish(self, outcome: SendOutcome, now: Time) -> Finish {
+        match outcome {
+            SendOutcome::Answered(outcome) => {
+                let state = ClaimState::Done(outcome);
+                self.0.end(Verdict::Forward, Some(state), now)
+            }
+            SendOutcome::NotRun(reason) => self.0.abandon(reason, now),
+            SendOutcome::Unknown(reason) => {
+                let verdict = Verdict::Refuse(Refusal::unknown(reason));
+                self.0.end(verdict, None, now)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/claims/record.rs
@@ -0,0 +1,145 @@
+//! The record that a claim leaves in the platform.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::hash::Digest;
+use crate::names::TeamName;
+use crate::units::Incarnation;
+use crate::units::Revision;
+
+/// The largest body of an answer that a claim keeps for replay, in bytes.
+pub const MAX_STORED_BODY_BYTES: usize = 256 * 1024;
+
+/// A `ClaimName` names the record of one idempotency key of one team.
+///
+/// The name is a digest, so that the platform never stores the key itself.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct ClaimName(Digest);
+
+impl ClaimName {
+    /// Returns the name for `key`, as the caller of `team` sent it.
+    ///
+    /// ```
+    /// use limpetsaddle_core::claims::ClaimName;
+    ///
+    /// let yard = ClaimName::new(&"yard".parse()?, "order-17");
+    /// let mill = ClaimName::new(&"mill".parse()?, "order-17");
+    /// assert_ne!(yard, mill);
+    /// # Ok::<(), limpetsaddle_core::Error>(())
+    /// ```
+    #[must_use]
+    pub fn new(team: &TeamName, key: &str) -> Self {
+        // A team's name holds no NUL byte, so the two parts cannot run together.
+        Self(Digest::of(format!("{team}\0{key}").as_bytes()))
+    }
+}
+
+impl fmt::Display for ClaimName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// An `AttemptId` identifies one attempt to carry out a request.
+///
+/// No two attempts of any instance have the same identifier.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct AttemptId {
+    /// The incarnation of the instance that makes the attempt.
+    pub incarnation: Incarnation,
+    /// The number of the attempt within the incarnation.
+    pub number: u64,
+}
+
+/// A `Claim` is the value of a claim's record.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Claim {
+    /// The attempt that wrote the record last.
+    pub attempt: AttemptId,
+    /// The digest of the request's method, path and body.
+    pub request: Digest,
+    /// What is known of the request.
+    pub state: ClaimState,
+}
+
+/// A `ClaimState` is what a claim's record tells about the request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimState {
+    /// The attempt may have sent the request at any moment.
+    InFlight,
+    /// The request ran and this was its answer.
+    Done(Outcome),
+    /// The attempt has not sent the request and never will.
+    NotRun,
+}
+
+/// An `Outcome` is the answer of the upstream that ran a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Outcome {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers that a replay repeats.
+    pub headers: Vec<OutcomeHeader>,
+    /// The body.
+    pub body: StoredBody,
+}
+
+/// An `OutcomeHeader` is one header of a stored answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OutcomeHeader {
+    /// The name in lower case.
+    pub name: Arc<str>,
+    /// The value.
+    pub value: Arc<str>,
+}
+
+/// A `StoredBody` is the body of a stored answer, or what identifies it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoredBody {
+    /// The whole body.
+    Text(Arc<str>),
+    /// A body that is not text or exceeds [`MAX_STORED_BODY_BYTES`].
+    Omitted {
+        /// The digest of the body.
+        digest: Digest,
+        /// The length in bytes.
+        length: u64,
+    },
+}
+
+impl StoredBody {
+    /// Returns `body` as a claim's record keeps it.
+    ///
+    /// ```
+    /// use limpetsaddle_core::claims::StoredBody;
+    ///
+    /// assert_eq!(StoredBody::of(b"ok"), StoredBody::Text("ok".into()));
+    /// assert!(matches!(StoredBody::of(&[0xff]), StoredBody::Omitted { .. }));
+    /// ```
+    #[must_use]
+    pub fn of(body: &[u8]) -> Self {
+        match std::str::from_utf8(body) {
+            Ok(text) if body.len() <= MAX_STORED_BODY_BYTES => Self::Text(text.into()),
+            _ => Self::Omitted {
+                digest: Digest::of(body),
+                length: body.len() as u64,
+            },
+        }
+    }
+}
+
+/// A `VersionedClaim` is a claim together with the revision of its record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VersionedClaim {
+    /// The revision of the record.
+    pub revision: Revision,
+    /// The value of the record.
+    pub claim: Claim,
+}
--- /dev/null
+++ b/crates/core/src/claims/settlement.rs
@@ -0,0 +1,101 @@
+//! Recording the end of an attempt after the caller has its answer.
+
+use std::time::Duration;
+
+use super::attempt::ClaimOptions;
+use super::attempt::ClaimRequest;
+use super::attempt::ClaimWrite;
+use super::attempt::WriteAnswer;
+use super::record::ClaimState;
+use crate::units::Revision;
+use crate::units::Time;
+
+/// A `Settlement` records the end of an attempt, over outages of the platform.
+///
+/// A settlement that is lost costs availability, never correctness: the record
+/// then stays in flight and later attempts are refused.
+#[derive(Debug)]
+pub struct Settlement {
+    request: ClaimRequest,
+    options: ClaimOptions,
+    expected: Revision,
+    state: ClaimState,
+    started: Time,
+}
+
+/// A `SettleStep` is what a settlement does next.
+#[derive(Debug)]
+pub enum SettleStep {
+    /// The end is recorded, or the record belongs to someone else by now.
+    Settled,
+    /// Wait for the span, then carry out [`Settlement::write`] again.
+    Retry(Box<Settlement>, Duration),
+    /// The end could not be recorded in time.
+    GaveUp,
+}
+
+impl Settlement {
+    pub(super) const fn new(
+        request: ClaimRequest,
+        options: ClaimOptions,
+        expected: Revision,
+        state: ClaimState,
+        started: Time,
+    ) -> Self {
+        Self {
+            request,
+            options,
+            expected,
+            state,
+            started,
+        }
+    }
+
+    /// Returns the write to carry out.
+    #[must_use]
+    pub fn write(&self) -> ClaimWrite {
+        let time_to_live = match self.state {
+            ClaimState::Done(_) => Some(self.options.done_time_to_live),
+            ClaimState::NotRun => Some(self.options.not_run_time_to_live),
+            ClaimState::InFlight => None,
+        };
+        ClaimWrite {
+            name: self.request.name,
+            expected: self.expected,
+            claim: self.request.claim(self.state.clone()),
+            time_to_live,
+        }
+    }
+
+    /// Returns the next step after the answer to the write.
+    #[must_use]
+    pub fn on_write(mut self, answer: WriteAnswer, now: Time) -> SettleStep {
+        match answer {
+            WriteAnswer::Written(_) | WriteAnswer::Conflict(None) => SettleStep::Settled,
+            WriteAnswer::Conflict(Some(current)) => {
+                let own = current.claim.attempt == self.request.attempt;
+                if !own || current.claim.state != ClaimState::InFlight {
+                    return SettleStep::Settled;
+                }
+                self.expected = current.revision;
+                self.retry(Duration::ZERO, now)
+            }
+            WriteAnswer::Rejected { retry_after } => {
+                let span = retry_after.unwrap_or_default();
+                let pause = span.max(self.options.settle_pause);
+                self.retry(pause, now)
+            }
+            WriteAnswer::Unknown => {
+                let pause = self.options.settle_pause;
+                self.retry(pause, now)
+            }
+        }
+    }
+
+    fn retry(self, pause: Duration, now: Time) -> SettleStep {
+        if now.since(self.started) >= self.options.settle_window {
+            return SettleStep::GaveUp;
+        }
+        SettleStep::Retry(Box::new(self), pause)
+    }
+}
