Gather an instance's decisions on one blackboard

Cause: the ledger, the table of upstreams and the store each follow the configuration, and a controller that forgot one of them would leave it behind. Change: Blackboard holds the parts and brings all of them in step with every change of an object, and proposes changes of slot owners. Checked: the core's tests pass.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -1,1 +1,335 @@
 //! The blackboard that an instance's controllers read and write.
+//!
+//! Provides [`Blackboard`], which holds the state of every decision at one
+//! instance and keeps the parts in step when configuration changes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::config::Kind;
+use crate::config::Object;
+use crate::config::ObjectId;
+use crate::config::Phase;
+use crate::config::Policy;
+use crate::config::PoolKind;
+use crate::config::PoolSpec;
+use crate::config::SlotTable;
+use crate::config::Spec;
+use crate::fair_queue::FairQueue;
+use crate::fair_queue::TeamUsage;
+use crate::limits::Ledger;
+use crate::limits::LimitsOptions;
+use crate::limits::Member as SlotMember;
+use crate::limits::propose;
+use crate::limits::release;
+use crate::membership::Members;
+use crate::membership::MembersOptions;
+use crate::membership::Row;
+use crate::membership::Standing;
+use crate::names::DomainName;
+use crate::names::ModelName;
+use crate::names::PoolName;
+use crate::placement::Placer;
+use crate::placement::PlacerOptions;
+use crate::retry::RetryBudget;
+use crate::store::Change;
+use crate::store::ConfigStore;
+use crate::units::Revision;
+use crate::units::Time;
+use crate::units::WeightsVersion;
+use crate::upstreams::Arrival;
+use crate::upstreams::UpstreamOptions;
+use crate::upstreams::UpstreamTable;
+
+/// The time from the start within which upstreams count as in service already.
+const BOOTSTRAP: Duration = Duration::from_secs(3);
+
+/// A `SlotWrite` is a change of a failure domain's slot owners to be written by
+/// conditional update.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SlotWrite {
+    /// The object to write.
+    pub id: ObjectId,
+    /// The revision that the write depends on.
+    pub expected: Revision,
+    /// The next owners.
+    pub table: SlotTable,
+}
+
+/// A `BlackboardOptions` holds the options of a blackboard's parts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BlackboardOptions {
+    /// The options of the limits.
+    pub limits: LimitsOptions,
+    /// The options of membership.
+    pub members: MembersOptions,
+    /// The options of placement.
+    pub placer: PlacerOptions,
+    /// The options of the table of upstreams.
+    pub upstreams: UpstreamOptions,
+}
+
+/// A `Blackboard` is the state of one instance. `W` stands for a queued request.
+///
+/// ```
+/// use limpetsaddle_core::blackboard::Blackboard;
+/// use limpetsaddle_core::blackboard::BlackboardOptions;
+/// use limpetsaddle_core::config::Phase;
+/// use limpetsaddle_core::membership::Row;
+/// use limpetsaddle_core::units::Incarnation;
+/// use limpetsaddle_core::units::Revision;
+/// use limpetsaddle_core::units::Time;
+///
+/// let own = Row {
+///     name: "bergen-a-1".parse()?,
+///     incarnation: Incarnation(1),
+///     domain: "bergen-a".parse()?,
+///     address: ([127, 0, 0, 1], 8082).into(),
+///     phase: Phase::Live,
+///     heartbeat: 0,
+///     revision: Revision::ABSENT,
+/// };
+/// let board = Blackboard::<()>::new(own, BlackboardOptions::default(), Time::ZERO);
+/// assert!(!board.is_ready());
+/// # Ok::<(), limpetsaddle_core::Error>(())
+/// ```
+pub struct Blackboard<W> {
+    /// The configuration in force.
+    pub store: ConfigStore,
+    /// The instances that this instance knows.
+    pub members: Members,
+    /// The limits of the teams.
+    pub ledger: Ledger,
+    /// The state of the upstreams.
+    pub upstreams: UpstreamTable,
+    /// The requests that wait for an upstream.
+    pub queue: FairQueue<W>,
+    /// The recent use of each team.
+    pub usage: TeamUsage,
+    /// The retries that the instance may still make.
+    pub budget: RetryBudget,
+    placers: BTreeMap<PoolName, Placer>,
+    options: BlackboardOptions,
+    started: Time,
+}
+
+impl<W> Blackboard<W> {
+    /// Returns the blackboard of a starting instance.
+    #[must_use]
+    pub fn new(own: Row, options: BlackboardOptions, now: Time) -> Self {
+        let name = own.name.clone();
+        let domain = own.domain.clone();
+        Self {
+            store: ConfigStore::default(),
+            ledger: Ledger::new(name, own.incarnation, domain, options.limits),
+            members: Members::new(own, options.members, now),
+            upstreams: UpstreamTable::new(options.upstreams),
+            queue: FairQueue::new(),
+            usage: TeamUsage::default(),
+            budget: RetryBudget::default(),
+            placers: BTreeMap::new(),
+            options,
+            started: now,
+        }
+    }
+
+    /// Returns whether a complete configuration is in force.
+    #[must_use]
+    pub const fn is_ready(&self) -> bool {
+        self.store.confirmation().is_some()
+    }
+
+    /// Returns the policy in force.
+    #[must_use]
+    pub const fn policy(&self) -> &Policy {
+        self.store.presets().in_force()
+    }
+
+    /// Returns the failure domain of this instance.
+    #[must_use]
+    pub const fn domain(&self) -> &DomainName {
+        &self.members.own().domain
+    }
+
+    /// Returns the pool that serves a model, with its content.
+    #[must_use]
+    pub fn pool_for(&self, model: &ModelName) -> Option<(&PoolName, &PoolSpec)> {
+        let mut pools = self.store.pools_for(model);
+        pools.find_map(|name| Some((name, self.store.pool(name)?)))
+    }
+
+    /// Returns the placer of a pool.
+    pub fn placer(&mut self, pool: &PoolName) -> &mut Placer {
+        let options = self.options.placer;
+        let placer = self.placers.entry(pool.clone());
+        placer.or_insert_with(|| Placer::new(options))
+    }
+
+    /// Returns the versions of the weights under which a pool's engines may be
+    /// used: the configured one, then those that engines still hold, newest first.
+    #[must_use]
+    pub fn weights_in_use(&self, pool: &PoolName, wanted: WeightsVersion) -> Vec<WeightsVersion> {
+        let members = self.upstreams.members(pool, None).iter();
+        let rows = members.filter_map(|m| self.upstreams.get(m.id));
+        let seen = rows.filter_map(|row| row.identity.map(|i| i.weights));
+        let mut versions: Vec<WeightsVersion> = seen.filter(|w| *w != wanted).collect();
+        versions.sort_unstable_by(|a, b| b.cmp(a));
+        versions.dedup();
+        versions.insert(0, wanted);
+        versions
+    }
+
+    /// Merges objects into the configuration and returns those that were taken.
+    pub fn merge(&mut self, objects: impl IntoIterator<Item = Object>, now: Time) -> Vec<Change> {
+        let changes = self.store.merge_all(objects);
+        self.follow(&changes, now);
+        changes
+    }
+
+    /// Brings the other parts in step with changes of the configuration.
+    pub fn follow(&mut self, changes: &[Change], now: Time) {
+        for change in changes {
+            self.follow_one(change, now);
+        }
+    }
+
+    fn follow_one(&mut self, change: &Change, now: Time) {
+        let object = &change.object;
+        let spec = object.spec.as_deref();
+        // Every name type accepts the same texts, so that the names parse.
+        let name = object.id.name.as_str();
+        match (object.id.kind, spec) {
+            (Kind::Team, Some(Spec::Team(team))) => {
+                if let Ok(name) = name.parse() {
+                    self.ledger.set_team(&name, Some(team), now);
+                }
+            }
+            (Kind::Team, _) => {
+                if let Ok(name) = name.parse() {
+                    self.ledger.set_team(&name, None, now);
+                }
+            }
+            (Kind::Domain, spec) => {
+                let spec = match spec {
+                    Some(Spec::Domain(domain)) => Some(domain),
+                    _ => None,
+                };
+                if let Ok(name) = name.parse() {
+                    self.ledger.set_domain(&name, spec, now);
+                }
+            }
+            (Kind::Slots, spec) => {
+                let empty = SlotTable::default();
+                let table = match spec {
+                    Some(Spec::Slots(table)) => table,
+                    _ => &empty,
+                };
+                if let Ok(name) = name.parse() {
+                    self.ledger.set_slots(&name, object.revision, table, now);
+                }
+            }
+            (Kind::Upstream, Some(Spec::Upstream(upstream))) => {
+                let arrival = match now.since(self.started) {
+                    age if age <= BOOTSTRAP => Arrival::InService,
+                    _ => Arrival::New,
+                };
+                if let Ok(name) = name.parse() {
+                    self.upstreams.insert(name, upstream.clone(), arrival, now);
+                }
+            }
+            (Kind::Upstream, _) => {
+                if let Ok(name) = name.parse() {
+                    self.upstreams.remove(&name);
+                }
+            }
+            (Kind::Pool | Kind::Presets | Kind::Route, _) => {}
+        }
+    }
+
+    /// Returns whether a pool's upstreams are model engines.
+    #[must_use]
+    pub fn is_engine_pool(&self, pool: &PoolName) -> bool {
+        let spec = self.store.pool(pool);
+        spec.is_some_and(|p| matches!(p.kind, PoolKind::Engine { .. }))
+    }
+
+    /// Returns the change of slot owners that this instance should write.
+    #[must_use]
+    pub fn slot_proposal(&self, now: Time) -> Option<SlotWrite> {
+        if self.members.standing() != Standing::Holder {
+            return None;
+        }
+        let (id, expected, table) = self.slot_table()?;
+        let slots = self.store.domain(self.domain())?.slots;
+        let members = self.slot_members(&table, now);
+        let own = self.members.own();
+        let me = (own.name.clone(), own.incarnation);
+        let limits = &self.options.limits;
+        let table = propose(&me, &table, expected, slots, &members, limits)?;
+        Some(SlotWrite {
+            id,
+            expected,
+            table,
+        })
+    }
+
+    /// Returns the change by which this instance gives up its slots.
+    #[must_use]
+    pub fn slot_release(&self) -> Option<SlotWrite> {
+        let (id, expected, table) = self.slot_table()?;
+        let table = release(&self.members.own().name, &table)?;
+        Some(SlotWrite {
+            id,
+            expected,
+            table,
+        })
+    }
+
+    fn slot_table(&self) -> Option<(ObjectId, Revision, SlotTable)> {
+        let id = ObjectId {
+            kind: Kind::Slots,
+            name: self.domain().as_str().parse().ok()?,
+        };
+        let Some(object) = self.store.get(&id) else {
+            return Some((id, Revision::ABSENT, SlotTable::default()));
+        };
+        let table = match object.spec.as_deref() {
+            Some(Spec::Slots(table)) => table.clone(),
+            _ => SlotTable::default(),
+        };
+        Some((id, object.revision, table))
+    }
+
+    /// Returns the instances that matter for the slots: those of the failure
+    /// domain, and owners that this instance has never heard of.
+    fn slot_members(&self, table: &SlotTable, now: Time) -> Vec<SlotMember> {
+        let own = self.members.own();
+        let in_domain = self.members.iter().filter(|m| m.row.domain == own.domain);
+        let mut members: Vec<SlotMember> = in_domain
+            .map(|member| SlotMember {
+                name: member.row.name.clone(),
+                incarnation: member.row.incarnation,
+                silent_for: self
+                    .members
+                    .silent_for(&member.row.name, member.row.incarnation, now),
+                leaving: member.row.phase == Phase::Leaving,
+            })
+            .collect();
+        for owner in table.owners.iter().flatten() {
+            let known = members.iter().any(|m| m.name == owner.instance);
+            if known || owner.instance == own.name {
+                continue;
+            }
+            let silent_for = self
+                .members
+                .silent_for(&owner.instance, owner.incarnation, now);
+            members.push(SlotMember {
+                name: owner.instance.clone(),
+                incarnation: owner.incarnation,
+                silent_for,
+                leaving: false,
+            });
+        }
+        members
+    }
+}
