--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -16,6 +16,7 @@
 pub use self::members::Source;
 pub use self::members::Standing;
 pub use self::picks::WATCHERS;
+pub use self::row::Beat;
 pub use self::row::Replaced;
 pub use self::row::Row;
 pub use self::row::Seed;
--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -6,11 +6,13 @@
 //! differing buckets until both hold the same. Every message stays within a
 //! budget of bytes; what does not fit follows in the next one.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use super::members::Member;
 use super::members::Members;
 use super::members::Source;
+use super::row::Beat;
 use super::row::Replaced;
 use super::row::Row;
 use crate::config::Object;
@@ -18,6 +20,7 @@
 use crate::store::Change;
 use crate::store::ConfigStore;
 use crate::store::DigestRequest;
+use crate::units::Incarnation;
 use crate::units::Revision;
 use crate::units::Time;
 
@@ -26,6 +29,10 @@
 pub struct ExchangeOptions {
     /// The rows that a message carries beside the sender's.
     pub rows: usize,
+    /// The beats that a message carries beside the sender's.
+    pub beats: usize,
+    /// The rows that a message asks for, or carries because they were asked for.
+    pub unknown: usize,
     /// The bytes of objects that a message carries, one object at least.
     pub object_bytes: usize,
     /// The bytes of (id, revision) rows that a request carries.
@@ -37,7 +44,9 @@
 impl Default for ExchangeOptions {
     fn default() -> Self {
         Self {
-            rows: 6,
+            rows: 2,
+            beats: 24,
+            unknown: 8,
             object_bytes: 64 * 1024,
             version_bytes: 16 * 1024,
             rounds: 256,
@@ -52,6 +61,10 @@
     pub from: Row,
     /// Rows of other instances.
     pub rows: Vec<Row>,
+    /// The beats of other instances.
+    pub beats: Vec<Beat>,
+    /// Incarnations whose rows the sender lacks.
+    pub unknown: Vec<Incarnation>,
     /// The digest over all objects that the sender holds.
     pub root: u64,
     /// What the sender asks for.
@@ -76,6 +89,8 @@
     pub from: Row,
     /// Rows of other instances.
     pub rows: Vec<Row>,
+    /// The beats of other instances.
+    pub beats: Vec<Beat>,
     /// The digest over all objects that the replying instance holds.
     pub root: u64,
     /// How far its configuration is complete, if the platform ever said so.
@@ -124,7 +139,9 @@
 pub fn open(store: &ConfigStore, members: &Members, opts: &ExchangeOptions, now: Time) -> Pending {
     let request = ExchangeRequest {
         from: members.own().clone(),
-        rows: members.news(opts.rows, now),
+        rows: members.rows_to_relay(opts.rows, now),
+        beats: members.beats_to_relay(opts.beats, now),
+        unknown: members.unknown.iter().take(opts.unknown).copied().collect(),
         root: store.digests().root(),
         query: DigestRequest::Root,
         objects: Vec::new(),
@@ -144,6 +161,8 @@
     let request = ExchangeRequest {
         from: members.own().clone(),
         rows: Vec::new(),
+        beats: Vec::new(),
+        unknown: Vec::new(),
         root: store.digests().root(),
         query: DigestRequest::Nothing,
         objects,
@@ -166,20 +185,26 @@
     if let Err(replaced) = members.admit(&request.from, now) {
         return (ExchangeReply::Replaced(replaced), Vec::new());
     }
-    members.absorb_all(&request.rows, now);
+    members.absorb_relayed(&request.from, &request.rows, &request.beats, now);
     let changes = store.merge_all(request.objects);
     let digests = store.answer(request.root, &request.query, opts.object_bytes);
     let completeness = store.confirmation().map(|c| Completeness {
         revision: c.revision,
         age: c.age(now),
     });
-    let rows = match request.query {
-        DigestRequest::Root => members.news(opts.rows, now),
-        DigestRequest::Nothing | DigestRequest::Versions { .. } => Vec::new(),
+    let (mut rows, beats) = match request.query {
+        DigestRequest::Root => (
+            members.rows_to_relay(opts.rows, now),
+            members.beats_to_relay(opts.beats, now),
+        ),
+        DigestRequest::Nothing | DigestRequest::Versions { .. } => (Vec::new(), Vec::new()),
     };
+    let asked = request.unknown.iter().take(opts.unknown);
+    rows.extend(asked.filter_map(|incarnation| members.row_of(*incarnation)));
     let state = State {
         from: members.own().clone(),
         rows,
+        beats,
         root: store.digests().root(),
         completeness,
         buckets: digests.buckets,
@@ -211,7 +236,7 @@
         }
     };
     members.absorb(&state.from, Source::Direct, now);
-    members.absorb_all(&state.rows, now);
+    members.absorb_relayed(&state.from, &state.rows, &state.beats, now);
     let changes = store.merge_all(std::mem::take(&mut state.objects));
     if store.digests().root() == state.root {
         adopt(store, state.completeness, pending.sent);
@@ -235,7 +260,7 @@
     let objects = store.objects(&state.wanted, opts.object_bytes);
     let root = store.digests().root();
     let differs = root != state.root && !state.buckets.is_empty();
-    let turn = members.own().heartbeat.wrapping_add(u64::from(round));
+    let turn = members.own().heartbeat.wrapping_add(round);
     let query = differs
         .then(|| store.versions_request(&state.buckets, turn, opts.version_bytes))
         .flatten();
@@ -245,6 +270,8 @@
     let request = ExchangeRequest {
         from: members.own().clone(),
         rows: Vec::new(),
+        beats: Vec::new(),
+        unknown: Vec::new(),
         root,
         query: query.unwrap_or(DigestRequest::Nothing),
         objects,
@@ -267,19 +294,45 @@
 }
 
 impl Members {
-    /// Takes in rows that another instance passed on.
-    pub fn absorb_all(&mut self, rows: &[Row], now: Time) {
+    /// Takes in what the instance `from` passed on of others.
+    fn absorb_relayed(&mut self, from: &Row, rows: &[Row], beats: &[Beat], now: Time) {
         for row in rows {
             self.absorb(row, Source::Relayed, now);
         }
+        if from.domain == self.own.domain && !beats.is_empty() {
+            self.absorb_beats(beats, now);
+        }
+    }
+
+    fn row_of(&self, incarnation: Incarnation) -> Option<Row> {
+        let found = self.iter().find(|m| m.row.incarnation == incarnation);
+        found.map(|member| member.row.clone())
     }
 
-    /// Returns the rows to pass on: those that advanced last, `limit` at most.
-    fn news(&self, limit: usize, now: Time) -> Vec<Row> {
-        let live = self.iter().filter(|member| self.is_live(member, now));
-        let mut live: Vec<&Member> = live.collect();
-        live.sort_by_key(|member| std::cmp::Reverse(member.advanced));
+    /// Returns the rows to pass on: half of them those learned last, the others
+    /// in turn, so that a row missed by one exchange comes with a later one.
+    fn rows_to_relay(&self, limit: usize, now: Time) -> Vec<Row> {
+        let mut live = self.live(now);
+        live.sort_by_key(|member| Reverse(member.learned));
+        let mut turned = live.split_off(live.len().min(limit / 2));
+        let turn = usize::try_from(self.own.heartbeat).unwrap_or(0);
+        let first = turn.checked_rem(turned.len()).unwrap_or(0);
+        turned.rotate_left(first);
+        let chosen = live.into_iter().chain(turned).take(limit);
+        chosen.map(|member| member.row.clone()).collect()
+    }
+
+    /// Returns the beats to pass on: those that advanced last.
+    fn beats_to_relay(&self, limit: usize, now: Time) -> Vec<Beat> {
+        let mut live = self.live(now);
+        live.retain(|member| member.row.domain == self.own.domain);
+        live.sort_by_key(|member| Reverse(member.advanced));
         let newest = live.into_iter().take(limit);
-        newest.map(|member| member.row.clone()).collect()
+        newest.map(|member| member.row.beat()).collect()
+    }
+
+    fn live(&self, now: Time) -> Vec<&Member> {
+        let members = self.iter();
+        members.filter(|member| self.is_live(member, now)).collect()
     }
 }
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -1,9 +1,11 @@
 //! The instances known, each with the time at which its heartbeat last advanced.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::row::Beat;
 use super::row::Replaced;
 use super::row::Row;
 use super::row::Seed;
@@ -105,6 +107,7 @@
     pub(super) own: Row,
     pub(super) rows: BTreeMap<InstanceName, Member>,
     pub(super) opts: MembersOptions,
+    pub(super) unknown: BTreeSet<Incarnation>,
     standing: Standing,
     observing: Time,
     last_beat: Time,
@@ -117,6 +120,7 @@
         Self {
             own,
             rows: BTreeMap::new(),
+            unknown: BTreeSet::new(),
             opts,
             standing: Standing::Starting,
             observing: now,
@@ -155,7 +159,7 @@
             self.observing = now;
         }
         self.last_beat = now;
-        self.own.heartbeat += 1;
+        self.own.heartbeat = self.own.heartbeat.saturating_add(1);
         self.own.revision = revision;
         let forget_after = self.opts.forget_after;
         self.rows
@@ -191,6 +195,27 @@
         Absorbed::Learned
     }
 
+    /// Takes in the beats that an instance of this failure domain passed on.
+    ///
+    /// Incarnations that are not known are noted, to be asked for.
+    pub fn absorb_beats(&mut self, beats: &[Beat], now: Time) {
+        let mut beats: BTreeMap<Incarnation, &Beat> =
+            beats.iter().map(|beat| (beat.incarnation, beat)).collect();
+        beats.remove(&self.own.incarnation);
+        for member in self.rows.values_mut() {
+            let Some(beat) = beats.remove(&member.row.incarnation) else {
+                continue;
+            };
+            if beat.heartbeat > member.row.heartbeat {
+                member.row.heartbeat = beat.heartbeat;
+                member.row.phase = beat.phase;
+                member.row.revision = beat.revision;
+                member.advanced = Some(now);
+            }
+        }
+        self.unknown = beats.into_keys().collect();
+    }
+
     /// Checks that the sender of `row` may make contact, and takes the row in.
     ///
     /// # Errors
--- a/crates/core/src/membership/row.rs
+++ b/crates/core/src/membership/row.rs
@@ -52,12 +52,23 @@
     /// Whether it is about to stop.
     pub phase: Phase,
     /// A counter that it raises as long as it lives.
-    pub heartbeat: u64,
+    pub heartbeat: u32,
     /// The configuration revision that it has in force.
     pub revision: Revision,
 }
 
 impl Row {
+    /// Returns the part that changes while the instance lives.
+    #[must_use]
+    pub const fn beat(&self) -> Beat {
+        Beat {
+            incarnation: self.incarnation,
+            heartbeat: self.heartbeat,
+            phase: self.phase,
+            revision: self.revision,
+        }
+    }
+
     /// Returns the bytes that the row takes in a message at most.
     #[must_use]
     pub fn bytes(&self) -> usize {
@@ -66,6 +77,26 @@
     }
 }
 
+/// A `Beat` is the part of a [`Row`] that changes while an instance lives.
+///
+/// The incarnation alone names the instance, to those who know its row.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Beat {
+    /// The start of its process.
+    pub incarnation: Incarnation,
+    /// A counter that it raises as long as it lives.
+    pub heartbeat: u32,
+    /// Whether it is about to stop.
+    pub phase: Phase,
+    /// The configuration revision that it has in force.
+    pub revision: Revision,
+}
+
+impl Beat {
+    /// The bytes that a beat takes in a message.
+    pub const BYTES: usize = 24;
+}
+
 /// A `Seed` is an entry of the platform's lagging list of instances.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Seed {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -238,11 +238,13 @@
         self.buckets.get(&bucket_of(id))?.get(id)
     }
 
-    /// Returns the revision that need not be offered again: held or rejected.
-    fn known_revision(&self, id: &ObjectId) -> Revision {
-        let held = self.held(id).map(|held| held.revision);
+    fn revision(&self, id: &ObjectId) -> Revision {
+        self.held(id).map_or(Revision::ABSENT, |held| held.revision)
+    }
+
+    fn rejected_revision(&self, id: &ObjectId) -> Revision {
         let rejected = self.rejected.get(id).copied();
-        held.max(rejected).unwrap_or(Revision::ABSENT)
+        rejected.unwrap_or(Revision::ABSENT)
     }
 }
 
--- a/crates/core/src/store/digest.rs
+++ b/crates/core/src/store/digest.rs
@@ -85,8 +85,10 @@
 pub struct Version {
     /// The identity of the object.
     pub id: ObjectId,
-    /// The revision.
+    /// The revision, or [`Revision::ABSENT`] when the object is not held.
     pub revision: Revision,
+    /// The highest revision of the object that was rejected as invalid.
+    pub rejected: Revision,
 }
 
 /// A `DigestRequest` asks another store for what it holds in newer revisions.
@@ -134,14 +136,14 @@
     pub fn versions_request(
         &self,
         theirs: &[u64],
-        turn: u64,
+        turn: u32,
         budget: usize,
     ) -> Option<DigestRequest> {
         let mut buckets = Vec::new();
         let mut held = Vec::new();
         let mut bytes = 0;
         let mut differing = self.digests.differing(theirs);
-        let first = differing.partition_point(|b| u64::from(*b) < turn % u64::from(BUCKETS));
+        let first = differing.partition_point(|b| u32::from(*b) < turn % u32::from(BUCKETS));
         differing.rotate_left(first);
         for bucket in differing {
             let rows = self.versions(bucket);
@@ -177,14 +179,11 @@
     }
 
     /// Returns those of `ids` that are held, by revision, within `budget` bytes.
-    ///
-    /// Objects of which a newer revision was rejected are left out.
     #[must_use]
     pub fn objects(&self, ids: &[ObjectId], budget: usize) -> Vec<Object> {
         let rows = ids.iter().filter_map(|id| {
             let revision = self.held(id)?.revision;
-            let newest = revision == self.known_revision(id);
-            newest.then(|| (revision, id.clone()))
+            Some((revision, id.clone()))
         });
         self.within(rows.collect(), budget).0
     }
@@ -197,23 +196,30 @@
         held.chain(rejected)
             .map(|id| Version {
                 id: id.clone(),
-                revision: self.known_revision(id),
+                revision: self.revision(id),
+                rejected: self.rejected_revision(id),
             })
             .collect()
     }
 
     fn newer_than(&self, buckets: &[u8], held: &[Version]) -> Vec<(Revision, ObjectId)> {
-        let theirs: BTreeMap<_, _> = held.iter().map(|row| (&row.id, row.revision)).collect();
+        let theirs: BTreeMap<&ObjectId, &Version> = held.iter().map(|row| (&row.id, row)).collect();
+        let lacks = |id: &ObjectId, revision: Revision| {
+            theirs
+                .get(id)
+                .is_none_or(|row| row.revision < revision && row.rejected != revision)
+        };
         let rows = buckets.iter().filter_map(|b| self.buckets.get(b)).flatten();
-        rows.filter(|(id, ours)| theirs.get(id).is_none_or(|r| *r < ours.revision))
+        rows.filter(|(id, ours)| lacks(id, ours.revision))
             .map(|(id, ours)| (ours.revision, id.clone()))
             .collect()
     }
 
     fn wanted(&self, held: &[Version], budget: usize) -> Vec<ObjectId> {
-        let newer = held
-            .iter()
-            .filter(|row| self.known_revision(&row.id) < row.revision);
+        let newer = held.iter().filter(|row| {
+            let lacking = self.revision(&row.id) < row.revision;
+            lacking && self.rejected_revision(&row.id) != row.revision
+        });
         let limit = budget / VERSION_BYTES;
         newer.take(limit).map(|row| row.id.clone()).collect()
     }
