--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -44,9 +44,9 @@
 impl Default for ExchangeOptions {
     fn default() -> Self {
         Self {
-            rows: 2,
+            rows: 1,
             beats: 24,
-            unknown: 8,
+            unknown: 24,
             object_bytes: 64 * 1024,
             version_bytes: 16 * 1024,
             rounds: 256,
@@ -141,7 +141,7 @@
         from: members.own().clone(),
         rows: members.rows_to_relay(opts.rows, now),
         beats: members.beats_to_relay(opts.beats, now),
-        unknown: members.unknown.iter().take(opts.unknown).copied().collect(),
+        unknown: members.rows_to_ask(opts.unknown),
         root: store.digests().root(),
         query: DigestRequest::Root,
         objects: Vec::new(),
@@ -195,7 +195,7 @@
     let (mut rows, beats) = match request.query {
         DigestRequest::Root => (
             members.rows_to_relay(opts.rows, now),
-            members.beats_to_relay(opts.beats, now),
+            members.newer_beats(&request.beats, opts.beats, now),
         ),
         DigestRequest::Nothing | DigestRequest::Versions { .. } => (Vec::new(), Vec::new()),
     };
@@ -264,14 +264,20 @@
     let query = differs
         .then(|| store.versions_request(&state.buckets, turn, opts.version_bytes))
         .flatten();
-    if round >= opts.rounds || (query.is_none() && objects.is_empty()) {
+    let unknown = if state.beats.is_empty() {
+        Vec::new()
+    } else {
+        members.rows_to_ask(opts.unknown)
+    };
+    let idle = query.is_none() && objects.is_empty() && unknown.is_empty();
+    if idle || round >= opts.rounds {
         return None;
     }
     let request = ExchangeRequest {
         from: members.own().clone(),
         rows: Vec::new(),
         beats: Vec::new(),
-        unknown: Vec::new(),
+        unknown,
         root,
         query: query.unwrap_or(DigestRequest::Nothing),
         objects,
@@ -309,16 +315,17 @@
         found.map(|member| member.row.clone())
     }
 
-    /// Returns the rows to pass on: half of them those learned last, the others
-    /// in turn, so that a row missed by one exchange comes with a later one.
+    fn rows_to_ask(&self, limit: usize) -> Vec<Incarnation> {
+        self.unknown.iter().take(limit).copied().collect()
+    }
+
+    /// Returns the rows to pass on, in turn, so that each one comes by and by.
     fn rows_to_relay(&self, limit: usize, now: Time) -> Vec<Row> {
         let mut live = self.live(now);
-        live.sort_by_key(|member| Reverse(member.learned));
-        let mut turned = live.split_off(live.len().min(limit / 2));
         let turn = usize::try_from(self.own.heartbeat).unwrap_or(0);
-        let first = turn.checked_rem(turned.len()).unwrap_or(0);
-        turned.rotate_left(first);
-        let chosen = live.into_iter().chain(turned).take(limit);
+        let first = turn.checked_rem(live.len()).unwrap_or(0);
+        live.rotate_left(first);
+        let chosen = live.into_iter().take(limit);
         chosen.map(|member| member.row.clone()).collect()
     }
 
@@ -331,6 +338,16 @@
         newest.map(|member| member.row.beat()).collect()
     }
 
+    /// Returns the beats to pass on that are not among `theirs`.
+    fn newer_beats(&self, theirs: &[Beat], limit: usize, now: Time) -> Vec<Beat> {
+        let mut beats = self.beats_to_relay(limit, now);
+        beats.retain(|ours| {
+            let mut same = theirs.iter().filter(|b| b.incarnation == ours.incarnation);
+            same.all(|b| b.heartbeat < ours.heartbeat)
+        });
+        beats
+    }
+
     fn live(&self, now: Time) -> Vec<&Member> {
         let members = self.iter();
         members.filter(|member| self.is_live(member, now)).collect()
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -168,6 +168,7 @@
 
     /// Takes in what `row` tells.
     pub fn absorb(&mut self, row: &Row, source: Source, now: Time) -> Absorbed {
+        self.unknown.remove(&row.incarnation);
         if row.name == self.own.name {
             self.hear_own_name(row.incarnation);
             return Absorbed::Own;
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -234,11 +234,15 @@
             if to >= nodes.len() - silent || mix(random).is_multiple_of(10) {
                 continue;
             }
-            let (members, store) = &mut nodes[to];
-            let request = pending.request.clone();
-            let (reply, _) = exchange::answer(store, members, request, &opts, now);
-            let (members, store) = &mut nodes[i];
-            exchange::absorb(store, members, &pending, reply, &opts, now).unwrap();
+            let mut next = Some(pending);
+            while let Some(pending) = next {
+                let (members, store) = &mut nodes[to];
+                let request = pending.request.clone();
+                let (reply, _) = exchange::answer(store, members, request, &opts, now);
+                let (members, store) = &mut nodes[i];
+                let outcome = exchange::absorb(store, members, &pending, reply, &opts, now);
+                next = outcome.unwrap().next;
+            }
         }
     }
 }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -9,10 +9,18 @@
   address @3 :Text;
   # IP address and port, as "10.0.0.1:7000" or "[::1]:7000".
   phase @4 :Phase;
-  heartbeat @5 :UInt64;
+  heartbeat @5 :UInt32;
   revision @6 :UInt64;
 }
 
+struct Beat {
+  # The part of a row that changes while an instance lives.
+  incarnation @0 :UInt64;
+  heartbeat @1 :UInt32;
+  phase @2 :Phase;
+  revision @3 :UInt64;
+}
+
 enum Phase {
   live @0;
   leaving @1;
@@ -23,6 +31,9 @@
   id @0 :Text;
   # The identity of the object, as "kind/name".
   revision @1 :UInt64;
+  # Zero when the object is not held.
+  rejected @2 :UInt64;
+  # The highest revision that was rejected as invalid.
 }
 
 struct Object {
@@ -36,19 +47,23 @@
 struct ExchangeRequest {
   from @0 :Row;
   rows @1 :List(Row);
-  root @2 :UInt64;
+  beats @2 :List(Beat);
+  unknown @3 :List(UInt64);
+  # Incarnations whose rows the sender lacks.
+  root @4 :UInt64;
   # The digest over all objects that the sender holds.
   query :union {
-    root @3 :Void;
+    nothing @5 :Void;
+    root @6 :Void;
     # Asks for the bucket digests when the roots differ.
     versions :group {
       # Asks for what is newer in these buckets.
-      buckets @4 :List(UInt8);
-      held @5 :List(Version);
+      buckets @7 :Data;
+      held @8 :List(Version);
     }
   }
-  objects @6 :List(Object);
-  # Objects that the receiver lacks.
+  objects @9 :List(Object);
+  # Objects that the receiver may lack.
 }
 
 struct ExchangeReply {
@@ -62,18 +77,25 @@
 struct State {
   from @0 :Row;
   rows @1 :List(Row);
-  root @2 :UInt64;
-  complete @3 :UInt64;
-  # The revision up to which the replying instance holds every change.
-  ageMs @4 :UInt64;
-  # The milliseconds since the platform confirmed `complete`.
-  buckets @5 :List(UInt64);
+  beats @2 :List(Beat);
+  root @3 :UInt64;
+  # The digest over all objects that the replying instance holds.
+  completeness :union {
+    unconfirmed @4 :Void;
+    confirmed :group {
+      revision @5 :UInt64;
+      # The revision up to which the replying instance holds every change.
+      ageMs @6 :UInt64;
+      # The milliseconds since the platform confirmed it.
+    }
+  }
+  buckets @7 :List(UInt64);
   # The digest of each bucket; empty when the roots are equal.
-  objects @6 :List(Object);
-  wanted @7 :List(Text);
+  objects @8 :List(Object);
+  wanted @9 :List(Text);
   # The objects that the replying instance lacks.
-  more @8 :Bool;
-  # Whether the byte budget cut the reply short.
+  more @10 :Bool;
+  # Whether the byte budget left out some objects.
 }
 
 interface Peer {
--- /dev/null
+++ b/crates/peer/src/convert.rs
@@ -0,0 +1,165 @@
+//! Conversions between the core's messages and their encoding.
+
+use std::time::Duration;
+
+use limpetsaddle_core::membership::Replaced;
+use limpetsaddle_core::membership::exchange::Completeness;
+use limpetsaddle_core::membership::exchange::ExchangeReply;
+use limpetsaddle_core::membership::exchange::ExchangeRequest;
+use limpetsaddle_core::membership::exchange::State;
+use limpetsaddle_core::store::DigestRequest;
+use limpetsaddle_core::units::Incarnation;
+use limpetsaddle_core::units::Revision;
+
+use crate::errors::Result;
+use crate::objects::parse;
+use crate::objects::read_beats;
+use crate::objects::read_objects;
+use crate::objects::read_row;
+use crate::objects::read_rows;
+use crate::objects::read_versions;
+use crate::objects::size;
+use crate::objects::write_beats;
+use crate::objects::write_numbers;
+use crate::objects::write_objects;
+use crate::objects::write_row;
+use crate::objects::write_rows;
+use crate::objects::write_versions;
+use crate::peer_capnp::exchange_reply;
+use crate::peer_capnp::exchange_request;
+use crate::peer_capnp::exchange_request::query;
+use crate::peer_capnp::state;
+use crate::peer_capnp::state::completeness;
+
+pub fn write_request(
+    mut builder: exchange_request::Builder<'_>,
+    request: &ExchangeRequest,
+) -> Result<()> {
+    write_row(builder.reborrow().init_from(), &request.from);
+    let rows = builder.reborrow().init_rows(size(request.rows.len()));
+    write_rows(rows, &request.rows);
+    let beats = builder.reborrow().init_beats(size(request.beats.len()));
+    write_beats(beats, &request.beats);
+    let unknown: Vec<u64> = request.unknown.iter().map(|i| i.0).collect();
+    write_numbers(
+        builder.reborrow().init_unknown(size(unknown.len())),
+        &unknown,
+    );
+    builder.set_root(request.root);
+    write_query(builder.reborrow().init_query(), &request.query);
+    let objects = builder.init_objects(size(request.objects.len()));
+    write_objects(objects, &request.objects)
+}
+
+fn write_query(mut builder: query::Builder<'_>, request: &DigestRequest) {
+    match request {
+        DigestRequest::Nothing => builder.set_nothing(()),
+        DigestRequest::Root => builder.set_root(()),
+        DigestRequest::Versions { buckets, held } => {
+            let mut builder = builder.init_versions();
+            builder.set_buckets(buckets);
+            write_versions(builder.init_held(size(held.len())), held);
+        }
+    }
+}
+
+pub fn read_request(reader: exchange_request::Reader<'_>) -> Result<ExchangeRequest> {
+    let unknown = reader.get_unknown()?;
+    Ok(ExchangeRequest {
+        from: read_row(reader.get_from()?)?,
+        rows: read_rows(reader.get_rows()?)?,
+        beats: read_beats(reader.get_beats()?)?,
+        unknown: unknown.iter().map(Incarnation).collect(),
+        root: reader.get_root(),
+        query: read_query(reader.get_query())?,
+        objects: read_objects(reader.get_objects()?)?,
+    })
+}
+
+fn read_query(reader: query::Reader<'_>) -> Result<DigestRequest> {
+    Ok(match reader.which()? {
+        query::Nothing(()) => DigestRequest::Nothing,
+        query::Root(()) => DigestRequest::Root,
+        query::Versions(versions) => DigestRequest::Versions {
+            buckets: versions.get_buckets()?.to_vec(),
+            held: read_versions(versions.get_held()?)?,
+        },
+    })
+}
+
+pub fn write_reply(mut builder: exchange_reply::Builder<'_>, reply: &ExchangeReply) -> Result<()> {
+    match reply {
+        ExchangeReply::State(state) => write_state(builder.init_state(), state),
+        ExchangeReply::Replaced(replaced) => {
+            builder.set_replaced(replaced.by.0);
+            Ok(())
+        }
+    }
+}
+
+fn write_state(mut builder: state::Builder<'_>, state: &State) -> Result<()> {
+    write_row(builder.reborrow().init_from(), &state.from);
+    let rows = builder.reborrow().init_rows(size(state.rows.len()));
+    write_rows(rows, &state.rows);
+    let beats = builder.reborrow().init_beats(size(state.beats.len()));
+    write_beats(beats, &state.beats);
+    builder.set_root(state.root);
+    let completeness = builder.reborrow().init_completeness();
+    write_completeness(completeness, state.completeness);
+    let buckets = builder.reborrow().init_buckets(size(state.buckets.len()));
+    write_numbers(buckets, &state.buckets);
+    let objects = builder.reborrow().init_objects(size(state.objects.len()));
+    write_objects(objects, &state.objects)?;
+    let mut wanted = builder.reborrow().init_wanted(size(state.wanted.len()));
+    for (i, id) in (0..).zip(&state.wanted) {
+        wanted.set(i, id.to_string());
+    }
+    builder.set_more(state.more);
+    Ok(())
+}
+
+fn write_completeness(mut builder: completeness::Builder<'_>, known: Option<Completeness>) {
+    let Some(known) = known else {
+        builder.set_unconfirmed(());
+        return;
+    };
+    let mut builder = builder.init_confirmed();
+    let millis = u64::try_from(known.age.as_millis()).unwrap_or(u64::MAX);
+    builder.set_revision(known.revision.0);
+    // Rounding up keeps the word from looking fresher than it is.
+    builder.set_age_ms(millis.saturating_add(1));
+}
+
+pub fn read_reply(reader: exchange_reply::Reader<'_>) -> Result<ExchangeReply> {
+    Ok(match reader.which()? {
+        exchange_reply::State(state) => ExchangeReply::State(Box::new(read_state(state?)?)),
+        exchange_reply::Replaced(by) => ExchangeReply::Replaced(Replaced {
+            by: Incarnation(by),
+        }),
+    })
+}
+
+fn read_state(reader: state::Reader<'_>) -> Result<State> {
+    let wanted = reader.get_wanted()?;
+    Ok(State {
+        from: read_row(reader.get_from()?)?,
+        rows: read_rows(reader.get_rows()?)?,
+        beats: read_beats(reader.get_beats()?)?,
+        root: reader.get_root(),
+        completeness: read_completeness(reader.get_completeness())?,
+        buckets: reader.get_buckets()?.iter().collect(),
+        objects: read_objects(reader.get_objects()?)?,
+        wanted: wanted.iter().map(|id| parse(id?)).collect::<Result<_>>()?,
+        more: reader.get_more(),
+    })
+}
+
+fn read_completeness(reader: completeness::Reader<'_>) -> Result<Option<Completeness>> {
+    Ok(match reader.which()? {
+        completeness::Unconfirmed(()) => None,
+        completeness::Confirmed(known) => Some(Completeness {
+            revision: Revision(known.get_revision()),
+            age: Duration::from_millis(known.get_age_ms()),
+        }),
+    })
+}
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -99,18 +99,18 @@
             ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(4))
         }
         #[inline]
-        pub fn get_heartbeat(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_heartbeat(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
         }
         #[inline]
         pub fn get_revision(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+            self.reader.get_data_field::<u64>(2)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -225,20 +225,20 @@
             self.builder.set_data_field::<u16>(4, value as u16);
         }
         #[inline]
-        pub fn get_heartbeat(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_heartbeat(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
         }
         #[inline]
-        pub fn set_heartbeat(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_heartbeat(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
         }
         #[inline]
         pub fn get_revision(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
         pub fn set_revision(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
+            self.builder.set_data_field::<u64>(2, value);
         }
     }
 
@@ -254,7 +254,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(46, 52, 248, 119, 39, 12, 39, 243),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -303,14 +303,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(205, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
@@ -360,11 +360,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
@@ -384,7 +384,7 @@
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::Phase as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -406,71 +406,7 @@
     }
 }
 
-#[repr(u16)]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    Live = 0,
-    Leaving = 1,
-}
-
-impl ::capnp::introspect::Introspect for Phase {
-    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&phase::ARENA, phase::get_annotation_types)).into() }
-}
-impl ::core::convert::From<Phase> for ::capnp::dynamic_value::Reader<'_> {
-    fn from(e: Phase) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&phase::ARENA, phase::get_annotation_types).into()).into() }
-}
-impl ::core::convert::TryFrom<u16> for Phase {
-    type Error = ::capnp::NotInSchema;
-    fn try_from(value: u16) -> ::core::result::Result<Self, <Phase as ::core::convert::TryFrom<u16>>::Error> {
-        match value {
-            0 => ::core::result::Result::Ok(Self::Live),
-            1 => ::core::result::Result::Ok(Self::Leaving),
-            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
-        }
-    }
-}
-impl From<Phase> for u16 {
-    #[inline]
-    fn from(x: Phase) -> u16 { x as u16 }
-}
-impl ::capnp::traits::HasTypeId for Phase {
-    const TYPE_ID: u64 = 0x8ffa_3bb5_e314_476du64;
-}
-mod phase {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 25] = [
-    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-    ::capnp::word(109, 71, 20, 227, 181, 59, 250, 143),
-    ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
-    ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 55, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-    ::capnp::word(110, 112, 58, 80, 104, 97, 115, 101),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(17, 0, 0, 0, 42, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(9, 0, 0, 0, 66, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(108, 105, 118, 101, 0, 0, 0, 0),
-    ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
-];
-pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-}
-pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-}
-
-pub mod version {
+pub mod beat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -523,7 +459,7 @@
         }
     }
 
-    impl <'a,> Reader<'a,>  {
+    impl <> Reader<'_,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -532,22 +468,26 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_id(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_heartbeat(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_phase(self) -> ::core::result::Result<crate::peer_capnp::Phase,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(6))
         }
         #[inline]
         pub fn get_revision(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+            self.reader.get_data_field::<u64>(2)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -598,28 +538,36 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_heartbeat(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn has_id(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_heartbeat(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_phase(self) -> ::core::result::Result<crate::peer_capnp::Phase,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(6))
+        }
+        #[inline]
+        pub fn set_phase(&mut self, value: crate::peer_capnp::Phase)  {
+            self.builder.set_data_field::<u16>(6, value as u16);
         }
         #[inline]
         pub fn get_revision(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
         pub fn set_revision(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+            self.builder.set_data_field::<u64>(2, value);
         }
     }
 
@@ -632,44 +580,75 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(15, 52, 3, 198, 58, 142, 119, 151),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(132, 35, 86, 77, 180, 245, 52, 198),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 86, 101, 114, 115, 105),
-            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 66, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 104, 97, 115, 101, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 71, 20, 227, 181, 59, 250, 143),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
@@ -684,8 +663,10 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::peer_capnp::Phase as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -699,14 +680,78 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0x9777_8e3a_c603_340f;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,3];
+        pub(crate) const TYPE_ID: u64 = 0xc634_f5b4_4d56_2384;
     }
 }
 
-pub mod object {
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Live = 0,
+    Leaving = 1,
+}
+
+impl ::capnp::introspect::Introspect for Phase {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&phase::ARENA, phase::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Phase> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Phase) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&phase::ARENA, phase::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Phase {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Phase as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Live),
+            1 => ::core::result::Result::Ok(Self::Leaving),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Phase> for u16 {
+    #[inline]
+    fn from(x: Phase) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Phase {
+    const TYPE_ID: u64 = 0x8ffa_3bb5_e314_476du64;
+}
+mod phase {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 25] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(109, 71, 20, 227, 181, 59, 250, 143),
+    ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 55, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+    ::capnp::word(110, 112, 58, 80, 104, 97, 115, 101),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(9, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(108, 105, 118, 101, 0, 0, 0, 0),
+    ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
+pub mod version {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -780,18 +825,14 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_spec(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_spec(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_rejected(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -866,20 +907,12 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_spec(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_spec(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(1).set_data(value);
-        }
-        #[inline]
-        pub fn init_spec(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(1).init_data(size)
+        pub fn get_rejected(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_spec(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_rejected(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
         }
     }
 
@@ -892,22 +925,22 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(50, 49, 187, 164, 97, 129, 167, 248),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(15, 52, 3, 198, 58, 142, 119, 151),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 79, 98, 106, 101, 99),
-            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 86, 101, 114, 115, 105),
+            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -927,10 +960,10 @@
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -948,12 +981,13 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 112, 101, 99, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 106, 101, 99, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -961,7 +995,7 @@
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -977,12 +1011,12 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
-        pub(crate) const TYPE_ID: u64 = 0xf8a7_8161_a4bb_3132;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0x9777_8e3a_c603_340f;
     }
 }
 
-pub mod exchange_request {
+pub mod object {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1044,42 +1078,30 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_from(self) -> ::capnp::Result<crate::peer_capnp::row::Reader<'a>> {
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_from(&self) -> bool {
+        pub fn has_id(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_rows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::row::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_rows(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_root(self) -> u64 {
+        pub fn get_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_query(self) -> crate::peer_capnp::exchange_request::query::Reader<'a> {
-            self.reader.into()
-        }
-        #[inline]
-        pub fn get_objects(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::object::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        pub fn get_spec(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_objects(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+        pub fn has_spec(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1130,71 +1152,44 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_from(self) -> ::capnp::Result<crate::peer_capnp::row::Builder<'a>> {
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_from(&mut self, value: crate::peer_capnp::row::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_from(self, ) -> crate::peer_capnp::row::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_from(&self) -> bool {
+        pub fn has_id(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_rows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::row::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_rows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::row::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_rows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::row::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-        }
-        #[inline]
-        pub fn has_rows(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_root(self) -> u64 {
+        pub fn get_revision(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_root(&mut self, value: u64)  {
+        pub fn set_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_query(self) -> crate::peer_capnp::exchange_request::query::Builder<'a> {
-            self.builder.into()
-        }
-        #[inline]
-        pub fn init_query(mut self, ) -> crate::peer_capnp::exchange_request::query::Builder<'a> {
-            self.builder.set_data_field::<u16>(4, 0);
-            self.builder.reborrow().get_pointer_field(2).clear();
-            self.builder.reborrow().get_pointer_field(3).clear();
-            self.builder.into()
-        }
-        #[inline]
-        pub fn get_objects(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::object::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        pub fn get_spec(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_objects(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::object::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        pub fn set_spec(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
         }
         #[inline]
-        pub fn init_objects(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::object::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        pub fn init_spec(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
         }
         #[inline]
-        pub fn has_objects(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+        pub fn has_spec(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
     }
 
@@ -1205,89 +1200,57 @@
         }
     }
     impl Pipeline  {
-        pub fn get_from(&self) -> crate::peer_capnp::row::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
-        pub fn get_query(&self) -> crate::peer_capnp::exchange_request::query::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(124, 223, 116, 113, 43, 58, 94, 146),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(50, 49, 187, 164, 97, 129, 167, 248),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
-            ::capnp::word(110, 103, 101, 82, 101, 113, 117, 101),
-            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 79, 98, 106, 101, 99),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 206, 100, 13, 168, 247, 109, 164),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(46, 52, 248, 119, 39, 12, 39, 243),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 111, 119, 115, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(46, 52, 248, 119, 39, 12, 39, 243),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 111, 111, 116, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1295,27 +1258,20 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 117, 101, 114, 121, 0, 0, 0),
-            ::capnp::word(111, 98, 106, 101, 99, 116, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 101, 99, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(50, 49, 187, 164, 97, 129, 167, 248),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::peer_capnp::row::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::peer_capnp::row::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <crate::peer_capnp::exchange_request::query::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::peer_capnp::object::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1329,474 +1285,943 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,1];
-        pub(crate) const TYPE_ID: u64 = 0x925e_3a2b_7174_df7c;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+        pub(crate) const TYPE_ID: u64 = 0xf8a7_8161_a4bb_3132;
     }
+}
 
-    pub mod query {
-        pub use self::Which::{Root,Versions};
+pub mod exchange_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
         }
+    }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
         }
+    }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
+    }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
+    }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
         }
+    }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
-
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
-                match self.reader.get_data_field::<u16>(4) {
-                    0 => {
-                        ::core::result::Result::Ok(Root(
-                            ()
-                        ))
-                    }
-                    1 => {
-                        ::core::result::Result::Ok(Versions(
-                            self.reader.into()
-                        ))
-                    }
-                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-                }
-            }
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<crate::peer_capnp::row::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+        #[inline]
+        pub fn get_rows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::row::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
+        #[inline]
+        pub fn has_rows(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_beats(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::beat::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_beats(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_unknown(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_unknown(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_root(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_query(self) -> crate::peer_capnp::exchange_request::query::Reader<'a> {
+            self.reader.into()
+        }
+        #[inline]
+        pub fn get_objects(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::object::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_objects(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
         }
+    }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 7 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
         }
+    }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
         }
+    }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
+    }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
         }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
 
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn set_root(&mut self, _value: ())  {
-                self.builder.set_data_field::<u16>(4, 0);
-            }
-            #[inline]
-            pub fn init_versions(mut self, ) -> crate::peer_capnp::exchange_request::query::versions::Builder<'a> {
-                self.builder.set_data_field::<u16>(4, 1);
-                self.builder.reborrow().get_pointer_field(2).clear();
-                self.builder.reborrow().get_pointer_field(3).clear();
-                self.builder.into()
-            }
-            #[inline]
-            pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
-                match self.builder.get_data_field::<u16>(4) {
-                    0 => {
-                        ::core::result::Result::Ok(Root(
-                            ()
-                        ))
-                    }
-                    1 => {
-                        ::core::result::Result::Ok(Versions(
-                            self.builder.into()
-                        ))
-                    }
-                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-                }
-            }
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
         }
-        impl Pipeline  {
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<crate::peer_capnp::row::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 42] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(149, 206, 100, 13, 168, 247, 109, 164),
-                ::capnp::word(27, 0, 0, 0, 1, 0, 2, 0),
-                ::capnp::word(124, 223, 116, 113, 43, 58, 94, 146),
-                ::capnp::word(5, 0, 7, 0, 1, 0, 2, 0),
-                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
-                ::capnp::word(110, 103, 101, 82, 101, 113, 117, 101),
-                ::capnp::word(115, 116, 46, 113, 117, 101, 114, 121),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 13, 50, 137, 253, 31, 96, 152),
-                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 111, 111, 116, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::peer_capnp::exchange_request::query::versions::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0xa46d_f7a8_0d64_ce95;
+        #[inline]
+        pub fn set_from(&mut self, value: crate::peer_capnp::row::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
-        pub enum Which<A0> {
-            Root(()),
-            Versions(A0),
+        #[inline]
+        pub fn init_from(self, ) -> crate::peer_capnp::row::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
-        pub type WhichReader<'a,> = Which<crate::peer_capnp::exchange_request::query::versions::Reader<'a>>;
-        pub type WhichBuilder<'a,> = Which<crate::peer_capnp::exchange_request::query::versions::Builder<'a>>;
-
-        pub mod versions {
-            #[derive(Copy, Clone)]
-            pub struct Owned(());
-            impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-            impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-            impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-            impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-            pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-            impl <> ::core::marker::Copy for Reader<'_,>  {}
-            impl <> ::core::clone::Clone for Reader<'_,>  {
-                fn clone(&self) -> Self { *self }
-            }
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_rows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::row::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_rows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::row::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_rows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::row::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_rows(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_beats(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::beat::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_beats(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::beat::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_beats(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::beat::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_beats(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_unknown(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_unknown(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_unknown(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_unknown(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_root(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_root(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_query(self) -> crate::peer_capnp::exchange_request::query::Builder<'a> {
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_query(mut self, ) -> crate::peer_capnp::exchange_request::query::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 0);
+            self.builder.reborrow().get_pointer_field(4).clear();
+            self.builder.reborrow().get_pointer_field(5).clear();
+            self.builder.into()
+        }
+        #[inline]
+        pub fn get_objects(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::object::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_objects(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::object::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_objects(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::object::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_objects(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+    }
 
-            impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-                const TYPE_ID: u64 = _private::TYPE_ID;
-            }
-            impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-                fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                    Self { reader,  }
-                }
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_from(&self) -> crate::peer_capnp::row::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+        pub fn get_query(&self) -> crate::peer_capnp::exchange_request::query::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(124, 223, 116, 113, 43, 58, 94, 146),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
+            ::capnp::word(110, 103, 101, 82, 101, 113, 117, 101),
+            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 148, 80, 72, 36, 250, 220, 182),
+            ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 52, 248, 119, 39, 12, 39, 243),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 119, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 52, 248, 119, 39, 12, 39, 243),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 97, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 35, 86, 77, 180, 245, 52, 198),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 111, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 101, 114, 121, 0, 0, 0),
+            ::capnp::word(111, 98, 106, 101, 99, 116, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(50, 49, 187, 164, 97, 129, 167, 248),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::peer_capnp::row::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::beat::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::peer_capnp::exchange_request::query::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::object::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,6,5,4,1,3];
+        pub(crate) const TYPE_ID: u64 = 0x925e_3a2b_7174_df7c;
+    }
 
-            impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-                fn from(reader: Reader<'a,>) -> Self {
-                    Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-                }
-            }
+    pub mod query {
+        pub use self::Which::{Nothing,Root,Versions};
 
-            impl <> ::core::fmt::Debug for Reader<'_,>  {
-                fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                    core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-                }
-            }
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-            impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-                fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                    ::core::result::Result::Ok(reader.get_struct(default)?.into())
-                }
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
             }
+        }
 
-            impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-                fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                    self.reader
-                }
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
             }
+        }
 
-            impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-                fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                    self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-                }
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
             }
+        }
 
-            impl <'a,> Reader<'a,>  {
-                pub fn reborrow(&self) -> Reader<'_,> {
-                    Self { .. *self }
-                }
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
 
-                pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                    self.reader.total_size()
-                }
-                #[inline]
-                pub fn get_buckets(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u8>> {
-                    ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-                }
-                #[inline]
-                pub fn has_buckets(&self) -> bool {
-                    !self.reader.get_pointer_field(2).is_null()
-                }
-                #[inline]
-                pub fn get_held(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::version::Owned>> {
-                    ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
-                }
-                #[inline]
-                pub fn has_held(&self) -> bool {
-                    !self.reader.get_pointer_field(3).is_null()
-                }
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
             }
+        }
 
-            pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-            impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-                const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
-            impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-                const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
             }
-            impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-                fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                    Self { builder,  }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(4) {
+                    0 => {
+                        ::core::result::Result::Ok(Nothing(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Root(
+                            ()
+                        ))
+                    }
+                    2 => {
+                        ::core::result::Result::Ok(Versions(
+                            self.reader.into()
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
                 }
             }
+        }
 
-            impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-                fn from(builder: Builder<'a,>) -> Self {
-                    Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-                }
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 7 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
             }
+        }
 
-            impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-                fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                    self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-                }
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
             }
+        }
 
-            impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-                fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                    builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-                }
-                fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                    ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-                }
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
+        }
 
-            impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-                fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
 
-            impl <'a,> Builder<'a,>  {
-                pub fn into_reader(self) -> Reader<'a,> {
-                    self.builder.into_reader().into()
-                }
-                pub fn reborrow(&mut self) -> Builder<'_,> {
-                    Builder { builder: self.builder.reborrow() }
-                }
-                pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                    self.builder.as_reader().into()
-                }
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
 
-                pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                    self.builder.as_reader().total_size()
-                }
-                #[inline]
-                pub fn get_buckets(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u8>> {
-                    ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-                }
-                #[inline]
-                pub fn set_buckets(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u8>>) -> ::capnp::Result<()> {
-                    ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-                }
-                #[inline]
-                pub fn init_buckets(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u8> {
-                    ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-                }
-                #[inline]
-                pub fn has_buckets(&self) -> bool {
-                    !self.builder.is_pointer_field_null(2)
-                }
-                #[inline]
-                pub fn get_held(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::version::Owned>> {
-                    ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
-                }
-                #[inline]
-                pub fn set_held(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::version::Owned>) -> ::capnp::Result<()> {
-                    ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
-                }
-                #[inline]
-                pub fn init_held(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::version::Owned> {
-                    ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
-                }
-                #[inline]
-                pub fn has_held(&self) -> bool {
-                    !self.builder.is_pointer_field_null(3)
-                }
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
             }
 
-            pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-            impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-                fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                    Self { _typeless: typeless,  }
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn set_nothing(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 0);
+            }
+            #[inline]
+            pub fn set_root(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 1);
+            }
+            #[inline]
+            pub fn init_versions(mut self, ) -> crate::peer_capnp::exchange_request::query::versions::Builder<'a> {
+                self.builder.set_data_field::<u16>(4, 2);
+                self.builder.reborrow().get_pointer_field(4).clear();
+                self.builder.reborrow().get_pointer_field(5).clear();
+                self.builder.into()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(4) {
+                    0 => {
+                        ::core::result::Result::Ok(Nothing(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Root(
+                            ()
+                        ))
+                    }
+                    2 => {
+                        ::core::result::Result::Ok(Versions(
+                            self.builder.into()
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
                 }
             }
-            impl Pipeline  {
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
             }
-            mod _private {
-                pub(crate) static ENCODED_NODE: [::capnp::Word; 57] = [
-                    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                    ::capnp::word(125, 13, 50, 137, 253, 31, 96, 152),
-                    ::capnp::word(33, 0, 0, 0, 1, 0, 2, 0),
-                    ::capnp::word(149, 206, 100, 13, 168, 247, 109, 164),
-                    ::capnp::word(5, 0, 7, 0, 1, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                    ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
-                    ::capnp::word(110, 103, 101, 82, 101, 113, 117, 101),
-                    ::capnp::word(115, 116, 46, 113, 117, 101, 114, 121),
-                    ::capnp::word(46, 118, 101, 114, 115, 105, 111, 110),
-                    ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-                    ::capnp::word(0, 0, 0, 0, 2, 0, 0, 0),
-                    ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                    ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
-                    ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
-                    ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(61, 0, 0, 0, 42, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-                    ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                    ::capnp::word(98, 117, 99, 107, 101, 116, 115, 0),
-                    ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                    ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 57] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(149, 148, 80, 72, 36, 250, 220, 182),
+                ::capnp::word(27, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(124, 223, 116, 113, 43, 58, 94, 146),
+                ::capnp::word(7, 0, 7, 0, 1, 0, 3, 0),
+                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
+                ::capnp::word(110, 103, 101, 82, 101, 113, 117, 101),
+                ::capnp::word(115, 116, 46, 113, 117, 101, 114, 121),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(17, 139, 158, 28, 169, 240, 93, 197),
+                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 116, 104, 105, 110, 103, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 111, 111, 116, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::peer_capnp::exchange_request::query::versions::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) const TYPE_ID: u64 = 0xb6dc_fa24_4850_9495;
+        }
+        pub enum Which<A0> {
+            Nothing(()),
+            Root(()),
+            Versions(A0),
+        }
+        pub type WhichReader<'a,> = Which<crate::peer_capnp::exchange_request::query::versions::Reader<'a>>;
+        pub type WhichBuilder<'a,> = Which<crate::peer_capnp::exchange_request::query::versions::Builder<'a>>;
+
+        pub mod versions {
+            #[derive(Copy, Clone)]
+            pub struct Owned(());
+            impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+            impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+            impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+            impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+            pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+            impl <> ::core::marker::Copy for Reader<'_,>  {}
+            impl <> ::core::clone::Clone for Reader<'_,>  {
+                fn clone(&self) -> Self { *self }
+            }
+
+            impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+                const TYPE_ID: u64 = _private::TYPE_ID;
+            }
+            impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+                fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                    Self { reader,  }
+                }
+            }
+
+            impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+                fn from(reader: Reader<'a,>) -> Self {
+                    Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+                }
+            }
+
+            impl <> ::core::fmt::Debug for Reader<'_,>  {
+                fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                    core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+                }
+            }
+
+            impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+                fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                    ::core::result::Result::Ok(reader.get_struct(default)?.into())
+                }
+            }
+
+            impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+                fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                    self.reader
+                }
+            }
+
+            impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+                fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                    self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+                }
+            }
+
+            impl <'a,> Reader<'a,>  {
+                pub fn reborrow(&self) -> Reader<'_,> {
+                    Self { .. *self }
+                }
+
+                pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                    self.reader.total_size()
+                }
+                #[inline]
+                pub fn get_buckets(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                    ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+                }
+                #[inline]
+                pub fn has_buckets(&self) -> bool {
+                    !self.reader.get_pointer_field(4).is_null()
+                }
+                #[inline]
+                pub fn get_held(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::version::Owned>> {
+                    ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+                }
+                #[inline]
+                pub fn has_held(&self) -> bool {
+                    !self.reader.get_pointer_field(5).is_null()
+                }
+            }
+
+            pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+            impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+                const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 7 };
+            }
+            impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+                const TYPE_ID: u64 = _private::TYPE_ID;
+            }
+            impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+                fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                    Self { builder,  }
+                }
+            }
+
+            impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+                fn from(builder: Builder<'a,>) -> Self {
+                    Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+                }
+            }
+
+            impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+                fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                    self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+                }
+            }
+
+            impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+                fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                    builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+                }
+                fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                    ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+                }
+            }
+
+            impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+                fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+            }
+
+            impl <'a,> Builder<'a,>  {
+                pub fn into_reader(self) -> Reader<'a,> {
+                    self.builder.into_reader().into()
+                }
+                pub fn reborrow(&mut self) -> Builder<'_,> {
+                    Builder { builder: self.builder.reborrow() }
+                }
+                pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                    self.builder.as_reader().into()
+                }
+
+                pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                    self.builder.as_reader().total_size()
+                }
+                #[inline]
+                pub fn get_buckets(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+                }
+                #[inline]
+                pub fn set_buckets(&mut self, value: ::capnp::data::Reader<'_>)  {
+                    self.builder.reborrow().get_pointer_field(4).set_data(value);
+                }
+                #[inline]
+                pub fn init_buckets(self, size: u32) -> ::capnp::data::Builder<'a> {
+                    self.builder.get_pointer_field(4).init_data(size)
+                }
+                #[inline]
+                pub fn has_buckets(&self) -> bool {
+                    !self.builder.is_pointer_field_null(4)
+                }
+                #[inline]
+                pub fn get_held(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::version::Owned>> {
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+                }
+                #[inline]
+                pub fn set_held(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::version::Owned>) -> ::capnp::Result<()> {
+                    ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+                }
+                #[inline]
+                pub fn init_held(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::version::Owned> {
+                    ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+                }
+                #[inline]
+                pub fn has_held(&self) -> bool {
+                    !self.builder.is_pointer_field_null(5)
+                }
+            }
+
+            pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+            impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+                fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                    Self { _typeless: typeless,  }
+                }
+            }
+            impl Pipeline  {
+            }
+            mod _private {
+                pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
+                    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                    ::capnp::word(17, 139, 158, 28, 169, 240, 93, 197),
+                    ::capnp::word(33, 0, 0, 0, 1, 0, 2, 0),
+                    ::capnp::word(149, 148, 80, 72, 36, 250, 220, 182),
+                    ::capnp::word(7, 0, 7, 0, 1, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                    ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
+                    ::capnp::word(110, 103, 101, 82, 101, 113, 117, 101),
+                    ::capnp::word(115, 116, 46, 113, 117, 101, 114, 121),
+                    ::capnp::word(46, 118, 101, 114, 115, 105, 111, 110),
+                    ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                    ::capnp::word(0, 0, 0, 0, 4, 0, 0, 0),
+                    ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
+                    ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(98, 117, 99, 107, 101, 116, 115, 0),
+                    ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
@@ -1814,7 +2239,7 @@
                 ];
                 pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                     match index {
-                        0 => <::capnp::primitive_list::Owned<u8> as ::capnp::introspect::Introspect>::introspect(),
+                        0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                         1 => <::capnp::struct_list::Owned<crate::peer_capnp::version::Owned> as ::capnp::introspect::Introspect>::introspect(),
                         _ => ::capnp::introspect::panic_invalid_field_index(index),
                     }
@@ -1832,7 +2257,7 @@
                 pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
                 pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
                 pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-                pub(crate) const TYPE_ID: u64 = 0x9860_1ffd_8932_0d7d;
+                pub(crate) const TYPE_ID: u64 = 0xc55d_f0a9_1c9e_8b11;
             }
         }
     }
@@ -2182,50 +2607,54 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_root(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_beats(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::beat::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_complete(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn has_beats(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_root(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_completeness(self) -> crate::peer_capnp::state::completeness::Reader<'a> {
+            self.reader.into()
         }
         #[inline]
         pub fn get_buckets(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_buckets(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+            !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
         pub fn get_objects(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::object::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_objects(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+            !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
         pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_wanted(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+            !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
         pub fn get_more(self) -> bool {
-            self.reader.get_bool_field(192)
+            self.reader.get_bool_field(80)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2308,84 +2737,95 @@
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_root(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_beats(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::beat::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_root(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_beats(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::beat::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
-        pub fn get_complete(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn init_beats(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::beat::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
         }
         #[inline]
-        pub fn set_complete(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn has_beats(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_root(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_age_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_root(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_completeness(self) -> crate::peer_capnp::state::completeness::Builder<'a> {
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_completeness(self, ) -> crate::peer_capnp::state::completeness::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 0);
+            self.builder.set_data_field::<u64>(2, 0u64);
+            self.builder.set_data_field::<u64>(3, 0u64);
+            self.builder.into()
         }
         #[inline]
         pub fn get_buckets(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_buckets(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
         }
         #[inline]
         pub fn init_buckets(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
         pub fn has_buckets(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+            !self.builder.is_pointer_field_null(3)
         }
         #[inline]
         pub fn get_objects(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::object::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_objects(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::object::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
         }
         #[inline]
         pub fn init_objects(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::object::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
         }
         #[inline]
         pub fn has_objects(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+            !self.builder.is_pointer_field_null(4)
         }
         #[inline]
         pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_wanted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
         pub fn init_wanted(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
         pub fn has_wanted(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+            !self.builder.is_pointer_field_null(5)
         }
         #[inline]
         pub fn get_more(self) -> bool {
-            self.builder.get_bool_field(192)
+            self.builder.get_bool_field(80)
         }
         #[inline]
         pub fn set_more(&mut self, value: bool)  {
-            self.builder.set_bool_field(192, value);
+            self.builder.set_bool_field(80, value);
         }
     }
 
@@ -2399,14 +2839,17 @@
         pub fn get_from(&self) -> crate::peer_capnp::row::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
+        pub fn get_completeness(&self) -> crate::peer_capnp::state::completeness::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 169] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 166] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(156, 171, 167, 220, 35, 201, 240, 183),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
@@ -2433,55 +2876,55 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 238, 128, 220, 39, 155, 226, 179),
+            ::capnp::word(29, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 192, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 80, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(46, 52, 248, 119, 39, 12, 39, 243),
@@ -2502,24 +2945,19 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 111, 111, 116, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
+            ::capnp::word(98, 101, 97, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 35, 86, 77, 180, 245, 52, 198),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(114, 111, 111, 116, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2527,6 +2965,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
+            ::capnp::word(110, 101, 115, 115, 0, 0, 0, 0),
             ::capnp::word(98, 117, 99, 107, 101, 116, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2576,9 +3016,9 @@
             match index {
                 0 => <crate::peer_capnp::row::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::struct_list::Owned<crate::peer_capnp::row::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::beat::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::peer_capnp::state::completeness::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::object::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
@@ -2598,9 +3038,479 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,5,3,0,8,6,2,1,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,4,0,8,6,3,1,7];
         pub(crate) const TYPE_ID: u64 = 0xb7f0_c923_dca7_ab9c;
     }
+
+    pub mod completeness {
+        pub use self::Which::{Unconfirmed,Confirmed};
+
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(4) {
+                    0 => {
+                        ::core::result::Result::Ok(Unconfirmed(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Confirmed(
+                            self.reader.into()
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 6 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn set_unconfirmed(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 0);
+            }
+            #[inline]
+            pub fn init_confirmed(self, ) -> crate::peer_capnp::state::completeness::confirmed::Builder<'a> {
+                self.builder.set_data_field::<u16>(4, 1);
+                self.builder.set_data_field::<u64>(2, 0u64);
+                self.builder.set_data_field::<u64>(3, 0u64);
+                self.builder.into()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(4) {
+                    0 => {
+                        ::core::result::Result::Ok(Unconfirmed(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Confirmed(
+                            self.builder.into()
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 42] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(56, 238, 128, 220, 39, 155, 226, 179),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(156, 171, 167, 220, 35, 201, 240, 183),
+                ::capnp::word(6, 0, 7, 0, 1, 0, 2, 0),
+                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 83, 116, 97, 116, 101),
+                ::capnp::word(46, 99, 111, 109, 112, 108, 101, 116),
+                ::capnp::word(101, 110, 101, 115, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(232, 62, 158, 34, 140, 173, 55, 253),
+                ::capnp::word(49, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 110, 99, 111, 110, 102, 105, 114),
+                ::capnp::word(109, 101, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::state::completeness::confirmed::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xb3e2_9b27_dc80_ee38;
+        }
+        pub enum Which<A0> {
+            Unconfirmed(()),
+            Confirmed(A0),
+        }
+        pub type WhichReader<'a,> = Which<crate::peer_capnp::state::completeness::confirmed::Reader<'a>>;
+        pub type WhichBuilder<'a,> = Which<crate::peer_capnp::state::completeness::confirmed::Builder<'a>>;
+
+        pub mod confirmed {
+            #[derive(Copy, Clone)]
+            pub struct Owned(());
+            impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+            impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+            impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+            impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+            pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+            impl <> ::core::marker::Copy for Reader<'_,>  {}
+            impl <> ::core::clone::Clone for Reader<'_,>  {
+                fn clone(&self) -> Self { *self }
+            }
+
+            impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+                const TYPE_ID: u64 = _private::TYPE_ID;
+            }
+            impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+                fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                    Self { reader,  }
+                }
+            }
+
+            impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+                fn from(reader: Reader<'a,>) -> Self {
+                    Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+                }
+            }
+
+            impl <> ::core::fmt::Debug for Reader<'_,>  {
+                fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                    core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+                }
+            }
+
+            impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+                fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                    ::core::result::Result::Ok(reader.get_struct(default)?.into())
+                }
+            }
+
+            impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+                fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                    self.reader
+                }
+            }
+
+            impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+                fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                    self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+                }
+            }
+
+            impl <> Reader<'_,>  {
+                pub fn reborrow(&self) -> Reader<'_,> {
+                    Self { .. *self }
+                }
+
+                pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                    self.reader.total_size()
+                }
+                #[inline]
+                pub fn get_revision(self) -> u64 {
+                    self.reader.get_data_field::<u64>(2)
+                }
+                #[inline]
+                pub fn get_age_ms(self) -> u64 {
+                    self.reader.get_data_field::<u64>(3)
+                }
+            }
+
+            pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+            impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+                const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 6 };
+            }
+            impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+                const TYPE_ID: u64 = _private::TYPE_ID;
+            }
+            impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+                fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                    Self { builder,  }
+                }
+            }
+
+            impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+                fn from(builder: Builder<'a,>) -> Self {
+                    Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+                }
+            }
+
+            impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+                fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                    self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+                }
+            }
+
+            impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+                fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                    builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+                }
+                fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                    ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+                }
+            }
+
+            impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+                fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+            }
+
+            impl <'a,> Builder<'a,>  {
+                pub fn into_reader(self) -> Reader<'a,> {
+                    self.builder.into_reader().into()
+                }
+                pub fn reborrow(&mut self) -> Builder<'_,> {
+                    Builder { builder: self.builder.reborrow() }
+                }
+                pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                    self.builder.as_reader().into()
+                }
+
+                pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                    self.builder.as_reader().total_size()
+                }
+                #[inline]
+                pub fn get_revision(self) -> u64 {
+                    self.builder.get_data_field::<u64>(2)
+                }
+                #[inline]
+                pub fn set_revision(&mut self, value: u64)  {
+                    self.builder.set_data_field::<u64>(2, value);
+                }
+                #[inline]
+                pub fn get_age_ms(self) -> u64 {
+                    self.builder.get_data_field::<u64>(3)
+                }
+                #[inline]
+                pub fn set_age_ms(&mut self, value: u64)  {
+                    self.builder.set_data_field::<u64>(3, value);
+                }
+            }
+
+            pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+            impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+                fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                    Self { _typeless: typeless,  }
+                }
+            }
+            impl Pipeline  {
+            }
+            mod _private {
+                pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                    ::capnp::word(232, 62, 158, 34, 140, 173, 55, 253),
+                    ::capnp::word(30, 0, 0, 0, 1, 0, 4, 0),
+                    ::capnp::word(56, 238, 128, 220, 39, 155, 226, 179),
+                    ::capnp::word(6, 0, 7, 0, 1, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                    ::capnp::word(110, 112, 58, 83, 116, 97, 116, 101),
+                    ::capnp::word(46, 99, 111, 109, 112, 108, 101, 116),
+                    ::capnp::word(101, 110, 101, 115, 115, 46, 99, 111),
+                    ::capnp::word(110, 102, 105, 114, 109, 101, 100, 0),
+                    ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                    ::capnp::word(0, 0, 0, 0, 2, 0, 0, 0),
+                    ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
+                    ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                    ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ];
+                pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                    match index {
+                        0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                        1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                        _ => ::capnp::introspect::panic_invalid_field_index(index),
+                    }
+                }
+                pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+                }
+                pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+                pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME
+                );
+                pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+                pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+                pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+                pub(crate) const TYPE_ID: u64 = 0xfd37_ad8c_229e_3ee8;
+            }
+        }
+    }
 }
 
 
--- /dev/null
+++ b/crates/peer/src/transport.rs
@@ -0,0 +1,32 @@
+//! The connection on which calls travel.
+
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use futures::AsyncReadExt;
+use monoio::net::TcpStream;
+use monoio_compat::StreamWrapper;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+/// The largest message in bytes that an instance reads.
+pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+
+const WORD_BYTES: usize = 8;
+
+/// The pointers that may be nested in a message.
+const NESTING_LIMIT: i32 = 16;
+
+/// Returns the RPC system that speaks on `stream` as the given side.
+pub fn rpc_system(
+    stream: TcpStream,
+    side: Side,
+    bootstrap: Option<capnp::capability::Client>,
+) -> RpcSystem<Side> {
+    let (reader, writer) = StreamWrapper::new(stream).compat().split();
+    let mut opts = ReaderOptions::new();
+    opts.traversal_limit_in_words(Some(MAX_MESSAGE_BYTES / WORD_BYTES));
+    opts.nesting_limit(NESTING_LIMIT);
+    let network = VatNetwork::new(reader, writer, side, opts);
+    RpcSystem::new(Box::new(network), bootstrap)
+}
