--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -2,6 +2,7 @@
 
 mod sync_support;
 
+use std::ops::Range;
 use std::time::Duration;
 
 use limpetsaddle_core::config::Phase;
@@ -16,14 +17,19 @@
 use limpetsaddle_core::membership::Standing;
 use limpetsaddle_core::membership::exchange;
 use limpetsaddle_core::membership::exchange::ExchangeOptions;
+use limpetsaddle_core::membership::exchange::Pending;
 use limpetsaddle_core::membership::incarnation_above;
 use limpetsaddle_core::membership::new_incarnation;
+use limpetsaddle_core::names::InstanceName;
 use limpetsaddle_core::store::ConfigStore;
 use limpetsaddle_core::units::Incarnation;
 use limpetsaddle_core::units::Revision;
+use limpetsaddle_core::units::Time;
 use yare::parameterized;
 
 use crate::sync_support::at;
+use crate::sync_support::object;
+use crate::sync_support::route;
 use crate::sync_support::row;
 
 const OPTS: MembersOptions = MembersOptions {
@@ -217,57 +223,102 @@
     assert_eq!(domain_of(0).push_targets(at(0)).len(), 0);
 }
 
-/// Instances that exchange once a second, with one message in ten lost.
-fn run(nodes: &mut [(Members, ConfigStore)], seconds: std::ops::Range<u64>, silent: usize) {
+type Node = (Members, ConfigStore);
+
+/// Lets `from` complete an exchange with `to`.
+fn complete(nodes: &mut [Node], from: usize, to: usize, pending: Pending, now: Time) {
     let opts = ExchangeOptions::default();
+    let mut next = Some(pending);
+    while let Some(pending) = next {
+        let (members, store) = &mut nodes[to];
+        let request = pending.request.clone();
+        let (reply, _) = exchange::answer(store, members, request, &opts, now);
+        let (members, store) = &mut nodes[from];
+        let outcome = exchange::absorb(store, members, &pending, reply, &opts, now);
+        next = outcome.unwrap().next;
+    }
+}
+
+fn index_of(name: &InstanceName) -> usize {
+    name.as_str()[1..].parse().unwrap()
+}
+
+/// Instances that exchange once a second, with one exchange in ten lost and one
+/// instance dead.
+fn run(nodes: &mut [Node], seconds: Range<u64>, dead: Option<usize>) {
     for second in seconds {
         let now = at(second * 1_000);
-        for i in 0..nodes.len() - silent {
+        for i in (0..nodes.len()).filter(|i| Some(*i) != dead) {
             let random = mix(second * 1_000 + i as u64);
             let (members, store) = &mut nodes[i];
             members.beat(Revision(1), now);
             let Some(peer) = members.pick_peer(random, now) else {
                 continue;
             };
-            let to: usize = peer.name.as_str()[1..].parse().unwrap();
-            let pending = exchange::open(store, members, &opts, now);
-            if to >= nodes.len() - silent || mix(random).is_multiple_of(10) {
-                continue;
-            }
-            let mut next = Some(pending);
-            while let Some(pending) = next {
-                let (members, store) = &mut nodes[to];
-                let request = pending.request.clone();
-                let (reply, _) = exchange::answer(store, members, request, &opts, now);
-                let (members, store) = &mut nodes[i];
-                let outcome = exchange::absorb(store, members, &pending, reply, &opts, now);
-                next = outcome.unwrap().next;
+            let to = index_of(&peer.name);
+            let pending = exchange::open(store, members, &ExchangeOptions::default(), now);
+            if Some(to) != dead && !mix(random).is_multiple_of(10) {
+                complete(nodes, i, to, pending, now);
             }
         }
     }
 }
 
-#[parameterized(today = { 3 }, target = { 24 })]
-fn verify_live_instances_stay_live_and_dead_ones_expire(count: usize) {
+/// Returns instances that know each other from the platform's list alone.
+fn start(count: usize) -> Vec<Node> {
     let name = |i: usize| format!("n{i}");
     let seeds: Vec<Seed> = (0..count).map(|i| seed(&name(i), "d1")).collect();
-    let mut nodes: Vec<(Members, ConfigStore)> = (0..count)
-        .map(|i| {
-            let own: Row = row(&name(i), "d1", 100 + i as u64, 0);
-            let mut members = Members::new(own, OPTS, at(0));
-            members.seed(&seeds, at(0));
-            (members, ConfigStore::default())
-        })
-        .collect();
-    run(&mut nodes, 1..20, 0);
+    let node = |i: usize| {
+        let own: Row = row(&name(i), "d1", 100 + i as u64, 0);
+        let mut members = Members::new(own, OPTS, at(0));
+        members.seed(&seeds, at(0));
+        (members, ConfigStore::default())
+    };
+    (0..count).map(node).collect()
+}
+
+#[parameterized(today = { 3 }, target = { 24 })]
+fn verify_live_instances_stay_live_and_dead_ones_expire(count: usize) {
+    let mut nodes = start(count);
+    run(&mut nodes, 1..20, None);
     for second in 20..140 {
-        run(&mut nodes, second..second + 1, 0);
+        run(&mut nodes, second..second + 1, None);
         for (members, _) in &nodes {
-            assert_eq!(members.live_peers(at(second * 1_000)).count(), count - 1);
+            let live = members.live_peers(at(second * 1_000)).count();
+            assert_eq!(live, count - 1);
         }
     }
-    run(&mut nodes, 140..165, 1);
-    for (members, _) in &nodes[..count - 1] {
+    let dead = count - 1;
+    run(&mut nodes, 140..165, Some(dead));
+    for (members, _) in &nodes[..dead] {
         assert_eq!(members.live_peers(at(164_000)).count(), count - 2);
     }
 }
+
+#[parameterized(today = { 3 }, target = { 24 })]
+fn verify_change_is_in_force_within_six_seconds_without_one_watcher(count: usize) {
+    const SECONDS: u64 = 6;
+    let mut nodes = start(count);
+    run(&mut nodes, 1..20, None);
+    let now = at(20_000);
+    let watchers: Vec<usize> = nodes[0].0.watchers(now).into_iter().map(index_of).collect();
+    let (watcher, dead) = (watchers[0], watchers[1]);
+    let (members, store) = &mut nodes[watcher];
+    let change = object("route/echo", 5, Some(route("/echo", 1)));
+    store.merge(change.clone());
+    let targets: Vec<usize> = members
+        .push_targets(now)
+        .iter()
+        .map(|r| index_of(&r.name))
+        .collect();
+    assert!(targets.len() <= count.div_ceil(2));
+    for to in targets.into_iter().filter(|to| *to != dead) {
+        let (members, store) = &nodes[watcher];
+        let pending = exchange::push(store, members, vec![change.clone()], now);
+        complete(&mut nodes, watcher, to, pending, now);
+    }
+    run(&mut nodes, 20..20 + SECONDS, Some(dead));
+    for (i, (_, store)) in nodes.iter().enumerate() {
+        assert!(i == dead || store.get(&change.id).is_some(), "n{i}");
+    }
+}
