--- a/crates/core/src/limits/ledger.rs
+++ b/crates/core/src/limits/ledger.rs
@@ -267,7 +267,6 @@
     /// Takes in the reply to a request of this instance.
     pub fn on_grant_reply(&mut self, reply: &GrantReply, now: Time) {
         let Some(ask) = self.pending.remove(&reply.request) else {
-            self.stats.ignored += 1;
             return;
         };
         let Some(team) = self.teams.get_mut(&ask.team) else {
--- a/crates/core/src/limits/takeover.rs
+++ b/crates/core/src/limits/takeover.rs
@@ -166,7 +166,7 @@
     }
 }
 
-/// Gives up slots beyond an even part when others have less than theirs.
+/// Gives up slots beyond an even part, and one more when others lack some.
 fn balance(proposer: &Proposer<'_>, next: &mut SlotTable) {
     let live = proposer.live();
     let floor = next.owners.len() / live.len();
@@ -182,8 +182,8 @@
     let rich = live.iter().filter(|name| held(next, name) > floor);
     let rank = rich.take_while(|name| **name != proposer.me).count();
     let extra = usize::from(mine > floor && rank < missing);
-    let surplus = mine.saturating_sub(ceiling).min(missing);
-    let mut given_up = surplus.max(extra.min(missing));
+    let surplus = mine.saturating_sub(ceiling);
+    let mut given_up = surplus.max(extra);
     for owner in next.owners.iter_mut().rev() {
         if given_up == 0 {
             break;
--- /dev/null
+++ b/crates/core/tests/limits_account.rs
@@ -0,0 +1,191 @@
+//! The account of one team in one slot.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use limpetsaddle_core::limits::Account;
+use limpetsaddle_core::limits::MilliRate;
+use limpetsaddle_core::limits::PartKey;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_core::units::Tokens;
+use proptest::prelude::*;
+use yare::parameterized;
+
+const CAP: u64 = 100;
+const RATE: u64 = 10;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    At(u64),
+    Limits(u64, u64),
+    Reserve(u64, u64),
+    Settle(u64, u64),
+    Grant(u64, u64),
+    Spend(u64, u32, u64),
+    Refund(u64, u32, u64),
+    Return(u64, u64),
+}
+
+use Step::At;
+use Step::Grant;
+use Step::Limits;
+use Step::Refund;
+use Step::Reserve;
+use Step::Return;
+use Step::Settle;
+use Step::Spend;
+
+fn at(millis: u64) -> Time {
+    Time::from_origin(Duration::from_millis(millis))
+}
+
+fn key(id: u64, batch: u32) -> PartKey {
+    PartKey { id, batch }
+}
+
+fn apply(account: &mut Account, now: &mut Time, step: Step) -> bool {
+    match step {
+        At(millis) => {
+            *now = at(millis);
+            account.mint(*now);
+        }
+        Limits(rate, cap) => account.set(MilliRate(rate * 1_000), Tokens(cap), *now),
+        Reserve(id, amount) => return account.reserve(key(id, 0), Tokens(amount)),
+        Settle(id, unused) => account.settle(key(id, 0), Tokens(unused)),
+        Grant(id, amount) => {
+            let expires = *now + Duration::from_secs(3);
+            return account.grant(id, Tokens(amount), expires);
+        }
+        Spend(id, batch, amount) => account.spend_grant(key(id, batch), Tokens(amount)),
+        Refund(id, batch, amount) => account.refund(key(id, batch), Tokens(amount)),
+        Return(id, amount) => account.return_grant(id, Tokens(amount)),
+    }
+    true
+}
+
+fn state(account: &Account) -> [u64; 3] {
+    [account.level(), account.granted(), account.refundable()].map(|t| t.0)
+}
+
+/// Steps and the level, the outstanding grants and the possible refunds after.
+#[parameterized(
+    starts_empty = { &[], [0, 0, 0] },
+    mints = { &[At(2_550)], [25, 0, 0] },
+    mints_up_to_the_burst = { &[At(60_000)], [100, 0, 0] },
+    keeps_fractions = { &[At(50), At(99), At(150), At(201)], [2, 0, 0] },
+    ignores_a_clock_that_goes_back = { &[At(2_000), At(1_000), At(2_000)], [20, 0, 0] },
+    reserves = { &[At(10_000), Reserve(1, 60)], [40, 0, 60] },
+    refuses_more_than_the_level = { &[At(1_000), Reserve(1, 11)], [10, 0, 0] },
+    settles = { &[At(10_000), Reserve(1, 60), Settle(1, 20)], [60, 0, 0] },
+    settles_once = { &[At(10_000), Reserve(1, 60), Settle(1, 20), Settle(1, 20)], [60, 0, 0] },
+    mints_beside_a_reservation = { &[At(10_000), Reserve(1, 60), At(12_000)], [60, 0, 40] },
+    lapsed_refund = { &[At(10_000), Reserve(1, 60), At(14_000), Settle(1, 60)], [100, 0, 0] },
+    oldest_lapses_first = {
+        &[At(10_000), Reserve(1, 30), Reserve(2, 30), At(13_000), Settle(1, 30), Settle(2, 30)],
+        [100, 0, 0],
+    },
+    only_its_own_refund = {
+        &[At(10_000), Reserve(1, 100), At(20_000), Reserve(2, 100), Settle(1, 100)],
+        [0, 0, 100],
+    },
+    grants = { &[At(10_000), Grant(1, 60), At(12_900)], [40, 60, 0] },
+    expired_grant_is_spent = { &[At(10_000), Grant(1, 60), At(13_000)], [40, 0, 0] },
+    mints_after_expiry = { &[At(10_000), Grant(1, 60), At(14_000)], [50, 0, 0] },
+    returned_grant = { &[At(10_000), Grant(1, 60), Return(1, 25)], [65, 35, 0] },
+    late_return = { &[At(10_000), Grant(1, 60), At(13_000), Return(1, 60)], [40, 0, 0] },
+    returned_more = { &[At(10_000), Grant(1, 60), Return(1, 90), Return(1, 90)], [100, 0, 0] },
+    spent_grant = { &[At(10_000), Grant(1, 60), Spend(1, 1, 45)], [40, 15, 45] },
+    refunded_grant = { &[At(10_000), Grant(1, 60), Spend(1, 1, 45), Refund(1, 1, 5)], [45, 15, 40] },
+    refund_after_expiry = {
+        &[At(10_000), Grant(1, 60), Spend(1, 1, 60), At(13_000), Refund(1, 1, 20)],
+        [90, 0, 10],
+    },
+    refund_of_unknown_report = { &[At(10_000), Grant(1, 60), Refund(1, 1, 20)], [40, 60, 0] },
+    lower_burst_at_once = { &[At(10_000), Reserve(1, 40), Limits(10, 50)], [50, 0, 0] },
+    higher_rate_at_once = { &[At(1_000), Limits(20, 100), At(2_000)], [30, 0, 0] },
+)]
+fn verify_account(steps: &[Step], expected: [u64; 3]) {
+    let mut account = Account::new(Time::ZERO);
+    let mut now = Time::ZERO;
+    apply(&mut account, &mut now, Limits(RATE, CAP));
+    for step in steps {
+        apply(&mut account, &mut now, *step);
+    }
+    assert_eq!(state(&account), expected);
+}
+
+#[parameterized(
+    now = { 10, Some(0) },
+    soon = { 15, Some(500) },
+    never = { 101, None },
+)]
+fn verify_time_until(amount: u64, expected: Option<u64>) {
+    let mut account = Account::new(Time::ZERO);
+    account.set(MilliRate(RATE * 1_000), Tokens(CAP), Time::ZERO);
+    account.mint(at(1_000));
+    let wait = account.time_until(Tokens(amount));
+    assert_eq!(wait, expected.map(Duration::from_millis));
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (1_u64..90).prop_map(|n| Reserve(0, n)),
+        (0_u64..20, 0_u64..90).prop_map(|(i, n)| Settle(i, n)),
+        (1_u64..90).prop_map(|n| Grant(0, n)),
+        (0_u64..20, 0_u64..90).prop_map(|(i, n)| Spend(i, 1, n)),
+        (0_u64..20, 0_u64..90).prop_map(|(i, n)| Refund(i, 1, n)),
+        (0_u64..20, 0_u64..90).prop_map(|(i, n)| Return(i, n)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever the order of steps, what reservations use in any window stays
+    /// within the burst and what the rate mints in it.
+    #[test]
+    fn verify_bound_of_account(
+        steps in prop::collection::vec((0_u64..4_000, any_step()), 1..60),
+    ) {
+        let mut account = Account::new(Time::ZERO);
+        account.set(MilliRate(RATE * 1_000), Tokens(CAP), Time::ZERO);
+        let mut now = Time::ZERO;
+        let mut millis = 0;
+        let mut held = BTreeMap::new();
+        let mut history = Vec::new();
+        for (index, (pause, step)) in (0_u64..).zip(steps) {
+            millis += pause;
+            apply(&mut account, &mut now, At(millis));
+            match step {
+                Reserve(_, amount) => {
+                    if apply(&mut account, &mut now, Reserve(index, amount)) {
+                        held.insert(index, (history.len(), amount));
+                        history.push((now, amount));
+                    }
+                }
+                Settle(index, unused) => {
+                    if let Some((at, amount)) = held.remove(&index) {
+                        history[at].1 -= unused.min(amount);
+                        apply(&mut account, &mut now, Settle(index, unused));
+                    }
+                }
+                Grant(_, amount) => drop(apply(&mut account, &mut now, Grant(index, amount))),
+                other => drop(apply(&mut account, &mut now, other)),
+            }
+            prop_assert!(state(&account).iter().sum::<u64>() <= CAP);
+        }
+        let mut level = u128::from(CAP) * 1_000;
+        let mut last = Time::ZERO;
+        for (when, used) in history {
+            level += u128::from(RATE) * when.since(last).as_millis();
+            level = level.min(u128::from(CAP) * 1_000);
+            last = when;
+            prop_assert!(level >= u128::from(used) * 1_000);
+            level -= u128::from(used) * 1_000;
+        }
+    }
+}
