--- /dev/null
+++ b/crates/core/tests/fair_queue.rs
@@ -0,0 +1,189 @@
+//! Contract tests of fair queuing.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use limpetsaddle_core::config::Policy;
+use limpetsaddle_core::fair_queue::FairQueue;
+use limpetsaddle_core::fair_queue::Pushed;
+use limpetsaddle_core::fair_queue::engine_priority;
+use limpetsaddle_core::names::TeamName;
+use limpetsaddle_core::refusal::Ran;
+use limpetsaddle_core::refusal::Reason;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_core::units::Tokens;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use yare::parameterized;
+
+fn team(i: usize) -> TeamName {
+    format!("team-{i}").parse().unwrap()
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_origin(Duration::from_millis(millis))
+}
+
+fn bounded(max_queued: u32) -> Policy {
+    Policy {
+        max_queued,
+        ..Policy::default()
+    }
+}
+
+#[test]
+fn verify_small_team_displaces_newest_of_largest() {
+    let policy = bounded(3);
+    let mut queue = FairQueue::new();
+    for i in 0..3 {
+        queue
+            .push(&team(0), 1, Tokens(10), i, &policy, at(0))
+            .unwrap();
+    }
+    let pushed = queue.push(&team(1), 1, Tokens(10), 9, &policy, at(0));
+    let Ok(Pushed::Displaced(out)) = pushed else {
+        panic!("the small team got no room: {pushed:?}");
+    };
+    assert_eq!(out.item, 2);
+    assert_eq!(out.refusal.reason, Reason::Overloaded);
+    assert_eq!(out.refusal.ran, Ran::NotRun);
+    assert!(out.refusal.retry_after.is_some());
+    let refused = queue.push(&team(0), 1, Tokens(10), 3, &policy, at(0));
+    assert_eq!(refused.unwrap_err().item, 3);
+    assert_eq!(queue.len(), 3);
+}
+
+#[test]
+fn verify_wait_is_bounded() {
+    let policy = Policy::default();
+    let wait = u64::try_from(policy.max_wait.as_millis()).unwrap();
+    let mut queue = FairQueue::new();
+    queue
+        .push(&team(0), 1, Tokens(1), "first", &policy, at(0))
+        .unwrap();
+    queue
+        .push(&team(0), 1, Tokens(1), "second", &policy, at(1))
+        .unwrap();
+    assert_eq!(queue.next_deadline(), Some(at(wait)));
+    assert_eq!(queue.pop(at(wait + 1)), None);
+    let expired = queue.expire(at(wait));
+    assert_eq!(expired.len(), 1);
+    assert_eq!(expired[0].item, "first");
+    assert_eq!(queue.pop(at(wait)), Some("second"));
+}
+
+#[test]
+fn verify_long_wait_is_refused_at_once() {
+    let policy = Policy::default();
+    let mut queue = FairQueue::new();
+    for i in 0..20 {
+        queue
+            .push(&team(0), 1, Tokens(1), i, &policy, at(0))
+            .unwrap();
+    }
+    for i in 1..=3 {
+        assert!(queue.pop(at(i * 100)).is_some());
+    }
+    let refused = queue.push(&team(0), 1, Tokens(1), 20, &policy, at(300));
+    let wait = refused.unwrap_err().refusal.retry_after.unwrap();
+    assert!(wait > policy.max_wait);
+    let small = queue.push(&team(1), 1, Tokens(1), 21, &policy, at(300));
+    assert!(
+        small.is_ok(),
+        "another team's backlog refuses the small team"
+    );
+}
+
+#[parameterized(
+    within_share = { 100, 1, 0 },
+    twice = { 200, 1, 1 },
+    far_beyond = { 1_000, 1, 4 },
+    heavy_weight = { 1_000, 10, 0 },
+    nothing = { 0, 1, 0 },
+)]
+fn verify_priority(used: u64, weight: u32, expected: u8) {
+    let whole = (Tokens(1_000), 10);
+    assert_eq!(engine_priority((Tokens(used), weight), whole), expected);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Over every interval in which two teams have entries waiting, the tokens
+    /// served per weight differ by at most one request of each.
+    #[test]
+    fn verify_fair_share(
+        costs in proptest::collection::vec((0..4_usize, 1..2_000_u64), 40..200),
+        weights in proptest::collection::vec(1..8_u32, 4),
+        served_first in 0..20_usize,
+    ) {
+        let policy = bounded(1_000);
+        let mut queue = FairQueue::new();
+        let mut waiting = [0_usize; 4];
+        let mut largest = [0_u64; 4];
+        for (i, cost) in &costs {
+            queue.push(&team(*i), weights[*i], Tokens(*cost), (*i, *cost), &policy, at(0)).unwrap();
+            waiting[*i] += 1;
+            largest[*i] = largest[*i].max(*cost);
+        }
+        let mut served = [0_u64; 4];
+        let mut popped = 0;
+        while let Some((i, cost)) = queue.pop(at(0)) {
+            waiting[i] -= 1;
+            popped += 1;
+            if popped == served_first {
+                served = [0; 4];
+            } else {
+                served[i] += cost;
+            }
+            if waiting.contains(&0) {
+                break;
+            }
+            for a in 0..4 {
+                for b in 0..4 {
+                    // served/weight of a − that of b ≤ largest/weight of both,
+                    // multiplied by both weights.
+                    let (wa, wb) = (u64::from(weights[a]), u64::from(weights[b]));
+                    let bound = largest[a] * wb + largest[b] * wa;
+                    prop_assert!(served[a] * wb <= served[b] * wa + bound + wa * wb);
+                }
+            }
+        }
+    }
+
+    /// Every entry that was taken in comes out exactly once, by one way.
+    #[test]
+    fn verify_nothing_is_lost(
+        steps in proptest::collection::vec((0..5_usize, 1..500_u64, 0..120_u64), 1..300),
+        max_queued in 1..20_u32,
+    ) {
+        let policy = bounded(max_queued);
+        let mut queue = FairQueue::new();
+        let mut out: BTreeMap<usize, u32> = BTreeMap::new();
+        let mut now = 0;
+        for (n, (i, cost, elapsed)) in steps.iter().enumerate() {
+            now += elapsed;
+            match queue.push(&team(*i), 1, Tokens(*cost), n, &policy, at(now)) {
+                Ok(Pushed::Queued) => {}
+                Ok(Pushed::Displaced(rejected)) | Err(rejected) => {
+                    *out.entry(rejected.item).or_default() += 1;
+                }
+            }
+            prop_assert!(queue.len() <= usize::try_from(max_queued).unwrap());
+            for rejected in queue.expire(at(now)) {
+                *out.entry(rejected.item).or_default() += 1;
+            }
+            if n % 3 == 0 && let Some(item) = queue.pop(at(now)) {
+                *out.entry(item).or_default() += 1;
+            }
+        }
+        for rejected in queue.expire(at(now + 1_000_000)) {
+            *out.entry(rejected.item).or_default() += 1;
+        }
+        prop_assert!(queue.is_empty());
+        prop_assert_eq!(out.len(), steps.len());
+        prop_assert!(out.values().all(|times| *times == 1));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,119 @@
+//! Contract tests of retries: what is sent again and what a refusal says.
+
+use std::time::Duration;
+
+use limpetsaddle_core::config::Policy;
+use limpetsaddle_core::refusal::Ran;
+use limpetsaddle_core::retry::Attempts;
+use limpetsaddle_core::retry::Failure;
+use limpetsaddle_core::retry::RetryBudget;
+use limpetsaddle_core::retry::RetryDecision;
+use limpetsaddle_core::retry::RetryReason;
+use limpetsaddle_core::units::Time;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use yare::parameterized;
+
+const DEADLINE: Time = Time::from_origin(Duration::from_secs(10));
+
+#[parameterized(
+    connect = { Failure::ConnectFailed, true, Ran::NotRun },
+    refused = { Failure::RefusedNotRun, true, Ran::NotRun },
+    reset = { Failure::ResetBeforeAnswer, false, Ran::Unknown },
+    timeout = { Failure::TimedOutBeforeAnswer, false, Ran::Unknown },
+    broke = { Failure::BrokeMidStream, false, Ran::Unknown },
+    bad_answer = { Failure::BadAnswer, false, Ran::Unknown },
+)]
+fn verify_non_idempotent(failure: Failure, again: bool, ran: Ran) {
+    let policy = Policy::default();
+    let mut attempts = Attempts::new(false, DEADLINE);
+    let mut budget = RetryBudget::default();
+    let decision = attempts.failed(failure, &mut budget, &policy, Time::ZERO, 1);
+    assert_eq!(matches!(decision, RetryDecision::Retry { .. }), again);
+    let last = attempts.failed(failure, &mut budget, &policy, DEADLINE, 1);
+    let RetryDecision::GiveUp(refusal) = last else {
+        panic!("an attempt starts after the deadline");
+    };
+    assert_eq!(refusal.ran, ran);
+}
+
+#[parameterized(
+    connect = { Failure::ConnectFailed, RetryReason::ConnectFailed },
+    refused = { Failure::RefusedNotRun, RetryReason::RefusedNotRun },
+    reset = { Failure::ResetBeforeAnswer, RetryReason::Reset },
+    timeout = { Failure::TimedOutBeforeAnswer, RetryReason::Timeout },
+    broke = { Failure::BrokeMidStream, RetryReason::Resume },
+    bad_answer = { Failure::BadAnswer, RetryReason::BadAnswer },
+)]
+fn verify_idempotent_reason(failure: Failure, expected: RetryReason) {
+    let mut attempts = Attempts::new(true, DEADLINE);
+    let mut budget = RetryBudget::default();
+    let decision = attempts.failed(failure, &mut budget, &Policy::default(), Time::ZERO, 1);
+    let RetryDecision::Retry { reason, .. } = decision else {
+        panic!("an idempotent request is not sent again");
+    };
+    assert_eq!(reason, expected);
+}
+
+#[test]
+fn verify_codes_differ() {
+    let mut codes: Vec<_> = RetryReason::ALL.iter().map(|r| r.code()).collect();
+    codes.sort_unstable();
+    codes.dedup();
+    assert_eq!(codes.len(), RetryReason::ALL.len());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A refusal says "not run" exactly when no attempt can have run, no
+    /// attempt follows one that may have run an order, and the bounds on
+    /// attempts and time hold.
+    #[test]
+    fn verify_attempts(
+        failures in proptest::collection::vec((0..6_usize, 0..60_u64, any::<u64>()), 1..12),
+        idempotent: bool,
+        max_attempts in 1..6_u32,
+    ) {
+        let policy = Policy { max_attempts, ..Policy::default() };
+        let mut budget = RetryBudget::default();
+        let deadline = Time::from_origin(Duration::from_millis(150));
+        let mut attempts = Attempts::new(idempotent, deadline);
+        let mut now = Time::ZERO;
+        let mut may_have_run = false;
+        for (made, (failure, elapsed, random)) in (1..).zip(failures) {
+            let failure = Failure::ALL[failure];
+            now = now + Duration::from_millis(elapsed);
+            may_have_run |= failure.ran() == Ran::Unknown;
+            match attempts.failed(failure, &mut budget, &policy, now, random) {
+                RetryDecision::Retry { after, .. } => {
+                    prop_assert!(idempotent || !may_have_run);
+                    prop_assert!(made < max_attempts);
+                    prop_assert!(now + after < deadline);
+                }
+                RetryDecision::GiveUp(refusal) => {
+                    prop_assert_eq!(refusal.ran == Ran::NotRun, !may_have_run);
+                }
+            }
+        }
+    }
+
+    /// The retries never exceed the percentage of the requests plus ten.
+    #[test]
+    fn verify_budget(steps in proptest::collection::vec(any::<bool>(), 1..2_000), percent in 0..=100_u32) {
+        let mut budget = RetryBudget::default();
+        let (mut requests, mut retries) = (0, 0);
+        for is_request in steps {
+            if is_request {
+                budget.deposit(percent);
+                requests += 1;
+            } else if budget.withdraw() {
+                retries += 1;
+            }
+            prop_assert!(retries * 100 <= requests * u64::from(percent) + 1_000);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/upstreams.rs
@@ -0,0 +1,212 @@
+//! Contract tests of the table of upstreams.
+
+use std::time::Duration;
+
+use limpetsaddle_core::config::Phase;
+use limpetsaddle_core::config::UpstreamSpec;
+use limpetsaddle_core::units::Incarnation;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_core::units::Tokens;
+use limpetsaddle_core::units::WeightsVersion;
+use limpetsaddle_core::upstreams::Arrival;
+use limpetsaddle_core::upstreams::End;
+use limpetsaddle_core::upstreams::Health;
+use limpetsaddle_core::upstreams::Identity;
+use limpetsaddle_core::upstreams::LoadReport;
+use limpetsaddle_core::upstreams::UpstreamId;
+use limpetsaddle_core::upstreams::UpstreamOptions;
+use limpetsaddle_core::upstreams::UpstreamTable;
+use yare::parameterized;
+
+fn at(millis: u64) -> Time {
+    Time::from_origin(Duration::from_millis(millis))
+}
+
+fn spec(phase: Phase) -> UpstreamSpec {
+    UpstreamSpec {
+        pool: "lm-pool".parse().unwrap(),
+        domain: "bergen-a".parse().unwrap(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        phase,
+    }
+}
+
+fn insert(table: &mut UpstreamTable, phase: Phase, arrival: Arrival) -> UpstreamId {
+    table.insert("engine".parse().unwrap(), spec(phase), arrival, at(0))
+}
+
+fn one() -> (UpstreamTable, UpstreamId) {
+    let mut table = UpstreamTable::new(UpstreamOptions::default());
+    let id = insert(&mut table, Phase::Live, Arrival::InService);
+    (table, id)
+}
+
+fn seen(incarnation: u64, weights: u64) -> Identity {
+    Identity {
+        incarnation: Incarnation(incarnation),
+        weights: WeightsVersion(weights),
+    }
+}
+
+#[parameterized(
+    answered = { &[End::Answered], true, false },
+    cancelled = { &[End::Cancelled], true, false },
+    timed_out = { &[End::TimedOut], true, true },
+    timed_out_often = { &[End::TimedOut; 9], true, true },
+    recovers = { &[End::TimedOut, End::Answered], true, false },
+    unreachable = { &[End::Unreachable], false, false },
+    late_answer = { &[End::Unreachable, End::Answered], false, false },
+    late_timeout = { &[End::Unreachable, End::TimedOut], false, false },
+)]
+fn verify_health(ends: &[End], takes_work: bool, suspect: bool) {
+    let (mut table, id) = one();
+    let tickets: Vec<_> = ends
+        .iter()
+        .map(|_| table.start(id, Tokens(1)).unwrap())
+        .collect();
+    for (ticket, end) in tickets.into_iter().zip(ends) {
+        table.finish(ticket, *end, at(10), 7);
+    }
+    let row = table.get(id).unwrap();
+    assert_eq!(row.takes_work(), takes_work);
+    assert_eq!(row.health == Health::Suspect, suspect);
+    assert_eq!(table.load(id, at(10)).requests, 0);
+}
+
+#[test]
+fn verify_probes_are_jittered_and_put_off() {
+    let base = UpstreamOptions::default().probe;
+    let mut delays = Vec::new();
+    for random in 0..64 {
+        let (mut table, id) = one();
+        let ticket = table.start(id, Tokens(1)).unwrap();
+        table.finish(ticket, End::Unreachable, at(0), random);
+        let Health::Down { probe_at } = table.get(id).unwrap().health else {
+            panic!("the upstream is not down");
+        };
+        assert!(probe_at.since(at(0)) >= base / 2 && probe_at.since(at(0)) <= base);
+        assert!(table.due_probes(at(0)).is_empty());
+        assert_eq!(table.due_probes(probe_at), [id]);
+        table.probe_failed(id, probe_at, random);
+        assert!(table.due_probes(probe_at + base / 2).is_empty());
+        delays.push(probe_at);
+    }
+    delays.sort_unstable();
+    delays.dedup();
+    assert!(delays.len() > 32, "instances probe at the same time");
+}
+
+#[parameterized(
+    asked_before = { 5, false },
+    asked_after = { 11, true },
+)]
+fn verify_report_brings_back(sent: u64, back: bool) {
+    let (mut table, id) = one();
+    let ticket = table.start(id, Tokens(1)).unwrap();
+    table.finish(ticket, End::Unreachable, at(10), 0);
+    table.report(
+        id,
+        LoadReport::default(),
+        Some(seen(2, 1)),
+        at(sent),
+        at(20),
+    );
+    let health = table.get(id).unwrap().health;
+    assert_eq!(health == Health::Warming { since: at(20) }, back);
+}
+
+#[test]
+fn verify_reports_absolve_a_suspect() {
+    let (mut table, id) = one();
+    for _ in 0..2 {
+        let ticket = table.start(id, Tokens(1)).unwrap();
+        table.finish(ticket, End::TimedOut, at(10), 0);
+    }
+    table.report(id, LoadReport::default(), None, at(20), at(20));
+    assert_eq!(table.get(id).unwrap().health, Health::Suspect);
+    table.report(id, LoadReport::default(), None, at(30), at(30));
+    assert_eq!(table.get(id).unwrap().health, Health::Healthy);
+}
+
+#[parameterized(
+    same = { seen(1, 1), 0, false },
+    restarted = { seen(2, 1), 1, true },
+    other_weights = { seen(1, 2), 1, false },
+)]
+fn verify_identity_change(second: Identity, changes: u32, warming: bool) {
+    let (mut table, id) = one();
+    let mut early = table.start(id, Tokens(1)).unwrap();
+    table.identify(&early, seen(1, 1), at(1));
+    let before = table.get(id).unwrap().epoch;
+    let ticket = table.start(id, Tokens(1)).unwrap();
+    table.identify(&ticket, second, at(2));
+    let row = table.get(id).unwrap();
+    assert_eq!(u32::from(row.epoch != before), changes);
+    assert_eq!(matches!(row.health, Health::Warming { .. }), warming);
+    let (epoch, health) = (row.epoch, row.health);
+    table.identify(&early, seen(1, 1), at(3));
+    table.first_token(&mut early);
+    table.finish(early, End::Unreachable, at(4), 0);
+    let row = table.get(id).unwrap();
+    assert_eq!(row.epoch, epoch, "a late answer undid what is known");
+    assert_eq!(
+        row.health == health,
+        changes == 1,
+        "a late failure hit the new engine"
+    );
+    table.finish(ticket, End::Cancelled, at(5), 0);
+}
+
+#[test]
+fn verify_warm_up_ramps() {
+    let mut table = UpstreamTable::new(UpstreamOptions::default());
+    let id = insert(&mut table, Phase::Live, Arrival::New);
+    let bounds: Vec<u32> = (0..=30).map(|i| table.bound(id, 64, at(i * 100))).collect();
+    assert_eq!(bounds[0], 1);
+    assert_eq!(bounds[30], 64);
+    assert!(bounds.is_sorted());
+    assert!(bounds[10] <= 64 / 2);
+}
+
+#[test]
+fn verify_load_estimate() {
+    let life = UpstreamOptions::default().report_life;
+    let (mut table, id) = one();
+    let mut own = table.start(id, Tokens(1_000)).unwrap();
+    let report = LoadReport {
+        requests: 5,
+        queued: Tokens(9_000),
+    };
+    table.report(id, report, None, at(100), at(120));
+    let load = table.load(id, at(100));
+    assert_eq!((load.requests, load.queued), (5, Tokens(9_000)));
+    let added = table.start(id, Tokens(500)).unwrap();
+    assert_eq!(table.load(id, at(100)).queued, Tokens(9_500));
+    let half = at(100) + life / 2;
+    assert_eq!(table.load(id, half).queued, Tokens(5_500));
+    table.report(id, LoadReport::default(), None, at(50), at(130));
+    assert_eq!(
+        table.load(id, at(100)).requests,
+        6,
+        "an older report took over"
+    );
+    table.first_token(&mut own);
+    assert_eq!(table.load(id, at(100) + life).queued, Tokens(500));
+    table.finish(own, End::Answered, at(200), 0);
+    table.finish(added, End::Answered, at(200), 0);
+    assert_eq!(table.load(id, at(100) + life).requests, 0);
+}
+
+#[test]
+fn verify_removed_upstream_is_not_mistaken() {
+    let (mut table, id) = one();
+    let old = table.start(id, Tokens(1)).unwrap();
+    table.remove(&"engine".parse().unwrap());
+    assert!(table.start(id, Tokens(1)).is_none());
+    let new = insert(&mut table, Phase::Live, Arrival::New);
+    assert_ne!(new, id);
+    table.finish(old, End::Unreachable, at(5), 0);
+    assert!(table.get(new).unwrap().takes_work());
+    assert_eq!(insert(&mut table, Phase::Leaving, Arrival::New), new);
+    assert!(!table.get(new).unwrap().takes_work());
+}
