--- /dev/null
+++ b/crates/core/examples/policy_compare/main.rs
@@ -0,0 +1,127 @@
+//! Compares placement policies in one seeded run in virtual time.
+//!
+//! `cargo run --release --example policy_compare -- --seed 1 --seconds 120`
+
+mod cost;
+mod engine;
+mod mix;
+mod run;
+mod table;
+
+use std::time::Duration;
+
+use getopts::Options;
+use limpetsaddle_core::config::Policy;
+use limpetsaddle_core::placement::PlacerOptions;
+
+use crate::mix::MIXES;
+use crate::run::Method;
+use crate::run::Run;
+use crate::run::Variant;
+use crate::table::Tally;
+
+fn variants() -> Vec<Variant> {
+    let options = PlacerOptions::default();
+    let ours = Variant {
+        name: "estimate",
+        method: Method::Estimate(options),
+        policy: Policy {
+            max_outstanding: 40,
+            ..Policy::default()
+        },
+        reports: true,
+        fair_queue: true,
+        priorities: true,
+    };
+    let placed = |name, options| Variant {
+        name,
+        method: Method::Estimate(options),
+        ..ours.clone()
+    };
+    let weighted = |name, recompute_weight, leave| Variant {
+        name,
+        policy: Policy {
+            recompute_weight,
+            leave_domain: Duration::from_millis(leave),
+            ..ours.policy.clone()
+        },
+        ..ours.clone()
+    };
+    let with = |name, method| Variant {
+        name,
+        method,
+        ..ours.clone()
+    };
+    vec![
+        with("round robin", Method::RoundRobin),
+        with("least outstanding", Method::LeastOutstanding),
+        with("plain rendezvous", Method::Rendezvous),
+        ours.clone(),
+        placed(
+            "without hints",
+            PlacerOptions {
+                capacity: 0,
+                ..options
+            },
+        ),
+        placed(
+            "without spreading",
+            PlacerOptions {
+                spread_rate: None,
+                ..options
+            },
+        ),
+        Variant {
+            name: "without load reports",
+            reports: false,
+            ..ours.clone()
+        },
+        Variant {
+            name: "without fair queue",
+            fair_queue: false,
+            ..ours.clone()
+        },
+        Variant {
+            name: "without priorities",
+            priorities: false,
+            ..ours.clone()
+        },
+        weighted("recompute weight 50", 50, 20),
+        weighted("recompute weight 150", 150, 20),
+        weighted("recompute weight 200", 200, 20),
+        weighted("recompute weight 400", 400, 20),
+        weighted("leave domain 2 ms", 100, 2),
+        weighted("leave domain 100 ms", 100, 100),
+    ]
+}
+
+fn main() {
+    let mut opts = Options::new();
+    opts.optopt("", "seed", "seed of the random numbers", "N");
+    opts.optopt("", "seconds", "virtual length of each run", "N");
+    opts.optflag("", "cost", "measure the cost of each decision instead");
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let parsed = match opts.parse(args) {
+        Ok(parsed) => parsed,
+        Err(e) => {
+            eprintln!("{e}\n{}", opts.usage("policy_compare"));
+            std::process::exit(2);
+        }
+    };
+    if parsed.opt_present("cost") {
+        return cost::print();
+    }
+    let seed = parsed.opt_get_default("seed", 1).unwrap_or(1);
+    let seconds = parsed.opt_get_default("seconds", 120).unwrap_or(120);
+    for mix in MIXES {
+        println!(
+            "\n{} (seed {seed}, {seconds} s, {} requests/s)\n",
+            mix.name, mix.rate
+        );
+        Tally::heading();
+        for variant in variants() {
+            let run = Run::new(mix, &variant, seed, Duration::from_secs(seconds));
+            run.run().print(variant.name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/examples/policy_compare/table.rs
@@ -0,0 +1,86 @@
+//! The measures of a run and the table that shows them.
+
+use std::time::Duration;
+
+use limpetsaddle_core::units::Tokens;
+
+use crate::mix::TEAM_WEIGHT;
+
+/// A `Tally` holds the measures of one run.
+#[derive(Debug, Default)]
+pub struct Tally {
+    prompt: u64,
+    computed: u64,
+    unavoidable: u64,
+    times: [Vec<Duration>; TEAM_WEIGHT.len()],
+    offered: [u64; TEAM_WEIGHT.len()],
+    refused: [u64; TEAM_WEIGHT.len()],
+}
+
+impl Tally {
+    pub fn offered(&mut self, team: usize) {
+        self.offered[team] += 1;
+    }
+
+    pub fn refused(&mut self, team: usize) {
+        self.refused[team] += 1;
+    }
+
+    pub fn answered(&mut self, team: usize, first_token: Duration) {
+        self.times[team].push(first_token);
+    }
+
+    pub fn computed(&mut self, prompt: Tokens, computed: Tokens, unavoidable: Tokens) {
+        self.prompt += prompt.0;
+        self.computed += computed.0;
+        self.unavoidable += unavoidable.0;
+    }
+
+    pub fn heading() {
+        println!(
+            "| policy | hit rate | p50 ms | p95 ms | p99 ms | computed/unavoidable | refused | worst team p95 ms | worst team answered |"
+        );
+        println!("|---|---|---|---|---|---|---|---|---|");
+    }
+
+    pub fn print(&self, name: &str) {
+        let mut all: Vec<Duration> = self.times.iter().flatten().copied().collect();
+        all.sort_unstable();
+        let worst = self.times.iter().map(|times| {
+            let mut times = times.clone();
+            times.sort_unstable();
+            percentile(&times, 95)
+        });
+        let answered = self.times.iter().zip(self.offered);
+        let answered = answered.map(|(times, offered)| permille(times.len() as u64, offered));
+        let hit = permille(self.prompt - self.computed, self.prompt);
+        let waste = permille(self.computed, self.unavoidable);
+        println!(
+            "| {name} | {} | {} | {} | {} | {}.{:02} | {} | {} | {} |",
+            percent(hit),
+            percentile(&all, 50),
+            percentile(&all, 95),
+            percentile(&all, 99),
+            waste / 1_000,
+            waste % 1_000 / 10,
+            self.refused.iter().sum::<u64>(),
+            worst.max().unwrap_or(0),
+            percent(answered.min().unwrap_or(0)),
+        );
+    }
+}
+
+fn percentile(sorted: &[Duration], percent: usize) -> u128 {
+    let place = sorted.len() * percent / 100;
+    sorted
+        .get(place.min(sorted.len().saturating_sub(1)))
+        .map_or(0, Duration::as_millis)
+}
+
+fn permille(part: u64, whole: u64) -> u64 {
+    part * 1_000 / whole.max(1)
+}
+
+fn percent(permille: u64) -> String {
+    format!("{}.{}%", permille / 10, permille % 10)
+}
