Discount reported prompts by the share that is found cached

Engines report the whole prompts that wait, own ones are counted net of the cache. Adding the two as they are overstated the queues of engines that hold a prefix.

--- a/crates/core/examples/policy_compare/main.rs
+++ b/crates/core/examples/policy_compare/main.rs
@@ -55,7 +55,8 @@
     vec![
         with("round robin", Method::RoundRobin),
         with("least outstanding", Method::LeastOutstanding),
-        with("plain rendezvous", Method::Rendezvous),
+        with("rendezvous, whole prompt", Method::Rendezvous(usize::MAX)),
+        with("rendezvous, third block", Method::Rendezvous(3)),
         ours.clone(),
         placed(
             "without hints",
@@ -90,6 +91,7 @@
         weighted("recompute weight 150", 150, 20),
         weighted("recompute weight 200", 200, 20),
         weighted("recompute weight 400", 400, 20),
+        weighted("recompute weight 800", 800, 20),
         weighted("leave domain 2 ms", 100, 2),
         weighted("leave domain 100 ms", 100, 100),
     ]
--- a/crates/core/examples/policy_compare/run.rs
+++ b/crates/core/examples/policy_compare/run.rs
@@ -60,7 +60,8 @@
 pub enum Method {
     RoundRobin,
     LeastOutstanding,
-    Rendezvous,
+    /// On the given block, or the last one of a shorter prompt.
+    Rendezvous(usize),
     Estimate(PlacerOptions),
 }
 
@@ -335,7 +336,9 @@
             .usage
             .charge(team, TEAM_WEIGHT[req.team], req.chain.prompt(), self.now);
         instance.placer.placed(&req.chain, &choice, self.now);
-        req.ticket = instance.table.start(choice.upstream, choice.prefill);
+        req.ticket = instance
+            .table
+            .start(choice.upstream, req.chain.prompt(), choice.prefill);
         req.choice = Some(choice);
         let engine = self
             .ids
@@ -382,7 +385,18 @@
         }
         instance.turn += 1;
         let table = &instance.table;
-        let last = req.chain.blocks().last().copied().unwrap_or(0);
+        let depth = match self.variant.method {
+            Method::Rendezvous(depth) => depth,
+            _ => 1,
+        };
+        let last = req
+            .chain
+            .blocks()
+            .iter()
+            .take(depth)
+            .last()
+            .copied()
+            .unwrap_or(0);
         let rank = |i: usize| match self.variant.method {
             Method::RoundRobin => ((i + ENGINES - instance.turn % ENGINES) % ENGINES) as u64,
             Method::LeastOutstanding => u64::from(table.load(self.ids[i], self.now).requests),
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -38,6 +38,12 @@
 /// The divisor of the weight that one answer has in the learned prefill time.
 const PREFILL_WEIGHT: u64 = 8;
 
+/// The whole of a share in thousandths.
+const WHOLE: u64 = 1_000;
+
+/// The divisor of the weight that one answer has in the share of missed tokens.
+const MISSED_WEIGHT: u64 = 32;
+
 /// The largest factor by which one answer may differ from the learned time.
 const MAX_PREFILL_CHANGE: u64 = 4;
 
@@ -125,6 +131,7 @@
     shares: HomeShares,
     life: Duration,
     prefill_nanos: u64,
+    missed: u64,
 }
 
 impl Placer {
@@ -139,6 +146,7 @@
             hints: HintTable::new(options.capacity, options.hint_life),
             shares: HomeShares::default(),
             life: options.hint_life,
+            missed: WHOLE / 2,
             prefill_nanos: 1_000_000_000 / options.prefill.0.max(1),
         }
     }
@@ -313,7 +321,10 @@
             return None;
         }
         let load = table.load(candidate.id, now);
-        let queue = self.prefill_time(load.queued) + self.options.request_cost * load.requests;
+        // Of what others wait for, a part is cached there, as it is here.
+        let others = Tokens(load.reported.0 * self.missed / WHOLE);
+        let waiting = self.prefill_time(load.queued + others);
+        let queue = waiting + self.options.request_cost * load.requests;
         let prefill = query.chain.prompt().saturating_sub(candidate.cached);
         let compute = self.prefill_time(prefill) * query.policy.recompute_weight / 100;
         let mut estimate = queue + compute;
@@ -373,6 +384,10 @@
             }
             Basis::Load => {}
         }
+        let prompt = chain.prompt().0;
+        let computed = prompt.saturating_sub(feedback.cached.0);
+        let missed = computed * WHOLE / prompt.max(1);
+        self.missed = (self.missed * (MISSED_WEIGHT - 1) + missed) / MISSED_WEIGHT;
         self.learn_prefill(chain, choice, feedback);
         if self.options.capacity > 0 {
             for block in chain.blocks() {
--- a/crates/core/src/upstreams/load.rs
+++ b/crates/core/src/upstreams/load.rs
@@ -13,7 +13,7 @@
 pub struct LoadReport {
     /// The requests that run or wait.
     pub requests: u32,
-    /// The tokens that wait for prefill.
+    /// The tokens that wait for prefill, those that are cached included.
     pub queued: Tokens,
 }
 
@@ -22,14 +22,18 @@
 pub struct Load {
     /// The requests that run or wait, own ones included.
     pub requests: u32,
-    /// The tokens that wait for prefill, own ones included.
+    /// The tokens of own requests that are expected to be computed first.
     pub queued: Tokens,
+    /// The tokens of other requests that wait, those that are cached included.
+    pub reported: Tokens,
 }
 
 /// A `LoadState` keeps own work apart from the work that a report adds.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoadState {
-    pub(crate) own: LoadReport,
+    pub(super) requests: u32,
+    pub(super) prompts: Tokens,
+    pub(super) queued: Tokens,
     others: LoadReport,
     reported: Option<Time>,
 }
@@ -43,8 +47,8 @@
         }
         let queued = report.queued.min(MAX_QUEUED);
         self.others = LoadReport {
-            requests: report.requests.saturating_sub(self.own.requests),
-            queued: queued.saturating_sub(self.own.queued),
+            requests: report.requests.saturating_sub(self.requests),
+            queued: queued.saturating_sub(self.prompts),
         };
         self.reported = Some(sent);
     }
@@ -62,13 +66,13 @@
         let parts = left * 1_000 / life.as_millis().max(1);
         let parts = u64::try_from(parts).unwrap_or(0);
         let requests = u64::from(self.others.requests) * parts / 1_000;
-        let queued = self.others.queued.0 * parts / 1_000;
+        let reported = Tokens(self.others.queued.0 * parts / 1_000);
         Load {
             requests: self
-                .own
                 .requests
                 .saturating_add(u32::try_from(requests).unwrap_or(u32::MAX)),
-            queued: self.own.queued + Tokens(queued),
+            queued: self.queued,
+            reported,
         }
     }
 }
--- a/crates/core/src/upstreams/table.rs
+++ b/crates/core/src/upstreams/table.rs
@@ -61,6 +61,7 @@
 pub struct Ticket {
     upstream: UpstreamId,
     epoch: CacheEpoch,
+    prompt: Tokens,
     prefill: Tokens,
 }
 
@@ -112,7 +113,7 @@
 /// };
 /// let now = Time::ZERO;
 /// let id = table.insert("engine-1".parse()?, spec, Arrival::InService, now);
-/// let ticket = table.start(id, Tokens(2_000)).expect("the upstream is known");
+/// let ticket = table.start(id, Tokens(2_000), Tokens(2_000)).expect("the upstream is known");
 /// assert_eq!(table.load(id, now).requests, 1);
 /// table.finish(ticket, End::Answered, now, 0);
 /// assert_eq!(table.load(id, now).requests, 0);
@@ -259,15 +260,18 @@
         u32::try_from(bound).unwrap_or(max).clamp(1, max)
     }
 
-    /// Counts an attempt as outstanding, with the tokens that it is expected
-    /// to prefill. Returns `None` when the upstream has been removed.
-    pub fn start(&mut self, id: UpstreamId, prefill: Tokens) -> Option<Ticket> {
+    /// Counts an attempt as outstanding, with the tokens of its prompt and those
+    /// of them that the engine is expected to compute. Returns `None` when the
+    /// upstream has been removed.
+    pub fn start(&mut self, id: UpstreamId, prompt: Tokens, prefill: Tokens) -> Option<Ticket> {
         let row = self.rows.get_mut(&id)?;
-        row.load.own.requests += 1;
-        row.load.own.queued += prefill;
+        row.load.requests += 1;
+        row.load.prompts += prompt;
+        row.load.queued += prefill;
         Some(Ticket {
             upstream: id,
             epoch: row.epoch,
+            prompt,
             prefill,
         })
     }
@@ -275,9 +279,10 @@
     /// Records that an attempt's first token arrived: its prefill has ended.
     pub fn first_token(&mut self, ticket: &mut Ticket) {
         if let Some(row) = self.rows.get_mut(&ticket.upstream) {
-            let own = &mut row.load.own;
-            own.queued = own.queued.saturating_sub(ticket.prefill);
+            row.load.prompts = row.load.prompts.saturating_sub(ticket.prompt);
+            row.load.queued = row.load.queued.saturating_sub(ticket.prefill);
         }
+        ticket.prompt = Tokens::ZERO;
         ticket.prefill = Tokens::ZERO;
     }
 
@@ -291,7 +296,7 @@
         let Some(row) = self.rows.get_mut(&ticket.upstream) else {
             return;
         };
-        row.load.own.requests = row.load.own.requests.saturating_sub(1);
+        row.load.requests = row.load.requests.saturating_sub(1);
         match end {
             End::Answered => {
                 row.consecutive_failures = 0;
