--- a/crates/core/examples/policy_compare/main.rs
+++ b/crates/core/examples/policy_compare/main.rs
@@ -58,6 +58,13 @@
         with("rendezvous, whole prompt", Method::Rendezvous(usize::MAX)),
         with("rendezvous, third block", Method::Rendezvous(3)),
         ours.clone(),
+        placed(
+            "without congestion",
+            PlacerOptions {
+                congestion: false,
+                ..options
+            },
+        ),
         placed(
             "without hints",
             PlacerOptions {
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -38,6 +38,9 @@
 /// The divisor of the weight that one answer has in the learned prefill time.
 const PREFILL_WEIGHT: u64 = 8;
 
+/// The tokens that a request is taken to compute at first.
+const FIRST_COMPUTED: u64 = 1_000;
+
 /// The whole of a share in thousandths.
 const WHOLE: u64 = 1_000;
 
@@ -64,6 +67,8 @@
     pub spread_rate: Option<u32>,
     /// The rate at which an engine is taken to compute prompts at first.
     pub prefill: TokenRate,
+    /// Congestion.
+    pub congestion: bool,
     /// The time that each outstanding request of an engine adds.
     pub request_cost: Duration,
     /// The time that is added for each failure of a suspect upstream.
@@ -80,6 +85,7 @@
             home_group: 16,
             spread_rate: Some(8),
             prefill: TokenRate(20_000),
+            congestion: true,
             request_cost: Duration::from_millis(1),
             suspect_penalty: Duration::from_millis(250),
             warm_up_penalty: Duration::from_millis(20),
@@ -132,6 +138,7 @@
     life: Duration,
     prefill_nanos: u64,
     missed: u64,
+    computed: u64,
 }
 
 impl Placer {
@@ -147,6 +154,7 @@
             shares: HomeShares::default(),
             life: options.hint_life,
             missed: WHOLE / 2,
+            computed: FIRST_COMPUTED,
             prefill_nanos: 1_000_000_000 / options.prefill.0.max(1),
         }
     }
@@ -184,14 +192,31 @@
         let shared = self.add_hinted(&mut shortlist, query, table, now);
         self.add_homes(&mut shortlist, query, table, shared, now);
         add_random(&mut shortlist, query, table, random);
-        shortlist
+        let mut open: Vec<Choice> = shortlist
             .iter()
             .filter(|c| is_below_bound(c.id, query, table, now))
             .filter_map(|c| self.estimate(c, query, table, now))
+            .collect();
+        self.add_congestion(&mut open);
+        open.into_iter()
             .min_by_key(|choice| choice.estimate)
             .map_or_else(|| self.scan(&shortlist, query, table, now), Ok)
     }
 
+    fn add_congestion(&self, open: &mut [Choice]) {
+        if !self.options.congestion || open.is_empty() {
+            return;
+        }
+        let total: Duration = open.iter().map(|choice| choice.queue).sum();
+        let count = u32::try_from(open.len()).unwrap_or(u32::MAX);
+        let mean = (total / count).as_nanos();
+        let one = self.prefill_time(Tokens(self.computed)).as_nanos().max(1);
+        let behind = u32::try_from(mean / one).unwrap_or(64).min(64);
+        for choice in open {
+            choice.estimate += self.prefill_time(choice.prefill) * behind;
+        }
+    }
+
     /// Adds the holders of the deepest hinted blocks and returns how many
     /// blocks of the prompt this instance has seen before.
     fn add_hinted(
@@ -387,6 +412,7 @@
         let prompt = chain.prompt().0;
         let computed = prompt.saturating_sub(feedback.cached.0);
         let missed = computed * WHOLE / prompt.max(1);
+        self.computed = (self.computed * (MISSED_WEIGHT - 1) + computed) / MISSED_WEIGHT;
         self.missed = (self.missed * (MISSED_WEIGHT - 1) + missed) / MISSED_WEIGHT;
         self.learn_prefill(chain, choice, feedback);
         if self.options.capacity > 0 {
