--- a/crates/core/examples/policy_compare/main.rs
+++ b/crates/core/examples/policy_compare/main.rs
@@ -68,14 +68,14 @@
         placed(
             "without hints",
             PlacerOptions {
-                capacity: 0,
+                hint_life: Duration::ZERO,
                 ..options
             },
         ),
         placed(
             "without spreading",
             PlacerOptions {
-                spread_rate: None,
+                spread: false,
                 ..options
             },
         ),
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -32,7 +32,6 @@
 pub use self::chain::PrefixChain;
 pub use self::fetch::FetchDecision;
 pub use self::fetch::FetchRates;
-pub use self::homes::Level;
 pub use self::placer::Placer;
 pub use self::placer::PlacerOptions;
 
@@ -62,13 +61,8 @@
         /// The time since the blocks were last used.
         age: Duration,
     },
-    /// The upstream ranks first by rendezvous hash at a level of the prompt.
-    Home {
-        /// The level of the prompt.
-        level: Level,
-        /// The tokens of the prompt up to the level.
-        prefix: Tokens,
-    },
+    /// The upstream is a home of the prompt by rendezvous hash.
+    Home,
     /// The upstream was drawn at random or found by a scan of the pool.
     Load,
 }
--- a/crates/core/src/placement/hints.rs
+++ b/crates/core/src/placement/hints.rs
@@ -17,7 +17,7 @@
 const MAX_HOLDERS: usize = 4;
 
 /// The span over which the requests for a block are counted, in milliseconds.
-const WINDOW_MS: u32 = 1_000;
+const WINDOW_MS: u32 = 10_000;
 
 /// A `Holder` is an engine that used a block at a certain time.
 #[derive(Clone, Copy, Debug)]
@@ -33,23 +33,54 @@
     seen: 0,
 };
 
+/// A `RequestCount` counts requests over a window that slides.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RequestCount {
+    window: u32,
+    count: u16,
+    last: u16,
+}
+
+impl RequestCount {
+    pub(super) fn add(&mut self, now: Time) {
+        let window = millis(now) / WINDOW_MS;
+        if window != self.window {
+            let adjacent = window == self.window + 1;
+            self.last = if adjacent { self.count } else { 0 };
+            self.count = 0;
+            self.window = window;
+        }
+        self.count = self.count.saturating_add(1);
+    }
+
+    /// Returns the requests within the length of the window before `now`.
+    pub(super) fn recent(&self, now: Time) -> u32 {
+        let now = millis(now);
+        let elapsed = now % WINDOW_MS;
+        let (last, count) = match (now / WINDOW_MS).saturating_sub(self.window) {
+            0 => (self.last, self.count),
+            1 => (self.count, 0),
+            _ => (0, 0),
+        };
+        u32::from(last) * (WINDOW_MS - elapsed) / WINDOW_MS + u32::from(count)
+    }
+}
+
 /// A `Hint` is what is known of one block.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Hint {
     holders: [Holder; MAX_HOLDERS],
-    used: u32,
-    window: u32,
-    count: u16,
-    last_count: u16,
+    requests: RequestCount,
 }
 
 impl Hint {
     const EMPTY: Self = Self {
         holders: [NO_HOLDER; MAX_HOLDERS],
-        used: 0,
-        window: 0,
-        count: 0,
-        last_count: 0,
+        requests: RequestCount {
+            window: 0,
+            count: 0,
+            last: 0,
+        },
     };
 
     /// Returns the engines that used the block within `life`, with the age.
@@ -68,34 +99,9 @@
             .filter(move |(_, age)| *age <= life)
     }
 
-    /// Returns whether the block was asked for within `life`.
-    pub(super) fn is_fresh(&self, now: Time, life: Duration) -> bool {
-        age(millis(now), self.used) <= life
-    }
-
-    /// Returns the requests for the block in the last second.
-    pub(super) fn rate(&self, now: Time) -> u32 {
-        let now = millis(now);
-        let elapsed = now % WINDOW_MS;
-        let (last, count) = match (now / WINDOW_MS).saturating_sub(self.window) {
-            0 => (self.last_count, self.count),
-            1 => (self.count, 0),
-            _ => (0, 0),
-        };
-        u32::from(last) * (WINDOW_MS - elapsed) / WINDOW_MS + u32::from(count)
-    }
-
-    fn count_request(&mut self, now: Time) {
-        let now = millis(now);
-        let window = now / WINDOW_MS;
-        if window != self.window {
-            let adjacent = window == self.window + 1;
-            self.last_count = if adjacent { self.count } else { 0 };
-            self.count = 0;
-            self.window = window;
-        }
-        self.count = self.count.saturating_add(1);
-        self.used = now;
+    /// Returns the requests for the block within the last seconds.
+    pub(super) fn requests(&self, now: Time) -> u32 {
+        self.requests.recent(now)
     }
 
     /// Records a use, in place of the engine's earlier one or the oldest.
@@ -171,7 +177,7 @@
             old: Hints::default(),
             half: (capacity / 2).max(1),
             rotated: Time::ZERO,
-            life,
+            life: life.max(Duration::from_millis(u64::from(WINDOW_MS))),
         }
     }
 
@@ -190,7 +196,7 @@
 
     /// Counts a request for a block.
     pub(super) fn count_request(&mut self, block: u64, now: Time) {
-        self.entry(block, now).count_request(now);
+        self.entry(block, now).requests.add(now);
     }
 
     fn entry(&mut self, block: u64, now: Time) -> &mut Hint {
--- a/crates/core/src/placement/homes.rs
+++ b/crates/core/src/placement/homes.rs
@@ -8,68 +8,51 @@
 use crate::upstreams::UpstreamId;
 
 /// The homes of a prefix at most.
-pub(super) const MAX_HOMES: usize = 4;
+const MAX_HOMES: usize = 8;
 
-/// The whole of a share in thousandths.
-const WHOLE: u64 = 1_000;
+/// The requests that must have been counted before rates are relied on.
+const MIN_COUNTED: u32 = 16;
 
-/// The smallest share that is assumed, so that a level is tried again.
-const MIN_SHARE: u64 = 20;
-
-/// The divisor of the weight that one answer has in the learned share.
-const SHARE_WEIGHT: u64 = 16;
-
-/// A `Level` is a depth of the prompt at which its home is looked up.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum Level {
-    /// The deepest block that this instance has seen before.
-    Shared,
-    /// The last full block of the prompt.
-    Whole,
-    /// The first block of the prompt.
-    Root,
-}
-
-/// A `HomeShares` holds, for each level, the share of the prefix that homes
-/// were found to hold, in thousandths.
-#[derive(Debug)]
-pub(super) struct HomeShares {
-    shared: u64,
-    whole: u64,
-    root: u64,
+/// A `Level` is the depth of the prompt at which its home is looked up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Level {
+    /// The number of blocks that the home is looked up by.
+    pub(super) depth: usize,
+    /// The number of homes.
+    pub(super) homes: usize,
 }
 
-impl Default for HomeShares {
-    fn default() -> Self {
-        Self {
-            shared: WHOLE / 2,
-            whole: WHOLE / 2,
-            root: WHOLE / 2,
+/// Returns the level of a prompt, given the recent requests for each of its
+/// blocks and in total, for engines among which `members` share the load.
+///
+/// It is the shallowest level that does not bring one engine more than its part
+/// of all requests: a deeper one would store the blocks above it on more
+/// engines than needed. A prefix that is too hot at every shared level gets as
+/// many homes as its requests fill.
+pub(super) fn level(rates: impl Iterator<Item = u32>, total: u32, members: usize) -> Level {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    let mut level = Level { depth: 0, homes: 1 };
+    for (i, rate) in rates.enumerate() {
+        let load = rate.saturating_mul(members);
+        // A block that hardly anyone shares would scatter a hot prefix.
+        if i > 0 && rate < 2 {
+            break;
         }
-    }
-}
-
-impl HomeShares {
-    /// Returns the tokens that a home is expected to hold of `tokens`.
-    pub(super) fn expected(&self, level: Level, tokens: u64) -> u64 {
-        let share = match level {
-            Level::Shared => self.shared,
-            Level::Whole => self.whole,
-            Level::Root => self.root,
+        let homes = load.div_ceil(total.max(1)).max(1);
+        level = Level {
+            depth: i + 1,
+            homes: usize::try_from(homes).unwrap_or(MAX_HOMES).min(MAX_HOMES),
         };
-        tokens * share.max(MIN_SHARE) / WHOLE
+        if load <= total {
+            break;
+        }
     }
+    level
+}
 
-    /// Learns that a home held `cached` of `tokens`.
-    pub(super) fn learn(&mut self, level: Level, cached: u64, tokens: u64) {
-        let found = cached.min(tokens) * WHOLE / tokens.max(1);
-        let share = match level {
-            Level::Shared => &mut self.shared,
-            Level::Whole => &mut self.whole,
-            Level::Root => &mut self.root,
-        };
-        *share = (*share * (SHARE_WEIGHT - 1) + found) / SHARE_WEIGHT;
-    }
+/// Returns whether enough requests were counted to tell the level.
+pub(super) const fn is_counted(total: u32) -> bool {
+    total >= MIN_COUNTED
 }
 
 /// Returns the first `count` homes of `block` among `members`, in rank order.
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -8,12 +8,11 @@
 use super::PrefixChain;
 use super::Query;
 use super::Unplaced;
-use super::hints::Hint;
 use super::hints::HintTable;
-use super::homes::HomeShares;
-use super::homes::Level;
-use super::homes::MAX_HOMES;
+use super::hints::RequestCount;
 use super::homes::homes;
+use super::homes::is_counted;
+use super::homes::level;
 use super::shortlist::Candidate;
 use super::shortlist::Shortlist;
 use crate::hash::mix;
@@ -47,6 +46,9 @@
 /// The divisor of the weight that one answer has in the share of missed tokens.
 const MISSED_WEIGHT: u64 = 32;
 
+/// The divisor of the weight that one answer has in the share held by homes.
+const SHARE_WEIGHT: u64 = 32;
+
 /// The largest factor by which one answer may differ from the learned time.
 const MAX_PREFILL_CHANGE: u64 = 4;
 
@@ -62,9 +64,8 @@
     pub hint_life: Duration,
     /// The upstreams that a failure domain needs to have homes of its own.
     pub home_group: usize,
-    /// The requests per second, as this instance sees them, for which a prefix
-    /// gets another home; `None` leaves it one.
-    pub spread_rate: Option<u32>,
+    /// Whether a hot prefix gets more than one home.
+    pub spread: bool,
     /// The rate at which an engine is taken to compute prompts at first.
     pub prefill: TokenRate,
     /// Congestion.
@@ -83,7 +84,7 @@
             capacity: 65_536,
             hint_life: Duration::from_secs(10),
             home_group: 16,
-            spread_rate: Some(8),
+            spread: true,
             prefill: TokenRate(20_000),
             congestion: true,
             request_cost: Duration::from_millis(1),
@@ -134,7 +135,8 @@
 pub struct Placer {
     options: PlacerOptions,
     hints: HintTable,
-    shares: HomeShares,
+    requests: RequestCount,
+    home_share: u64,
     life: Duration,
     prefill_nanos: u64,
     missed: u64,
@@ -151,7 +153,8 @@
         Self {
             options,
             hints: HintTable::new(options.capacity, options.hint_life),
-            shares: HomeShares::default(),
+            requests: RequestCount::default(),
+            home_share: WHOLE / 2,
             life: options.hint_life,
             missed: WHOLE / 2,
             computed: FIRST_COMPUTED,
@@ -173,7 +176,7 @@
 
     /// Chooses an upstream for a request.
     ///
-    /// Compares the engines that hints name, the homes of the prompt's levels
+    /// Compares the engines that hints name, the homes of the prompt
     /// and two drawn by `random`; only when none of them may take the request
     /// does it look at the whole pool.
     ///
@@ -189,8 +192,8 @@
         random: u64,
     ) -> Result<Choice, Unplaced> {
         let mut shortlist = Shortlist::default();
-        let shared = self.add_hinted(&mut shortlist, query, table, now);
-        self.add_homes(&mut shortlist, query, table, shared, now);
+        self.add_hinted(&mut shortlist, query, table, now);
+        self.add_homes(&mut shortlist, query, table, now);
         add_random(&mut shortlist, query, table, random);
         let mut open: Vec<Choice> = shortlist
             .iter()
@@ -217,24 +220,19 @@
         }
     }
 
-    /// Adds the holders of the deepest hinted blocks and returns how many
-    /// blocks of the prompt this instance has seen before.
+    /// Adds the holders of the deepest hinted blocks.
     fn add_hinted(
         &self,
         shortlist: &mut Shortlist,
         query: &Query<'_>,
         table: &UpstreamTable,
         now: Time,
-    ) -> usize {
-        let mut shared = 0;
+    ) {
         let mut found = 0;
         for (i, block) in query.chain.blocks().iter().enumerate().rev() {
             let Some(hint) = self.hints.get(*block) else {
                 continue;
             };
-            if shared == 0 && hint.is_fresh(now, self.options.hint_life) {
-                shared = i + 1;
-            }
             for (holder, age) in hint.holders(now, self.life) {
                 let row = table.get(holder.upstream);
                 let current = row.is_some_and(|row| row.epoch == holder.epoch);
@@ -248,7 +246,6 @@
                 break;
             }
         }
-        shared
     }
 
     fn add_homes(
@@ -256,27 +253,33 @@
         shortlist: &mut Shortlist,
         query: &Query<'_>,
         table: &UpstreamTable,
-        shared: usize,
         now: Time,
     ) {
         let blocks = query.chain.blocks();
         let members = self.home_group(query, table);
-        let levels = [
-            (Level::Shared, shared),
-            (Level::Whole, blocks.len()),
-            (Level::Root, blocks.len().min(1)),
-        ];
-        for (level, depth) in levels {
-            let Some(block) = depth.checked_sub(1).and_then(|last| blocks.get(last)) else {
-                continue;
-            };
-            let prefix = query.chain.tokens_of(depth);
-            let cached = Tokens(self.shares.expected(level, prefix.0));
-            let count = self.home_count(self.hints.get(*block), level, now);
-            for id in homes(*block, members, count) {
-                shortlist.add(id, cached, Basis::Home { level, prefix });
-            }
+        let (depth, count) = self.level(blocks, members.len(), now);
+        let Some(block) = depth.checked_sub(1).and_then(|last| blocks.get(last)) else {
+            return;
+        };
+        let prefix = query.chain.tokens_of(blocks.len()).0;
+        let cached = Tokens(prefix * self.home_share / WHOLE);
+        for id in homes(*block, members, count) {
+            shortlist.add(id, cached, Basis::Home);
+        }
+    }
+
+    /// Returns the blocks by which the homes are looked up and their number.
+    fn level(&self, blocks: &[u64], members: usize, now: Time) -> (usize, usize) {
+        let total = self.requests.recent(now);
+        if !is_counted(total) {
+            return (blocks.len().div_ceil(2), 1);
         }
+        let rate = |block: &u64| self.hints.get(*block).map_or(0, |hint| hint.requests(now));
+        let level = level(blocks.iter().map(rate), total, members);
+        (
+            level.depth,
+            if self.options.spread { level.homes } else { 1 },
+        )
     }
 
     /// Returns the failure domain's upstreams where it has enough of them, and
@@ -289,17 +292,6 @@
         table.members(query.pool, None)
     }
 
-    fn home_count(&self, hint: Option<&Hint>, level: Level, now: Time) -> usize {
-        let (Some(hint), Some(per_home)) = (hint, self.options.spread_rate) else {
-            return 1;
-        };
-        if level != Level::Shared {
-            return 1;
-        }
-        let more = hint.rate(now) / per_home.max(1);
-        (1 + usize::try_from(more).unwrap_or(MAX_HOMES)).min(MAX_HOMES)
-    }
-
     /// Looks for the best upstream of the whole pool. A warm-up bound does not
     /// count here: a slow start beats a refusal.
     fn scan(
@@ -384,6 +376,7 @@
         if self.options.capacity == 0 {
             return;
         }
+        self.requests.add(now);
         for block in chain.blocks() {
             self.hints.count_request(*block, now);
             self.hints.hold(*block, choice.upstream, choice.epoch, now);
@@ -404,9 +397,7 @@
     ) {
         match choice.basis {
             Basis::Hint { age } => self.learn_life(feedback.cached >= choice.cached, age),
-            Basis::Home { level, prefix } => {
-                self.shares.learn(level, feedback.cached.0, prefix.0);
-            }
+            Basis::Home => self.learn_home_share(chain, feedback.cached),
             Basis::Load => {}
         }
         let prompt = chain.prompt().0;
@@ -433,6 +424,12 @@
         }
     }
 
+    fn learn_home_share(&mut self, chain: &PrefixChain, cached: Tokens) {
+        let prefix = chain.tokens_of(chain.blocks().len()).0;
+        let share = cached.0.min(prefix) * WHOLE / prefix.max(1);
+        self.home_share = (self.home_share * (SHARE_WEIGHT - 1) + share) / SHARE_WEIGHT;
+    }
+
     /// Learns the prefill time from answers that did not wait for other work.
     fn learn_prefill(&mut self, chain: &PrefixChain, choice: &Choice, feedback: Feedback) {
         let computed = chain.prompt().saturating_sub(feedback.cached);
