--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -3,6 +3,8 @@
 //! Provides [`Blackboard`], which holds the state of every decision at one
 //! instance and keeps the parts in step when configuration changes.
 
+mod placing;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -41,6 +43,9 @@
 use crate::upstreams::UpstreamOptions;
 use crate::upstreams::UpstreamTable;
 
+pub use self::placing::Placement;
+pub use self::placing::Wanted;
+
 /// The time from the start within which upstreams count as in service already.
 const BOOTSTRAP: Duration = Duration::from_secs(3);
 
@@ -158,13 +163,6 @@
         pools.find_map(|name| Some((name, self.store.pool(name)?)))
     }
 
-    /// Returns the placer of a pool.
-    pub fn placer(&mut self, pool: &PoolName) -> &mut Placer {
-        let options = self.options.placer;
-        let placer = self.placers.entry(pool.clone());
-        placer.or_insert_with(|| Placer::new(options))
-    }
-
     /// Returns the versions of the weights under which a pool's engines may be
     /// used: the configured one, then those that engines still hold, newest first.
     #[must_use]
--- a/crates/core/src/limits/ledger.rs
+++ b/crates/core/src/limits/ledger.rs
@@ -183,6 +183,12 @@
         self.fence.confirm(sent_at);
     }
 
+    /// Returns whether another incarnation has replaced this one.
+    #[must_use]
+    pub const fn is_replaced(&self) -> bool {
+        self.fence.is_replaced()
+    }
+
     /// Records that another incarnation has replaced this one: it mints no more.
     pub fn on_replaced(&mut self) {
         self.fence.replace();
--- a/crates/core/src/upstreams/table.rs
+++ b/crates/core/src/upstreams/table.rs
@@ -368,6 +368,26 @@
         };
     }
 
+    /// Returns the upstreams with work of this instance, in order.
+    #[must_use]
+    pub fn busy(&self) -> Vec<UpstreamId> {
+        let busy = self.rows.iter().filter(|(_, row)| row.load.requests > 0);
+        busy.map(|(id, _)| *id).collect()
+    }
+
+    /// Returns whether an upstream gets no work until a probe succeeds.
+    #[must_use]
+    pub fn is_down(&self, id: UpstreamId) -> bool {
+        let row = self.rows.get(&id);
+        row.is_some_and(|row| matches!(row.health, Health::Down { .. }))
+    }
+
+    /// Returns the number of upstreams that may get new work.
+    #[must_use]
+    pub fn live(&self) -> usize {
+        self.rows.values().filter(|row| row.takes_work()).count()
+    }
+
     /// Returns the upstreams that are down and due for a probe, in order.
     #[must_use]
     pub fn due_probes(&self, now: Time) -> Vec<UpstreamId> {
--- /dev/null
+++ b/crates/router/src/controllers.rs
@@ -0,0 +1,10 @@
+//! Controllers: tasks that read and write the blackboard.
+
+pub mod bootstrap;
+pub mod exchange;
+pub mod loads;
+pub mod orders;
+pub mod slots;
+pub mod status;
+pub mod ticks;
+pub mod watch;
--- /dev/null
+++ b/crates/router/src/controllers/exchange.rs
@@ -0,0 +1,186 @@
+//! Exchanges with other instances: membership, configuration and contact.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use limpetsaddle_core::config::Object;
+use limpetsaddle_core::membership::Row;
+use limpetsaddle_core::membership::Standing;
+use limpetsaddle_core::membership::exchange;
+use limpetsaddle_core::membership::exchange::ExchangeOptions;
+use limpetsaddle_core::membership::exchange::ExchangeReply;
+use limpetsaddle_core::membership::exchange::ExchangeRequest;
+use limpetsaddle_core::membership::exchange::Pending;
+use limpetsaddle_core::names::DomainName;
+use limpetsaddle_core::store::Change;
+use log::warn;
+
+use crate::instance::Instance;
+use crate::metrics::Event;
+use crate::shutdown::Stopping;
+
+/// The time between two exchanges with peers.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Exchanges with a peer of the failure domain each second, and with an
+/// instance of another failure domain where this one watches the platform.
+pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
+    while !stopping.is_closed() {
+        let period = jittered(&instance, PERIOD);
+        monoio::time::sleep(period).await;
+        for row in partners(&instance) {
+            monoio::spawn(exchange_with(
+                Rc::clone(&instance),
+                row.address,
+                Some(row.domain),
+            ));
+        }
+    }
+}
+
+/// Returns `period` changed by up to a tenth, so that instances spread.
+pub fn jittered(instance: &Instance, period: Duration) -> Duration {
+    let part = u32::try_from(instance.random.draw() % 200).unwrap_or(0);
+    period * (900 + part) / 1_000
+}
+
+fn partners(instance: &Instance) -> Vec<Row> {
+    let now = instance.now();
+    let mut board = instance.board.borrow_mut();
+    let revision = board.store.confirmation().map_or_else(Default::default, |c| c.revision);
+    board.members.beat(revision, now);
+    let members = &board.members;
+    let peer = members.pick_peer(instance.random.draw(), now);
+    // Without a live peer this instance is the only one that can look outside.
+    let contact = members
+        .is_watcher(now)
+        .then(|| members.pick_contact(instance.random.draw(), now))
+        .flatten();
+    peer.into_iter().chain(contact).cloned().collect()
+}
+
+/// Exchanges with one instance until neither has news for the other, and
+/// returns whether it answered.
+///
+/// `domain` is the failure domain of the instance, where it is known. Only an
+/// answer from the own failure domain keeps the limits in force.
+pub async fn exchange_with(
+    instance: Rc<Instance>,
+    address: SocketAddr,
+    domain: Option<DomainName>,
+) -> bool {
+    let now = instance.now();
+    let opts = ExchangeOptions::default();
+    let first = {
+        let board = instance.board.borrow();
+        exchange::open(&board.store, &board.members, &opts, now)
+    };
+    converse(&instance, address, domain.as_ref(), first).await
+}
+
+async fn converse(
+    instance: &Rc<Instance>,
+    address: SocketAddr,
+    domain: Option<&DomainName>,
+    first: Pending,
+) -> bool {
+    let mut next = Some(first);
+    while let Some(pending) = next {
+        let Ok(reply) = instance.peers.exchange(address, &pending.request).await else {
+            instance.metrics.count(Event::PeerFailed);
+            return false;
+        };
+        instance.metrics.count(Event::PeerOk);
+        let home = match &reply {
+            ExchangeReply::State(state) => state.from.domain == instance.settings.domain,
+            ExchangeReply::Replaced(_) => false,
+        };
+        debug_assert!(domain.is_none_or(|d| !home || *d == instance.settings.domain));
+        next = absorb(instance, &pending, reply, home);
+    }
+    true
+}
+
+/// Takes in a reply and returns the next request of the exchange.
+fn absorb(
+    instance: &Rc<Instance>,
+    pending: &Pending,
+    reply: ExchangeReply,
+    home: bool,
+) -> Option<Pending> {
+    let now = instance.now();
+    let opts = ExchangeOptions::default();
+    let outcome = {
+        let mut board = instance.board.borrow_mut();
+        let board = &mut *board;
+        exchange::absorb(&mut board.store, &mut board.members, pending, reply, &opts, now)
+    };
+    let Ok(outcome) = outcome else {
+        note_replaced(instance);
+        return None;
+    };
+    take(instance, &outcome.changes);
+    if home {
+        instance.contact(pending.sent);
+    }
+    outcome.next
+}
+
+/// Answers another instance's exchange.
+pub fn answer(instance: &Rc<Instance>, req: ExchangeRequest) -> ExchangeReply {
+    let now = instance.now();
+    let opts = ExchangeOptions::default();
+    let (reply, changes) = {
+        let mut board = instance.board.borrow_mut();
+        let board = &mut *board;
+        exchange::answer(&mut board.store, &mut board.members, req, &opts, now)
+    };
+    note_replaced(instance);
+    take(instance, &changes);
+    reply
+}
+
+/// Brings the blackboard in step with objects that came into force, and passes
+/// them on.
+pub fn take(instance: &Rc<Instance>, changes: &[Change]) {
+    if changes.is_empty() {
+        return;
+    }
+    let now = instance.now();
+    let targets: Vec<SocketAddr> = {
+        let mut board = instance.board.borrow_mut();
+        board.follow(changes, now);
+        let targets = board.members.push_targets(now);
+        targets.into_iter().map(|row| row.address).collect()
+    };
+    for _ in changes {
+        instance.metrics.count(Event::ConfigTaken);
+    }
+    let objects: Vec<Object> = changes.iter().map(|c| c.object.clone()).collect();
+    for address in targets {
+        monoio::spawn(push(Rc::clone(instance), address, objects.clone()));
+    }
+}
+
+async fn push(instance: Rc<Instance>, address: SocketAddr, objects: Vec<Object>) {
+    let now = instance.now();
+    let first = {
+        let board = instance.board.borrow();
+        exchange::push(&board.store, &board.members, objects, now)
+    };
+    converse(&instance, address, None, first).await;
+}
+
+/// Ends minting once another incarnation has replaced this one.
+fn note_replaced(instance: &Instance) {
+    let mut board = instance.board.borrow_mut();
+    let Standing::Replaced(replaced) = board.members.standing() else {
+        return;
+    };
+    if board.ledger.is_replaced() {
+        return;
+    }
+    board.ledger.on_replaced();
+    warn!(by = replaced.by.0; "another incarnation has replaced this one");
+}
--- /dev/null
+++ b/crates/router/src/controllers/orders.rs
@@ -0,0 +1,279 @@
+//! Orders to engines: the lease, the reports and the orders themselves.
+//!
+//! One instance of a failure domain at a time gives orders to its engines.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use http::header;
+use limpetsaddle_core::config::Phase;
+use limpetsaddle_core::config::PoolKind;
+use limpetsaddle_core::names::ModelName;
+use limpetsaddle_core::names::ObjectName;
+use limpetsaddle_core::names::UpstreamName;
+use limpetsaddle_core::orders::DesiredEngine;
+use limpetsaddle_core::orders::EngineReport;
+use limpetsaddle_core::orders::EngineView;
+use limpetsaddle_core::orders::GiveOrder;
+use limpetsaddle_core::orders::LeaseAction;
+use limpetsaddle_core::orders::LeaseHolder;
+use limpetsaddle_core::orders::LeaseKeeper;
+use limpetsaddle_core::orders::Order;
+use limpetsaddle_core::orders::OrderAnswer;
+use limpetsaddle_core::orders::OrderOptions;
+use limpetsaddle_core::orders::OrderPlanner;
+use limpetsaddle_core::orders::Role;
+use limpetsaddle_core::units::FencingNumber;
+use limpetsaddle_core::units::Incarnation;
+use limpetsaddle_core::units::WeightsVersion;
+use limpetsaddle_http::Request;
+use log::info;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::exchange::jittered;
+use crate::instance::Instance;
+use crate::metrics::Event;
+use crate::shutdown::Stopping;
+
+/// The time between two rounds.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// The longest answer of an engine in bytes.
+const MAX_ANSWER_BYTES: usize = 4_096;
+
+/// The longest wait for an engine's report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A `Giver` is what this instance needs to give orders.
+struct Giver {
+    instance: Rc<Instance>,
+    lease: ObjectName,
+    keeper: LeaseKeeper,
+    planner: OrderPlanner,
+    holds: bool,
+}
+
+/// A `Target` is an engine of this failure domain.
+struct Target {
+    name: UpstreamName,
+    address: SocketAddr,
+    checks_fencing: bool,
+    desired: DesiredEngine,
+}
+
+/// A `Report` is an engine's answer to `GET /load`, as far as orders need it.
+#[derive(Debug, Deserialize)]
+struct Report {
+    incarnation: Incarnation,
+    model: ModelName,
+    weights: WeightsVersion,
+    #[serde(default = "both")]
+    role: Role,
+    #[serde(default)]
+    loading: bool,
+}
+
+const fn both() -> Role {
+    Role::Both
+}
+
+#[derive(Serialize)]
+struct OrderBody<'a> {
+    fencing: FencingNumber,
+    order: &'a Order,
+}
+
+#[derive(Deserialize)]
+struct OrderReceipt {
+    incarnation: Incarnation,
+}
+
+/// Gives orders for as long as this instance holds the lease.
+pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
+    let Ok(lease) = format!("orders.{}", instance.settings.domain).parse() else {
+        return;
+    };
+    let holder = LeaseHolder {
+        instance: instance.settings.name.clone(),
+        incarnation: instance.incarnation(),
+    };
+    let options = OrderOptions::default();
+    let mut giver = Giver {
+        lease,
+        keeper: LeaseKeeper::new(holder, options),
+        planner: OrderPlanner::new(options),
+        holds: false,
+        instance,
+    };
+    while !stopping.is_closed() {
+        monoio::time::sleep(jittered(&giver.instance, PERIOD)).await;
+        if giver.instance.draining.is_closed() {
+            giver.keeper.release();
+        }
+        giver.keep_lease().await;
+        giver.give_orders().await;
+    }
+}
+
+impl Giver {
+    async fn keep_lease(&mut self) {
+        let instance = Rc::clone(&self.instance);
+        let Some(action) = self.keeper.poll(instance.now()) else {
+            return;
+        };
+        match action {
+            LeaseAction::Read => {
+                if let Ok(current) = instance.platform.read_lease(&self.lease).await {
+                    self.keeper.on_read(current, instance.now());
+                }
+            }
+            LeaseAction::Write(write) => {
+                let answer = instance.platform.write_lease(&self.lease, &write).await;
+                self.keeper.on_write(answer, instance.now());
+            }
+        }
+        let tenure = self.keeper.tenure(instance.now());
+        if tenure.is_some() != self.holds {
+            self.holds = tenure.is_some();
+            let fencing = tenure.map_or(0, |t| t.fencing.0);
+            info!(holds = self.holds, fencing = fencing; "the lease for orders changed");
+        }
+    }
+
+    async fn give_orders(&mut self) {
+        let instance = Rc::clone(&self.instance);
+        let targets = match self.keeper.tenure(instance.now()) {
+            Some(_) => targets(&instance),
+            None => Vec::new(),
+        };
+        let views = views(&instance, &targets).await;
+        // The tenure may have ended while the reports were on their way.
+        let now = instance.now();
+        let orders = self.planner.plan(self.keeper.tenure(now), &views, now);
+        let addresses: BTreeMap<&UpstreamName, SocketAddr> =
+            targets.iter().map(|t| (&t.name, t.address)).collect();
+        for order in orders {
+            let Some(address) = addresses.get(&order.upstream) else {
+                continue;
+            };
+            instance.metrics.count(Event::OrderGiven);
+            let answer = send(&instance, &order, *address).await;
+            if answer == OrderAnswer::Fenced {
+                self.keeper.outrun(order.fencing);
+            }
+            self.planner.on_answer(&order, answer, instance.now());
+        }
+    }
+}
+
+/// Returns the engines that this failure domain's holder gives orders to.
+fn targets(instance: &Instance) -> Vec<Target> {
+    let board = instance.board.borrow();
+    let mut targets = Vec::new();
+    for model in board.store.models() {
+        let Some((pool, spec)) = board.pool_for(model) else {
+            continue;
+        };
+        let PoolKind::Engine { weights, .. } = &spec.kind else {
+            continue;
+        };
+        for (name, upstream) in board.store.upstreams_of(pool) {
+            if upstream.domain != instance.settings.domain || upstream.phase != Phase::Live {
+                continue;
+            }
+            targets.push(Target {
+                name: name.clone(),
+                address: upstream.address,
+                checks_fencing: spec.checks_fencing,
+                desired: DesiredEngine {
+                    model: model.clone(),
+                    weights: *weights,
+                    role: None,
+                },
+            });
+        }
+    }
+    targets
+}
+
+async fn views(instance: &Rc<Instance>, targets: &[Target]) -> Vec<EngineView> {
+    let reports = targets.iter().map(|target| async {
+        let taken = instance.now();
+        let asked = report(instance, target.address);
+        let answer = monoio::time::timeout(REPORT_TIMEOUT, asked).await;
+        let report = answer.ok().flatten().map(|report| EngineReport {
+            incarnation: report.incarnation,
+            model: report.model,
+            weights: report.weights,
+            role: report.role,
+            loading: report.loading,
+            taken,
+        });
+        EngineView {
+            upstream: target.name.clone(),
+            checks_fencing: target.checks_fencing,
+            desired: target.desired.clone(),
+            report,
+        }
+    });
+    futures::future::join_all(reports).await
+}
+
+async fn report(instance: &Instance, address: SocketAddr) -> Option<Report> {
+    let req = request(address, Method::GET, "/load", Bytes::new())?;
+    let res = instance.upstream.send(address, req).await.ok()?;
+    let body = res.collect(MAX_ANSWER_BYTES).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+fn request(
+    address: SocketAddr,
+    method: Method,
+    path: &'static str,
+    body: Bytes,
+) -> Option<Request> {
+    let mut req = Request::new(body);
+    *req.method_mut() = method;
+    *req.uri_mut() = http::Uri::from_static(path);
+    let headers = req.headers_mut();
+    headers.insert(header::HOST, address.to_string().parse().ok()?);
+    let json = header::HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json);
+    Some(req)
+}
+
+async fn send(instance: &Instance, order: &GiveOrder, address: SocketAddr) -> OrderAnswer {
+    let body = crate::answers::json(&OrderBody {
+        fencing: order.fencing,
+        order: &order.order,
+    });
+    let Some(req) = request(address, Method::POST, "/orders", body) else {
+        return OrderAnswer::NotSent;
+    };
+    // A process that was paused must not send what another holder has replaced.
+    if !order.may_send(instance.now()) {
+        return OrderAnswer::NotSent;
+    }
+    let res = match instance.upstream.send(address, req).await {
+        Ok(res) => res,
+        Err(error) if error.not_sent() => return OrderAnswer::NotSent,
+        Err(_) => return OrderAnswer::Unknown,
+    };
+    if res.head.status == StatusCode::CONFLICT {
+        return OrderAnswer::Fenced;
+    }
+    if res.head.status != StatusCode::OK {
+        return OrderAnswer::Unknown;
+    }
+    let Ok(body) = res.collect(MAX_ANSWER_BYTES).await else {
+        return OrderAnswer::Unknown;
+    };
+    serde_json::from_slice::<OrderReceipt>(&body)
+        .map_or(OrderAnswer::Unknown, |r| OrderAnswer::Accepted(r.incarnation))
+}
--- /dev/null
+++ b/crates/router/src/controllers/status.rs
@@ -0,0 +1,82 @@
+//! The instance's report of itself in the platform's records.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_platform::Collection;
+use limpetsaddle_platform::InstanceStatus;
+use limpetsaddle_platform::RecordName;
+use limpetsaddle_platform::RecordPut;
+
+use super::exchange::jittered;
+use crate::instance::Instance;
+use crate::shutdown::Stopping;
+
+/// The time between two reports.
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// The time for which the platform keeps a report.
+const TIME_TO_LIVE: Duration = Duration::from_secs(60);
+
+/// Reports regularly until the instance ends.
+pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
+    while !stopping.is_closed() {
+        write(&instance).await;
+        monoio::time::sleep(jittered(&instance, PERIOD)).await;
+    }
+}
+
+/// Returns the present report.
+pub fn status(instance: &Instance) -> InstanceStatus {
+    let now = instance.now();
+    let board = instance.board.borrow();
+    let own = board.members.own();
+    let confirmed = board.store.confirmation();
+    let refusals: BTreeMap<Arc<str>, u64> = instance
+        .metrics
+        .refusals()
+        .map(|(reason, count)| (reason.code().into(), count))
+        .collect();
+    InstanceStatus {
+        instance: own.name.clone(),
+        domain: own.domain.clone(),
+        incarnation: own.incarnation,
+        phase: own.phase,
+        revision: confirmed.map_or(Revision::ABSENT, |c| c.revision),
+        preset: board.store.presets().active,
+        platform_age: board.store.age(now).unwrap_or(now.from_start()),
+        refusals,
+    }
+}
+
+/// Writes one report. Only this instance writes its record, so that a conflict
+/// tells no more than the revision to write over.
+pub async fn write(instance: &Rc<Instance>) {
+    let name = RecordName::from(&instance.settings.name);
+    let value = status(instance);
+    let mut expected = instance.status_revision.get();
+    for _ in 0..2 {
+        let put = instance.platform.put_record(
+            Collection::Status,
+            &name,
+            expected,
+            &value,
+            Some(TIME_TO_LIVE),
+        );
+        let put = put.await;
+        instance.note_platform(put.is_ok());
+        match put {
+            Ok(RecordPut::Written(revision)) => {
+                instance.status_revision.set(revision);
+                return;
+            }
+            Ok(RecordPut::Conflict(current)) => {
+                expected = current.map_or(Revision::ABSENT, |record| record.revision);
+            }
+            Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/controllers/watch.rs
@@ -0,0 +1,101 @@
+//! The platform's watch: changes of the configuration as they are written.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use limpetsaddle_core::config::Object;
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_platform::Error as PlatformError;
+use limpetsaddle_platform::WatchEvent;
+use log::info;
+
+use super::exchange::jittered;
+use super::exchange::take;
+use crate::instance::Instance;
+use crate::metrics::Event;
+use crate::shutdown::Stopping;
+
+/// The time between two looks whether this instance is to watch.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// The wait for an event after which a watch counts as broken. The platform
+/// sends a bookmark each second.
+const SILENCE: Duration = Duration::from_secs(4);
+
+/// Watches the platform for as long as this instance is one of its failure
+/// domain's watchers.
+pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
+    let mut connected = false;
+    while !stopping.is_closed() {
+        if is_watcher(&instance) {
+            let result = watch(&instance, &mut connected).await;
+            instance.note_platform(result.is_ok());
+            if result.is_err() && connected {
+                connected = false;
+                info!("the watch of the platform broke off");
+            }
+        }
+        monoio::time::sleep(jittered(&instance, PERIOD)).await;
+    }
+}
+
+fn is_watcher(instance: &Instance) -> bool {
+    let now = instance.now();
+    instance.board.borrow().members.is_watcher(now)
+}
+
+async fn watch(instance: &Rc<Instance>, connected: &mut bool) -> Result<(), PlatformError> {
+    let confirmed = instance.board.borrow().store.confirmation();
+    let from = match confirmed {
+        Some(confirmation) => confirmation.revision,
+        None => list(instance).await?,
+    };
+    let mut watch = match instance.platform.watch(from).await {
+        Err(PlatformError::Expired) => {
+            let from = list(instance).await?;
+            instance.platform.watch(from).await?
+        }
+        other => other?,
+    };
+    instance.metrics.count(Event::WatchOpened);
+    if !*connected {
+        *connected = true;
+        info!(revision = from.0; "watching the platform");
+    }
+    while is_watcher(instance) {
+        let next = monoio::time::timeout(SILENCE, watch.next()).await;
+        let Ok(event) = next else {
+            return Err(PlatformError::Timeout);
+        };
+        match event? {
+            Some(WatchEvent::Object(object)) => merge(instance, vec![object]),
+            Some(WatchEvent::Bookmark(revision)) => confirm(instance, revision),
+            None => return Ok(()),
+        }
+    }
+    Ok(())
+}
+
+/// Reads the whole configuration and returns its revision.
+///
+/// # Errors
+///
+/// Returns the platform's error.
+pub async fn list(instance: &Rc<Instance>) -> Result<Revision, PlatformError> {
+    let listing = instance.platform.list().await?;
+    merge(instance, listing.objects);
+    confirm(instance, listing.revision);
+    Ok(listing.revision)
+}
+
+/// Merges objects that the platform has sent.
+pub fn merge(instance: &Rc<Instance>, objects: Vec<Object>) {
+    let changes = instance.board.borrow_mut().store.merge_all(objects);
+    take(instance, &changes);
+}
+
+fn confirm(instance: &Instance, revision: Revision) {
+    let now = instance.now();
+    let mut board = instance.board.borrow_mut();
+    board.store.confirm(revision, Duration::ZERO, now);
+}
--- /dev/null
+++ b/crates/router/src/instance.rs
@@ -0,0 +1,156 @@
+//! The state that all tasks of one instance share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+use limpetsaddle_core::blackboard::Blackboard;
+use limpetsaddle_core::blackboard::BlackboardOptions;
+use limpetsaddle_core::config::Phase;
+use limpetsaddle_core::membership::Row;
+use limpetsaddle_core::membership::new_incarnation;
+use limpetsaddle_core::refusal::Refusal;
+use limpetsaddle_core::units::Incarnation;
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_http::Client;
+use limpetsaddle_platform::Platform;
+
+use crate::clock::Clock;
+use crate::clock::Random;
+use crate::clock::time_of_day;
+use crate::errors::Result;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::shutdown::Stopping;
+
+/// A `Waiter` is the end of a queued request that learns when its turn comes.
+pub type Waiter = oneshot::Sender<std::result::Result<(), Refusal>>;
+
+/// An `Instance` is one running daemon.
+pub struct Instance {
+    /// The checked settings.
+    pub settings: Settings,
+    /// The clock of the process.
+    pub clock: Clock,
+    /// The source of randomness for spreading load.
+    pub random: Random,
+    /// The counters.
+    pub metrics: Metrics,
+    /// The state of the decisions.
+    pub board: RefCell<Blackboard<Waiter>>,
+    /// The client for engines and services.
+    pub upstream: Client,
+    /// The client of the platform's object API.
+    pub platform: Platform,
+    /// The connections with other instances.
+    pub peers: Peers,
+    /// Closes when the instance takes no more requests.
+    pub draining: Stopping,
+    incarnation: Incarnation,
+    requests: Cell<u64>,
+    running: Cell<u64>,
+}
+
+impl Instance {
+    /// Returns an instance that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no randomness or metrics cannot be set up.
+    pub fn new(settings: Settings, draining: Stopping) -> Result<Rc<Self>> {
+        let clock = Clock::default();
+        let random = Random::from_seed(getrandom::u64()?);
+        let millis = u64::try_from(time_of_day().as_millis()).unwrap_or(u64::MAX);
+        let incarnation = new_incarnation(millis, random.draw());
+        let own = Row {
+            name: settings.name.clone(),
+            incarnation,
+            domain: settings.domain.clone(),
+            address: settings.peer,
+            phase: Phase::Live,
+            heartbeat: 0,
+            revision: Revision::ABSENT,
+        };
+        let options = BlackboardOptions::default();
+        let board = Blackboard::new(own, options, clock.now());
+        Ok(Rc::new(Self {
+            clock,
+            random,
+            metrics: Metrics::new()?,
+            board: RefCell::new(board),
+            upstream: Client::new(limpetsaddle_http::ClientOptions::default()),
+            platform: Platform::new(
+                settings.platform.clone(),
+                limpetsaddle_platform::PlatformOptions::default(),
+            ),
+            peers: Peers::default(),
+            settings,
+            draining,
+            incarnation,
+            requests: Cell::new(0),
+            running: Cell::new(0),
+        }))
+    }
+
+    /// Returns the present time on the monotonic clock.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Returns a new request id, unique over all instances and restarts.
+    pub fn next_request_id(&self) -> Rc<str> {
+        let number = self.next_number();
+        format!("req-{:x}-{number:x}", self.incarnation.0).into()
+    }
+
+    /// Returns the incarnation of this process.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns a number that this incarnation has not used before.
+    pub fn next_number(&self) -> u64 {
+        let number = self.requests.get() + 1;
+        self.requests.set(number);
+        number
+    }
+
+    /// Returns the number of requests in progress.
+    #[must_use]
+    pub fn running(&self) -> u64 {
+        self.running.get()
+    }
+
+    /// Counts a request as in progress until the returned guard is dropped.
+    pub fn begin(self: &Rc<Self>) -> Running {
+        self.running.set(self.running.get() + 1);
+        Running(Rc::clone(self))
+    }
+
+    /// Lets the next queued request try for an upstream.
+    pub fn wake_next(&self) {
+        let now = self.now();
+        loop {
+            let Some(waiter) = self.board.borrow_mut().queue.pop(now) else {
+                return;
+            };
+            // A waiter whose caller has left is passed over.
+            if waiter.send(Ok(())).is_ok() {
+                return;
+            }
+        }
+    }
+}
+
+/// A `Running` counts a request as in progress for as long as it lives.
+pub struct Running(Rc<Instance>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/router/src/peers.rs
@@ -0,0 +1,45 @@
+//! Calls to and from other instances.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use limpetsaddle_core::limits::GrantReply;
+use limpetsaddle_core::limits::GrantRequest;
+use limpetsaddle_core::membership::exchange::ExchangeReply;
+use limpetsaddle_core::membership::exchange::ExchangeRequest;
+use limpetsaddle_peer::PeerServer;
+use limpetsaddle_peer::PeerService;
+use limpetsaddle_peer::ServerOptions;
+use monoio::net::TcpListener;
+
+use crate::controllers::exchange;
+use crate::instance::Instance;
+use crate::metrics::Event;
+use crate::shutdown::Stopping;
+
+/// A `Service` answers other instances from the blackboard.
+struct Service(Rc<Instance>);
+
+impl PeerService for Service {
+    fn exchange(&self, request: ExchangeRequest) -> ExchangeReply {
+        exchange::answer(&self.0, request)
+    }
+
+    fn grant(&self, request: GrantRequest) -> GrantReply {
+        self.0.metrics.count(Event::GrantServed);
+        let now = self.0.now();
+        let mut board = self.0.board.borrow_mut();
+        board.ledger.on_grant_request(&request, now)
+    }
+}
+
+/// Serves other instances until the instance ends.
+pub fn serve(instance: &Rc<Instance>, listener: TcpListener, stopping: &Stopping) {
+    let service = Rc::new(Service(Rc::clone(instance)));
+    let server = PeerServer::start(listener, service, ServerOptions::default());
+    let stopping = stopping.clone();
+    monoio::spawn(async move {
+        stopping.closed().await;
+        drop(server);
+    });
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,272 @@
+//! Serving of callers' requests.
+//!
+//! Provides the loop over the requests of one connection and the dispatch to
+//! completions, plain services and the daemon's own documents.
+
+mod admission;
+mod attempt;
+mod claimed;
+mod completions;
+mod forward;
+mod placing;
+mod services;
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures::FutureExt as _;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use limpetsaddle_core::keys::authenticate;
+use limpetsaddle_core::keys::presented_key;
+use limpetsaddle_core::names::KeyId;
+use limpetsaddle_core::names::TeamName;
+use limpetsaddle_core::refusal::Reason;
+use limpetsaddle_core::refusal::Refusal;
+use limpetsaddle_http::Connection;
+use limpetsaddle_http::Error as HttpError;
+use limpetsaddle_http::Request;
+use serde::Serialize;
+
+use crate::answers;
+use crate::completion::Endpoint;
+use crate::instance::Instance;
+use crate::metrics::Event;
+
+/// The time that an open connection gets for one more request once the
+/// instance takes no new connections.
+const LAST_REQUEST: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// A `Caller` is who sent a request.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The team that the key belongs to.
+    pub team: TeamName,
+    /// The key.
+    pub key_id: KeyId,
+}
+
+/// An `Exchange` is one request with the connection that waits for its answer.
+pub struct Exchange<'a> {
+    /// The instance that serves.
+    pub instance: &'a Rc<Instance>,
+    /// The caller's connection.
+    pub conn: &'a mut Connection,
+    /// The request's id.
+    pub id: Rc<str>,
+    /// The caller's request.
+    pub req: Request,
+    /// Whether a part of the answer has been sent.
+    pub started: bool,
+}
+
+/// Serves the requests of one connection, one after the other.
+pub async fn serve_connection(instance: Rc<Instance>, mut conn: Connection) {
+    while let Some(req) = next_request(&instance, &mut conn).await {
+        let running = instance.begin();
+        let id = instance.next_request_id();
+        let exchange = Exchange {
+            instance: &instance,
+            conn: &mut conn,
+            id,
+            req,
+            started: false,
+        };
+        let open = answer(exchange).await;
+        drop(running);
+        if !open || !conn.keep_alive() || instance.draining.is_closed() {
+            return;
+        }
+    }
+}
+
+/// Returns the next request, or `None` when the connection is to be closed.
+async fn next_request(instance: &Rc<Instance>, conn: &mut Connection) -> Option<Request> {
+    let read = {
+        let mut next = std::pin::pin!(conn.next_request().fuse());
+        let mut drain = std::pin::pin!(instance.draining.closed().fuse());
+        futures::select_biased! {
+            read = next => Some(read),
+            () = drain => monoio::time::timeout(LAST_REQUEST, next).await.ok(),
+        }
+    };
+    let error = match read? {
+        Ok(req) => return req,
+        Err(error) => error,
+    };
+    let reason = match error {
+        HttpError::OversizedHead | HttpError::OversizedBody => Reason::TooLarge,
+        HttpError::Timeout { .. } => Reason::RequestTimeout,
+        HttpError::ClosedEarly { .. } | HttpError::Io { .. } => return None,
+        _ => Reason::BadRequest,
+    };
+    instance.metrics.request();
+    instance.metrics.refused(reason);
+    let id = instance.next_request_id();
+    // The connection is closed in any case, as its framing is not certain.
+    let _ = conn
+        .respond(answers::refusal(&Refusal::not_run(reason), &id))
+        .await;
+    None
+}
+
+/// Answers a request and returns whether the connection can go on.
+async fn answer(mut exchange: Exchange<'_>) -> bool {
+    let instance = Rc::clone(exchange.instance);
+    instance.metrics.request();
+    let outcome = dispatch(&mut exchange).await;
+    let Err(refusal) = outcome else {
+        return true;
+    };
+    instance.metrics.refused(refusal.reason);
+    if exchange.started {
+        instance.metrics.count(Event::StreamBroken);
+        return exchange.end_with_error(&refusal).await;
+    }
+    let res = answers::refusal(&refusal, &exchange.id);
+    exchange.conn.respond(res).await.is_ok()
+}
+
+async fn dispatch(exchange: &mut Exchange<'_>) -> Result<(), Refusal> {
+    let path = exchange.req.uri().path().to_owned();
+    let method = exchange.req.method().clone();
+    match path.as_str() {
+        "/healthz" => return exchange.document(&Health { status: "ok" }).await,
+        "/readyz" => return readiness(exchange).await,
+        _ => {}
+    }
+    if !exchange.instance.board.borrow().is_ready() {
+        let wait = std::time::Duration::from_secs(1);
+        return Err(Refusal::not_run(Reason::NotReady).retry_after(wait));
+    }
+    let endpoint = [Endpoint::Chat, Endpoint::Text]
+        .into_iter()
+        .find(|e| e.path() == path);
+    match endpoint {
+        Some(endpoint) if method == Method::POST => {
+            completions::serve(exchange, endpoint).await
+        }
+        Some(_) => Err(Refusal::not_run(Reason::MethodNotAllowed)),
+        None if path == "/v1/models" => models(exchange, &method).await,
+        None => services::serve(exchange, &path).await,
+    }
+}
+
+#[derive(Serialize)]
+struct Health {
+    status: &'static str,
+}
+
+async fn readiness(exchange: &mut Exchange<'_>) -> Result<(), Refusal> {
+    if exchange.instance.draining.is_closed() {
+        return Err(Refusal::not_run(Reason::Stopping));
+    }
+    if !exchange.instance.board.borrow().is_ready() {
+        return Err(Refusal::not_run(Reason::NotReady));
+    }
+    exchange.document(&Health { status: "ready" }).await
+}
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry {
+    id: String,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+async fn models(exchange: &mut Exchange<'_>, method: &Method) -> Result<(), Refusal> {
+    if method != Method::GET {
+        return Err(Refusal::not_run(Reason::MethodNotAllowed));
+    }
+    let caller = exchange.authenticate()?;
+    let list = {
+        let board = exchange.instance.board.borrow();
+        let team = board.store.team(&caller.team);
+        let permitted = |model: &&_| {
+            team.is_some_and(|t| t.models.is_empty() || t.models.contains(model))
+        };
+        let data = board.store.models().filter(permitted).map(|model| ModelEntry {
+            id: model.to_string(),
+            object: "model",
+            owned_by: "limpetsaddle",
+        });
+        ModelList {
+            object: "list",
+            data: data.collect(),
+        }
+    };
+    exchange.document(&list).await
+}
+
+impl Exchange<'_> {
+    /// Returns the caller whose key came with the request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request whose key is missing, unknown or withdrawn.
+    pub fn authenticate(&self) -> Result<Caller, Refusal> {
+        let key = self.key().map_err(Refusal::not_run)?;
+        let board = self.instance.board.borrow();
+        let (team, key_id) = authenticate(&board.store, key).map_err(Refusal::not_run)?;
+        Ok(Caller { team, key_id })
+    }
+
+    /// Returns the key that came with the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason when there is no single well-formed key.
+    pub fn key(&self) -> Result<&[u8], Reason> {
+        let headers = self.req.headers().iter();
+        presented_key(headers.map(|(name, value)| (name.as_str(), value.as_bytes())))
+    }
+
+    /// Answers with a JSON document.
+    async fn document<T: Serialize>(&mut self, value: &T) -> Result<(), Refusal> {
+        let res = answers::document(StatusCode::OK, answers::json(value));
+        self.respond(res).await;
+        Ok(())
+    }
+
+    /// Sends a whole answer. A caller that has left needs none.
+    pub async fn respond(&mut self, mut res: Response<Bytes>) {
+        if let Ok(id) = self.id.parse() {
+            res.headers_mut().insert(answers::REQUEST_ID_HEADER, id);
+        }
+        if self.conn.respond(res).await.is_err() {
+            self.instance.metrics.count(Event::CallerLeft);
+        }
+    }
+
+    /// Ends a started stream with an error event, so that it cannot be taken
+    /// for a complete one.
+    async fn end_with_error(&mut self, refusal: &Refusal) -> bool {
+        let body = answers::refusal_body(refusal, &self.id);
+        let mut event = Vec::with_capacity(body.len() + 16);
+        event.extend_from_slice(b"data: ");
+        event.extend_from_slice(&body);
+        event.extend_from_slice(b"\n\n");
+        self.conn.send(event.into()).await.is_ok() && self.conn.finish().await.is_ok()
+    }
+}
+
+/// Returns the path and query of a URI as they go to an upstream.
+fn path_and_query(uri: &Uri) -> String {
+    let path = uri.path();
+    let Some(query) = uri.query() else {
+        return path.to_owned();
+    };
+    let query = limpetsaddle_core::keys::strip_query(query);
+    if query.is_empty() {
+        return path.to_owned();
+    }
+    format!("{path}?{query}")
+}
--- /dev/null
+++ b/crates/router/src/serve/claimed.rs
@@ -0,0 +1,221 @@
+//! Non-idempotent requests with an idempotency key: at most one run.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::Response as HttpResponse;
+use http::StatusCode;
+use limpetsaddle_core::claims::AttemptId;
+use limpetsaddle_core::claims::ClaimName;
+use limpetsaddle_core::claims::ClaimOptions;
+use limpetsaddle_core::claims::ClaimRequest;
+use limpetsaddle_core::claims::Claiming;
+use limpetsaddle_core::claims::Finish;
+use limpetsaddle_core::claims::Held;
+use limpetsaddle_core::claims::Outcome;
+use limpetsaddle_core::claims::OutcomeHeader;
+use limpetsaddle_core::claims::SendOutcome;
+use limpetsaddle_core::claims::SettleStep;
+use limpetsaddle_core::claims::Settlement;
+use limpetsaddle_core::claims::Step;
+use limpetsaddle_core::claims::StoredBody;
+use limpetsaddle_core::claims::Verdict;
+use limpetsaddle_core::hash::Digest;
+use limpetsaddle_core::refusal::Ran;
+use limpetsaddle_core::refusal::Reason;
+use limpetsaddle_core::refusal::Refusal;
+use limpetsaddle_core::upstreams::End;
+
+use super::Caller;
+use super::Exchange;
+use super::forward;
+use super::services::ServiceCall;
+use super::services::finish;
+use crate::instance::Instance;
+
+/// The longest answer that is read for a claimed request, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// The header that marks an answer as the stored one of an earlier attempt.
+const REPLAYED_HEADER: &str = "idempotent-replayed";
+
+/// An `Answer` is a service's whole answer.
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Serves a request whose idempotency key lets it run at most once.
+///
+/// # Errors
+///
+/// Returns the refusal of a request that cannot be answered.
+pub(super) async fn serve(
+    exchange: &mut Exchange<'_>,
+    call: &mut ServiceCall,
+    key: &str,
+) -> Result<(), Refusal> {
+    let Some(caller) = call.caller.clone() else {
+        return Err(Refusal::not_run(Reason::MissingKey));
+    };
+    let instance = Rc::clone(exchange.instance);
+    let request = claim_request(exchange, &caller, key);
+    let claimed = claim(&instance, request).await;
+    let (finish, answer) = match claimed {
+        Ok(held) => send(exchange, call, held).await,
+        Err(finish) => (finish, None),
+    };
+    if let Some(settlement) = finish.settlement {
+        monoio::spawn(settle(Rc::clone(&instance), settlement));
+    }
+    match (finish.verdict, answer) {
+        (Verdict::Forward, Some(answer)) => {
+            respond(exchange, answer).await;
+            Ok(())
+        }
+        (Verdict::Forward, None) => Err(Refusal::unknown(Reason::UpstreamFailed)),
+        (Verdict::Replay(outcome), _) => replay(exchange, &outcome).await,
+        (Verdict::Refuse(refusal), _) => Err(refusal),
+    }
+}
+
+fn claim_request(exchange: &Exchange<'_>, caller: &Caller, key: &str) -> ClaimRequest {
+    let req = &exchange.req;
+    let mut content = Vec::new();
+    content.extend_from_slice(req.method().as_str().as_bytes());
+    content.push(b'\n');
+    content.extend_from_slice(super::path_and_query(req.uri()).as_bytes());
+    content.push(b'\n');
+    content.extend_from_slice(req.body());
+    ClaimRequest {
+        name: ClaimName::new(&caller.team, key),
+        digest: Digest::of(&content),
+        attempt: AttemptId {
+            incarnation: exchange.instance.incarnation(),
+            number: exchange.instance.next_number(),
+        },
+    }
+}
+
+/// Obtains the claim, or the end of the attempt without sending.
+async fn claim(instance: &Rc<Instance>, request: ClaimRequest) -> Result<Held, Finish> {
+    let options = ClaimOptions::default();
+    let (mut claiming, mut write) = Claiming::start(request, options, instance.now());
+    loop {
+        let answer = instance.platform.write_claim(&write).await;
+        match claiming.on_write(answer, instance.now()) {
+            Step::Write(next, next_write) => {
+                claiming = next;
+                write = next_write;
+            }
+            Step::Send(held) => return Ok(held),
+            Step::Finish(finish) => return Err(finish),
+        }
+    }
+}
+
+async fn send(
+    exchange: &Exchange<'_>,
+    call: &mut ServiceCall,
+    held: Held,
+) -> (Finish, Option<Answer>) {
+    let instance = exchange.instance;
+    let sending = match held.begin(instance.now()) {
+        Ok(sending) => sending,
+        Err(finish) => return (finish, None),
+    };
+    let sent = run(exchange, call).await;
+    let now = instance.now();
+    match sent {
+        Ok(answer) => {
+            let outcome = SendOutcome::Answered(stored(&answer));
+            (sending.finish(outcome, now), Some(answer))
+        }
+        Err(refusal) => {
+            let outcome = match refusal.ran {
+                Ran::NotRun => SendOutcome::NotRun(refusal.reason),
+                Ran::Unknown => SendOutcome::Unknown(refusal.reason),
+            };
+            (sending.finish(outcome, now), None)
+        }
+    }
+}
+
+/// Sends the request and reads the whole answer.
+async fn run(exchange: &Exchange<'_>, call: &mut ServiceCall) -> Result<Answer, Refusal> {
+    let (res, placement) = call.send(exchange).await?;
+    let status = res.head.status;
+    let headers = forward::end_to_end(&res.head.headers);
+    let body = res.collect(MAX_ANSWER_BYTES).await;
+    finish(exchange.instance, placement, End::Answered);
+    let body = body.map_err(|_| Refusal::unknown(Reason::UpstreamFailed))?;
+    Ok(Answer {
+        status,
+        headers,
+        body,
+    })
+}
+
+fn stored(answer: &Answer) -> Outcome {
+    let headers = answer.headers.iter().filter_map(|(name, value)| {
+        Some(OutcomeHeader {
+            name: name.as_str().into(),
+            value: value.to_str().ok()?.into(),
+        })
+    });
+    Outcome {
+        status: answer.status.as_u16(),
+        headers: headers.collect(),
+        body: StoredBody::of(&answer.body),
+    }
+}
+
+async fn respond(exchange: &mut Exchange<'_>, answer: Answer) {
+    let mut res = HttpResponse::new(answer.body);
+    *res.status_mut() = answer.status;
+    *res.headers_mut() = answer.headers;
+    exchange.respond(res).await;
+}
+
+/// Answers with the stored answer of an earlier attempt.
+async fn replay(exchange: &mut Exchange<'_>, outcome: &Outcome) -> Result<(), Refusal> {
+    let StoredBody::Text(body) = &outcome.body else {
+        // The request has run, but its answer was too large to be kept.
+        return Err(Refusal::unknown(Reason::IdempotencyConflict));
+    };
+    let mut res = HttpResponse::new(Bytes::copy_from_slice(body.as_bytes()));
+    if let Ok(status) = StatusCode::from_u16(outcome.status) {
+        *res.status_mut() = status;
+    }
+    let headers = res.headers_mut();
+    for header in &outcome.headers {
+        if let Ok(name) = HeaderName::from_bytes(header.name.as_bytes()) {
+            forward::set_header(headers, name, &header.value);
+        }
+    }
+    let replayed = HeaderName::from_static(REPLAYED_HEADER);
+    forward::set_header(headers, replayed, "true");
+    exchange.respond(res).await;
+    Ok(())
+}
+
+/// Records the end of an attempt, for as long as the platform does not answer.
+/// The instance counts it as a request in progress, so that a stop waits.
+async fn settle(instance: Rc<Instance>, settlement: Box<Settlement>) {
+    let _running = instance.begin();
+    let mut settlement = settlement;
+    loop {
+        let write = settlement.write();
+        let answer = instance.platform.write_claim(&write).await;
+        match settlement.on_write(answer, instance.now()) {
+            SettleStep::Settled | SettleStep::GaveUp => return,
+            SettleStep::Retry(next, pause) => {
+                settlement = next;
+                monoio::time::sleep(pause).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve/completions.rs
@@ -0,0 +1,290 @@
+//! Completions: from admission over all attempts to settlement.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use limpetsaddle_core::blackboard::Placement;
+use limpetsaddle_core::blackboard::Wanted;
+use limpetsaddle_core::config::PoolKind;
+use limpetsaddle_core::names::PoolName;
+use limpetsaddle_core::placement::CacheScope;
+use limpetsaddle_core::placement::PrefixChain;
+use limpetsaddle_core::refusal::Ran;
+use limpetsaddle_core::refusal::Reason;
+use limpetsaddle_core::refusal::Refusal;
+use limpetsaddle_core::retry::Attempts;
+use limpetsaddle_core::retry::Failure;
+use limpetsaddle_core::retry::RetryDecision;
+use limpetsaddle_core::stream::Progress;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_core::units::Tokens;
+use limpetsaddle_core::units::WeightsVersion;
+use limpetsaddle_core::upstreams::UpstreamId;
+
+use super::Caller;
+use super::Exchange;
+use super::admission;
+use super::attempt::Ended;
+use super::placing;
+use crate::answers;
+use crate::completion::Assembly;
+use crate::completion::Completion;
+use crate::completion::Endpoint;
+use crate::instance::Instance;
+use crate::metrics::Event;
+
+/// The time after its arrival until which a request may start another attempt.
+const ATTEMPTS_DEADLINE: Duration = Duration::from_secs(60);
+
+/// An `EnginePool` is the pool that answers for a model.
+#[derive(Clone, Debug)]
+struct EnginePool {
+    name: PoolName,
+    weights: WeightsVersion,
+    block: Tokens,
+}
+
+/// A `Job` is one completion on its way through its attempts.
+pub(super) struct Job {
+    pub(super) caller: Caller,
+    pub(super) completion: Completion,
+    pub(super) pool: PoolName,
+    pub(super) scope: CacheScope,
+    pub(super) chain: PrefixChain,
+    pub(super) progress: Progress,
+    pub(super) assembly: Assembly,
+    pub(super) arrived: Time,
+    pub(super) last_token: Option<Time>,
+    block: Tokens,
+}
+
+/// Serves a request for a completion.
+///
+/// # Errors
+///
+/// Returns the refusal of a request that cannot be answered.
+pub(super) async fn serve(
+    exchange: &mut Exchange<'_>,
+    endpoint: Endpoint,
+) -> Result<(), Refusal> {
+    let instance = Rc::clone(exchange.instance);
+    let caller = exchange.authenticate()?;
+    super::forward::check_for_key(exchange)?;
+    let default_answer = instance.settings.default_answer;
+    let completion = Completion::parse(endpoint, exchange.req.body(), default_answer)
+        .map_err(Refusal::not_run)?;
+    let pool = engine_pool(&instance, &caller, &completion).map_err(Refusal::not_run)?;
+    let cost = completion.prompt_tokens() + completion.max_answer;
+    let reservation = admission::reserve(&instance, &caller.team, cost).await?;
+    let mut job = Job::new(exchange, caller, completion, pool);
+    let mut attempts = Attempts::new(true, job.arrived + ATTEMPTS_DEADLINE);
+    let outcome = job.run(exchange, &mut attempts).await;
+    let used = job.used(attempts.ran());
+    admission::settle(&instance, reservation, used);
+    job.charge(&instance, used);
+    outcome
+}
+
+fn engine_pool(
+    instance: &Instance,
+    caller: &Caller,
+    completion: &Completion,
+) -> Result<EnginePool, Reason> {
+    let board = instance.board.borrow();
+    let (name, spec) = board
+        .pool_for(&completion.model)
+        .ok_or(Reason::UnknownModel)?;
+    let team = board.store.team(&caller.team).ok_or(Reason::UnknownKey)?;
+    if !team.models.is_empty() && !team.models.contains(&completion.model) {
+        return Err(Reason::Forbidden);
+    }
+    match &spec.kind {
+        PoolKind::Engine { weights, block, .. } => Ok(EnginePool {
+            name: name.clone(),
+            weights: *weights,
+            block: *block,
+        }),
+        PoolKind::KvStore | PoolKind::Service => Err(Reason::UnknownModel),
+    }
+}
+
+impl Job {
+    fn new(
+        exchange: &Exchange<'_>,
+        caller: Caller,
+        completion: Completion,
+        pool: EnginePool,
+    ) -> Self {
+        let scope = CacheScope {
+            team: caller.team.clone(),
+            model: completion.model.clone(),
+            weights: pool.weights,
+        };
+        Self {
+            chain: PrefixChain::new(scope.salt(), &completion.prompt, pool.block),
+            progress: Progress::new((&*exchange.id).into()),
+            assembly: Assembly::default(),
+            arrived: exchange.instance.now(),
+            last_token: None,
+            pool: pool.name,
+            block: pool.block,
+            caller,
+            completion,
+            scope,
+        }
+    }
+
+    /// Makes attempts until the answer is complete or given up.
+    async fn run(
+        &mut self,
+        exchange: &mut Exchange<'_>,
+        attempts: &mut Attempts,
+    ) -> Result<(), Refusal> {
+        let instance = Rc::clone(exchange.instance);
+        let mut failed: Vec<UpstreamId> = Vec::new();
+        self.deposit(&instance);
+        loop {
+            let placed = self.place(&instance, &failed).await;
+            let placement = placed.map_err(|refusal| after_attempts(refusal, attempts))?;
+            let upstream = placement.choice.upstream;
+            let ended = self.attempt(exchange, placement).await;
+            instance.wake_next();
+            let failure = match ended {
+                Ended::Complete => return self.finish(exchange).await,
+                Ended::CallerLeft => {
+                    instance.metrics.count(Event::CallerLeft);
+                    return Ok(());
+                }
+                Ended::Refused(refusal) => return Err(refusal),
+                Ended::Failed(failure) => failure,
+            };
+            failed.push(upstream);
+            self.delay(&instance, attempts, failure).await?;
+        }
+    }
+
+    fn deposit(&self, instance: &Instance) {
+        let mut board = instance.board.borrow_mut();
+        let percent = board.policy().retry_percent;
+        board.budget.deposit(percent);
+    }
+
+    /// Waits before the next attempt, or gives up.
+    async fn delay(
+        &self,
+        instance: &Rc<Instance>,
+        attempts: &mut Attempts,
+        failure: Failure,
+    ) -> Result<(), Refusal> {
+        let decision = decide(instance, attempts, failure);
+        match decision {
+            RetryDecision::GiveUp(refusal) => Err(refusal),
+            RetryDecision::Retry { after, reason } => {
+                instance.metrics.retried(reason);
+                if self.progress.forwarded() > 0 {
+                    instance.metrics.count(Event::StreamResumed);
+                }
+                monoio::time::sleep(after).await;
+                Ok(())
+            }
+        }
+    }
+
+    /// Finds an upstream with the configured weights or, where no engine holds
+    /// them yet, with others. Tokens of two versions are never mixed.
+    async fn place(
+        &mut self,
+        instance: &Rc<Instance>,
+        failed: &[UpstreamId],
+    ) -> Result<Placement, Refusal> {
+        let versions = match self.progress.forwarded() {
+            0 => instance
+                .board
+                .borrow()
+                .weights_in_use(&self.pool, self.scope.weights),
+            _ => vec![self.scope.weights],
+        };
+        let mut refusal = Refusal::not_run(Reason::NoUpstream);
+        for weights in versions {
+            self.set_weights(weights);
+            let wanted = Wanted {
+                pool: &self.pool,
+                chain: &self.chain,
+                weights: Some(weights),
+                exclude: failed,
+            };
+            match placing::place(instance, Some(&self.caller.team), &wanted).await {
+                Ok(placement) => return Ok(placement),
+                Err(other) => refusal = other,
+            }
+            if refusal.reason != Reason::NoUpstream {
+                break;
+            }
+        }
+        Err(refusal)
+    }
+
+    fn set_weights(&mut self, weights: WeightsVersion) {
+        if self.scope.weights == weights {
+            return;
+        }
+        self.scope.weights = weights;
+        let salt = self.scope.salt();
+        self.chain = PrefixChain::new(salt, &self.completion.prompt, self.block);
+    }
+
+    /// Ends the answer towards the caller.
+    async fn finish(&self, exchange: &mut Exchange<'_>) -> Result<(), Refusal> {
+        if !self.completion.stream {
+            let body = self.assembly.document(&self.completion, &exchange.id);
+            let res = answers::document(http::StatusCode::OK, body);
+            exchange.respond(res).await;
+            return Ok(());
+        }
+        let sent = exchange.conn.send("data: [DONE]\n\n".into()).await;
+        if sent.is_err() || exchange.conn.finish().await.is_err() {
+            exchange.instance.metrics.count(Event::CallerLeft);
+        }
+        Ok(())
+    }
+
+    /// Returns the tokens that the team is charged.
+    fn used(&self, ran: Ran) -> Tokens {
+        if let Some(usage) = self.assembly.usage() {
+            return Tokens(usage.prompt_tokens + usage.completion_tokens);
+        }
+        if ran == Ran::NotRun && self.progress.forwarded() == 0 && self.last_token.is_none() {
+            return Tokens::ZERO;
+        }
+        self.completion.prompt_tokens() + Tokens(self.progress.forwarded())
+    }
+
+    fn charge(&self, instance: &Instance, used: Tokens) {
+        let now = instance.now();
+        let mut board = instance.board.borrow_mut();
+        let team = &self.caller.team;
+        let weight = board.store.team(team).map_or(1, |t| t.weight);
+        board.usage.charge(team, weight, used, now);
+    }
+}
+
+/// Returns what follows a failed attempt.
+pub(super) fn decide(
+    instance: &Instance,
+    attempts: &mut Attempts,
+    failure: Failure,
+) -> RetryDecision {
+    let now = instance.now();
+    let random = instance.random.draw();
+    let mut board = instance.board.borrow_mut();
+    let policy = board.policy().clone();
+    attempts.failed(failure, &mut board.budget, &policy, now, random)
+}
+
+/// Returns a refusal that is true for the attempts before it as well.
+pub(super) fn after_attempts(mut refusal: Refusal, attempts: &Attempts) -> Refusal {
+    if attempts.ran() == Ran::Unknown {
+        refusal.ran = Ran::Unknown;
+    }
+    refusal
+}
--- /dev/null
+++ b/crates/router/src/serve/placing.rs
@@ -0,0 +1,80 @@
+//! Choice of an upstream, with a wait in the queue where all are full.
+
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+use limpetsaddle_core::blackboard::Placement;
+use limpetsaddle_core::blackboard::Wanted;
+use limpetsaddle_core::fair_queue::Pushed;
+use limpetsaddle_core::names::TeamName;
+use limpetsaddle_core::placement::Unplaced;
+use limpetsaddle_core::refusal::Reason;
+use limpetsaddle_core::refusal::Refusal;
+use limpetsaddle_core::units::Tokens;
+
+use crate::instance::Instance;
+
+/// The wait that a caller is told where no upstream is there at all.
+const NO_UPSTREAM_WAIT: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Finds an upstream, waiting in the queue while all are full.
+///
+/// A request without a team, on an open route, does not wait.
+///
+/// # Errors
+///
+/// Refuses the request when no upstream can take it or the queue is full.
+pub async fn place(
+    instance: &Rc<Instance>,
+    team: Option<&TeamName>,
+    wanted: &Wanted<'_>,
+) -> Result<Placement, Refusal> {
+    loop {
+        let now = instance.now();
+        let random = instance.random.draw();
+        let placed = instance.board.borrow_mut().place(wanted, now, random);
+        match placed {
+            Ok(placement) => return Ok(placement),
+            Err(Unplaced::AllFull) => wait(instance, team, wanted).await?,
+            Err(unplaced @ Unplaced::NoUpstream) => {
+                return Err(unplaced.refusal().retry_after(NO_UPSTREAM_WAIT));
+            }
+        }
+    }
+}
+
+async fn wait(
+    instance: &Rc<Instance>,
+    team: Option<&TeamName>,
+    wanted: &Wanted<'_>,
+) -> Result<(), Refusal> {
+    let turn = enqueue(instance, team, wanted)?;
+    // The sender is dropped only when the queue is, at the end of the process.
+    turn.await
+        .unwrap_or(Err(Refusal::not_run(Reason::Stopping)))
+}
+
+fn enqueue(
+    instance: &Rc<Instance>,
+    team: Option<&TeamName>,
+    wanted: &Wanted<'_>,
+) -> Result<oneshot::Receiver<Result<(), Refusal>>, Refusal> {
+    let now = instance.now();
+    let (tx, rx) = oneshot::channel();
+    let mut board = instance.board.borrow_mut();
+    let policy = board.policy().clone();
+    let Some(team) = team else {
+        return Err(Unplaced::AllFull.refusal().retry_after(policy.max_wait));
+    };
+    let weight = board.store.team(team).map_or(1, |t| t.weight);
+    let cost = wanted.chain.prompt().max(Tokens(1));
+    match board.queue.push(team, weight, cost, tx, &policy, now) {
+        Ok(Pushed::Queued) => Ok(rx),
+        Ok(Pushed::Displaced(rejected)) => {
+            // The displaced request gets its final answer at once.
+            let _ = rejected.item.send(Err(rejected.refusal));
+            Ok(rx)
+        }
+        Err(rejected) => Err(rejected.refusal),
+    }
+}
