--- /dev/null
+++ b/crates/http/src/framing.rs
@@ -0,0 +1,136 @@
+//! The length of a message's body, as its head declares it.
+
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use http::Version;
+use http::header;
+use http::header::HeaderName;
+
+use crate::error::Error;
+use crate::error::Result;
+
+/// The largest number of digits of a content length.
+const MAX_LENGTH_DIGITS: usize = 18;
+
+/// The fields that concern one connection and are never passed on.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A `Length` tells where a body ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Length {
+    /// The body has this many bytes.
+    Fixed(u64),
+    /// The body comes in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// Returns the length of a request's body.
+pub fn request_length(headers: &HeaderMap, version: Version) -> Result<Length> {
+    Ok(declared(headers, version)?.unwrap_or(Length::Fixed(0)))
+}
+
+/// Returns the length of the body that answers a request made with `method`.
+pub fn response_length(
+    headers: &HeaderMap,
+    version: Version,
+    status: StatusCode,
+    method: &Method,
+) -> Result<Length> {
+    let length = declared(headers, version)?;
+    if method == Method::HEAD || has_no_body(status) {
+        return Ok(Length::Fixed(0));
+    }
+    Ok(length.unwrap_or(Length::UntilClose))
+}
+
+/// Returns whether answers with `status` never have a body.
+pub fn has_no_body(status: StatusCode) -> bool {
+    status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+}
+
+/// Returns whether the head asks to close the connection after the exchange.
+pub fn asks_to_close(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .any(|value| has_token(value.as_bytes(), b"close"))
+}
+
+/// Removes the fields that concern only the connection on which they came.
+///
+/// ```
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("connection", "x-trace".parse().unwrap());
+/// headers.insert("x-trace", "1".parse().unwrap());
+/// headers.insert("accept", "*/*".parse().unwrap());
+/// limpetsaddle_http::remove_hop_by_hop(&mut headers);
+/// assert_eq!(headers.len(), 1);
+/// ```
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .flat_map(|value| value.as_bytes().split(|b| *b == b','))
+        .filter_map(|token| HeaderName::from_bytes(token.trim_ascii()).ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+fn declared(headers: &HeaderMap, version: Version) -> Result<Option<Length>> {
+    let codings: Vec<_> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let length = lengths.next();
+    if !codings.is_empty() && length.is_some() {
+        return Err(Error::ConflictingLengths);
+    }
+    if lengths.next().is_some() {
+        return Err(Error::RepeatedLength);
+    }
+    match (codings.as_slice(), length) {
+        ([], None) => Ok(None),
+        ([], Some(length)) => content_length(length.as_bytes()).map(Some),
+        ([coding], _) if is_chunked(coding.as_bytes()) && version == Version::HTTP_11 => {
+            Ok(Some(Length::Chunked))
+        }
+        _ => Err(Error::UnknownTransferCoding),
+    }
+}
+
+fn content_length(text: &[u8]) -> Result<Length> {
+    let digits = text.iter().all(u8::is_ascii_digit);
+    if !digits || text.is_empty() || text.len() > MAX_LENGTH_DIGITS {
+        return Err(Error::InvalidLength);
+    }
+    let value = text
+        .iter()
+        .fold(0, |sum, digit| sum * 10 + u64::from(digit - b'0'));
+    Ok(Length::Fixed(value))
+}
+
+fn is_chunked(coding: &[u8]) -> bool {
+    coding.eq_ignore_ascii_case(b"chunked")
+}
+
+fn has_token(value: &[u8], token: &[u8]) -> bool {
+    value
+        .split(|b| *b == b',')
+        .any(|part| part.trim_ascii().eq_ignore_ascii_case(token))
+}
--- /dev/null
+++ b/crates/http/tests/support/mod.rs
@@ -0,0 +1,106 @@
+//! A server on a thread of its own, and raw clients that talk to it.
+
+use std::future::Future;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use limpetsaddle_http::Connection;
+use limpetsaddle_http::ServerOptions;
+use limpetsaddle_http::serve;
+
+/// The longest wait for anything that has to happen, far above what it takes.
+pub const DEADLINE: Duration = Duration::from_secs(30);
+
+/// Runs `work` on a runtime of its own.
+pub fn block_on<T>(work: impl Future<Output = T>) -> T {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime can be built")
+        .block_on(work)
+}
+
+pub fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    (listener, address)
+}
+
+/// A server that runs until it is dropped.
+pub struct Server {
+    pub address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    pub fn start<F, R>(options: ServerOptions, handler: F) -> Self
+    where
+        F: Fn(Connection) -> R + Send + 'static,
+        R: Future<Output = ()> + 'static,
+    {
+        let (listener, address) = listen();
+        let (stop, shutdown) = oneshot::channel();
+        let thread = thread::spawn(move || {
+            block_on(async {
+                listener.set_nonblocking(true).unwrap();
+                let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+                serve(listener, options, shutdown, handler).await;
+            });
+        });
+        Self {
+            address,
+            stop: Some(stop),
+            thread: Some(thread),
+        }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("the server accepts");
+        stream.set_read_timeout(Some(DEADLINE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Sends `bytes` and returns all that comes back until the server closes.
+pub fn exchange(server: &Server, bytes: &[u8]) -> String {
+    let mut stream = server.connect();
+    stream.write_all(bytes).expect("the server takes the bytes");
+    read_to_end(&mut stream)
+}
+
+pub fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).expect("the server closes");
+    String::from_utf8(bytes).expect("the answers are text")
+}
+
+/// Reads until what came ends with `end`, and returns it.
+pub fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    while !text.ends_with(end) {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("the server sends more");
+        text.push(char::from(byte[0]));
+    }
+    text
+}
