--- a/crates/core/tests/limits_ledger.rs
+++ b/crates/core/tests/limits_ledger.rs
@@ -304,3 +304,24 @@
     assert_eq!(available(&mut owner, now), HOME_BURST);
     assert_eq!(available(&mut asker, now), 0);
 }
+
+/// A refund may only bring back what its own reservation drew from a grant.
+#[test]
+fn verify_lapsed_refund_of_a_grant() {
+    let (mut owner, mut asker) = (full_owner(), ledger(1, 20, Time::ZERO));
+    let start = at(FULL_MS);
+    let req = ask(&mut asker, 400, start);
+    let answer = owner.on_grant_request(&req, start);
+    asker.on_grant_reply(&answer, start);
+    let first = admit(&mut asker, 200, start).unwrap();
+    deliver(&mut owner, &asker.tick(start), start);
+    let now = at(FULL_MS + 900);
+    assert_eq!(available(&mut owner, now), HOME_BURST - 301);
+    let second = admit(&mut asker, 200, now).unwrap();
+    deliver(&mut owner, &asker.tick(now), now);
+    asker.settle(first, Tokens::ZERO, now);
+    asker.settle(second, Tokens(200), now);
+    assert_eq!(available(&mut asker, now), 101);
+    deliver(&mut owner, &asker.tick(now), now);
+    assert_eq!(available(&mut owner, now), HOME_BURST - 301);
+}
