--- /dev/null
+++ b/crates/core/examples/limits_compare.rs
@@ -0,0 +1,607 @@
+//! Compares ways to hold teams' limits on one skewed workload in virtual time.
+//!
+//! Prints refusals inside the rate, the largest excess over the bound, and the
+//! calls that each way makes; then the cost of the ledger at several sizes.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
+
+use getopts::Options;
+use limpetsaddle_core::config::Allotment;
+use limpetsaddle_core::config::DomainSpec;
+use limpetsaddle_core::config::SlotOwner;
+use limpetsaddle_core::config::SlotTable;
+use limpetsaddle_core::config::TeamSpec;
+use limpetsaddle_core::hash::mix;
+use limpetsaddle_core::limits::Account;
+use limpetsaddle_core::limits::Ledger;
+use limpetsaddle_core::limits::LimitsOptions;
+use limpetsaddle_core::limits::MilliRate;
+use limpetsaddle_core::limits::Outgoing;
+use limpetsaddle_core::limits::PartKey;
+use limpetsaddle_core::limits::Reservation;
+use limpetsaddle_core::limits::Reserve;
+use limpetsaddle_core::limits::Round;
+use limpetsaddle_core::names::DomainName;
+use limpetsaddle_core::names::InstanceName;
+use limpetsaddle_core::names::TeamName;
+use limpetsaddle_core::units::FencingNumber;
+use limpetsaddle_core::units::Incarnation;
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_core::units::TokenRate;
+use limpetsaddle_core::units::Tokens;
+
+/// The part of its rate that an ordinary team asks for, in percent.
+const ORDINARY_LOAD: u64 = 70;
+/// The part of its rate that the team beyond its rate asks for, in percent.
+const NOISY_LOAD: u64 = 400;
+/// The team beyond its rate.
+const NOISY: usize = 1;
+/// The mean of a request's reservation.
+const MEAN_TOKENS: u64 = 600;
+const TICK: Duration = Duration::from_secs(1);
+/// The time before the figures are taken, in which all ways fill up.
+const WARM_UP: Duration = Duration::from_secs(30);
+const OUTAGE: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Copy, Debug)]
+struct Setup {
+    domains: usize,
+    instances: usize,
+    teams: usize,
+    homes: usize,
+    seconds: u64,
+    seed: u64,
+    faults: bool,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    Ledger,
+    EqualShares,
+    HomeInstance,
+    PlatformCounter,
+    OneBucket,
+}
+
+impl Way {
+    const ALL: [Self; 5] = [
+        Self::Ledger,
+        Self::EqualShares,
+        Self::HomeInstance,
+        Self::PlatformCounter,
+        Self::OneBucket,
+    ];
+
+    const fn title(self) -> &'static str {
+        match self {
+            Self::Ledger => "slots and grants",
+            Self::EqualShares => "equal shares",
+            Self::HomeInstance => "home instance",
+            Self::PlatformCounter => "platform counter",
+            Self::OneBucket => "one ideal bucket",
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    requests: u64,
+    inside: u64,
+    refused_inside: u64,
+    noisy_used: u64,
+    noisy_rate: u64,
+    peer_calls: u64,
+    platform_calls: u64,
+    excess: u64,
+}
+
+#[derive(Debug)]
+enum Held {
+    Ledger(Reservation),
+    Bucket(usize),
+}
+
+struct Open {
+    instance: usize,
+    team: usize,
+    held: Held,
+    amount: u64,
+    used: u64,
+    key: u64,
+}
+
+struct Random(u64, u64);
+
+impl Random {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.1 += 1;
+        mix(self.0 ^ mix(self.1)) % limit.max(1)
+    }
+}
+
+/// The rate of every team but the first.
+const SMALL_RATE: u64 = 2_000;
+
+/// Returns a team's rate; the first team has as much as all others together.
+fn team_rate(setup: &Setup, team: usize) -> u64 {
+    if team == 0 {
+        return SMALL_RATE * (setup.teams as u64 - 1).max(1);
+    }
+    SMALL_RATE
+}
+
+fn domain_name(index: usize) -> DomainName {
+    format!("domain-{index}").parse().expect("a valid name")
+}
+
+fn instance_name(index: usize) -> InstanceName {
+    format!("entry-{index}").parse().expect("a valid name")
+}
+
+fn team_name(index: usize) -> TeamName {
+    format!("team-{index}").parse().expect("a valid name")
+}
+
+/// Divides the first team's limits among all failure domains, and each other
+/// team's among the few that a hash of its number picks.
+fn team_spec(setup: &Setup, team: usize) -> TeamSpec {
+    let large = team == 0;
+    let count = if large { setup.domains } else { setup.homes };
+    let first = usize::try_from(mix(team as u64) % setup.domains as u64).unwrap_or(0);
+    let allotment = |d| Allotment {
+        domain: domain_name((first + d) % setup.domains),
+        parts: u16::try_from(1_000 / count).unwrap_or(1),
+        spread: if large { 3 } else { 1 },
+    };
+    TeamSpec {
+        rate: TokenRate(team_rate(setup, team)),
+        burst: Tokens(team_rate(setup, team) * 5),
+        weight: 1,
+        models: Vec::new(),
+        allotments: (0..count).map(allotment).collect(),
+        keys: Vec::new(),
+    }
+}
+
+fn new_ledger(setup: &Setup, index: usize, incarnation: u64, now: Time) -> Ledger {
+    let home = domain_name(index % setup.domains);
+    let options = LimitsOptions::default();
+    let mut ledger = Ledger::new(
+        instance_name(index),
+        Incarnation(incarnation),
+        home,
+        options,
+    );
+    for d in 0..setup.domains {
+        let owners = (0..setup.instances).filter(|i| i % setup.domains == d);
+        let owner = |i| {
+            Some(SlotOwner {
+                instance: instance_name(i),
+                incarnation: Incarnation(1),
+                epoch: FencingNumber(1),
+            })
+        };
+        let owners: Vec<_> = owners.map(owner).collect();
+        let spec = DomainSpec {
+            region: domain_name(0),
+            slots: u16::try_from(owners.len()).unwrap_or(u16::MAX),
+        };
+        ledger.set_domain(&domain_name(d), Some(&spec), now);
+        ledger.set_slots(&domain_name(d), Revision(1), &SlotTable { owners }, now);
+    }
+    for team in 0..setup.teams {
+        let spec = team_spec(setup, team);
+        ledger.set_team(&team_name(team), Some(&spec), now);
+    }
+    ledger
+}
+
+struct Run {
+    setup: Setup,
+    way: Way,
+    now: Time,
+    ledgers: Vec<Ledger>,
+    indices: BTreeMap<InstanceName, usize>,
+    names: Vec<TeamName>,
+    buckets: BTreeMap<(usize, usize), Account>,
+    open: BTreeMap<(Time, u64), Open>,
+    checks: Vec<(i128, Time)>,
+    out: Outcome,
+    next_key: u64,
+}
+
+impl Run {
+    fn new(setup: Setup, way: Way) -> Self {
+        let count = if way == Way::Ledger {
+            setup.instances
+        } else {
+            0
+        };
+        let now = Time::ZERO;
+        Self {
+            setup,
+            way,
+            now,
+            ledgers: (0..count).map(|i| new_ledger(&setup, i, 1, now)).collect(),
+            indices: (0..setup.instances)
+                .map(|i| (instance_name(i), i))
+                .collect(),
+            names: (0..setup.teams).map(team_name).collect(),
+            buckets: BTreeMap::new(),
+            open: BTreeMap::new(),
+            checks: vec![(i128::MAX / 2, Time::ZERO); setup.teams],
+            out: Outcome::default(),
+            next_key: 0,
+        }
+    }
+
+    fn is_counted(&self) -> bool {
+        self.now.from_start() >= WARM_UP
+    }
+
+    fn count_peer_calls(&mut self, calls: u64) {
+        self.out.peer_calls += calls * u64::from(self.is_counted());
+    }
+
+    fn fault(&self, part: u64) -> bool {
+        let start = Duration::from_secs(self.setup.seconds * part / 4);
+        let elapsed = self.now.from_start();
+        self.setup.faults && elapsed >= start && elapsed < start + OUTAGE
+    }
+
+    /// Returns whether two instances are cut from each other.
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        let (a, b) = (a % self.setup.domains, b % self.setup.domains);
+        a != b && (a == 0 || b == 0) && self.fault(2)
+    }
+
+    fn send(&mut self, from: usize, out: &Outgoing) {
+        let Some(to) = self.indices.get(&out.to).copied() else {
+            return;
+        };
+        self.count_peer_calls(1);
+        if !self.is_cut(from, to) {
+            let reply = self.ledgers[to].on_grant_request(&out.request, self.now);
+            self.ledgers[from].on_grant_reply(&reply, self.now);
+        }
+    }
+
+    fn beat(&mut self) {
+        for index in 0..self.ledgers.len() {
+            self.ledgers[index].on_contact(self.now);
+            for out in self.ledgers[index].tick(self.now) {
+                self.send(index, &out);
+            }
+        }
+    }
+
+    fn reserve(&mut self, instance: usize, team: usize, amount: u64) -> Option<Held> {
+        match self.way {
+            Way::Ledger => self.reserve_in_ledger(instance, team, amount),
+            Way::EqualShares => self.reserve_in(instance, team, amount, self.setup.instances),
+            Way::OneBucket => self.reserve_in(0, team, amount, 1),
+            Way::HomeInstance => {
+                let home = usize::try_from(mix(team as u64)).unwrap_or(0) % self.setup.instances;
+                if home != instance {
+                    self.count_peer_calls(2);
+                }
+                if self.is_cut(home, instance) {
+                    return None;
+                }
+                self.reserve_in(home, team, amount, 1)
+            }
+            Way::PlatformCounter => {
+                self.out.platform_calls += 2 * u64::from(self.is_counted());
+                let cut = instance.is_multiple_of(self.setup.domains) && self.fault(2);
+                if cut || self.fault(3) {
+                    return None;
+                }
+                self.reserve_in(0, team, amount, 1)
+            }
+        }
+    }
+
+    fn reserve_in_ledger(&mut self, instance: usize, team: usize, amount: u64) -> Option<Held> {
+        let name = self.names[team].clone();
+        let mut round = Round::Home;
+        loop {
+            let ledger = &mut self.ledgers[instance];
+            match ledger.reserve(&name, Tokens(amount), round, self.now) {
+                Reserve::Admitted(held) => return Some(Held::Ledger(held)),
+                Reserve::Refused(_) => return None,
+                Reserve::Ask(asks) => {
+                    for out in &asks {
+                        self.send(instance, out);
+                    }
+                }
+            }
+            round = round.next();
+        }
+    }
+
+    /// Reserves in the bucket that `holder` keeps: one of `among` equal ones.
+    fn reserve_in(
+        &mut self,
+        holder: usize,
+        team: usize,
+        amount: u64,
+        among: usize,
+    ) -> Option<Held> {
+        let rate = team_rate(&self.setup, team) * 1_000 / among as u64;
+        let burst = Tokens(team_rate(&self.setup, team) * 5 / among as u64);
+        let now = self.now;
+        let bucket = self.buckets.entry((holder, team)).or_insert_with(|| {
+            let mut bucket = Account::new(now);
+            bucket.set(MilliRate(rate), burst, now);
+            bucket
+        });
+        bucket.mint(now);
+        let key = PartKey {
+            id: self.next_key,
+            batch: 0,
+        };
+        bucket
+            .reserve(key, Tokens(amount))
+            .then_some(Held::Bucket(holder))
+    }
+
+    fn arrive(&mut self, instance: usize, team: usize, amount: u64, used: u64, open_for: Duration) {
+        self.next_key += 1;
+        let counted = self.is_counted();
+        let outcome = self.reserve(instance, team, amount);
+        if counted {
+            self.out.requests += 1;
+            let inside = u64::from(team != NOISY);
+            self.out.inside += inside;
+            self.out.refused_inside += inside * u64::from(outcome.is_none());
+        }
+        let Some(held) = outcome else {
+            return;
+        };
+        if counted && team == NOISY {
+            self.out.noisy_used += used;
+        }
+        self.check(team, used);
+        let key = self.next_key;
+        let open = Open {
+            instance,
+            team,
+            held,
+            amount,
+            used,
+            key,
+        };
+        self.open.insert((self.now + open_for, key), open);
+    }
+
+    /// Draws from a bucket that is full at the start; a debt is an excess.
+    fn check(&mut self, team: usize, used: u64) {
+        let now = self.now;
+        let rate = i128::from(team_rate(&self.setup, team));
+        let (level, last) = &mut self.checks[team];
+        let nanos = i128::try_from(now.since(*last).as_nanos()).unwrap_or(i128::MAX);
+        let minted = rate * nanos;
+        *level = level.saturating_add(minted).min(rate * 5 * 1_000_000_000);
+        *level -= i128::from(used) * 1_000_000_000;
+        *last = now;
+        let excess = u64::try_from(-*level / 1_000_000_000).unwrap_or(0);
+        self.out.excess = self.out.excess.max(excess);
+    }
+
+    fn settle_until(&mut self, now: Time) {
+        while let Some(entry) = self.open.first_entry() {
+            if entry.key().0 > now {
+                break;
+            }
+            let ((when, _), open) = entry.remove_entry();
+            let unused = Tokens(open.amount - open.used);
+            match open.held {
+                Held::Ledger(held) => {
+                    self.ledgers[open.instance].settle(held, Tokens(open.used), when);
+                }
+                Held::Bucket(holder) => {
+                    if let Some(bucket) = self.buckets.get_mut(&(holder, open.team)) {
+                        bucket.mint(when);
+                        bucket.settle(
+                            PartKey {
+                                id: open.key,
+                                batch: 0,
+                            },
+                            unused,
+                        );
+                    }
+                }
+            }
+        }
+    }
+
+    /// Replaces instance 1 by a new process that has forgotten everything.
+    fn crash(&mut self) {
+        self.open.retain(|_, open| open.instance != 1);
+        if self.way == Way::Ledger {
+            self.ledgers[1] = new_ledger(&self.setup, 1, 2, self.now);
+        }
+        if matches!(self.way, Way::EqualShares | Way::HomeInstance) {
+            self.buckets.retain(|(holder, _), _| *holder != 1);
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        let setup = self.setup;
+        let mut random = Random(setup.seed, 0);
+        let step = Duration::from_millis(1);
+        let mut crashed = !setup.faults;
+        for millis in 0..setup.seconds * 1_000 {
+            self.now = Time::from_origin(step * u32::try_from(millis).unwrap_or(u32::MAX));
+            self.settle_until(self.now);
+            if u128::from(millis) % TICK.as_millis() == 0 {
+                self.beat();
+            }
+            if !crashed && millis >= setup.seconds * 250 {
+                crashed = true;
+                self.crash();
+            }
+            for team in 0..setup.teams {
+                let load = if team == NOISY {
+                    NOISY_LOAD
+                } else {
+                    ORDINARY_LOAD
+                };
+                // Half of a reservation is used on average.
+                let mut expected = team_rate(&setup, team) * load * 2 / 100;
+                while expected > MEAN_TOKENS * 1_000 {
+                    expected -= MEAN_TOKENS * 1_000;
+                    self.request(team, &mut random);
+                }
+                if random.below(MEAN_TOKENS * 1_000) < expected {
+                    self.request(team, &mut random);
+                }
+            }
+        }
+        let counted = setup.seconds - WARM_UP.as_secs();
+        self.out.noisy_rate = self.out.noisy_used / counted.max(1);
+        self.out
+    }
+
+    fn request(&mut self, team: usize, random: &mut Random) {
+        let amount = 100 + random.below(2 * MEAN_TOKENS - 200);
+        let used = amount / 4 + random.below(amount / 2);
+        let hold = Duration::from_millis(100 + random.below(2_000));
+        let all = self.setup.instances as u64;
+        // The balancer sends half of the requests to a third of the instances.
+        let favoured = random.below(2) == 0;
+        let instance = random.below(if favoured { all.div_ceil(3) } else { all });
+        let instance = usize::try_from(instance).unwrap_or(0);
+        self.arrive(instance, team, amount, used.max(1), hold);
+    }
+}
+
+fn compare(setup: Setup) {
+    println!("{setup:?}");
+    println!(
+        "| way | refused inside the rate | excess, tokens | noisy team, tokens/s | peer calls per 1,000 | platform calls per 1,000 |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for way in Way::ALL {
+        let out = Run::new(setup, way).run();
+        let per_thousand = |n: u64| n * 1_000 / out.requests.max(1);
+        println!(
+            "| {} | {} of {} | {} | {} | {} | {} |",
+            way.title(),
+            out.refused_inside,
+            out.inside,
+            out.excess,
+            out.noisy_rate,
+            per_thousand(out.peer_calls),
+            per_thousand(out.platform_calls),
+        );
+    }
+}
+
+/// Returns the resident memory of this process in bytes.
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages.and_then(|p| p.parse().ok()).unwrap_or(0) * PAGE_BYTES
+}
+
+fn measure_cost(teams: usize) -> Vec<Ledger> {
+    const ROUNDS: u64 = 400_000;
+    let copies = 44_000 / teams;
+    let setup = Setup {
+        domains: 3,
+        instances: 9,
+        teams,
+        homes: 3,
+        seconds: 0,
+        seed: 0,
+        faults: false,
+    };
+    let before = resident_bytes();
+    let ledgers: Vec<_> = (0..copies)
+        .map(|_| new_ledger(&setup, 0, 1, Time::ZERO))
+        .collect();
+    let bytes = resident_bytes().saturating_sub(before) / (copies * teams) as u64;
+    let setup = Setup {
+        domains: 1,
+        instances: 1,
+        ..setup
+    };
+    let mut ledger = new_ledger(&setup, 0, 1, Time::ZERO);
+    let names: Vec<_> = (0..teams).map(team_name).collect();
+    let mut admitted = 0_u64;
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        let now = Time::from_origin(Duration::from_mins(1) + Duration::from_millis(round));
+        ledger.on_contact(now);
+        let team = &names[usize::try_from(mix(round)).unwrap_or(0) % teams];
+        if let Reserve::Admitted(held) = ledger.reserve(team, Tokens(8), Round::Home, now) {
+            ledger.settle(held, Tokens(4), now);
+            admitted += 1;
+        }
+    }
+    let nanos = started.elapsed().as_nanos() / u128::from(ROUNDS);
+    let idle = Instant::now();
+    for round in 0..1_000_u64 {
+        let now = Time::from_origin(Duration::from_secs(1_000) + Duration::from_millis(round));
+        drop(ledger.tick(now));
+    }
+    let tick = idle.elapsed().as_nanos() / 1_000;
+    println!("| {teams} | {nanos} | {tick} | {bytes} | {admitted} of {ROUNDS} |");
+    ledgers
+}
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "seed", "seed of the workload (1)", "N");
+    options.optopt("", "seconds", "virtual seconds of each run (300)", "N");
+    options.optopt("", "instances", "instances (9)", "N");
+    options.optopt("", "domains", "failure domains (3)", "N");
+    options.optopt("", "teams", "teams (5)", "N");
+    options.optopt(
+        "",
+        "homes",
+        "failure domains that mint for a small team (1)",
+        "N",
+    );
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(e) => {
+            eprintln!("{e}\n{}", options.usage("limits_compare [options]"));
+            return ExitCode::FAILURE;
+        }
+    };
+    let number = |name: &str, or: u64| {
+        matches
+            .opt_str(name)
+            .and_then(|t| t.parse().ok())
+            .unwrap_or(or)
+    };
+    let size = |name: &str, or: u64| usize::try_from(number(name, or)).unwrap_or(1);
+    let setup = Setup {
+        domains: size("domains", 3),
+        instances: size("instances", 9),
+        teams: size("teams", 5),
+        homes: size("homes", 1),
+        seconds: number("seconds", 300),
+        seed: number("seed", 1),
+        faults: false,
+    };
+    compare(setup);
+    compare(Setup {
+        faults: true,
+        ..setup
+    });
+    println!("| teams | reserve + settle, ns | idle tick, ns | bytes a team | admitted |");
+    println!("|---|---|---|---|---|");
+    // The ledgers stay, since memory that is freed would hide the next size.
+    let sizes = [5, 100, 1_100, 4_400];
+    let kept: Vec<_> = sizes.into_iter().map(measure_cost).collect();
+    drop(kept);
+    ExitCode::SUCCESS
+}
--- a/crates/core/src/limits/ledger.rs
+++ b/crates/core/src/limits/ledger.rs
@@ -495,7 +495,7 @@
     team.accounts.retain(|slot, _| mine.contains_key(slot));
     for (slot, share) in mine {
         let account = team.accounts.entry(slot);
-        let own = account.or_insert_with(|| OwnAccount::new(now));
+        let own = account.or_insert_with(|| Box::new(OwnAccount::new(now)));
         own.set(share, &team.limits, now, ready_at);
     }
 }
--- a/crates/core/src/limits/team.rs
+++ b/crates/core/src/limits/team.rs
@@ -138,7 +138,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct TeamState {
     pub(super) limits: TeamLimits,
-    pub(super) accounts: BTreeMap<u16, OwnAccount>,
+    pub(super) accounts: BTreeMap<u16, Box<OwnAccount>>,
     pub(super) pocket: Pocket,
     pub(super) demand: Demand,
     pub(super) debt: Tokens,
