--- a/crates/core/src/placement/hints.rs
+++ b/crates/core/src/placement/hints.rs
@@ -16,8 +16,8 @@
 /// The engines that a hint names at most.
 const MAX_HOLDERS: usize = 4;
 
-/// The span over which the requests for a block are counted, in milliseconds.
-const WINDOW_MS: u32 = 10_000;
+/// The span over which requests are counted, in milliseconds.
+const WINDOW_MS: u32 = 30_000;
 
 /// A `Holder` is an engine that used a block at a certain time.
 #[derive(Clone, Copy, Debug)]
