Settle on a level by the number of prefixes in use

Rates of single prefixes, as one instance sees them, were too noisy: instances looked the same prefix up at different levels.

--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -10,8 +10,8 @@
 use super::Unplaced;
 use super::hints::HintTable;
 use super::hints::RequestCount;
+use super::homes::PrefixCounts;
 use super::homes::homes;
-use super::homes::is_counted;
 use super::homes::level;
 use super::shortlist::Candidate;
 use super::shortlist::Shortlist;
@@ -136,6 +136,7 @@
     options: PlacerOptions,
     hints: HintTable,
     requests: RequestCount,
+    prefixes: PrefixCounts,
     home_share: u64,
     life: Duration,
     prefill_nanos: u64,
@@ -154,6 +155,7 @@
             options,
             hints: HintTable::new(options.capacity, options.hint_life),
             requests: RequestCount::default(),
+            prefixes: PrefixCounts::default(),
             home_share: WHOLE / 2,
             life: options.hint_life,
             missed: WHOLE / 2,
@@ -270,12 +272,11 @@
 
     /// Returns the blocks by which the homes are looked up and their number.
     fn level(&self, blocks: &[u64], members: usize, now: Time) -> (usize, usize) {
-        let total = self.requests.recent(now);
-        if !is_counted(total) {
-            return (blocks.len().div_ceil(2), 1);
-        }
         let rate = |block: &u64| self.hints.get(*block).map_or(0, |hint| hint.requests(now));
-        let level = level(blocks.iter().map(rate), total, members);
+        let rates: Vec<u32> = blocks.iter().map(rate).collect();
+        let nested = self.prefixes.depth_of(members);
+        let depth = nested.unwrap_or(blocks.len().div_ceil(2));
+        let level = level(&rates, self.requests.recent(now), members, depth);
         (
             level.depth,
             if self.options.spread { level.homes } else { 1 },
@@ -377,6 +378,7 @@
             return;
         }
         self.requests.add(now);
+        self.prefixes.add(chain.blocks(), now);
         for block in chain.blocks() {
             self.hints.count_request(*block, now);
             self.hints.hold(*block, choice.upstream, choice.epoch, now);
