Decide the lease and the orders to engines

Cause: orders to load weights or change role have to come from one place, with a fencing number, also when the lease lapses while its holder is paused and when engines ignore the number.

Ruled out: the platform's time to live as the lease's end, one holder a pool, and waiting after a takeover also where engines check the number.

Change: LeaseKeeper counts a tenure from when its renewal was sent; OrderPlanner keeps at most two loads outstanding, outlives the last holder's orders at engines that ignore the number, and gives each order a point from which it must not be sent.

--- /dev/null
+++ b/crates/core/tests/orders.rs
@@ -0,0 +1,243 @@
+//! Contract tests of the lease and of orders, with fault cases in tables.
+
+use std::time::Duration;
+
+use limpetsaddle_core::orders::DesiredEngine;
+use limpetsaddle_core::orders::EngineReport;
+use limpetsaddle_core::orders::EngineView;
+use limpetsaddle_core::orders::LeaseAction;
+use limpetsaddle_core::orders::LeaseAnswer;
+use limpetsaddle_core::orders::LeaseHolder;
+use limpetsaddle_core::orders::LeaseKeeper;
+use limpetsaddle_core::orders::LeaseRecord;
+use limpetsaddle_core::orders::Order;
+use limpetsaddle_core::orders::OrderAnswer;
+use limpetsaddle_core::orders::OrderOptions;
+use limpetsaddle_core::orders::OrderPlanner;
+use limpetsaddle_core::orders::Role;
+use limpetsaddle_core::orders::Tenure;
+use limpetsaddle_core::orders::VersionedLease;
+use limpetsaddle_core::units::FencingNumber;
+use limpetsaddle_core::units::Incarnation;
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_core::units::WeightsVersion;
+use yare::parameterized;
+
+const OWN: u64 = 1;
+const OTHER: u64 = 2;
+
+fn at(ms: u64) -> Time {
+    Time::from_origin(Duration::from_millis(ms))
+}
+
+fn holder(number: u64) -> LeaseHolder {
+    LeaseHolder {
+        instance: "entry-1".parse().unwrap(),
+        incarnation: Incarnation(number),
+    }
+}
+
+fn lease(number: u64, revision: u64, released: bool) -> VersionedLease {
+    VersionedLease {
+        revision: Revision(revision),
+        record: LeaseRecord {
+            holder: holder(number),
+            fencing: FencingNumber(5),
+            duration: Duration::from_secs(6),
+            released,
+        },
+    }
+}
+
+fn keeper() -> LeaseKeeper {
+    LeaseKeeper::new(holder(OWN), OrderOptions::default())
+}
+
+fn polled_write(keeper: &mut LeaseKeeper, now: Time) -> Option<FencingNumber> {
+    match keeper.poll(now)? {
+        LeaseAction::Write(write) => Some(write.record.fencing),
+        LeaseAction::Read => None,
+    }
+}
+
+#[parameterized(
+    free = { None, 0, Some(1) },
+    held = { Some(lease(OTHER, 3, false)), 6_900, None },
+    lapsed = { Some(lease(OTHER, 3, false)), 7_000, Some(6) },
+    released = { Some(lease(OTHER, 3, true)), 0, Some(6) },
+    own_of_a_lost_answer = { Some(lease(OWN, 3, false)), 0, Some(5) },
+)]
+fn verify_candidate(current: Option<VersionedLease>, elapsed: u64, fencing: Option<u64>) {
+    let mut keeper = keeper();
+    keeper.on_read(current, at(0));
+    assert_eq!(
+        polled_write(&mut keeper, at(elapsed)),
+        fencing.map(FencingNumber)
+    );
+    assert!(keeper.tenure(at(elapsed)).is_none());
+}
+
+#[parameterized(
+    renewed = { LeaseAnswer::Written(Revision(9)), true },
+    failed = { LeaseAnswer::Failed, false },
+    lost_answer = { LeaseAnswer::Conflict(Some(lease(OWN, 9, false))), false },
+    taken_over = { LeaseAnswer::Conflict(Some(lease(OTHER, 9, false))), false },
+    deleted = { LeaseAnswer::Conflict(None), false },
+)]
+fn verify_renewal(answer: LeaseAnswer, renewed: bool) {
+    let mut keeper = keeper();
+    keeper.on_read(None, at(0));
+    assert!(polled_write(&mut keeper, at(0)).is_some());
+    keeper.on_write(LeaseAnswer::Written(Revision(1)), at(100));
+    assert!(polled_write(&mut keeper, at(3_000)).is_some());
+    keeper.on_write(answer, at(3_500));
+    // The first tenure ends 6 s after its write was sent, not after its answer.
+    assert_eq!(keeper.tenure(at(6_000)).is_some(), renewed);
+    // A renewed tenure ends 6 s after the renewal was sent.
+    assert!(keeper.tenure(at(9_000)).is_none());
+}
+
+#[test]
+fn verify_release_ends_the_tenure_at_once() {
+    let mut keeper = keeper();
+    keeper.on_read(None, at(0));
+    assert!(polled_write(&mut keeper, at(0)).is_some());
+    keeper.on_write(LeaseAnswer::Written(Revision(1)), at(0));
+    keeper.release();
+    assert!(keeper.tenure(at(1)).is_none());
+    let Some(LeaseAction::Write(write)) = keeper.poll(at(1)) else {
+        panic!("the lease is not given back");
+    };
+    assert!(write.record.released);
+    keeper.on_write(LeaseAnswer::Written(Revision(2)), at(2));
+    assert_eq!(keeper.poll(at(60_000)), None);
+}
+
+#[test]
+fn verify_outrun_holder_goes_on_under_the_next_number() {
+    let mut keeper = keeper();
+    keeper.on_read(None, at(0));
+    assert!(polled_write(&mut keeper, at(0)).is_some());
+    keeper.on_write(LeaseAnswer::Written(Revision(1)), at(0));
+    keeper.outrun(FencingNumber(1));
+    assert_eq!(polled_write(&mut keeper, at(500)), Some(FencingNumber(2)));
+    keeper.on_write(LeaseAnswer::Written(Revision(2)), at(600));
+    let tenure = keeper.tenure(at(700)).unwrap();
+    assert_eq!((tenure.fencing, tenure.since), (FencingNumber(2), at(600)));
+}
+
+fn view(name: &str, checks_fencing: bool, weights: u64, role: Role) -> EngineView {
+    EngineView {
+        upstream: name.parse().unwrap(),
+        checks_fencing,
+        desired: DesiredEngine {
+            model: "lm".parse().unwrap(),
+            weights: WeightsVersion(2),
+            role: Some(Role::Both),
+        },
+        report: Some(EngineReport {
+            incarnation: Incarnation(1),
+            model: "lm".parse().unwrap(),
+            weights: WeightsVersion(weights),
+            role,
+            loading: false,
+            taken: at(20_000),
+        }),
+    }
+}
+
+const TENURE: Tenure = Tenure {
+    fencing: FencingNumber(7),
+    since: Time::from_origin(Duration::from_secs(19)),
+    until: Time::from_origin(Duration::from_mins(1)),
+};
+
+fn load() -> Order {
+    Order::Load {
+        model: "lm".parse().unwrap(),
+        weights: WeightsVersion(2),
+    }
+}
+
+#[parameterized(
+    wrong_weights = { view("a", true, 1, Role::Both), Some(TENURE), 20_000, Some(load()) },
+    wrong_role = { view("a", true, 2, Role::Decode), Some(TENURE), 20_000, Some(Order::Role(Role::Both)) },
+    as_desired = { view("a", true, 2, Role::Both), Some(TENURE), 20_000, None },
+    no_tenure = { view("a", true, 1, Role::Both), None, 20_000, None },
+    old_report = { view("a", true, 1, Role::Both), Some(TENURE), 25_000, None },
+    ignores_fencing_too_soon = { view("a", false, 1, Role::Both), Some(TENURE), 20_000, None },
+    ignores_fencing_outlived = {
+        view("a", false, 1, Role::Both), Some(Tenure { since: at(8_000), ..TENURE }), 20_000, Some(load())
+    },
+    tenure_over = { view("a", true, 1, Role::Both), Some(Tenure { until: at(20_000), ..TENURE }), 20_000, None },
+)]
+fn verify_plan(view: EngineView, tenure: Option<Tenure>, now: u64, expected: Option<Order>) {
+    let mut planner = OrderPlanner::new(OrderOptions::default());
+    let orders = planner.plan(tenure, &[view], at(now));
+    assert_eq!(orders.into_iter().map(|o| o.order).next(), expected);
+}
+
+#[parameterized(
+    accepted = { OrderAnswer::Accepted(Incarnation(1)), 1 },
+    not_sent = { OrderAnswer::NotSent, 2 },
+    unknown = { OrderAnswer::Unknown, 1 },
+    fenced = { OrderAnswer::Fenced, 0 },
+)]
+fn verify_loads_at_once(answer: OrderAnswer, next: usize) {
+    let engines: Vec<_> = ["a", "b", "c", "d"]
+        .map(|name| view(name, true, 1, Role::Both))
+        .into();
+    let mut planner = OrderPlanner::new(OrderOptions::default());
+    let orders = planner.plan(Some(TENURE), &engines, at(20_000));
+    assert_eq!(orders.len(), 2);
+    planner.on_answer(&orders[0], OrderAnswer::NotSent, at(20_000));
+    assert_eq!(planner.outstanding_loads(), 1);
+    planner.on_answer(&orders[1], answer, at(20_000));
+    let orders = planner.plan(Some(TENURE), &engines, at(20_001));
+    assert_eq!(orders.len(), next);
+}
+
+#[parameterized(
+    not_accepted = { None, 21_000, 2, 1 },
+    report_from_before = { Some(21_500), 21_000, 2, 1 },
+    loaded = { Some(20_500), 21_000, 2, 0 },
+    still_loading = { Some(20_500), 21_000, 1, 1 },
+)]
+fn verify_end_of_load(accepted: Option<u64>, taken: u64, weights: u64, outstanding: usize) {
+    let mut planner = OrderPlanner::new(OrderOptions::default());
+    let orders = planner.plan(Some(TENURE), &[view("a", true, 1, Role::Both)], at(20_000));
+    if let Some(now) = accepted {
+        let answer = OrderAnswer::Accepted(Incarnation(1));
+        planner.on_answer(&orders[0], answer, at(now));
+    }
+    let mut engine = view("a", true, weights, Role::Both);
+    engine.report.as_mut().unwrap().taken = at(taken);
+    planner.plan(Some(TENURE), &[engine], at(22_000));
+    assert_eq!(planner.outstanding_loads(), outstanding);
+}
+
+#[test]
+fn verify_loads_that_others_started_count() {
+    let mut engines: Vec<_> = ["a", "b", "c", "d"]
+        .map(|name| view(name, true, 1, Role::Both))
+        .into();
+    for engine in &mut engines[2..] {
+        engine.report.as_mut().unwrap().loading = true;
+    }
+    let mut planner = OrderPlanner::new(OrderOptions::default());
+    assert!(planner.plan(Some(TENURE), &engines, at(20_000)).is_empty());
+}
+
+#[test]
+fn verify_order_is_not_sent_after_its_tenure() {
+    let mut planner = OrderPlanner::new(OrderOptions::default());
+    let engines = [view("a", true, 1, Role::Both)];
+    let tenure = Tenure {
+        until: at(20_500),
+        ..TENURE
+    };
+    let orders = planner.plan(Some(tenure), &engines, at(20_000));
+    assert!(orders[0].may_send(at(20_499)));
+    assert!(!orders[0].may_send(at(20_500)));
+}
