Add the client of the platform's object API

Cause: instances and operators need typed reads, watches and conditional writes in which a lost answer is told apart from a write without effect.

Ruled out: a plain read after a lost answer (a delayed write may take effect after it), and failing the whole list for one object that cannot be decoded.

Change: Platform with objects, watches, records, instances, claims and leases; put_confirmed repeats the conditional write; the status that instances report; counts of calls. A compile-time example shows that a claim's permission to send cannot be used twice.

--- a/crates/core/src/claims/attempt.rs
+++ b/crates/core/src/claims/attempt.rs
@@ -344,6 +344,20 @@
 }
 
 /// A `Sending` is the permission to send the request of one attempt once.
+///
+/// The end of the attempt consumes it, so that it cannot be used a second time:
+///
+/// ```compile_fail,E0382
+/// use limpetsaddle_core::claims::SendOutcome;
+/// use limpetsaddle_core::claims::Sending;
+/// use limpetsaddle_core::refusal::Reason;
+/// use limpetsaddle_core::units::Time;
+///
+/// fn send_twice(sending: Sending) {
+///     let first = sending.finish(SendOutcome::Unknown(Reason::UpstreamFailed), Time::ZERO);
+///     let second = sending.finish(SendOutcome::Unknown(Reason::UpstreamFailed), Time::ZERO);
+/// }
+/// ```
 #[derive(Debug)]
 pub struct Sending(Held);
 
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,286 @@
+//! Calls to the platform and the meaning of their failures.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header::HOST;
+use http::header::RETRY_AFTER;
+use http::response::Parts;
+use limpetsaddle_http::Client;
+use limpetsaddle_http::ClientOptions;
+use limpetsaddle_http::Response;
+use serde::de::DeserializeOwned;
+
+use crate::counts::Call;
+use crate::counts::Counts;
+use crate::error::Error;
+use crate::error::Result;
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// The name of the platform in requests.
+const PLATFORM_HOST: &str = "platform";
+
+/// A `PlatformOptions` holds the times and bounds of calls to the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlatformOptions {
+    /// The longest time for establishing a connection.
+    pub connect_timeout: Duration,
+    /// The longest wait for an answer and for each of its parts.
+    pub answer_timeout: Duration,
+    /// The longest silence of a watch, which carries a bookmark each second.
+    pub watch_silence: Duration,
+    /// The times that a confirmed write is repeated after lost answers.
+    pub confirm_attempts: u32,
+    /// The pause between two of these repetitions.
+    pub confirm_pause: Duration,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            answer_timeout: Duration::from_secs(2),
+            watch_silence: Duration::from_secs(4),
+            confirm_attempts: 4,
+            confirm_pause: Duration::from_millis(200),
+        }
+    }
+}
+
+/// A `Platform` is a client of the platform's object API.
+///
+/// Clones share the counts and the choice of the address.
+///
+/// ```no_run
+/// use limpetsaddle_platform::Platform;
+/// use limpetsaddle_platform::PlatformOptions;
+///
+/// # async fn example() -> limpetsaddle_platform::Result<()> {
+/// let addresses = vec!["127.0.0.1:7100".parse().unwrap()];
+/// let platform = Platform::new(addresses, PlatformOptions::default());
+/// let listing = platform.list().await?;
+/// println!("revision {}", listing.revision);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone)]
+pub struct Platform {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    addresses: Vec<SocketAddr>,
+    current: Cell<usize>,
+    options: PlatformOptions,
+    calls: Client,
+    watches: Client,
+    counts: Counts,
+}
+
+/// An `Answer` is an answer of the platform that was read in full.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    body: Bytes,
+    call: Call,
+    platform: Platform,
+}
+
+impl Answer {
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        let value = serde_json::from_slice(&self.body);
+        if value.is_err() {
+            self.platform.counts().fail(self.call);
+        }
+        Ok(value?)
+    }
+}
+
+impl Platform {
+    /// Returns a client that calls the first of `addresses` that can be reached.
+    #[must_use]
+    pub fn new(addresses: Vec<SocketAddr>, options: PlatformOptions) -> Self {
+        let client = |idle_timeout| {
+            Client::new(ClientOptions {
+                connect_timeout: options.connect_timeout,
+                write_timeout: options.answer_timeout,
+                head_timeout: options.answer_timeout,
+                idle_timeout,
+                ..ClientOptions::default()
+            })
+        };
+        Self {
+            shared: Rc::new(Shared {
+                addresses,
+                current: Cell::new(0),
+                options,
+                calls: client(options.answer_timeout),
+                watches: client(options.watch_silence),
+                counts: Counts::default(),
+            }),
+        }
+    }
+
+    /// Returns the counts of the calls that were made.
+    #[must_use]
+    pub fn counts(&self) -> &Counts {
+        &self.shared.counts
+    }
+
+    pub(crate) fn options(&self) -> PlatformOptions {
+        self.shared.options
+    }
+
+    /// Reads `path`; statuses other than 200 and 404 are errors.
+    pub(crate) async fn read(&self, call: Call, path: &str) -> Result<Answer> {
+        self.counted(call, self.try_read(call, path)).await
+    }
+
+    /// Writes `body` to `path`; statuses other than 200, 404 and 409 are errors.
+    pub(crate) async fn write(&self, method: Method, path: &str, body: Bytes) -> Result<Answer> {
+        self.counted(Call::Write, self.try_write(method, path, body))
+            .await
+    }
+
+    /// Begins a watch of `path`.
+    pub(crate) async fn begin_watch(&self, path: &str) -> Result<Response> {
+        self.counted(Call::Watch, self.try_watch(path)).await
+    }
+
+    async fn counted<T>(&self, call: Call, f: impl Future<Output = Result<T>>) -> Result<T> {
+        self.shared.counts.begin(call);
+        let result = f.await;
+        if result.is_err() {
+            self.shared.counts.fail(call);
+        }
+        result
+    }
+
+    async fn try_read(&self, call: Call, path: &str) -> Result<Answer> {
+        let req = request(Method::GET, path, Bytes::new())?;
+        let sent = self.send(&self.shared.calls, req).await;
+        let res = sent.map_err(read_failure)?;
+        check_read_status(&res.head)?;
+        let status = res.head.status;
+        let body = res.collect(MAX_ANSWER_BYTES).await.map_err(read_failure)?;
+        Ok(self.answer(call, status, body))
+    }
+
+    async fn try_write(&self, method: Method, path: &str, body: Bytes) -> Result<Answer> {
+        let req = request(method, path, body)?;
+        let sent = self.send(&self.shared.calls, req).await;
+        let res = sent.map_err(|e| write_failure(&e))?;
+        check_write_status(&res.head)?;
+        let status = res.head.status;
+        let collected = res.collect(MAX_ANSWER_BYTES).await;
+        let body = collected.map_err(|_| Error::OutcomeUnknown)?;
+        Ok(self.answer(Call::Write, status, body))
+    }
+
+    fn answer(&self, call: Call, status: StatusCode, body: Bytes) -> Answer {
+        Answer {
+            status,
+            body,
+            call,
+            platform: self.clone(),
+        }
+    }
+
+    async fn try_watch(&self, path: &str) -> Result<Response> {
+        let req = request(Method::GET, path, Bytes::new())?;
+        let sent = self.send(&self.shared.watches, req).await;
+        let res = sent.map_err(read_failure)?;
+        if res.head.status == StatusCode::GONE {
+            return Err(Error::HistoryGone);
+        }
+        check_read_status(&res.head)?;
+        Ok(res)
+    }
+
+    /// Sends `req` to the address used last, or to the next that can be reached.
+    async fn send(
+        &self,
+        client: &Client,
+        req: Request<Bytes>,
+    ) -> limpetsaddle_http::Result<Response> {
+        let addresses = &self.shared.addresses;
+        let mut last = None;
+        for _ in 0..addresses.len() {
+            let current = self.shared.current.get();
+            match client.send(addresses[current], req.clone()).await {
+                Err(e) if e.not_sent() => {
+                    self.shared.current.set((current + 1) % addresses.len());
+                    last = Some(e);
+                }
+                result => return result,
+            }
+        }
+        Err(last.unwrap_or_else(no_address))
+    }
+}
+
+fn no_address() -> limpetsaddle_http::Error {
+    let phase = limpetsaddle_http::Phase::Connect;
+    limpetsaddle_http::Error::NotSent(Box::new(limpetsaddle_http::Error::ClosedEarly { phase }))
+}
+
+fn request(method: Method, path: &str, body: Bytes) -> Result<Request<Bytes>> {
+    let builder = Request::builder().method(method).uri(path);
+    Ok(builder.header(HOST, PLATFORM_HOST).body(body)?)
+}
+
+fn read_failure(e: limpetsaddle_http::Error) -> Error {
+    if e.is_timeout() {
+        return Error::Timeout;
+    }
+    if e.not_sent() {
+        return Error::Unavailable { retry_after: None };
+    }
+    Error::Transport(e)
+}
+
+fn write_failure(e: &limpetsaddle_http::Error) -> Error {
+    if e.not_sent() {
+        return Error::Unavailable { retry_after: None };
+    }
+    Error::OutcomeUnknown
+}
+
+fn check_read_status(head: &Parts) -> Result<()> {
+    match head.status {
+        StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+        status => Err(failure(head).unwrap_or(Error::Rejected { status })),
+    }
+}
+
+fn check_write_status(head: &Parts) -> Result<()> {
+    match head.status {
+        StatusCode::OK | StatusCode::NOT_FOUND | StatusCode::CONFLICT => Ok(()),
+        status if status.is_client_error() => {
+            Err(failure(head).unwrap_or(Error::Rejected { status }))
+        }
+        // Another server error may come from the middle of a write.
+        _ => Err(failure(head).unwrap_or(Error::OutcomeUnknown)),
+    }
+}
+
+fn failure(head: &Parts) -> Option<Error> {
+    let retry_after = retry_after(head);
+    match head.status {
+        StatusCode::TOO_MANY_REQUESTS => Some(Error::RateLimited { retry_after }),
+        StatusCode::SERVICE_UNAVAILABLE => Some(Error::Unavailable { retry_after }),
+        _ => None,
+    }
+}
+
+fn retry_after(head: &Parts) -> Option<Duration> {
+    let text = head.headers.get(RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/platform/src/records.rs
@@ -0,0 +1,220 @@
+//! Records: small values with a version that no one watches.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use limpetsaddle_core::claims::ClaimName;
+use limpetsaddle_core::names::InstanceName;
+use limpetsaddle_core::names::ObjectName;
+use limpetsaddle_core::units::Revision;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+use serde_with::skip_serializing_none;
+
+use crate::client::Platform;
+use crate::counts::Call;
+use crate::error::Error;
+use crate::error::Result;
+
+/// A `Collection` is a group of records.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Collection {
+    /// Claims of non-idempotent requests.
+    Claims,
+    /// Leases.
+    Leases,
+    /// What each instance has in force.
+    Status,
+}
+
+impl Collection {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Claims => "claims",
+            Self::Leases => "leases",
+            Self::Status => "status",
+        }
+    }
+}
+
+/// A `RecordName` names a record within its collection.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct RecordName(Arc<str>);
+
+impl From<ClaimName> for RecordName {
+    fn from(name: ClaimName) -> Self {
+        Self(name.to_string().into())
+    }
+}
+
+impl From<&InstanceName> for RecordName {
+    fn from(name: &InstanceName) -> Self {
+        Self(name.as_str().into())
+    }
+}
+
+impl From<&ObjectName> for RecordName {
+    fn from(name: &ObjectName) -> Self {
+        Self(name.as_str().into())
+    }
+}
+
+impl fmt::Display for RecordName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A `Record` is a value with its version.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct Record<T> {
+    /// The name within the collection.
+    pub name: RecordName,
+    /// The revision of the write that made this state.
+    pub revision: Revision,
+    /// The value.
+    pub value: T,
+}
+
+/// A `RecordPut` is the answer to a conditional write of a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RecordPut<T> {
+    /// The write took effect under this revision.
+    Written(Revision),
+    /// The record was at another revision; this is its current state.
+    Conflict(Option<Record<T>>),
+}
+
+/// A `RecordDelete` is the answer to a deletion of a record.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RecordDelete {
+    /// The record is deleted.
+    Deleted,
+    /// The record was at another revision.
+    Conflict,
+    /// There was no such record.
+    Absent,
+}
+
+#[derive(Deserialize)]
+struct ListBody<T> {
+    records: Vec<Record<T>>,
+}
+
+#[serde_as]
+#[skip_serializing_none]
+#[derive(Serialize)]
+struct PutBody<'a, T> {
+    expected: Revision,
+    value: &'a T,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "ttl_ms")]
+    time_to_live: Option<Duration>,
+}
+
+fn path(collection: Collection, name: &RecordName) -> String {
+    format!("/v1/records/{}/{name}", collection.as_str())
+}
+
+impl Platform {
+    /// Returns every record of a collection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no valid answer.
+    pub async fn list_records<T>(&self, collection: Collection) -> Result<Vec<Record<T>>>
+    where
+        T: DeserializeOwned,
+    {
+        let path = format!("/v1/records/{}", collection.as_str());
+        let answer = self.read(Call::Read, &path).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(Vec::new());
+        }
+        let body: ListBody<T> = answer.json()?;
+        Ok(body.records)
+    }
+
+    /// Returns one record, or `None` when it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no valid answer.
+    pub async fn get_record<T>(
+        &self,
+        collection: Collection,
+        name: &RecordName,
+    ) -> Result<Option<Record<T>>>
+    where
+        T: DeserializeOwned,
+    {
+        let answer = self.read(Call::Read, &path(collection, name)).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        answer.json().map(Some)
+    }
+
+    /// Writes one record if it still has the expected revision.
+    ///
+    /// [`Revision::ABSENT`] creates it. The platform drops the record when
+    /// `time_to_live` has passed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::OutcomeUnknown`] when the answer was lost.
+    pub async fn put_record<T>(
+        &self,
+        collection: Collection,
+        name: &RecordName,
+        expected: Revision,
+        value: &T,
+        time_to_live: Option<Duration>,
+    ) -> Result<RecordPut<T>>
+    where
+        T: DeserializeOwned + Serialize,
+    {
+        let body = serde_json::to_vec(&PutBody {
+            expected,
+            value,
+            time_to_live,
+        })?;
+        let path = path(collection, name);
+        let answer = self.write(Method::PUT, &path, body.into()).await?;
+        let decoded = match answer.status {
+            StatusCode::OK => answer
+                .json()
+                .map(|r: Record<T>| RecordPut::Written(r.revision)),
+            _ => answer.json().map(RecordPut::Conflict),
+        };
+        decoded.map_err(|_| Error::OutcomeUnknown)
+    }
+
+    /// Deletes one record if it still has the expected revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::OutcomeUnknown`] when the answer was lost.
+    pub async fn delete_record(
+        &self,
+        collection: Collection,
+        name: &RecordName,
+        expected: Revision,
+    ) -> Result<RecordDelete> {
+        let path = format!("{}?expected={expected}", path(collection, name));
+        let answer = self.write(Method::DELETE, &path, Bytes::new()).await?;
+        Ok(match answer.status {
+            StatusCode::OK => RecordDelete::Deleted,
+            StatusCode::NOT_FOUND => RecordDelete::Absent,
+            _ => RecordDelete::Conflict,
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/faults.rs
@@ -0,0 +1,243 @@
+//! Contract tests of the client's failures, with fault cases in tables.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use limpetsaddle_core::config::ObjectId;
+use limpetsaddle_core::config::Spec;
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_platform::Call;
+use limpetsaddle_platform::ConfirmedPut;
+use limpetsaddle_platform::Error;
+use limpetsaddle_platform::Put;
+use limpetsaddle_platform::WatchEvent;
+use yare::parameterized;
+
+use crate::support::Script;
+use crate::support::block_on;
+use crate::support::client;
+use crate::support::platform;
+use crate::support::serve;
+
+const OURS: &str =
+    r#"{"id":"domain/voss-c","revision":8,"spec":{"domain":{"region":"vestland","slots":9}}}"#;
+const THEIRS: &str =
+    r#"{"id":"domain/voss-c","revision":9,"spec":{"domain":{"region":"vestland","slots":3}}}"#;
+const RETIRED: &str = r#"{"id":"domain/voss-c","revision":9,"spec":null}"#;
+const WATCH_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn id() -> ObjectId {
+    "domain/voss-c".parse().unwrap()
+}
+
+fn spec() -> Spec {
+    serde_json::from_str(r#"{"domain":{"region":"vestland","slots":9}}"#).unwrap()
+}
+
+/// What a call came to, without its values.
+#[derive(Debug, Eq, PartialEq)]
+enum Kind {
+    Answered,
+    Unavailable,
+    RateLimited,
+    Timeout,
+    OutcomeUnknown,
+    Rejected,
+    Broken,
+}
+
+fn kind<T>(result: &Result<T, Error>) -> Kind {
+    match result {
+        Ok(_) => Kind::Answered,
+        Err(Error::Unavailable { .. }) => Kind::Unavailable,
+        Err(Error::RateLimited { .. }) => Kind::RateLimited,
+        Err(Error::Timeout) => Kind::Timeout,
+        Err(Error::OutcomeUnknown) => Kind::OutcomeUnknown,
+        Err(Error::Rejected { .. }) => Kind::Rejected,
+        Err(_) => Kind::Broken,
+    }
+}
+
+#[parameterized(
+    answered = { Script::Answer(200, OURS), Kind::Answered, Kind::Answered },
+    outage = { Script::Answer(503, ""), Kind::Unavailable, Kind::Unavailable },
+    rate_limited = { Script::Answer(429, ""), Kind::RateLimited, Kind::RateLimited },
+    bad_request = { Script::Answer(400, ""), Kind::Rejected, Kind::Rejected },
+    server_error = { Script::Answer(500, ""), Kind::Rejected, Kind::OutcomeUnknown },
+    gateway_timeout = { Script::Answer(504, ""), Kind::Rejected, Kind::OutcomeUnknown },
+    malformed_json = { Script::Answer(200, "{"), Kind::Broken, Kind::OutcomeUnknown },
+    closed = { Script::Close, Kind::Broken, Kind::OutcomeUnknown },
+    silent = { Script::Silence, Kind::Timeout, Kind::OutcomeUnknown },
+    cut_short = {
+        Script::Pieces(vec!["HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", "{"]),
+        Kind::Broken,
+        Kind::OutcomeUnknown
+    },
+)]
+fn verify_failure(script: Script, read: Kind, written: Kind) {
+    block_on(async {
+        let (platform, _) = platform(vec![script.clone(), script]);
+        assert_eq!(kind(&platform.get(&id()).await), read);
+        let put = platform.put(&id(), Revision(7), Some(&spec())).await;
+        assert_eq!(kind(&put), written);
+        let failed = u64::from(written != Kind::Answered);
+        let counts = platform.counts().get(Call::Write);
+        assert_eq!((counts.begun, counts.failed), (1, failed));
+    });
+}
+
+#[test]
+fn verify_retry_after_is_kept() {
+    block_on(async {
+        let (platform, _) = platform(vec![Script::Answer(429, "")]);
+        let error = platform.get(&id()).await.unwrap_err();
+        assert_eq!(error.retry_after(), Some(Duration::from_secs(3)));
+    });
+}
+
+fn closed_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+#[test]
+fn verify_next_address_is_used_when_one_cannot_be_reached() {
+    block_on(async {
+        let (address, requests) = serve(vec![Script::Answer(200, OURS); 2]);
+        let platform = client(vec![closed_address(), address]);
+        let put = platform.put(&id(), Revision(7), Some(&spec())).await;
+        assert_eq!(kind(&put), Kind::Answered);
+        assert_eq!(kind(&platform.get(&id()).await), Kind::Answered);
+        assert_eq!(requests.borrow().len(), 2);
+    });
+}
+
+#[parameterized(
+    closed = { vec![closed_address()] },
+    none = { Vec::new() },
+)]
+fn verify_platform_that_cannot_be_reached(addresses: Vec<SocketAddr>) {
+    block_on(async {
+        let put = client(addresses).put(&id(), Revision(7), None).await;
+        assert_eq!(kind(&put), Kind::Unavailable);
+    });
+}
+
+#[derive(Debug, Eq, PartialEq)]
+enum Confirmed {
+    Written(u64),
+    Conflict(u64),
+    Ambiguous(u64),
+    Failed(Kind),
+}
+
+#[parameterized(
+    written = { vec![Script::Answer(200, OURS)], Confirmed::Written(8) },
+    conflict = { vec![Script::Answer(409, THEIRS)], Confirmed::Conflict(9) },
+    conflict_with_nothing = { vec![Script::Answer(409, "null")], Confirmed::Conflict(0) },
+    lost_with_effect = { vec![Script::Close, Script::Answer(409, OURS)], Confirmed::Written(8) },
+    lost_without_effect = { vec![Script::Close, Script::Answer(200, OURS)], Confirmed::Written(8) },
+    lost_twice = { vec![Script::Close, Script::Silence, Script::Answer(409, OURS)], Confirmed::Written(8) },
+    lost_and_replaced = { vec![Script::Close, Script::Answer(409, THEIRS)], Confirmed::Ambiguous(9) },
+    lost_and_retired = { vec![Script::Close, Script::Answer(409, RETIRED)], Confirmed::Ambiguous(9) },
+    lost_then_outage = {
+        vec![Script::Close, Script::Answer(503, ""), Script::Answer(409, OURS)], Confirmed::Written(8)
+    },
+    outage = { vec![Script::Answer(503, "")], Confirmed::Failed(Kind::Unavailable) },
+    always_lost = { vec![Script::Close; 5], Confirmed::Failed(Kind::OutcomeUnknown) },
+)]
+fn verify_confirmed_put(scripts: Vec<Script>, expected: Confirmed) {
+    block_on(async {
+        let calls = scripts.len();
+        let (platform, requests) = platform(scripts);
+        let result = platform
+            .put_confirmed(&id(), Revision(7), Some(&spec()))
+            .await;
+        let revision = |o: Option<limpetsaddle_core::config::Object>| o.map_or(0, |o| o.revision.0);
+        let found = match result {
+            Ok(ConfirmedPut::Written(object)) => Confirmed::Written(object.revision.0),
+            Ok(ConfirmedPut::Conflict(current)) => Confirmed::Conflict(revision(current)),
+            Ok(ConfirmedPut::Ambiguous(current)) => Confirmed::Ambiguous(revision(current)),
+            Err(e) => Confirmed::Failed(kind::<()>(&Err(e))),
+        };
+        assert_eq!(found, expected);
+        let requests = requests.borrow();
+        assert_eq!(requests.len(), calls);
+        // Every repetition is conditional on the same revision.
+        assert!(requests.iter().all(|r| r.contains(r#""expected":7"#)));
+    });
+}
+
+#[test]
+fn verify_conflict_shows_the_current_object() {
+    block_on(async {
+        let (platform, requests) = platform(vec![Script::Answer(409, THEIRS)]);
+        let put = platform.put(&id(), Revision(7), None).await.unwrap();
+        assert!(matches!(put, Put::Conflict(Some(o)) if o.revision == Revision(9)));
+        assert!(requests.borrow()[0].starts_with("PUT /v1/config/domain/voss-c HTTP/1.1\r\n"));
+        assert!(requests.borrow()[0].ends_with(r#"{"expected":7,"spec":null}"#));
+    });
+}
+
+#[test]
+fn verify_one_invalid_object_does_not_hide_the_others() {
+    block_on(async {
+        let body = r#"{"revision":9,"objects":[
+            {"id":"domain/a","revision":3,"spec":{"domain":{"region":"r","slots":"many"}}},
+            {"id":"colour/b","revision":4,"spec":null},
+            {"id":"domain/c","revision":5,"spec":{"domain":{"region":"r","slots":1}}}]}"#;
+        let (platform, _) = platform(vec![Script::Answer(200, body)]);
+        let listing = platform.list().await.unwrap();
+        assert_eq!(listing.revision, Revision(9));
+        assert_eq!(listing.objects.len(), 1);
+        let invalid: Vec<u64> = listing.invalid.iter().map(|i| i.revision.0).collect();
+        assert_eq!(invalid, [3, 4]);
+    });
+}
+
+#[test]
+fn verify_watch_joins_lines_that_arrive_in_parts() {
+    block_on(async {
+        let pieces = vec![
+            WATCH_HEAD,
+            "e\r\n{\"bookmark\":4}\r\n",
+            "1\r\n\n\r\n",
+            "1f\r\n{\"object\":{\"id\":\"domain/a\",\"rev\r\n",
+            "18\r\nision\":5,\"spec\":null}}\n\n\r\n",
+            "0\r\n\r\n",
+        ];
+        let (platform, requests) = platform(vec![Script::Pieces(pieces)]);
+        let mut watch = platform.watch(Revision(3)).await.unwrap();
+        let bookmark = watch.next().await.unwrap();
+        assert_eq!(bookmark, Some(WatchEvent::Bookmark(Revision(4))));
+        let event = watch.next().await.unwrap();
+        assert!(matches!(event, Some(WatchEvent::Object(o)) if o.revision == Revision(5)));
+        assert_eq!(watch.next().await.unwrap(), None);
+        assert!(requests.borrow()[0].starts_with("GET /v1/config?watch=1&after=3 "));
+    });
+}
+
+#[parameterized(
+    silent = { vec![WATCH_HEAD, "f\r\n{\"bookmark\":4}\n\r\n"], true },
+    malformed = { vec![WATCH_HEAD, "f\r\n{\"bookmark\":4}\n\r\n3\r\n{]\n\r\n"], false },
+)]
+fn verify_watch_failure(pieces: Vec<&'static str>, silent: bool) {
+    block_on(async {
+        let (platform, _) = platform(vec![Script::Stalled(pieces)]);
+        let mut watch = platform.watch(Revision(3)).await.unwrap();
+        assert!(watch.next().await.unwrap().is_some());
+        let error = watch.next().await.unwrap_err();
+        assert_eq!(matches!(error, Error::Timeout), silent, "{error:?}");
+    });
+}
+
+#[test]
+fn verify_watch_from_a_forgotten_revision() {
+    block_on(async {
+        let (platform, _) = platform(vec![Script::Answer(410, "")]);
+        let result = platform.watch(Revision(3)).await;
+        assert!(matches!(result, Err(Error::HistoryGone)));
+    });
+}
