Add the operators' client

Cause: operators create teams, issue and withdraw keys, switch presets and manage upstreams, in races with each other and with answers that get lost.

Ruled out: moving parts of a team's limits in one write (two failure domains would hold one part until the write is in force everywhere), and showing a key before its record certainly stands in the platform.

Change: limpetctl with teams, keys, claims, presets, domains, pools, upstreams, routes, files, status and wait; conditional updates throughout; exit codes; pages for the configuration and for the commands.

Failed first against: parts moved in one step, no wait between the steps, instances that do not report left out of the wait, a lost race taken for success, a key stored whole, and an existing team replaced. The usage test found that a faulty platform variable was also reported as missing; mended.

--- /dev/null
+++ b/crates/ctl/src/commands/claims.rs
@@ -0,0 +1,80 @@
+//! Claims of non-idempotent requests.
+
+use limpetsaddle_core::claims::Claim;
+use limpetsaddle_core::claims::ClaimName;
+use limpetsaddle_core::claims::ClaimOptions;
+use limpetsaddle_core::claims::ClaimState;
+use limpetsaddle_core::claims::ClaimWrite;
+use limpetsaddle_core::claims::VersionedClaim;
+use limpetsaddle_core::claims::WriteAnswer;
+use limpetsaddle_core::names::TeamName;
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_platform::Collection;
+use limpetsaddle_platform::Platform;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::report::ClaimReport;
+use crate::report::Report;
+
+/// The times that a release is written at most, lost answers included.
+const MAX_WRITES: u32 = 4;
+
+async fn find(platform: &Platform, team: &TeamName, key: &str) -> Result<VersionedClaim> {
+    let name = ClaimName::new(team, key);
+    let record = platform
+        .get_record(Collection::Claims, &name.into())
+        .await?;
+    let record = record.ok_or_else(|| Error::ClaimNotFound { team: team.clone() })?;
+    Ok(VersionedClaim {
+        revision: record.revision,
+        claim: record.value,
+    })
+}
+
+fn report(revision: Revision, claim: Claim) -> Report {
+    Report::Claim(ClaimReport { revision, claim })
+}
+
+pub(super) async fn show(platform: &Platform, team: &TeamName, key: &str) -> Result<Report> {
+    let VersionedClaim { revision, claim } = find(platform, team, key).await?;
+    Ok(report(revision, claim))
+}
+
+/// Records that the request of a claim in flight has not run.
+///
+/// The operator must know that: a later request with the key is then sent.
+pub(super) async fn release(platform: &Platform, team: &TeamName, key: &str) -> Result<Report> {
+    let VersionedClaim { revision, claim } = find(platform, team, key).await?;
+    if claim.state != ClaimState::InFlight {
+        return Err(Error::ClaimNotInFlight { revision });
+    }
+    let write = ClaimWrite {
+        name: ClaimName::new(team, key),
+        expected: revision,
+        claim: Claim {
+            state: ClaimState::NotRun,
+            ..claim
+        },
+        time_to_live: Some(ClaimOptions::default().not_run_time_to_live),
+    };
+    let mut in_doubt = false;
+    for _ in 0..MAX_WRITES {
+        match platform.write_claim(&write).await {
+            WriteAnswer::Written(revision) => return Ok(report(revision, write.claim)),
+            WriteAnswer::Conflict(Some(current)) if in_doubt && current.claim == write.claim => {
+                return Ok(report(current.revision, current.claim));
+            }
+            WriteAnswer::Conflict(current) => {
+                let revision = current.map_or(Revision::ABSENT, |c| c.revision);
+                return Err(Error::ClaimNotInFlight { revision });
+            }
+            WriteAnswer::Rejected { retry_after } if !in_doubt => {
+                return Err(limpetsaddle_platform::Error::Unavailable { retry_after }.into());
+            }
+            WriteAnswer::Rejected { .. } => {}
+            WriteAnswer::Unknown => in_doubt = true,
+        }
+    }
+    Err(limpetsaddle_platform::Error::OutcomeUnknown.into())
+}
--- /dev/null
+++ b/crates/ctl/src/commands/status.rs
@@ -0,0 +1,77 @@
+//! What the instances report.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use limpetsaddle_core::names::InstanceName;
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_platform::Collection;
+use limpetsaddle_platform::InstanceStatus;
+use limpetsaddle_platform::Platform;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::report::Report;
+use crate::report::StatusReport;
+
+/// The pause between two reads of the instances' reports.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+async fn statuses(platform: &Platform) -> Result<Vec<InstanceStatus>> {
+    let records = platform.list_records(Collection::Status).await?;
+    let mut statuses: Vec<InstanceStatus> = records.into_iter().map(|r| r.value).collect();
+    statuses.sort_by(|a, b| a.instance.cmp(&b.instance));
+    Ok(statuses)
+}
+
+pub(super) async fn show(platform: &Platform) -> Result<Report> {
+    let instances = statuses(platform).await?;
+    let mut refusals = BTreeMap::new();
+    for (reason, count) in instances.iter().flat_map(|i| &i.refusals) {
+        *refusals.entry(reason.clone()).or_default() += count;
+    }
+    Ok(Report::Status(StatusReport {
+        instances,
+        refusals,
+    }))
+}
+
+/// Returns the instances that do not report `revision` as in force.
+///
+/// An instance counts if the platform lists it, also while it is leaving, or if
+/// it reports itself: the list lags.
+async fn waiting(platform: &Platform, revision: Revision) -> Result<Vec<InstanceName>> {
+    let statuses = statuses(platform).await?;
+    let listed = platform.instances().await?.into_iter().map(|i| i.name);
+    let reporting = statuses.iter().map(|s| s.instance.clone());
+    let mut names: BTreeSet<InstanceName> = listed.chain(reporting).collect();
+    for status in statuses.iter().filter(|s| s.revision >= revision) {
+        names.remove(&status.instance);
+    }
+    Ok(names.into_iter().collect())
+}
+
+/// Waits until every instance reports `revision` as in force.
+///
+/// Failures of the platform are waited out; the last one is returned when the
+/// time is over before an answer came.
+pub(super) async fn wait_in_force(
+    platform: &Platform,
+    revision: Revision,
+    timeout: Duration,
+) -> Result<()> {
+    let started = Instant::now();
+    loop {
+        let result = waiting(platform, revision).await;
+        if matches!(&result, Ok(names) if names.is_empty()) {
+            return Ok(());
+        }
+        if started.elapsed() >= timeout {
+            let waiting = result?;
+            return Err(Error::WaitTimedOut { revision, waiting });
+        }
+        monoio::time::sleep(POLL_INTERVAL).await;
+    }
+}
