--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -2,14 +2,12 @@
 
 mod support;
 
-use std::future::Future;
 use std::io::Write as _;
 use std::net::Shutdown;
+use std::sync::mpsc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::StreamExt as _;
-use futures::channel::mpsc;
 use http::Response;
 use http::StatusCode;
 use limpetsaddle_http::Connection;
@@ -19,6 +17,7 @@
 use support::exchange;
 use support::read_to_end;
 use support::read_until;
+use support::receive;
 use yare::parameterized;
 
 const MAX_BODY_BYTES: usize = 1000;
@@ -206,8 +205,8 @@
 }
 
 /// Serves a stream whose event n + 1 goes out once the client has confirmed event n.
-fn start_confirmed_stream(events: usize) -> (Server, mpsc::UnboundedSender<usize>) {
-    let (tx, rx) = mpsc::unbounded();
+fn start_confirmed_stream(events: usize) -> (Server, mpsc::Sender<usize>) {
+    let (tx, rx) = mpsc::channel();
     let rx = std::sync::Mutex::new(Some(rx));
     let server = Server::start(options(), move |connection| {
         stream_events(connection, events, rx.lock().unwrap().take())
@@ -215,24 +214,20 @@
     (server, tx)
 }
 
-fn stream_events(
+async fn stream_events(
     mut connection: Connection,
     events: usize,
-    confirmed: Option<mpsc::UnboundedReceiver<usize>>,
-) -> impl Future<Output = ()> {
-    async move {
-        let mut confirmed = confirmed.expect("one connection is made");
-        connection.next_request().await.unwrap();
-        connection.start(Response::new(())).await.unwrap();
-        for n in 0..events {
-            connection
-                .send(format!("event {n}\n").into())
-                .await
-                .unwrap();
-            assert_eq!(confirmed.next().await, Some(n));
-        }
-        connection.finish().await.unwrap();
+    confirmed: Option<mpsc::Receiver<usize>>,
+) {
+    let confirmed = confirmed.expect("one connection is made");
+    connection.next_request().await.unwrap();
+    connection.start(Response::new(())).await.unwrap();
+    for n in 0..events {
+        let event = Bytes::from(format!("event {n}\n"));
+        connection.send(event).await.unwrap();
+        assert_eq!(receive(&confirmed).await, Some(n));
     }
+    connection.finish().await.unwrap();
 }
 
 #[test]
@@ -249,7 +244,7 @@
         let event = format!("event {n}\n");
         let chunk = read_until(&mut stream, "\n\r\n");
         assert_eq!(chunk, format!("{:x}\r\n{event}\r\n", event.len()));
-        confirm.unbounded_send(n).unwrap();
+        confirm.send(n).unwrap();
     }
     assert_eq!(read_until(&mut stream, "0\r\n\r\n"), "0\r\n\r\n");
 }
@@ -259,8 +254,8 @@
     let (server, confirm) = start_confirmed_stream(2);
     let mut stream = server.connect();
     stream.write_all(b"GET / HTTP/1.0\r\n\r\n").unwrap();
-    confirm.unbounded_send(0).unwrap();
-    confirm.unbounded_send(1).unwrap();
+    confirm.send(0).unwrap();
+    confirm.send(1).unwrap();
     let text = read_to_end(&mut stream);
     assert!(text.ends_with("\r\n\r\nevent 0\nevent 1\n"), "{text}");
     assert!(!text.contains("transfer-encoding"), "{text}");
@@ -268,20 +263,20 @@
 
 /// Waits for the caller to leave, with many cancelled waits, then reports.
 fn watch_closing(
-    report: mpsc::UnboundedSender<&'static str>,
+    report: mpsc::Sender<&'static str>,
 ) -> impl Fn(Connection) -> futures::future::LocalBoxFuture<'static, ()> {
     use futures::FutureExt as _;
     move |mut connection| {
         let report = report.clone();
         async move {
             connection.next_request().await.unwrap();
-            report.unbounded_send("started").unwrap();
+            report.send("started").unwrap();
             let cancelled = Duration::from_millis(1);
             while monoio::time::timeout(cancelled, connection.closed())
                 .await
                 .is_err()
             {}
-            report.unbounded_send("closed").unwrap();
+            report.send("closed").unwrap();
         }
         .boxed_local()
     }
@@ -292,9 +287,9 @@
     close_after_pipelined_bytes = { "GET /b HTTP/1.1\r\nHost: x\r\n\r\n" },
 )]
 fn verify_a_leaving_caller_is_noticed(pipelined: &str) {
-    let (tx, rx) = mpsc::unbounded();
+    let (tx, rx) = mpsc::channel();
     let server = Server::start(options(), watch_closing(tx));
-    let mut reports = futures::executor::block_on_stream(rx);
+    let mut reports = rx.into_iter();
     let mut stream = server.connect();
     stream
         .write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -307,12 +302,12 @@
 
 #[test]
 fn verify_pipelined_requests_survive_the_watch_for_closing() {
-    let (tx, rx) = mpsc::unbounded();
+    let (tx, rx) = mpsc::channel();
     let server = Server::start(options(), move |mut connection: Connection| {
         let tx = tx.clone();
         async move {
             while let Ok(Some(req)) = connection.next_request().await {
-                tx.unbounded_send(req.uri().to_string()).unwrap();
+                tx.send(req.uri().to_string()).unwrap();
                 let pause = Duration::from_millis(1);
                 let left = monoio::time::timeout(pause, connection.closed()).await;
                 assert!(left.is_err(), "the caller is still there");
@@ -323,7 +318,7 @@
             }
         }
     });
-    let mut paths = futures::executor::block_on_stream(rx);
+    let mut paths = rx.into_iter();
     let mut stream = server.connect();
     for n in 0..50 {
         let bytes = format!("GET /{n} HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -337,7 +332,7 @@
 
 #[test]
 fn verify_a_caller_that_does_not_read_is_given_up() {
-    let (tx, rx) = mpsc::unbounded();
+    let (tx, rx) = mpsc::channel();
     let options = ServerOptions {
         write_timeout: Duration::from_millis(50),
         ..options()
@@ -353,10 +348,10 @@
                     break e;
                 }
             };
-            tx.unbounded_send(error).unwrap();
+            tx.send(error).unwrap();
         }
     });
-    let mut errors = futures::executor::block_on_stream(rx);
+    let mut errors = rx.into_iter();
     let mut stream = server.connect();
     stream
         .write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/crates/http/tests/support/mod.rs
+++ b/crates/http/tests/support/mod.rs
@@ -6,6 +6,10 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -18,6 +22,10 @@
 /// The longest wait for anything that has to happen, far above what it takes.
 pub const DEADLINE: Duration = Duration::from_secs(30);
 
+/// The pause between looks at something that another thread changes, which does
+/// not wake a runtime of this kind.
+const POLL: Duration = Duration::from_millis(2);
+
 /// Runs `work` on a runtime of its own.
 pub fn block_on<T>(work: impl Future<Output = T>) -> T {
     monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
@@ -38,7 +46,7 @@
 /// A server that runs until it is dropped.
 pub struct Server {
     pub address: SocketAddr,
-    stop: Option<oneshot::Sender<()>>,
+    stopped: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -49,17 +57,25 @@
         R: Future<Output = ()> + 'static,
     {
         let (listener, address) = listen();
-        let (stop, shutdown) = oneshot::channel();
+        let stopped = Arc::new(AtomicBool::new(false));
+        let watched = Arc::clone(&stopped);
         let thread = thread::spawn(move || {
             block_on(async {
                 listener.set_nonblocking(true).unwrap();
                 let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+                let (stop, shutdown) = oneshot::channel::<()>();
+                monoio::spawn(async move {
+                    while !watched.load(Ordering::Relaxed) {
+                        monoio::time::sleep(POLL).await;
+                    }
+                    drop(stop);
+                });
                 serve(listener, options, shutdown, handler).await;
             });
         });
         Self {
             address,
-            stop: Some(stop),
+            stopped,
             thread: Some(thread),
         }
     }
@@ -74,13 +90,24 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
-        drop(self.stop.take());
+        self.stopped.store(true, Ordering::Relaxed);
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
     }
 }
 
+/// Waits for what another thread sends.
+pub async fn receive<T>(rx: &mpsc::Receiver<T>) -> Option<T> {
+    loop {
+        match rx.try_recv() {
+            Ok(item) => return Some(item),
+            Err(mpsc::TryRecvError::Disconnected) => return None,
+            Err(mpsc::TryRecvError::Empty) => monoio::time::sleep(POLL).await,
+        }
+    }
+}
+
 /// Sends `bytes` and returns all that comes back until the server closes.
 pub fn exchange(server: &Server, bytes: &[u8]) -> String {
     let mut stream = server.connect();
