--- a/crates/core/examples/policy_compare/main.rs
+++ b/crates/core/examples/policy_compare/main.rs
@@ -73,9 +73,9 @@
             },
         ),
         placed(
-            "without spreading",
+            "without queue bound",
             PlacerOptions {
-                spread: false,
+                max_queue: Duration::MAX,
                 ..options
             },
         ),
@@ -108,6 +108,7 @@
     let mut opts = Options::new();
     opts.optopt("", "seed", "seed of the random numbers", "N");
     opts.optopt("", "seconds", "virtual length of each run", "N");
+    opts.optopt("", "mix", "part of the name of the mixes to run", "TEXT");
     opts.optflag("", "cost", "measure the cost of each decision instead");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let parsed = match opts.parse(args) {
@@ -122,7 +123,8 @@
     }
     let seed = parsed.opt_get_default("seed", 1).unwrap_or(1);
     let seconds = parsed.opt_get_default("seconds", 120).unwrap_or(120);
-    for mix in MIXES {
+    let part = parsed.opt_str("mix").unwrap_or_default();
+    for mix in MIXES.into_iter().filter(|mix| mix.name.contains(&part)) {
         println!(
             "\n{} (seed {seed}, {seconds} s, {} requests/s)\n",
             mix.name, mix.rate
--- a/crates/core/examples/policy_compare/mix.rs
+++ b/crates/core/examples/policy_compare/mix.rs
@@ -34,26 +34,40 @@
     pub hot_percent: u64,
 }
 
-pub const MIXES: [Mix; 2] = [
+const VESTLAND: Mix = Mix {
+    name: "vestland",
+    rate: 30,
+    contexts: 24,
+    sheets: 4,
+    blocks: [1, 2, 1],
+    decode: Duration::from_millis(1_500),
+    far: Duration::from_micros(1_500),
+    hot_percent: 15,
+};
+
+const LAKESHORE: Mix = Mix {
+    name: "lakeshore",
+    rate: 12,
+    contexts: 6,
+    sheets: 6,
+    blocks: [1, 2, 8],
+    decode: Duration::from_millis(2_000),
+    far: Duration::from_micros(500),
+    hot_percent: 25,
+};
+
+pub const MIXES: [Mix; 4] = [
+    VESTLAND,
+    LAKESHORE,
     Mix {
-        name: "vestland",
-        rate: 30,
-        contexts: 24,
-        sheets: 4,
-        blocks: [1, 2, 1],
-        decode: Duration::from_millis(1_500),
-        far: Duration::from_micros(1_500),
-        hot_percent: 15,
+        name: "vestland, one sheet very hot",
+        hot_percent: 70,
+        ..VESTLAND
     },
     Mix {
-        name: "lakeshore",
-        rate: 12,
-        contexts: 6,
-        sheets: 6,
-        blocks: [1, 2, 8],
-        decode: Duration::from_millis(2_000),
-        far: Duration::from_micros(500),
-        hot_percent: 25,
+        name: "vestland, overloaded",
+        rate: 80,
+        ..VESTLAND
     },
 ];
 
--- a/crates/core/examples/policy_compare/run.rs
+++ b/crates/core/examples/policy_compare/run.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashSet;
+use std::mem;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -298,8 +299,11 @@
         for out in self.instances[instance].queue.expire(self.now) {
             self.tally.refused(self.requests[out.item].team);
         }
-        while !self.instances[instance].queue.is_empty() && self.has_room(instance) {
-            let Some(index) = self.instances[instance].queue.pop(self.now) else {
+        loop {
+            let mut queue = mem::take(&mut self.instances[instance].queue);
+            let popped = queue.pop_if(self.now, |index| self.choose(*index).is_some());
+            self.instances[instance].queue = queue;
+            let Some(index) = popped else {
                 return;
             };
             if !self.place(index) {
@@ -308,18 +312,6 @@
         }
     }
 
-    fn has_room(&self, instance: usize) -> bool {
-        let table = &self.instances[instance].table;
-        let max = self.variant.policy.max_outstanding;
-        let room = |id: &&UpstreamId| {
-            let open = table
-                .get(**id)
-                .is_some_and(limpetsaddle_core::upstreams::Upstream::takes_work);
-            open && table.load(**id, self.now).requests < max
-        };
-        self.ids.iter().find(room).is_some()
-    }
-
     fn place(&mut self, index: usize) -> bool {
         let Some(choice) = self.choose(index) else {
             return false;
--- a/crates/core/src/fair_queue/queue.rs
+++ b/crates/core/src/fair_queue/queue.rs
@@ -232,11 +232,19 @@
     ///
     /// An entry whose wait has passed is left to [`FairQueue::expire`].
     pub fn pop(&mut self, now: Time) -> Option<T> {
-        let live = |(_, team): &&(u128, TeamName)| {
+        self.pop_if(now, |_| true)
+    }
+
+    /// Takes the entry that is to run next among those that `admits` accepts.
+    ///
+    /// Each team's first entry is offered, in order, so that one which no
+    /// upstream has room for does not hold up those of other teams.
+    pub fn pop_if(&mut self, now: Time, mut admits: impl FnMut(&T) -> bool) -> Option<T> {
+        let mut live = |(_, team): &&(u128, TeamName)| {
             let head = self.flows.get(team).and_then(|flow| flow.entries.front());
-            head.is_some_and(|entry| entry.deadline > now)
+            head.is_some_and(|entry| entry.deadline > now && admits(&entry.item))
         };
-        let (start, team) = self.heads.iter().find(live)?.clone();
+        let (start, team) = self.heads.iter().find(&mut live)?.clone();
         self.virtual_now = self.virtual_now.max(start);
         let entry = self.take(&team, VecDeque::pop_front)?;
         self.learn_interval(entry.pushed, now);
--- a/crates/core/src/placement/homes.rs
+++ b/crates/core/src/placement/homes.rs
@@ -10,9 +10,6 @@
 use crate::upstreams::Member;
 use crate::upstreams::UpstreamId;
 
-/// The homes of a prefix at most.
-const MAX_HOMES: usize = 8;
-
 /// The depth up to which the prefixes in use are counted, in blocks.
 const MAX_DEPTH: usize = 32;
 
@@ -29,15 +26,6 @@
 /// may get.
 const MAX_HOME_LOAD: u32 = 2;
 
-/// A `Level` is the depth of the prompt at which its home is looked up.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct Level {
-    /// The number of blocks that the home is looked up by.
-    pub(super) depth: usize,
-    /// The number of homes.
-    pub(super) homes: usize,
-}
-
 type Bitmap = [u64; WORDS];
 
 /// A `PrefixCounts` counts, for each depth, the different prefixes in use.
@@ -91,48 +79,39 @@
     }
 }
 
-/// Returns the level of a prompt, from `depth` on, given the recent requests
-/// for each of its blocks and in total.
+/// Returns the number of blocks by which the home of a prompt is looked up, from
+/// `depth` on, given the recent requests for each of its blocks and in total.
 ///
 /// A prefix that brings one of `members` too much of the load is looked up by a
-/// deeper level; one that is too hot at every shared level gets as many homes as
-/// its requests fill.
-pub(super) fn level(rates: &[u32], total: u32, members: usize, depth: usize) -> Level {
+/// deeper block, as long as others share that one.
+pub(super) fn home_depth(rates: &[u32], total: u32, members: usize, depth: usize) -> usize {
     let members = u32::try_from(members).unwrap_or(u32::MAX);
-    let mut level = Level {
-        depth: depth.min(rates.len()),
-        homes: 1,
-    };
-    let from = level.depth.saturating_sub(1);
-    for (i, rate) in rates.iter().enumerate().skip(from) {
-        // A block that hardly anyone shares would scatter a hot prefix.
-        if i > from && *rate < 2 {
-            break;
-        }
-        let load = rate.saturating_mul(members);
-        let homes = load.div_ceil(total.max(1)).max(1);
-        level.depth = i + 1;
-        if load <= total.saturating_mul(MAX_HOME_LOAD) {
-            level.homes = 1;
+    let bound = total.saturating_mul(MAX_HOME_LOAD);
+    let mut depth = depth.min(rates.len());
+    while depth > 0 {
+        let hot = rates[depth - 1].saturating_mul(members) > bound;
+        let shared = rates.get(depth).is_some_and(|rate| *rate > 1);
+        if !hot || !shared {
             break;
         }
-        level.homes = usize::try_from(homes).unwrap_or(MAX_HOMES).min(MAX_HOMES);
+        depth += 1;
     }
-    level
+    depth
 }
 
-/// Returns the first `count` homes of `block` among `members`, in rank order.
-pub(super) fn homes(block: u64, members: &[Member], count: usize) -> Vec<UpstreamId> {
-    let mut best: Vec<(u64, UpstreamId)> = Vec::with_capacity(count + 1);
+/// Returns the two members that rank first for `block`, the home before its
+/// replacement.
+pub(super) fn homes(block: u64, members: &[Member]) -> [Option<UpstreamId>; 2] {
+    let mut first: Option<(u64, UpstreamId)> = None;
+    let mut second = None;
     for member in members {
-        let score = mix(block ^ member.seed);
-        let worse = best.last().is_some_and(|(least, _)| score <= *least);
-        if best.len() == count && worse {
-            continue;
+        let ranked = Some((mix(block ^ member.seed), member.id));
+        if ranked > first {
+            second = first;
+            first = ranked;
+        } else if ranked > second {
+            second = ranked;
         }
-        let place = best.partition_point(|(held, _)| *held >= score);
-        best.insert(place, (score, member.id));
-        best.truncate(count);
     }
-    best.into_iter().map(|(_, id)| id).collect()
+    [first.map(|(_, id)| id), second.map(|(_, id)| id)]
 }
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -11,8 +11,8 @@
 use super::hints::HintTable;
 use super::hints::RequestCount;
 use super::homes::PrefixCounts;
+use super::homes::home_depth;
 use super::homes::homes;
-use super::homes::level;
 use super::shortlist::Candidate;
 use super::shortlist::Shortlist;
 use crate::hash::mix;
@@ -22,6 +22,7 @@
 use crate::upstreams::CacheEpoch;
 use crate::upstreams::Health;
 use crate::upstreams::Member;
+use crate::upstreams::Upstream;
 use crate::upstreams::UpstreamId;
 use crate::upstreams::UpstreamTable;
 
@@ -64,8 +65,9 @@
     pub hint_life: Duration,
     /// The upstreams that a failure domain needs to have homes of its own.
     pub home_group: usize,
-    /// Whether a hot prefix gets more than one home.
-    pub spread: bool,
+    /// The longest queue of an engine that gets more work; beyond it the request
+    /// waits at the instance, where teams share fairly.
+    pub max_queue: Duration,
     /// The rate at which an engine is taken to compute prompts at first.
     pub prefill: TokenRate,
     /// Congestion.
@@ -84,7 +86,7 @@
             capacity: 65_536,
             hint_life: Duration::from_secs(10),
             home_group: 16,
-            spread: true,
+            max_queue: Duration::from_millis(400),
             prefill: TokenRate(20_000),
             congestion: true,
             request_cost: Duration::from_millis(1),
@@ -185,7 +187,7 @@
     /// # Errors
     ///
     /// Returns [`Unplaced::AllFull`] when an upstream may take the request as
-    /// soon as another one ends, and [`Unplaced::NoUpstream`] otherwise.
+    /// soon as others end, and [`Unplaced::NoUpstream`] otherwise.
     pub fn choose(
         &self,
         query: &Query<'_>,
@@ -206,6 +208,14 @@
         open.into_iter()
             .min_by_key(|choice| choice.estimate)
             .map_or_else(|| self.scan(&shortlist, query, table, now), Ok)
+            .and_then(|choice| self.check_queue(choice))
+    }
+
+    fn check_queue(&self, choice: Choice) -> Result<Choice, Unplaced> {
+        if choice.queue > self.options.max_queue {
+            return Err(Unplaced::AllFull);
+        }
+        Ok(choice)
     }
 
     fn add_congestion(&self, open: &mut [Choice]) {
@@ -259,28 +269,26 @@
     ) {
         let blocks = query.chain.blocks();
         let members = self.home_group(query, table);
-        let (depth, count) = self.level(blocks, members.len(), now);
+        let depth = self.depth(blocks, members.len(), now);
         let Some(block) = depth.checked_sub(1).and_then(|last| blocks.get(last)) else {
             return;
         };
         let prefix = query.chain.tokens_of(blocks.len()).0;
         let cached = Tokens(prefix * self.home_share / WHOLE);
-        for id in homes(*block, members, count) {
-            shortlist.add(id, cached, Basis::Home);
+        let able = |id: &UpstreamId| table.get(*id).is_some_and(Upstream::takes_work);
+        let mut ranked = homes(*block, members).into_iter().flatten();
+        if let Some(home) = ranked.find(able) {
+            shortlist.add(home, cached, Basis::Home);
         }
     }
 
-    /// Returns the blocks by which the homes are looked up and their number.
-    fn level(&self, blocks: &[u64], members: usize, now: Time) -> (usize, usize) {
+    /// Returns the number of blocks by which the home is looked up.
+    fn depth(&self, blocks: &[u64], members: usize, now: Time) -> usize {
         let rate = |block: &u64| self.hints.get(*block).map_or(0, |hint| hint.requests(now));
         let rates: Vec<u32> = blocks.iter().map(rate).collect();
         let nested = self.prefixes.depth_of(members);
         let depth = nested.unwrap_or(blocks.len().div_ceil(2));
-        let level = level(&rates, self.requests.recent(now), members, depth);
-        (
-            level.depth,
-            if self.options.spread { level.homes } else { 1 },
-        )
+        home_depth(&rates, self.requests.recent(now), members, depth)
     }
 
     /// Returns the failure domain's upstreams where it has enough of them, and
