Carry out claims and settlements over the platform's client

Change: Platform::claim obtains a claim and resolves lost answers; Platform::settle records the end of an attempt over outages.

--- a/crates/platform/src/coordination.rs
+++ b/crates/platform/src/coordination.rs
@@ -1,7 +1,15 @@
 //! The platform's side of claims and leases.
 
 use limpetsaddle_core::claims::Claim;
+use limpetsaddle_core::claims::ClaimOptions;
+use limpetsaddle_core::claims::ClaimRequest;
 use limpetsaddle_core::claims::ClaimWrite;
+use limpetsaddle_core::claims::Claiming;
+use limpetsaddle_core::claims::Finish;
+use limpetsaddle_core::claims::Held;
+use limpetsaddle_core::claims::SettleStep;
+use limpetsaddle_core::claims::Settlement;
+use limpetsaddle_core::claims::Step;
 use limpetsaddle_core::claims::VersionedClaim;
 use limpetsaddle_core::claims::WriteAnswer;
 use limpetsaddle_core::names::ObjectName;
@@ -9,6 +17,7 @@
 use limpetsaddle_core::orders::LeaseRecord;
 use limpetsaddle_core::orders::LeaseWrite;
 use limpetsaddle_core::orders::VersionedLease;
+use limpetsaddle_core::units::Time;
 
 use crate::client::Platform;
 use crate::error::Result;
@@ -17,7 +26,58 @@
 use crate::records::RecordName;
 use crate::records::RecordPut;
 
+/// A `Claimed` is what the attempt to obtain a claim came to.
+#[derive(Debug)]
+pub enum Claimed {
+    /// The claim is held: the request may be sent once.
+    Held(Held),
+    /// The attempt has ended without sending.
+    Finished(Finish),
+}
+
 impl Platform {
+    /// Obtains the claim of a request, resolving lost answers.
+    ///
+    /// `clock` gives the instance's monotonic time.
+    pub async fn claim(
+        &self,
+        request: ClaimRequest,
+        options: ClaimOptions,
+        clock: impl Fn() -> Time,
+    ) -> Claimed {
+        let (mut claiming, mut write) = Claiming::start(request, options, clock());
+        loop {
+            let answer = self.write_claim(&write).await;
+            let lost = answer == WriteAnswer::Unknown;
+            match claiming.on_write(answer, clock()) {
+                Step::Write(next, next_write) => (claiming, write) = (next, next_write),
+                Step::Send(held) => return Claimed::Held(held),
+                Step::Finish(finish) => return Claimed::Finished(finish),
+            }
+            if lost {
+                monoio::time::sleep(self.options().confirm_pause).await;
+            }
+        }
+    }
+
+    /// Records the end of an attempt and returns whether it was recorded.
+    ///
+    /// This outlasts outages of the platform, so it belongs in a task of its own.
+    pub async fn settle(&self, settlement: Box<Settlement>, clock: impl Fn() -> Time) -> bool {
+        let mut settlement = settlement;
+        loop {
+            let answer = self.write_claim(&settlement.write()).await;
+            match settlement.on_write(answer, clock()) {
+                SettleStep::Settled => return true,
+                SettleStep::GaveUp => return false,
+                SettleStep::Retry(next, pause) => {
+                    settlement = next;
+                    monoio::time::sleep(pause).await;
+                }
+            }
+        }
+    }
+
     /// Carries out the write of a claim and returns what became of it.
     pub async fn write_claim(&self, write: &ClaimWrite) -> WriteAnswer {
         let name = RecordName::from(write.name);
