--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -17,14 +17,14 @@
 //! use limpetsaddle_core::claims::Claiming;
 //! use limpetsaddle_core::claims::Step;
 //! use limpetsaddle_core::claims::WriteAnswer;
-//! use limpetsaddle_core::hash::Digest;
+//! use limpetsaddle_core::claims::request_digest;
 //! use limpetsaddle_core::units::Incarnation;
 //! use limpetsaddle_core::units::Revision;
 //! use limpetsaddle_core::units::Time;
 //!
 //! let request = ClaimRequest {
 //!     name: ClaimName::new(&"yard".parse()?, "order-17"),
-//!     digest: Digest::of(b"POST /orders"),
+//!     digest: request_digest("POST", "/orders", b"birch"),
 //!     attempt: AttemptId { incarnation: Incarnation(7), number: 1 },
 //! };
 //! let (claiming, write) = Claiming::start(request, ClaimOptions::default(), Time::ZERO);
@@ -58,5 +58,6 @@
 pub use self::record::OutcomeHeader;
 pub use self::record::StoredBody;
 pub use self::record::VersionedClaim;
+pub use self::record::request_digest;
 pub use self::settlement::SettleStep;
 pub use self::settlement::Settlement;
--- a/crates/core/src/claims/record.rs
+++ b/crates/core/src/claims/record.rs
@@ -45,6 +45,22 @@
     }
 }
 
+/// Returns the digest by which a repeated request is told apart from another one.
+///
+/// ```
+/// use limpetsaddle_core::claims::request_digest;
+///
+/// let one = request_digest("POST", "/orders", b"birch");
+/// assert_eq!(one, request_digest("POST", "/orders", b"birch"));
+/// assert_ne!(one, request_digest("POST", "/orders", b"spruce"));
+/// ```
+#[must_use]
+pub fn request_digest(method: &str, target: &str, body: &[u8]) -> Digest {
+    // Neither a method nor a target can hold a NUL byte.
+    let head = format!("{method}\0{target}\0");
+    Digest::of(&[head.as_bytes(), body].concat())
+}
+
 /// An `AttemptId` identifies one attempt to carry out a request.
 ///
 /// No two attempts of any instance have the same identifier.
