Serve requests from admission to settlement

Cause: the decisions had no process to run in. Ruled out: dropping a read that is under way when a caller leaves or a key is checked, which loses bytes; the stream keeps the read and is polled again. Change: the daemon with its controllers (start, exchanges, watch, slots, load reports, orders, status, ticks), completions with resumption, plain services, claimed requests, and a planned stop. Checked: against a scratch stand-in of platform and engine a daemon was ready within 3 s, streamed six tokens as they came, assembled a whole answer and refused a request without a key; the router's tests pass.

--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -1,6 +1,7 @@
 //! Requests for completions and the events that engines answer with.
 
 use bytes::Bytes;
+use limpetsaddle_core::hash::Digest;
 use limpetsaddle_core::names::ModelName;
 use limpetsaddle_core::refusal::Reason;
 use limpetsaddle_core::stream::EventHead;
@@ -86,9 +87,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Dispatch {
     /// The scope of cached blocks.
-    pub cache_salt: u64,
+    pub salt: Digest,
     /// The priority; a smaller number is served first.
-    pub priority: i64,
+    pub priority: u8,
     /// The tokens that the caller already has.
     pub resume_from: u64,
 }
@@ -151,8 +152,7 @@
         body.insert("stream".into(), true.into());
         let options = serde_json::json!({ "include_usage": true });
         body.insert("stream_options".into(), options);
-        let salt = format!("{:016x}", dispatch.cache_salt);
-        body.insert("cache_salt".into(), salt.into());
+        body.insert("cache_salt".into(), dispatch.salt.to_string().into());
         body.insert("priority".into(), dispatch.priority.into());
         if dispatch.resume_from > 0 {
             body.insert("resume_from".into(), dispatch.resume_from.into());
@@ -185,6 +185,8 @@
     index: u64,
     choices: Vec<Choice>,
     usage: Option<Usage>,
+    #[serde(skip)]
+    data: String,
 }
 
 #[derive(Debug, Deserialize)]
@@ -223,7 +225,15 @@
     /// Returns the event that `data` holds, or `None` when it is not one.
     #[must_use]
     pub fn parse(data: &str) -> Option<Self> {
-        serde_json::from_str(data).ok()
+        let mut event: Self = serde_json::from_str(data).ok()?;
+        data.clone_into(&mut event.data);
+        Some(event)
+    }
+
+    /// Returns the event as it goes to the caller.
+    #[must_use]
+    pub fn encode(&self) -> Bytes {
+        format!("data: {}\n\n", self.data).into()
     }
 
     /// Returns the part that places the event in its answer.
@@ -275,6 +285,12 @@
         }
     }
 
+    /// Returns the engine's account of the tokens, once it has come.
+    #[must_use]
+    pub const fn usage(&self) -> Option<&Usage> {
+        self.usage.as_ref()
+    }
+
     /// Returns the whole answer as a JSON document.
     #[must_use]
     pub fn document(&self, completion: &Completion, request_id: &str) -> Bytes {
--- a/crates/router/src/controllers/bootstrap.rs
+++ b/crates/router/src/controllers/bootstrap.rs
@@ -1,5 +1,6 @@
 //! The start of an instance: configuration from whoever answers first.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,8 +33,11 @@
     monoio::spawn(from_platform(Rc::clone(&instance)));
     let seeds = instance.settings.seeds.clone();
     while !instance.board.borrow().is_ready() {
-        let calls = seeds.iter().copied().filter(|a| *a != instance.settings.peer);
-        let calls = calls.map(|address| exchange_with(Rc::clone(&instance), address, None));
+        let calls = seeds
+            .iter()
+            .copied()
+            .filter(|a| *a != instance.settings.peer);
+        let calls = calls.map(|address| exchange_with(Rc::clone(&instance), address));
         futures::future::join_all(calls).await;
         ask_known_peers(&instance).await;
         settle(&instance);
@@ -57,14 +61,14 @@
 }
 
 async fn ask_known_peers(instance: &Rc<Instance>) {
-    let rows: Vec<_> = {
+    let addresses: Vec<SocketAddr> = {
         let board = instance.board.borrow();
-        let rows = board.members.iter().map(|m| m.row.clone());
-        rows.take(PEERS_ASKED).collect()
+        let addresses = board.members.iter().map(|m| m.row.address);
+        addresses.take(PEERS_ASKED).collect()
     };
-    let calls = rows
+    let calls = addresses
         .into_iter()
-        .map(|row| exchange_with(Rc::clone(instance), row.address, Some(row.domain)));
+        .map(|address| exchange_with(Rc::clone(instance), address));
     futures::future::join_all(calls).await;
 }
 
@@ -75,8 +79,7 @@
 
 /// Keeps the addresses from the platform's list of instances up to date.
 pub async fn refresh(instance: Rc<Instance>, stopping: Stopping) {
-    while !stopping.is_closed() {
-        monoio::time::sleep(REFRESH).await;
+    while stopping.pause(REFRESH).await {
         read_instances(&instance).await;
     }
 }
--- a/crates/router/src/controllers/exchange.rs
+++ b/crates/router/src/controllers/exchange.rs
@@ -12,7 +12,6 @@
 use limpetsaddle_core::membership::exchange::ExchangeReply;
 use limpetsaddle_core::membership::exchange::ExchangeRequest;
 use limpetsaddle_core::membership::exchange::Pending;
-use limpetsaddle_core::names::DomainName;
 use limpetsaddle_core::store::Change;
 use log::warn;
 
@@ -26,15 +25,9 @@
 /// Exchanges with a peer of the failure domain each second, and with an
 /// instance of another failure domain where this one watches the platform.
 pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
-    while !stopping.is_closed() {
-        let period = jittered(&instance, PERIOD);
-        monoio::time::sleep(period).await;
+    while stopping.pause(jittered(&instance, PERIOD)).await {
         for row in partners(&instance) {
-            monoio::spawn(exchange_with(
-                Rc::clone(&instance),
-                row.address,
-                Some(row.domain),
-            ));
+            monoio::spawn(exchange_with(Rc::clone(&instance), row.address));
         }
     }
 }
@@ -48,7 +41,10 @@
 fn partners(instance: &Instance) -> Vec<Row> {
     let now = instance.now();
     let mut board = instance.board.borrow_mut();
-    let revision = board.store.confirmation().map_or_else(Default::default, |c| c.revision);
+    let revision = board
+        .store
+        .confirmation()
+        .map_or_else(Default::default, |c| c.revision);
     board.members.beat(revision, now);
     let members = &board.members;
     let peer = members.pick_peer(instance.random.draw(), now);
@@ -60,49 +56,36 @@
     peer.into_iter().chain(contact).cloned().collect()
 }
 
-/// Exchanges with one instance until neither has news for the other, and
-/// returns whether it answered.
-///
-/// `domain` is the failure domain of the instance, where it is known. Only an
-/// answer from the own failure domain keeps the limits in force.
-pub async fn exchange_with(
-    instance: Rc<Instance>,
-    address: SocketAddr,
-    domain: Option<DomainName>,
-) -> bool {
+/// Exchanges with one instance until neither has news for the other.
+pub async fn exchange_with(instance: Rc<Instance>, address: SocketAddr) {
     let now = instance.now();
     let opts = ExchangeOptions::default();
     let first = {
         let board = instance.board.borrow();
         exchange::open(&board.store, &board.members, &opts, now)
     };
-    converse(&instance, address, domain.as_ref(), first).await
+    converse(&instance, address, first).await;
 }
 
-async fn converse(
-    instance: &Rc<Instance>,
-    address: SocketAddr,
-    domain: Option<&DomainName>,
-    first: Pending,
-) -> bool {
+async fn converse(instance: &Rc<Instance>, address: SocketAddr, first: Pending) {
     let mut next = Some(first);
     while let Some(pending) = next {
         let Ok(reply) = instance.peers.exchange(address, &pending.request).await else {
             instance.metrics.count(Event::PeerFailed);
-            return false;
+            return;
         };
         instance.metrics.count(Event::PeerOk);
         let home = match &reply {
             ExchangeReply::State(state) => state.from.domain == instance.settings.domain,
             ExchangeReply::Replaced(_) => false,
         };
-        debug_assert!(domain.is_none_or(|d| !home || *d == instance.settings.domain));
         next = absorb(instance, &pending, reply, home);
     }
-    true
 }
 
 /// Takes in a reply and returns the next request of the exchange.
+///
+/// Only an answer from the own failure domain, `home`, keeps the limits in force.
 fn absorb(
     instance: &Rc<Instance>,
     pending: &Pending,
@@ -114,7 +97,14 @@
     let outcome = {
         let mut board = instance.board.borrow_mut();
         let board = &mut *board;
-        exchange::absorb(&mut board.store, &mut board.members, pending, reply, &opts, now)
+        exchange::absorb(
+            &mut board.store,
+            &mut board.members,
+            pending,
+            reply,
+            &opts,
+            now,
+        )
     };
     let Ok(outcome) = outcome else {
         note_replaced(instance);
@@ -169,7 +159,7 @@
         let board = instance.board.borrow();
         exchange::push(&board.store, &board.members, objects, now)
     };
-    converse(&instance, address, None, first).await;
+    converse(&instance, address, first).await;
 }
 
 /// Ends minting once another incarnation has replaced this one.
--- a/crates/router/src/controllers/loads.rs
+++ b/crates/router/src/controllers/loads.rs
@@ -43,8 +43,7 @@
 
 /// Asks the engines in use for their load, and probes those that are down.
 pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
-    while !stopping.is_closed() {
-        monoio::time::sleep(jittered(&instance, PERIOD)).await;
+    while stopping.pause(jittered(&instance, PERIOD)).await {
         for id in due(&instance) {
             monoio::spawn(ask(Rc::clone(&instance), id));
         }
@@ -76,13 +75,20 @@
         return;
     };
     let sent = instance.now();
-    let asked = fetch(&instance, address, if engine { "/load" } else { "/healthz" });
+    let asked = fetch(
+        &instance,
+        address,
+        if engine { "/load" } else { "/healthz" },
+    );
     let answer = monoio::time::timeout(TIMEOUT, asked).await;
     let now = instance.now();
     let random = instance.random.draw();
     let mut board = instance.board.borrow_mut();
     let Ok(Some(body)) = answer else {
-        board.upstreams.probe_failed(id, now, random);
+        // Attempts tell whether an upstream in use is slow or dead.
+        if board.upstreams.is_down(id) {
+            board.upstreams.probe_failed(id, now, random);
+        }
         return;
     };
     if !engine {
--- a/crates/router/src/controllers/orders.rs
+++ b/crates/router/src/controllers/orders.rs
@@ -42,7 +42,7 @@
 use crate::shutdown::Stopping;
 
 /// The time between two rounds.
-const PERIOD: Duration = Duration::from_millis(500);
+const PERIOD: Duration = Duration::from_secs(1);
 
 /// The longest answer of an engine in bytes.
 const MAX_ANSWER_BYTES: usize = 4_096;
@@ -111,8 +111,7 @@
         holds: false,
         instance,
     };
-    while !stopping.is_closed() {
-        monoio::time::sleep(jittered(&giver.instance, PERIOD)).await;
+    while stopping.pause(jittered(&giver.instance, PERIOD)).await {
         if giver.instance.draining.is_closed() {
             giver.keeper.release();
         }
@@ -274,6 +273,7 @@
     let Ok(body) = res.collect(MAX_ANSWER_BYTES).await else {
         return OrderAnswer::Unknown;
     };
-    serde_json::from_slice::<OrderReceipt>(&body)
-        .map_or(OrderAnswer::Unknown, |r| OrderAnswer::Accepted(r.incarnation))
+    serde_json::from_slice::<OrderReceipt>(&body).map_or(OrderAnswer::Unknown, |r| {
+        OrderAnswer::Accepted(r.incarnation)
+    })
 }
--- a/crates/router/src/controllers/slots.rs
+++ b/crates/router/src/controllers/slots.rs
@@ -24,8 +24,7 @@
 
 /// Claims, takes over and gives up slots, and keeps contact where no peer does.
 pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
-    while !stopping.is_closed() {
-        monoio::time::sleep(jittered(&instance, PERIOD)).await;
+    while stopping.pause(jittered(&instance, PERIOD)).await {
         if instance.contact_age() > CONTACT_AGE {
             confirm(&instance).await;
         }
@@ -60,7 +59,7 @@
     let sent = instance.now();
     let written = instance
         .platform
-        .put(&write.id, write.expected, Some(spec))
+        .put(&write.id, write.expected, Some(&spec))
         .await;
     instance.note_platform(written.is_ok());
     match written {
--- a/crates/router/src/controllers/status.rs
+++ b/crates/router/src/controllers/status.rs
@@ -19,13 +19,15 @@
 const PERIOD: Duration = Duration::from_secs(5);
 
 /// The time for which the platform keeps a report.
-const TIME_TO_LIVE: Duration = Duration::from_secs(60);
+const TIME_TO_LIVE: Duration = Duration::from_mins(1);
 
 /// Reports regularly until the instance ends.
 pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
-    while !stopping.is_closed() {
+    loop {
         write(&instance).await;
-        monoio::time::sleep(jittered(&instance, PERIOD)).await;
+        if !stopping.pause(jittered(&instance, PERIOD)).await {
+            return;
+        }
     }
 }
 
--- a/crates/router/src/controllers/ticks.rs
+++ b/crates/router/src/controllers/ticks.rs
@@ -17,8 +17,7 @@
 /// Runs until the instance ends.
 pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
     let mut ticks = 0_u32;
-    while !stopping.is_closed() {
-        monoio::time::sleep(PERIOD).await;
+    while stopping.pause(PERIOD).await {
         tick(&instance);
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(GAUGE_TICKS) {
@@ -52,7 +51,10 @@
     metrics.set(Level::Revision, revision);
     let age = board.store.age(now).unwrap_or(Duration::MAX);
     metrics.set(Level::PlatformAge, millis(age));
-    metrics.set(Level::LivePeers, board.members.live_peers(now).count() as u64);
+    metrics.set(
+        Level::LivePeers,
+        board.members.live_peers(now).count() as u64,
+    );
     metrics.set(Level::LiveUpstreams, board.upstreams.live() as u64);
     metrics.set(Level::OwnedSlots, board.ledger.slots_owned() as u64);
     metrics.set(Level::Queued, board.queue.len() as u64);
@@ -60,6 +62,7 @@
 }
 
 /// Returns a span in whole milliseconds.
+#[must_use]
 pub fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/router/src/controllers/watch.rs
+++ b/crates/router/src/controllers/watch.rs
@@ -22,20 +22,33 @@
 /// sends a bookmark each second.
 const SILENCE: Duration = Duration::from_secs(4);
 
+/// The watches that follow each other before everything is read again. A watch
+/// that skipped a change leaves a hole that only a full reading shows.
+const WATCHES_PER_LIST: u32 = 10;
+
 /// Watches the platform for as long as this instance is one of its failure
 /// domain's watchers.
 pub async fn run(instance: Rc<Instance>, stopping: Stopping) {
     let mut connected = false;
-    while !stopping.is_closed() {
+    let mut watches = 0_u32;
+    loop {
         if is_watcher(&instance) {
-            let result = watch(&instance, &mut connected).await;
+            let read_all = watches.is_multiple_of(WATCHES_PER_LIST);
+            let result = watch(&instance, read_all, &mut connected).await;
             instance.note_platform(result.is_ok());
-            if result.is_err() && connected {
+            watches = match result {
+                Ok(()) => watches.wrapping_add(1),
+                // What was missed in the meantime is read again.
+                Err(_) => 0,
+            };
+            if watches == 0 && connected {
                 connected = false;
                 info!("the watch of the platform broke off");
             }
         }
-        monoio::time::sleep(jittered(&instance, PERIOD)).await;
+        if !stopping.pause(jittered(&instance, PERIOD)).await {
+            return;
+        }
     }
 }
 
@@ -44,14 +57,18 @@
     instance.board.borrow().members.is_watcher(now)
 }
 
-async fn watch(instance: &Rc<Instance>, connected: &mut bool) -> Result<(), PlatformError> {
+async fn watch(
+    instance: &Rc<Instance>,
+    read_all: bool,
+    connected: &mut bool,
+) -> Result<(), PlatformError> {
     let confirmed = instance.board.borrow().store.confirmation();
     let from = match confirmed {
-        Some(confirmation) => confirmation.revision,
-        None => list(instance).await?,
+        Some(confirmation) if !read_all => confirmation.revision,
+        _ => list(instance).await?,
     };
     let mut watch = match instance.platform.watch(from).await {
-        Err(PlatformError::Expired) => {
+        Err(PlatformError::HistoryGone) => {
             let from = list(instance).await?;
             instance.platform.watch(from).await?
         }
@@ -69,6 +86,7 @@
         };
         match event? {
             Some(WatchEvent::Object(object)) => merge(instance, vec![object]),
+            Some(WatchEvent::Invalid(_)) => instance.metrics.count(Event::ConfigInvalid),
             Some(WatchEvent::Bookmark(revision)) => confirm(instance, revision),
             None => return Ok(()),
         }
--- a/crates/router/src/errors.rs
+++ b/crates/router/src/errors.rs
@@ -24,6 +24,9 @@
         /// The cause.
         source: io::Error,
     },
+    /// The address for other instances could not be bound.
+    #[error("cannot serve other instances: {0}")]
+    Peers(#[from] limpetsaddle_peer::Error),
     /// The runtime could not be built.
     #[error("cannot start the runtime: {0}")]
     Runtime(#[source] io::Error),
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::channel::oneshot;
 use limpetsaddle_core::blackboard::Blackboard;
@@ -15,14 +16,15 @@
 use limpetsaddle_core::units::Revision;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_http::Client;
+use limpetsaddle_peer::PeerClient;
 use limpetsaddle_platform::Platform;
 
 use crate::clock::Clock;
 use crate::clock::Random;
 use crate::clock::time_of_day;
 use crate::errors::Result;
+use crate::metrics::Event;
 use crate::metrics::Metrics;
-use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::shutdown::Stopping;
 
@@ -46,12 +48,15 @@
     /// The client of the platform's object API.
     pub platform: Platform,
     /// The connections with other instances.
-    pub peers: Peers,
+    pub peers: PeerClient,
     /// Closes when the instance takes no more requests.
     pub draining: Stopping,
+    /// The revision of this instance's own status record.
+    pub status_revision: Cell<Revision>,
     incarnation: Incarnation,
     requests: Cell<u64>,
     running: Cell<u64>,
+    contact: Cell<Time>,
 }
 
 impl Instance {
@@ -86,12 +91,14 @@
                 settings.platform.clone(),
                 limpetsaddle_platform::PlatformOptions::default(),
             ),
-            peers: Peers::default(),
+            peers: PeerClient::new(limpetsaddle_peer::ClientOptions::default()),
             settings,
             draining,
             incarnation,
+            status_revision: Cell::new(Revision::ABSENT),
             requests: Cell::new(0),
             running: Cell::new(0),
+            contact: Cell::new(Time::ZERO),
         }))
     }
 
@@ -100,6 +107,26 @@
         self.clock.now()
     }
 
+    /// Records a confirmed contact whose request was sent at `sent`.
+    pub fn contact(&self, sent: Time) {
+        self.contact.set(self.contact.get().max(sent));
+        self.board.borrow_mut().ledger.on_contact(sent);
+    }
+
+    /// Returns the time since the last confirmed contact.
+    pub fn contact_age(&self) -> Duration {
+        self.now().since(self.contact.get())
+    }
+
+    /// Counts a call to the platform.
+    pub fn note_platform(&self, succeeded: bool) {
+        self.metrics.count(if succeeded {
+            Event::PlatformOk
+        } else {
+            Event::PlatformFailed
+        });
+    }
+
     /// Returns a new request id, unique over all instances and restarts.
     pub fn next_request_id(&self) -> Rc<str> {
         let number = self.next_number();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,11 +3,18 @@
 //! Controllers read and write the blackboard of [`limpetsaddle_core`]; this
 //! crate gives them sockets, clocks and randomness.
 
+pub mod admin;
 pub mod answers;
 pub mod clock;
 pub mod completion;
+pub mod controllers;
 pub mod errors;
+pub mod instance;
 pub mod logging;
+pub mod metrics;
+pub mod peers;
+pub mod run;
+pub mod serve;
 pub mod settings;
 pub mod shutdown;
 
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -25,7 +25,7 @@
 pub fn init(level: LevelFilter) -> Result<()> {
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
-        .level_for("limpetsaddle", level)
+        .level_for(env!("CARGO_CRATE_NAME"), level)
         .format(|out, message, record| out.finish(format_args!("{}", line(record, message))))
         .chain(std::io::stderr())
         .apply()?;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,3 +1,33 @@
-//! Stub.
+//! The entry daemon of limpetsaddle.
 
-fn main() {}
+use std::process::ExitCode;
+
+use limpetsaddle_router::Result;
+use limpetsaddle_router::logging;
+use limpetsaddle_router::run;
+use limpetsaddle_router::settings;
+use limpetsaddle_router::settings::Command;
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("limpetsaddle: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<()> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match settings::parse(&args, |name| std::env::var(name).ok())? {
+        Command::Help(text) => print!("{text}"),
+        Command::Version => println!("limpetsaddle {}", env!("CARGO_PKG_VERSION")),
+        Command::Check(_) => println!("the settings are valid"),
+        Command::Run(settings) => {
+            logging::init(settings.log_level)?;
+            run::run(*settings)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -157,7 +157,6 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .without_target_info()
-            .without_scope_info()
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("limpetsaddle");
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,6 +1,5 @@
 //! Calls to and from other instances.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use limpetsaddle_core::limits::GrantReply;
@@ -10,9 +9,9 @@
 use limpetsaddle_peer::PeerServer;
 use limpetsaddle_peer::PeerService;
 use limpetsaddle_peer::ServerOptions;
-use monoio::net::TcpListener;
 
 use crate::controllers::exchange;
+use crate::errors::Result;
 use crate::instance::Instance;
 use crate::metrics::Event;
 use crate::shutdown::Stopping;
@@ -34,12 +33,18 @@
 }
 
 /// Serves other instances until the instance ends.
-pub fn serve(instance: &Rc<Instance>, listener: TcpListener, stopping: &Stopping) {
-    let service = Rc::new(Service(Rc::clone(instance)));
-    let server = PeerServer::start(listener, service, ServerOptions::default());
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be bound.
+pub fn serve(instance: &Rc<Instance>, stopping: &Stopping) -> Result<()> {
+    let service = Box::new(Service(Rc::clone(instance)));
+    let address = instance.settings.peer;
+    let server = PeerServer::bind(address, service, ServerOptions::default())?;
     let stopping = stopping.clone();
     monoio::spawn(async move {
         stopping.closed().await;
         drop(server);
     });
+    Ok(())
 }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -1,6 +1,7 @@
 //! The life of a daemon: start, service and planned stop.
 
 use std::future::Future;
+use std::mem::ManuallyDrop;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,11 +69,13 @@
 ///
 /// Returns [`Error::Runtime`] when the runtime cannot be built.
 pub fn block_on<F: Future<Output = Result<()>>>(future: F) -> Result<()> {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+    let runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
         .map_err(Error::Runtime)?;
-    runtime.block_on(future)
+    // Tasks that still wait on idle connections cannot be dropped outside the
+    // runtime; they end with the process.
+    ManuallyDrop::new(runtime).block_on(future)
 }
 
 /// A `Hurry` can be asked to cut a planned stop short.
@@ -89,7 +92,7 @@
 
 impl Hurry for () {
     async fn hurry(self) {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
@@ -129,15 +132,11 @@
     Ok(())
 }
 
-fn start(
-    instance: &Rc<Instance>,
-    ending: &Stopping,
-    closed: oneshot::Receiver<()>,
-) -> Result<()> {
+fn start(instance: &Rc<Instance>, ending: &Stopping, closed: oneshot::Receiver<()>) -> Result<()> {
     let settings = &instance.settings;
     let callers = listen(settings.listen)?;
     let operators = listen(settings.admin)?;
-    peers::serve(instance, listen(settings.peer)?, ending)?;
+    peers::serve(instance, ending)?;
     monoio::spawn(bootstrap::run(Rc::clone(instance)));
     monoio::spawn(bootstrap::refresh(Rc::clone(instance), ending.clone()));
     monoio::spawn(exchange::run(Rc::clone(instance), ending.clone()));
@@ -197,15 +196,15 @@
 
 /// Tells the other instances that this one is about to stop.
 fn leave(instance: &Rc<Instance>) {
-    let rows: Vec<_> = {
+    let peers: Vec<SocketAddr> = {
         let mut board = instance.board.borrow_mut();
         board.members.set_phase(Phase::Leaving);
         let now = instance.now();
-        board.members.live_peers(now).cloned().collect()
+        let peers = board.members.live_peers(now);
+        peers.map(|row| row.address).collect()
     };
-    for row in rows {
-        let call = exchange::exchange_with(Rc::clone(instance), row.address, Some(row.domain));
-        monoio::spawn(call);
+    for address in peers {
+        monoio::spawn(exchange::exchange_with(Rc::clone(instance), address));
     }
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -35,9 +35,11 @@
 use crate::instance::Instance;
 use crate::metrics::Event;
 
+pub use self::admission::send as send_grant;
+
 /// The time that an open connection gets for one more request once the
 /// instance takes no new connections.
-const LAST_REQUEST: std::time::Duration = std::time::Duration::from_secs(1);
+pub const LAST_REQUEST: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// A `Caller` is who sent a request.
 #[derive(Clone, Debug)]
@@ -60,6 +62,8 @@
     pub req: Request,
     /// Whether a part of the answer has been sent.
     pub started: bool,
+    /// Whether the connection must be closed, as the answer is incomplete.
+    pub abandoned: bool,
 }
 
 /// Serves the requests of one connection, one after the other.
@@ -73,6 +77,7 @@
             id,
             req,
             started: false,
+            abandoned: false,
         };
         let open = answer(exchange).await;
         drop(running);
@@ -118,7 +123,7 @@
     instance.metrics.request();
     let outcome = dispatch(&mut exchange).await;
     let Err(refusal) = outcome else {
-        return true;
+        return !exchange.abandoned;
     };
     instance.metrics.refused(refusal.reason);
     if exchange.started {
@@ -145,9 +150,7 @@
         .into_iter()
         .find(|e| e.path() == path);
     match endpoint {
-        Some(endpoint) if method == Method::POST => {
-            completions::serve(exchange, endpoint).await
-        }
+        Some(endpoint) if method == Method::POST => completions::serve(exchange, endpoint).await,
         Some(_) => Err(Refusal::not_run(Reason::MethodNotAllowed)),
         None if path == "/v1/models" => models(exchange, &method).await,
         None => services::serve(exchange, &path).await,
@@ -190,14 +193,17 @@
     let list = {
         let board = exchange.instance.board.borrow();
         let team = board.store.team(&caller.team);
-        let permitted = |model: &&_| {
-            team.is_some_and(|t| t.models.is_empty() || t.models.contains(model))
-        };
-        let data = board.store.models().filter(permitted).map(|model| ModelEntry {
-            id: model.to_string(),
-            object: "model",
-            owned_by: "limpetsaddle",
-        });
+        let permitted =
+            |model: &&_| team.is_some_and(|t| t.models.is_empty() || t.models.contains(model));
+        let data = board
+            .store
+            .models()
+            .filter(permitted)
+            .map(|model| ModelEntry {
+                id: model.to_string(),
+                object: "model",
+                owned_by: "limpetsaddle",
+            });
         ModelList {
             object: "list",
             data: data.collect(),
--- a/crates/router/src/serve/attempt.rs
+++ b/crates/router/src/serve/attempt.rs
@@ -81,18 +81,18 @@
         let instance = Rc::clone(exchange.instance);
         let req = self.request(exchange, &placement);
         let mut attempt = Attempt::new(&instance, placement);
-        let sent = {
-            let send = std::pin::pin!(instance.upstream.send(attempt.placement.address, req));
+        let answer = {
+            let call = std::pin::pin!(instance.upstream.send(attempt.placement.address, req));
             let left = std::pin::pin!(exchange.conn.closed());
-            match futures::future::select(send, left).await {
-                Either::Left((sent, _)) => sent,
+            match futures::future::select(call, left).await {
+                Either::Left((answer, _)) => answer,
                 Either::Right(_) => {
                     attempt.end(End::Cancelled);
                     return Ended::CallerLeft;
                 }
             }
         };
-        let ended = match sent {
+        let ended = match answer {
             Ok(res) => match attempt.check(&res.head, self, &exchange.id) {
                 Ok(()) => self.relay(exchange, &mut attempt, res).await,
                 Err(ended) => ended,
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -34,7 +34,7 @@
 use crate::metrics::Event;
 
 /// The time after its arrival until which a request may start another attempt.
-const ATTEMPTS_DEADLINE: Duration = Duration::from_secs(60);
+const ATTEMPTS_DEADLINE: Duration = Duration::from_mins(1);
 
 /// An `EnginePool` is the pool that answers for a model.
 #[derive(Clone, Debug)]
@@ -63,10 +63,7 @@
 /// # Errors
 ///
 /// Returns the refusal of a request that cannot be answered.
-pub(super) async fn serve(
-    exchange: &mut Exchange<'_>,
-    endpoint: Endpoint,
-) -> Result<(), Refusal> {
+pub(super) async fn serve(exchange: &mut Exchange<'_>, endpoint: Endpoint) -> Result<(), Refusal> {
     let instance = Rc::clone(exchange.instance);
     let caller = exchange.authenticate()?;
     super::forward::check_for_key(exchange)?;
@@ -142,7 +139,7 @@
     ) -> Result<(), Refusal> {
         let instance = Rc::clone(exchange.instance);
         let mut failed: Vec<UpstreamId> = Vec::new();
-        self.deposit(&instance);
+        deposit(&instance);
         loop {
             let placed = self.place(&instance, &failed).await;
             let placement = placed.map_err(|refusal| after_attempts(refusal, attempts))?;
@@ -163,12 +160,6 @@
         }
     }
 
-    fn deposit(&self, instance: &Instance) {
-        let mut board = instance.board.borrow_mut();
-        let percent = board.policy().retry_percent;
-        board.budget.deposit(percent);
-    }
-
     /// Waits before the next attempt, or gives up.
     async fn delay(
         &self,
@@ -268,6 +259,13 @@
     }
 }
 
+/// Counts a request towards the budget of retries.
+pub(super) fn deposit(instance: &Instance) {
+    let mut board = instance.board.borrow_mut();
+    let percent = board.policy().retry_percent;
+    board.budget.deposit(percent);
+}
+
 /// Returns what follows a failed attempt.
 pub(super) fn decide(
     instance: &Instance,
--- a/crates/router/src/serve/services.rs
+++ b/crates/router/src/serve/services.rs
@@ -30,6 +30,7 @@
 use super::claimed;
 use super::completions::after_attempts;
 use super::completions::decide;
+use super::completions::deposit;
 use super::forward;
 use super::placing;
 use crate::answers::REQUEST_ID_HEADER;
@@ -87,7 +88,11 @@
     };
     let not_run = outcome.is_err_and(|refusal| refusal.ran == Ran::NotRun);
     if let Some(reservation) = reservation {
-        let used = if not_run { Tokens::ZERO } else { call.route.cost };
+        let used = if not_run {
+            Tokens::ZERO
+        } else {
+            call.route.cost
+        };
         admission::settle(&instance, reservation, used);
     }
     outcome
@@ -109,10 +114,7 @@
     Ok(Some(reservation))
 }
 
-fn idempotency_key(
-    exchange: &Exchange<'_>,
-    call: &ServiceCall,
-) -> Result<Option<String>, Refusal> {
+fn idempotency_key(exchange: &Exchange<'_>, call: &ServiceCall) -> Result<Option<String>, Refusal> {
     let bad = Refusal::not_run(Reason::BadRequest);
     let mut values = exchange.req.headers().get_all(IDEMPOTENCY_HEADER).iter();
     let Some(value) = values.next().filter(|_| call.caller.is_some()) else {
@@ -147,6 +149,7 @@
     ) -> Result<(Response, Placement), Refusal> {
         let instance = exchange.instance;
         let mut failed: Vec<UpstreamId> = Vec::new();
+        deposit(instance);
         loop {
             let wanted = Wanted {
                 pool: &self.route.pool,
@@ -232,16 +235,14 @@
             exchange.instance.metrics.count(Event::CallerLeft);
             return Ok(());
         }
-        piece = match res.next().await {
-            Ok(piece) => piece,
+        let Ok(next) = res.next().await else {
             // The connection is dropped without the closing chunk, by which
             // the caller sees that the answer is incomplete.
-            Err(_) => {
-                exchange.abandoned = true;
-                exchange.instance.metrics.refused(broken.reason);
-                return Ok(());
-            }
+            exchange.abandoned = true;
+            exchange.instance.metrics.refused(broken.reason);
+            return Ok(());
         };
+        piece = next;
     }
     if exchange.conn.finish().await.is_err() {
         exchange.instance.metrics.count(Event::CallerLeft);
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::os::unix::net::UnixStream as StdUnixStream;
+use std::time::Duration;
 
 use futures::FutureExt as _;
 use futures::channel::oneshot;
@@ -50,6 +51,14 @@
         let _ = self.rx.clone().await;
     }
 
+    /// Waits for `span`, or until the stopper has been dropped, and returns
+    /// whether the task goes on.
+    pub async fn pause(&self, span: Duration) -> bool {
+        // The span passes or the stopper is dropped: either ends the wait.
+        let _ = monoio::time::timeout(span, self.closed()).await;
+        !self.is_closed()
+    }
+
     /// Returns whether the stopper has been dropped.
     #[must_use]
     pub fn is_closed(&self) -> bool {
