--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -55,10 +55,9 @@
         key: Key<'kvs>,
         value: Value<'kvs>,
     ) -> std::result::Result<(), KvError> {
-        let value = match value.to_u64() {
-            Some(number) => json!(number),
-            None => json!(value.to_string()),
-        };
+        let number = value.to_u64().map(|number| json!(number));
+        let flag = value.to_bool().map(|flag| json!(flag));
+        let value = number.or(flag).unwrap_or_else(|| json!(value.to_string()));
         self.0.insert(key.to_string(), value);
         Ok(())
     }
