Add stand-ins for the systems around the router

Tests need a platform, engines, plain services and a KV store that fail on demand. Each runs on a thread of its own, or as a process through an example, and its faults can be switched while it runs, in the state or over the wire.

--- /dev/null
+++ b/crates/fakes/examples/fake_service.rs
@@ -0,0 +1,12 @@
+//! Runs the plain service's stand-in until the process ends.
+
+mod common;
+
+use limpetsaddle_fakes::FakeService;
+
+fn main() -> std::io::Result<()> {
+    let Some(settings) = common::read_settings(&[])? else {
+        return Ok(());
+    };
+    common::announce(FakeService::start(settings.listen()?)?)
+}
--- /dev/null
+++ b/crates/fakes/src/engine/prompt.rs
@@ -0,0 +1,80 @@
+//! What an engine makes of a request's body.
+
+use limpetsaddle_core::hash::stable_hash;
+use serde_json::Value;
+
+/// The number of bytes of a prompt that count as one token.
+pub const BYTES_PER_TOKEN: usize = 4;
+
+/// The number of tokens of an answer unless the request says otherwise.
+const DEFAULT_ANSWER_TOKENS: u64 = 16;
+
+const WORDS: [&str; 8] = [
+    "birch", "spruce", "stack", "dry", "split", "cord", "bark", "ring",
+];
+
+/// Returns the prompt of a request: `prompt`, or each message's role and content
+/// on a line of their own.
+#[must_use]
+pub fn prompt_bytes(body: &Value) -> Vec<u8> {
+    if let Some(prompt) = body["prompt"].as_str() {
+        return prompt.as_bytes().to_vec();
+    }
+    let mut text = String::new();
+    for message in body["messages"].as_array().into_iter().flatten() {
+        text.push_str(message["role"].as_str().unwrap_or_default());
+        text.push('\n');
+        text.push_str(message["content"].as_str().unwrap_or_default());
+        text.push('\n');
+    }
+    text.into_bytes()
+}
+
+/// Returns the first `n` tokens of the answer to `body`.
+///
+/// They depend on the model and the prompt alone.
+///
+/// ```
+/// use limpetsaddle_fakes::expected_answer;
+/// use serde_json::json;
+///
+/// let body = json!({"model": "birch-7b", "prompt": "How dry is it?"});
+/// let tokens = expected_answer(&body, 5);
+/// assert_eq!(tokens[..3], expected_answer(&body, 3));
+/// ```
+#[must_use]
+pub fn expected_answer(body: &Value, n: u64) -> Vec<String> {
+    let seed = answer_seed(body);
+    (0..n).map(|index| token(seed, index)).collect()
+}
+
+/// Returns the seed from which the tokens of the answer to `body` follow.
+pub fn answer_seed(body: &Value) -> u64 {
+    let model = body["model"].as_str().unwrap_or_default();
+    stable_hash(&[model.as_bytes(), &prompt_bytes(body)])
+}
+
+/// Returns a token of an answer.
+pub fn token(seed: u64, index: u64) -> String {
+    let hash = stable_hash(&[&seed.to_le_bytes(), &index.to_le_bytes()]);
+    let word = WORDS[usize::from(hash.to_le_bytes()[7]) % WORDS.len()];
+    format!("{word}{:03x} ", hash & 0xfff)
+}
+
+/// Returns the number of tokens of the whole answer to `body`.
+pub fn answer_tokens(body: &Value) -> u64 {
+    let limits = ["max_tokens", "max_completion_tokens"];
+    let found = limits.iter().find_map(|name| body[*name].as_u64());
+    found.unwrap_or(DEFAULT_ANSWER_TOKENS)
+}
+
+/// Returns the chained hashes of the prompt's whole blocks.
+pub fn block_hashes(salt: &str, prompt: &[u8], block_tokens: usize) -> Vec<u64> {
+    let mut last = stable_hash(&[salt.as_bytes()]);
+    let blocks = prompt.chunks_exact(block_tokens * BYTES_PER_TOKEN);
+    let chain = blocks.map(|block| {
+        last = stable_hash(&[&last.to_le_bytes(), block]);
+        last
+    });
+    chain.collect()
+}
