--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -1,5 +1,6 @@
 //! The server's contract, as raw bytes on the connection.
 
+mod serving;
 mod support;
 
 use std::io::Write as _;
@@ -13,9 +14,9 @@
 use limpetsaddle_http::Connection;
 use limpetsaddle_http::Error;
 use limpetsaddle_http::ServerOptions;
-use support::Server;
-use support::exchange;
-use support::read_to_end;
+use serving::Server;
+use serving::exchange;
+use serving::read_to_end;
 use support::read_until;
 use support::receive;
 use yare::parameterized;
