Report on a grant only when its requests are settled

A grant that expires becomes a possible refund of its own, so that no report is needed to tell how much of it was drawn. A request at an instance without tokens costs one ask and one report.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -19,7 +19,6 @@
 mod team;
 
 pub use self::account::Account;
-pub use self::account::PartKey;
 pub use self::fence::Fence;
 pub use self::grant::GrantAsk;
 pub use self::grant::GrantId;
@@ -28,7 +27,6 @@
 pub use self::grant::GrantReport;
 pub use self::grant::GrantRequest;
 pub use self::grant::Outgoing;
-pub use self::grant::Refund;
 pub use self::grant::RequestId;
 pub use self::ledger::Ledger;
 pub use self::ledger::LedgerStats;
--- a/crates/core/src/limits/account.rs
+++ b/crates/core/src/limits/account.rs
@@ -13,15 +13,6 @@
 /// units, so that minting is exact.
 const UNITS_PER_TOKEN: u128 = 1_000_000_000_000;
 
-/// A `PartKey` identifies the tokens that one reservation or report has drawn.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct PartKey {
-    /// The number of the local reservation or of the grant.
-    pub id: u64,
-    /// The number of the report on a grant; zero for a local reservation.
-    pub batch: u32,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Outstanding {
     amount: Tokens,
@@ -33,13 +24,13 @@
 /// The level, the outstanding grants and the possible refunds never exceed the
 /// burst together. What is drawn within any span is therefore at most the burst
 /// and what the rate mints in it. A possible refund lapses, the oldest first,
-/// when the level takes up its room; it is kept for each reservation on its
-/// own, since a refund may only bring back tokens that its own reservation drew.
+/// when the level takes up its room; it is kept for each reservation and
+/// grant on its own, since a refund may only bring back tokens that its own
+/// reservation drew.
 ///
 /// ```
 /// use limpetsaddle_core::limits::Account;
 /// use limpetsaddle_core::limits::MilliRate;
-/// use limpetsaddle_core::limits::PartKey;
 /// use limpetsaddle_core::units::Time;
 /// use limpetsaddle_core::units::Tokens;
 /// use std::time::Duration;
@@ -50,9 +41,8 @@
 /// account.mint(now);
 /// assert_eq!(account.level(), Tokens(10));
 ///
-/// let key = PartKey { id: 1, batch: 0 };
-/// assert!(account.reserve(key, Tokens(8)));
-/// account.settle(key, Tokens(5));
+/// assert!(account.reserve(1, Tokens(8)));
+/// account.settle(1, Tokens(5));
 /// assert_eq!(account.level(), Tokens(7));
 /// ```
 #[derive(Clone, Debug)]
@@ -64,7 +54,7 @@
     refundable: Tokens,
     minted_at: Time,
     grants: BTreeMap<u64, Outstanding>,
-    parts: BTreeMap<PartKey, Tokens>,
+    parts: BTreeMap<u64, Tokens>,
 }
 
 const fn units(amount: Tokens) -> u128 {
@@ -128,52 +118,40 @@
 
     /// Adds what the rate has minted until `now` and ends expired grants.
     ///
-    /// A grant that expired without a report counts as spent.
+    /// What is outstanding of an expired grant counts as spent. Its receiver can
+    /// draw no more by then, and may still give back what its requests do not use.
     pub fn mint(&mut self, now: Time) {
         while let Some(entry) = self.grants.first_entry() {
             let expires = entry.get().expires;
             if expires > now {
                 break;
             }
-            let amount = entry.remove().amount;
+            let (number, grant) = entry.remove_entry();
             self.add_until(expires);
-            self.granted = self.granted - amount;
+            self.granted = self.granted - grant.amount;
+            self.add_part(number, grant.amount);
         }
         self.add_until(now);
     }
 
-    /// Draws `amount` for a reservation; returns whether the level covered it.
-    pub fn reserve(&mut self, key: PartKey, amount: Tokens) -> bool {
+    /// Draws `amount` for the reservation `number`; returns whether the level covered it.
+    pub fn reserve(&mut self, number: u64, amount: Tokens) -> bool {
         if self.level() < amount {
             return false;
         }
         self.level -= units(amount);
-        self.add_part(key, amount);
+        self.add_part(number, amount);
         true
     }
 
     /// Ends a reservation and brings `unused` back as far as it has not lapsed.
-    pub fn settle(&mut self, key: PartKey, unused: Tokens) {
-        if let Some(part) = self.parts.remove(&key) {
+    pub fn settle(&mut self, number: u64, unused: Tokens) {
+        if let Some(part) = self.parts.remove(&number) {
             self.refundable = self.refundable - part;
             self.level += units(unused.min(part));
         }
     }
 
-    /// Brings back `amount` of what a report covered as far as it has not lapsed.
-    pub fn refund(&mut self, key: PartKey, amount: Tokens) {
-        let Some(part) = self.parts.get_mut(&key) else {
-            return;
-        };
-        let amount = amount.min(*part);
-        *part = *part - amount;
-        if *part == Tokens::ZERO {
-            self.parts.remove(&key);
-        }
-        self.refundable = self.refundable - amount;
-        self.level += units(amount);
-    }
-
     /// Draws `amount` for a grant that counts as outstanding until `expires`.
     ///
     /// Grants must be given growing numbers and times of expiry.
@@ -187,20 +165,20 @@
         true
     }
 
-    /// Records that a receiver has spent `amount` of a grant.
+    /// Records that a receiver has used `used` tokens of a grant and gives back
+    /// `returned`.
     ///
-    /// What exceeds the outstanding part of the grant is ignored.
-    pub fn spend_grant(&mut self, key: PartKey, amount: Tokens) {
-        let amount = self.take_granted(key.id, amount);
-        if amount > Tokens::ZERO {
-            self.add_part(key, amount);
-        }
-    }
-
-    /// Records that a receiver has given back `amount` of a grant unspent.
-    pub fn return_grant(&mut self, number: u64, amount: Tokens) {
-        let amount = self.take_granted(number, amount);
-        self.level += units(amount);
+    /// Nothing comes back beyond what is outstanding or, after the grant's
+    /// expiry, has not lapsed.
+    pub fn settle_grant(&mut self, number: u64, used: Tokens, returned: Tokens) {
+        let back = if self.grants.contains_key(&number) {
+            self.take_granted(number, used);
+            self.take_granted(number, returned)
+        } else {
+            self.take_part(number, used);
+            self.take_part(number, returned)
+        };
+        self.level += units(back);
     }
 
     /// Returns the time until the level reaches `amount`, if it ever does.
@@ -232,12 +210,25 @@
         self.lapse();
     }
 
-    fn add_part(&mut self, key: PartKey, amount: Tokens) {
-        let part = self.parts.entry(key).or_default();
+    fn add_part(&mut self, number: u64, amount: Tokens) {
+        let part = self.parts.entry(number).or_default();
         *part += amount;
         self.refundable += amount;
     }
 
+    fn take_part(&mut self, number: u64, amount: Tokens) -> Tokens {
+        let Some(part) = self.parts.get_mut(&number) else {
+            return Tokens::ZERO;
+        };
+        let amount = amount.min(*part);
+        *part = *part - amount;
+        self.refundable = self.refundable - amount;
+        if *part == Tokens::ZERO {
+            self.parts.remove(&number);
+        }
+        amount
+    }
+
     fn take_granted(&mut self, number: u64, amount: Tokens) -> Tokens {
         let Some(grant) = self.grants.get_mut(&number) else {
             return Tokens::ZERO;
--- a/crates/core/src/limits/grant.rs
+++ b/crates/core/src/limits/grant.rs
@@ -24,8 +24,7 @@
 /// A `GrantRequest` asks an owner for tokens and reports on earlier grants.
 ///
 /// A request that arrives twice is answered with the same reply and has no
-/// further effect. A report that is lost costs its tokens, as the grant then
-/// expires as spent.
+/// further effect. The tokens given back by a report that is lost are lost too.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GrantRequest {
     /// The instance that asks.
@@ -62,25 +61,12 @@
     pub team: TeamName,
     /// The slot that minted them.
     pub slot: u16,
-    /// The number of this report on the grant, from one on.
-    pub batch: u32,
-    /// The tokens that reservations have drawn since the last report.
-    pub spent: Tokens,
-    /// The refunds of reservations that earlier reports covered.
-    pub refunds: Vec<Refund>,
-    /// The tokens given back unspent, which ends the grant.
+    /// The tokens that settled reservations have used.
+    pub used: Tokens,
+    /// The tokens given back: not drawn, or drawn and not used.
     pub returned: Tokens,
 }
 
-/// A `Refund` brings back tokens that a reservation did not use.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Refund {
-    /// The number of the report that covered the reservation.
-    pub batch: u32,
-    /// The unused tokens.
-    pub amount: Tokens,
-}
-
 /// A `GrantReply` answers a [`GrantRequest`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GrantReply {
--- a/crates/core/src/limits/pocket.rs
+++ b/crates/core/src/limits/pocket.rs
@@ -6,7 +6,6 @@
 use super::grant::GrantOffer;
 use super::grant::GrantReport;
 use super::grant::PendingAsk;
-use super::grant::Refund;
 use super::options::LimitsOptions;
 use crate::names::InstanceName;
 use crate::names::TeamName;
@@ -20,9 +19,8 @@
     left: Tokens,
     expires: Time,
     used_at: Time,
-    batch: u32,
-    spent: Tokens,
-    refunds: Vec<Refund>,
+    used: Tokens,
+    returned: Tokens,
     open: u32,
 }
 
@@ -32,37 +30,31 @@
     }
 
     fn is_finished(&self, now: Time, options: &LimitsOptions) -> bool {
-        let nothing_due = self.spent == Tokens::ZERO && self.refunds.is_empty();
+        let nothing_due = self.used == Tokens::ZERO && self.returned == Tokens::ZERO;
         let closed = self.open == 0 || now.since(self.expires) >= options.refund_window;
         !self.is_spendable(now) && nothing_due && closed
     }
 
-    /// Returns the unspent tokens when they should go back to the granter.
-    fn take_idle(&mut self, now: Time, options: &LimitsOptions) -> Tokens {
+    /// Gives back the tokens that no request has drawn for some time.
+    fn return_idle(&mut self, now: Time, options: &LimitsOptions) {
         let idle = now.since(self.used_at) >= options.idle_return;
         let ending = now + options.margin >= self.expires;
         if self.is_spendable(now) && (idle || ending) {
-            return std::mem::take(&mut self.left);
+            self.returned += std::mem::take(&mut self.left);
         }
-        Tokens::ZERO
     }
 
-    fn report(&mut self, id: GrantId, team: &TeamName, returned: Tokens) -> Option<GrantReport> {
-        let empty = self.spent == Tokens::ZERO && returned == Tokens::ZERO;
-        if empty && self.refunds.is_empty() {
+    fn report(&mut self, id: GrantId, team: &TeamName) -> Option<GrantReport> {
+        if self.used == Tokens::ZERO && self.returned == Tokens::ZERO {
             return None;
         }
-        let report = GrantReport {
+        Some(GrantReport {
             id,
             team: team.clone(),
             slot: self.slot,
-            batch: self.batch,
-            spent: std::mem::take(&mut self.spent),
-            refunds: std::mem::take(&mut self.refunds),
-            returned,
-        };
-        self.batch += 1;
-        Some(report)
+            used: std::mem::take(&mut self.used),
+            returned: std::mem::take(&mut self.returned),
+        })
     }
 }
 
@@ -70,7 +62,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Draw {
     pub(super) id: GrantId,
-    pub(super) batch: u32,
     pub(super) amount: Tokens,
 }
 
@@ -99,9 +90,8 @@
             left: offer.amount,
             expires: ask.sent_at + options.spend_ttl,
             used_at: now,
-            batch: 1,
-            spent: Tokens::ZERO,
-            refunds: Vec::new(),
+            used: Tokens::ZERO,
+            returned: Tokens::ZERO,
             open: 0,
         };
         self.grants.entry(offer.id).or_insert(received);
@@ -127,12 +117,10 @@
             }
             missing = missing - part;
             grant.left = grant.left - part;
-            grant.spent += part;
             grant.used_at = now;
             grant.open += 1;
             draws.push(Draw {
                 id: *id,
-                batch: grant.batch,
                 amount: part,
             });
         }
@@ -145,17 +133,8 @@
             return;
         };
         grant.open = grant.open.saturating_sub(1);
-        if unused == Tokens::ZERO {
-            return;
-        }
-        let batch = draw.batch;
-        match grant.refunds.iter_mut().find(|r| r.batch == batch) {
-            Some(refund) => refund.amount += unused,
-            None => grant.refunds.push(Refund {
-                batch,
-                amount: unused,
-            }),
-        }
+        grant.returned += unused;
+        grant.used += draw.amount - unused;
     }
 
     /// Moves what is due for reports into `due`, sorted by granter.
@@ -167,8 +146,8 @@
         due: &mut BTreeMap<InstanceName, Vec<GrantReport>>,
     ) {
         for (id, grant) in &mut self.grants {
-            let returned = grant.take_idle(now, options);
-            if let Some(report) = grant.report(*id, team, returned) {
+            grant.return_idle(now, options);
+            if let Some(report) = grant.report(*id, team) {
                 due.entry(grant.from.clone()).or_default().push(report);
             }
         }
--- a/crates/core/src/limits/reserve.rs
+++ b/crates/core/src/limits/reserve.rs
@@ -1,6 +1,5 @@
 //! What comes of an attempt to reserve tokens.
 
-use super::account::PartKey;
 use super::grant::Outgoing;
 use super::pocket::Draw;
 use crate::names::TeamName;
@@ -73,8 +72,8 @@
     Own {
         /// The slot.
         slot: u16,
-        /// The key of the part in its account.
-        key: PartKey,
+        /// The number of the reservation.
+        id: u64,
         /// The tokens taken.
         amount: Tokens,
     },
--- a/crates/core/src/limits/team.rs
+++ b/crates/core/src/limits/team.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::account::Account;
-use super::account::PartKey;
 use super::pocket::Pocket;
 use super::reserve::Part;
 use super::slots::MilliRate;
@@ -181,13 +180,12 @@
         if !own {
             return parts;
         }
-        let key = PartKey { id, batch: 0 };
         for (slot, own) in &mut self.accounts {
             let amount = missing.min(own.account.level());
-            if amount > Tokens::ZERO && own.account.reserve(key, amount) {
+            if amount > Tokens::ZERO && own.account.reserve(id, amount) {
                 missing = missing - amount;
                 let slot = *slot;
-                parts.push(Part::Own { slot, key, amount });
+                parts.push(Part::Own { slot, id, amount });
             }
         }
         parts
@@ -201,10 +199,10 @@
             unused = unused - back;
             match part {
                 Part::Granted(draw) => self.pocket.settle(draw, back),
-                Part::Own { slot, key, .. } => {
+                Part::Own { slot, id, .. } => {
                     if let Some(own) = self.accounts.get_mut(&slot) {
                         own.advance(&self.limits, now);
-                        own.account.settle(key, back);
+                        own.account.settle(id, back);
                     }
                 }
             }
