Keep reports apart from reservations, and grant no useless parts

A report that named a reservation's number brought its tokens back: the bound of the account failed on a random case (a report on number 15, which was a reservation of 49 tokens), once in about 5,000 cases. Parts now know where they come from; 20,000 cases pass. An owner that cannot cover what is needed gives nothing when no other owner can add to it, and chunks follow the last whole second of demand.

--- a/crates/core/src/limits/account.rs
+++ b/crates/core/src/limits/account.rs
@@ -19,6 +19,19 @@
     expires: Time,
 }
 
+/// A `Part` is what may still come back of a reservation or an expired grant.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    amount: Tokens,
+    source: Source,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    Reservation,
+    Grant,
+}
+
 /// An `Account` holds a team's tokens in one slot.
 ///
 /// The level, the outstanding grants and the possible refunds never exceed the
@@ -54,7 +67,7 @@
     refundable: Tokens,
     minted_at: Time,
     grants: BTreeMap<u64, Outstanding>,
-    parts: BTreeMap<u64, Tokens>,
+    parts: BTreeMap<u64, Part>,
 }
 
 const fn units(amount: Tokens) -> u128 {
@@ -129,7 +142,7 @@
             let (number, grant) = entry.remove_entry();
             self.add_until(expires);
             self.granted = self.granted - grant.amount;
-            self.add_part(number, grant.amount);
+            self.add_part(number, grant.amount, Source::Grant);
         }
         self.add_until(now);
     }
@@ -140,16 +153,15 @@
             return false;
         }
         self.level -= units(amount);
-        self.add_part(number, amount);
+        self.add_part(number, amount, Source::Reservation);
         true
     }
 
     /// Ends a reservation and brings `unused` back as far as it has not lapsed.
     pub fn settle(&mut self, number: u64, unused: Tokens) {
-        if let Some(part) = self.parts.remove(&number) {
-            self.refundable = self.refundable - part;
-            self.level += units(unused.min(part));
-        }
+        let whole = Tokens(u64::MAX);
+        let part = self.take_part(number, whole, Source::Reservation);
+        self.level += units(unused.min(part));
     }
 
     /// Draws `amount` for a grant that counts as outstanding until `expires`.
@@ -175,8 +187,8 @@
             self.take_granted(number, used);
             self.take_granted(number, returned)
         } else {
-            self.take_part(number, used);
-            self.take_part(number, returned)
+            self.take_part(number, used, Source::Grant);
+            self.take_part(number, returned, Source::Grant)
         };
         self.level += units(back);
     }
@@ -210,20 +222,25 @@
         self.lapse();
     }
 
-    fn add_part(&mut self, number: u64, amount: Tokens) {
-        let part = self.parts.entry(number).or_default();
-        *part += amount;
+    /// Adds a possible refund; a second one of the same number joins the first.
+    fn add_part(&mut self, number: u64, amount: Tokens, source: Source) {
+        let none = Part {
+            amount: Tokens::ZERO,
+            source,
+        };
+        self.parts.entry(number).or_insert(none).amount += amount;
         self.refundable += amount;
     }
 
-    fn take_part(&mut self, number: u64, amount: Tokens) -> Tokens {
-        let Some(part) = self.parts.get_mut(&number) else {
+    fn take_part(&mut self, number: u64, amount: Tokens, source: Source) -> Tokens {
+        let part = self.parts.get_mut(&number);
+        let Some(part) = part.filter(|part| part.source == source) else {
             return Tokens::ZERO;
         };
-        let amount = amount.min(*part);
-        *part = *part - amount;
+        let amount = amount.min(part.amount);
+        part.amount = part.amount - amount;
         self.refundable = self.refundable - amount;
-        if *part == Tokens::ZERO {
+        if part.amount == Tokens::ZERO {
             self.parts.remove(&number);
         }
         amount
@@ -251,10 +268,11 @@
                 break;
             };
             let excess = self.refundable - free;
-            let lapsed = excess.min(*entry.get());
-            *entry.get_mut() = *entry.get() - lapsed;
+            let part = entry.get_mut();
+            let lapsed = excess.min(part.amount);
+            part.amount = part.amount - lapsed;
             self.refundable = self.refundable - lapsed;
-            if *entry.get() == Tokens::ZERO {
+            if part.amount == Tokens::ZERO {
                 entry.remove();
             }
         }
--- a/crates/core/src/limits/grant.rs
+++ b/crates/core/src/limits/grant.rs
@@ -50,6 +50,8 @@
     pub needed: Tokens,
     /// The tokens that the instance expects to use soon.
     pub wanted: Tokens,
+    /// Whether less than the needed tokens is of use, as others may add to it.
+    pub partial: bool,
 }
 
 /// A `GrantReport` tells what has become of a grant since the last report.
--- a/crates/core/src/limits/ledger/messages.rs
+++ b/crates/core/src/limits/ledger/messages.rs
@@ -104,6 +104,7 @@
             .get_or_insert_with(|| tables.others(name, &team.limits));
         let chosen = choose(others, deficit, round, now);
         let count = chosen.len() as u64;
+        let partial = count > 1 || others.iter().any(|s| round == Round::Home && !s.home);
         let chunk = team.demand.over(self.options.chunk);
         let mut out = Vec::with_capacity(chosen.len());
         for (to, slot) in chosen {
@@ -121,6 +122,7 @@
                 slot,
                 needed,
                 wanted,
+                partial,
             };
             let request = self.request(Some(ask), Vec::new());
             self.pending.insert(request.id, pending);
@@ -163,7 +165,11 @@
         own.advance(&team.limits, now);
         let level = own.account.level();
         let fair = ask.needed.max(Tokens(level.0 / 2));
-        let amount = ask.wanted.min(fair).min(level);
+        let amount = if ask.partial || ask.needed <= level {
+            ask.wanted.min(fair).min(level)
+        } else {
+            Tokens::ZERO
+        };
         let missing = ask.needed - amount.min(ask.needed);
         let wait = own.account.time_until(level - amount + missing);
         reply.retry_after = match missing {
--- a/crates/core/src/limits/team.rs
+++ b/crates/core/src/limits/team.rs
@@ -116,8 +116,11 @@
     }
 
     /// Returns the tokens that `span` is expected to use.
+    ///
+    /// Only the last whole window counts, so that an instance which a team seldom
+    /// reaches asks for no more than a request needs.
     pub(super) fn over(&self, span: Duration) -> Tokens {
-        let per_window = self.previous.max(self.current).0;
+        let per_window = self.previous.0;
         let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         Tokens(per_window.saturating_mul(millis) / 1_000)
     }
--- a/crates/core/tests/limits_account.rs
+++ b/crates/core/tests/limits_account.rs
@@ -90,6 +90,8 @@
     used_grant = { &[At(10_000), Grant(1, 60), SettleGrant(1, 45, 5)], [45, 10, 0] },
     late_return = { &[At(10_000), Grant(1, 60), At(13_000), SettleGrant(1, 10, 20)], [60, 0, 30] },
     lapsed_return = { &[At(10_000), Grant(1, 60), At(18_000), SettleGrant(1, 0, 60)], [100, 0, 0] },
+    report_on_a_reservation = { &[At(10_000), Reserve(1, 60), SettleGrant(1, 0, 60)], [40, 0, 60] },
+    settled_grant_number = { &[At(10_000), Grant(1, 60), At(13_000), Settle(1, 60)], [40, 0, 60] },
     return_of_unknown_grant = { &[At(10_000), Grant(1, 60), SettleGrant(2, 0, 60)], [40, 60, 0] },
     lower_burst_at_once = { &[At(10_000), Reserve(1, 40), Limits(10, 50)], [50, 0, 0] },
     higher_rate_at_once = { &[At(1_000), Limits(20, 100), At(2_000)], [30, 0, 0] },
