--- a/crates/core/src/limits/team.rs
+++ b/crates/core/src/limits/team.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::account::Account;
-use super::account::PartKey;
 use super::pocket::Pocket;
 use super::reserve::Part;
 use super::slots::MilliRate;
@@ -117,8 +116,11 @@
     }
 
     /// Returns the tokens that `span` is expected to use.
+    ///
+    /// Only the last whole window counts, so that an instance which a team seldom
+    /// reaches asks for no more than a request needs.
     pub(super) fn over(&self, span: Duration) -> Tokens {
-        let per_window = self.previous.max(self.current).0;
+        let per_window = self.previous.0;
         let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         Tokens(per_window.saturating_mul(millis) / 1_000)
     }
@@ -181,13 +183,12 @@
         if !own {
             return parts;
         }
-        let key = PartKey { id, batch: 0 };
         for (slot, own) in &mut self.accounts {
             let amount = missing.min(own.account.level());
-            if amount > Tokens::ZERO && own.account.reserve(key, amount) {
+            if amount > Tokens::ZERO && own.account.reserve(id, amount) {
                 missing = missing - amount;
                 let slot = *slot;
-                parts.push(Part::Own { slot, key, amount });
+                parts.push(Part::Own { slot, id, amount });
             }
         }
         parts
@@ -201,10 +202,10 @@
             unused = unused - back;
             match part {
                 Part::Granted(draw) => self.pocket.settle(draw, back),
-                Part::Own { slot, key, .. } => {
+                Part::Own { slot, id, .. } => {
                     if let Some(own) = self.accounts.get_mut(&slot) {
                         own.advance(&self.limits, now);
-                        own.account.settle(key, back);
+                        own.account.settle(id, back);
                     }
                 }
             }
