--- a/crates/core/examples/policy_compare/engine.rs
+++ b/crates/core/examples/policy_compare/engine.rs
@@ -6,9 +6,8 @@
 use std::time::Duration;
 
 use limpetsaddle_core::placement::PrefixChain;
-use limpetsaddle_core::upstreams::LoadReport;
-
 use limpetsaddle_core::units::Tokens;
+use limpetsaddle_core::upstreams::LoadReport;
 
 /// The tokens of a prompt that an engine computes per second.
 pub const PREFILL_RATE: u64 = 20_000;
--- a/crates/core/src/placement/hints.rs
+++ b/crates/core/src/placement/hints.rs
@@ -54,7 +54,7 @@
     }
 
     /// Returns the requests within the length of the window before `now`.
-    pub(super) fn recent(&self, now: Time) -> u32 {
+    pub(super) fn recent(self, now: Time) -> u32 {
         let now = millis(now);
         let elapsed = now % WINDOW_MS;
         let (last, count) = match (now / WINDOW_MS).saturating_sub(self.window) {
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -38,6 +38,9 @@
 /// The divisor of the weight that one answer has in the learned prefill time.
 const PREFILL_WEIGHT: u64 = 8;
 
+/// The requests that one computation is taken to delay at most.
+const MAX_BEHIND: u32 = 64;
+
 /// The tokens that a request is taken to compute at first.
 const FIRST_COMPUTED: u64 = 1_000;
 
@@ -70,8 +73,8 @@
     pub max_queue: Duration,
     /// The rate at which an engine is taken to compute prompts at first.
     pub prefill: TokenRate,
-    /// Congestion.
-    pub congestion: bool,
+    /// Whether a computation is charged for the requests that it delays.
+    pub charge_delays: bool,
     /// The time that each outstanding request of an engine adds.
     pub request_cost: Duration,
     /// The time that is added for each failure of a suspect upstream.
@@ -86,9 +89,9 @@
             capacity: 65_536,
             hint_life: Duration::from_secs(10),
             home_group: 16,
-            max_queue: Duration::from_millis(400),
+            max_queue: Duration::from_millis(800),
             prefill: TokenRate(20_000),
-            congestion: true,
+            charge_delays: true,
             request_cost: Duration::from_millis(1),
             suspect_penalty: Duration::from_millis(250),
             warm_up_penalty: Duration::from_millis(20),
@@ -204,7 +207,7 @@
             .filter(|c| is_below_bound(c.id, query, table, now))
             .filter_map(|c| self.estimate(c, query, table, now))
             .collect();
-        self.add_congestion(&mut open);
+        self.charge_delays(&mut open, query.policy.recompute_weight);
         open.into_iter()
             .min_by_key(|choice| choice.estimate)
             .map_or_else(|| self.scan(&shortlist, query, table, now), Ok)
@@ -218,17 +221,22 @@
         Ok(choice)
     }
 
-    fn add_congestion(&self, open: &mut [Choice]) {
-        if !self.options.congestion || open.is_empty() {
+    /// Charges each choice for the requests that its computation delays.
+    ///
+    /// Their number is taken from the shortest queue: while an engine is idle,
+    /// computing there delays no one, and under load every token that is
+    /// computed again is paid by all who wait.
+    fn charge_delays(&self, open: &mut [Choice], weight: u32) {
+        let least = open.iter().map(|choice| choice.queue).min();
+        if !self.options.charge_delays {
             return;
         }
-        let total: Duration = open.iter().map(|choice| choice.queue).sum();
-        let count = u32::try_from(open.len()).unwrap_or(u32::MAX);
-        let mean = (total / count).as_nanos();
+        let queue = least.unwrap_or_default().as_nanos();
         let one = self.prefill_time(Tokens(self.computed)).as_nanos().max(1);
-        let behind = u32::try_from(mean / one).unwrap_or(64).min(64);
+        let behind = u32::try_from(queue / one).unwrap_or(u32::MAX);
         for choice in open {
-            choice.estimate += self.prefill_time(choice.prefill) * behind;
+            let compute = self.prefill_time(choice.prefill) * weight / 100;
+            choice.estimate += compute * behind.min(MAX_BEHIND);
         }
     }
 
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -55,6 +55,21 @@
     assert_eq!(queue.len(), 3);
 }
 
+#[test]
+fn verify_unplaceable_head_holds_up_its_team_only() {
+    let policy = Policy::default();
+    let mut queue = FairQueue::new();
+    for (i, item) in [(0, "large 1"), (0, "large 2"), (1, "small 1")] {
+        queue
+            .push(&team(i), 1, Tokens(10), item, &policy, at(0))
+            .unwrap();
+    }
+    let admits = |item: &&str| *item != "large 1";
+    assert_eq!(queue.pop_if(at(1), admits), Some("small 1"));
+    assert_eq!(queue.pop_if(at(1), admits), None);
+    assert_eq!(queue.pop(at(1)), Some("large 1"));
+}
+
 #[test]
 fn verify_wait_is_bounded() {
     let policy = Policy::default();
