--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -102,6 +102,30 @@
 /// It knows all instances of its own failure domain and a bounded number of
 /// contacts of each other one. Whether an instance lives is told from advances
 /// of its heartbeat on the local clock alone.
+///
+/// ```
+/// use limpetsaddle_core::config::Phase;
+/// use limpetsaddle_core::membership::Members;
+/// use limpetsaddle_core::membership::MembersOptions;
+/// use limpetsaddle_core::membership::Row;
+/// use limpetsaddle_core::membership::new_incarnation;
+/// use limpetsaddle_core::units::Revision;
+/// use limpetsaddle_core::units::Time;
+///
+/// let own = Row {
+///     name: "entry-1".parse()?,
+///     incarnation: new_incarnation(1_700_000_000_000, 7),
+///     domain: "bergen-a".parse()?,
+///     address: ([127, 0, 0, 1], 7_000).into(),
+///     phase: Phase::Live,
+///     heartbeat: 0,
+///     revision: Revision::ABSENT,
+/// };
+/// let members = Members::new(own, MembersOptions::default(), Time::ZERO);
+/// assert!(members.is_watcher(Time::ZERO));
+/// assert!(members.pick_peer(1, Time::ZERO).is_none());
+/// # Ok::<(), limpetsaddle_core::Error>(())
+/// ```
 #[derive(Clone, Debug)]
 pub struct Members {
     pub(super) own: Row,
--- /dev/null
+++ b/crates/peer/tests/peer_support/mod.rs
@@ -0,0 +1,196 @@
+//! A recording peer and messages for the tests of calls.
+#![allow(dead_code)]
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use limpetsaddle_core::config::Object;
+use limpetsaddle_core::config::Phase;
+use limpetsaddle_core::config::RouteSpec;
+use limpetsaddle_core::config::Spec;
+use limpetsaddle_core::limits::GrantOffer;
+use limpetsaddle_core::limits::GrantReply;
+use limpetsaddle_core::limits::GrantRequest;
+use limpetsaddle_core::membership::Row;
+use limpetsaddle_core::membership::exchange::Completeness;
+use limpetsaddle_core::membership::exchange::ExchangeReply;
+use limpetsaddle_core::membership::exchange::ExchangeRequest;
+use limpetsaddle_core::membership::exchange::State;
+use limpetsaddle_core::store::DigestAnswer;
+use limpetsaddle_core::store::DigestRequest;
+use limpetsaddle_core::store::Version;
+use limpetsaddle_core::units::Incarnation;
+use limpetsaddle_core::units::Revision;
+use limpetsaddle_core::units::Tokens;
+use limpetsaddle_peer::ClientOptions;
+use limpetsaddle_peer::PeerClient;
+use limpetsaddle_peer::PeerServer;
+use limpetsaddle_peer::PeerService;
+use limpetsaddle_peer::ServerOptions;
+use monoio::time::sleep;
+
+pub const DEADLINE: Duration = Duration::from_secs(30);
+
+pub const IDLE: Duration = Duration::from_millis(300);
+
+pub fn run<F: Future<Output = ()>>(test: F) {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .unwrap()
+        .block_on(test);
+}
+
+pub async fn eventually(condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < DEADLINE, "the condition never held");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+pub fn row(name: &str, address: &str) -> Row {
+    Row {
+        name: name.parse().unwrap(),
+        incarnation: Incarnation(u64::MAX - 1),
+        domain: "bergen-a".parse().unwrap(),
+        address: address.parse().unwrap(),
+        phase: Phase::Leaving,
+        heartbeat: 41,
+        revision: Revision(7),
+    }
+}
+
+pub fn object(revision: u64, path: &str) -> Object {
+    let route = RouteSpec {
+        path: path.to_owned(),
+        pool: "desk".parse().unwrap(),
+        idempotent: true,
+        open: false,
+        cost: Tokens(3),
+    };
+    Object {
+        id: "route/echo".parse().unwrap(),
+        revision: Revision(revision),
+        spec: Some(Arc::new(Spec::Route(route))),
+    }
+}
+
+pub fn retired() -> Object {
+    Object {
+        spec: None,
+        ..object(9, "/")
+    }
+}
+
+pub fn request(query: DigestRequest, objects: Vec<Object>) -> ExchangeRequest {
+    let rows: Vec<Row> = vec![row("b", "[::1]:9"), row("c", "10.0.0.1:80")];
+    ExchangeRequest {
+        from: row("a", "127.0.0.1:7000"),
+        beats: rows.iter().map(Row::beat).collect(),
+        rows,
+        unknown: vec![Incarnation(3)],
+        root: u64::MAX,
+        query,
+        objects,
+    }
+}
+
+pub fn empty_request() -> ExchangeRequest {
+    request(DigestRequest::Root, Vec::new())
+}
+
+pub fn state(completeness: Option<Completeness>) -> ExchangeReply {
+    ExchangeReply::State(Box::new(State {
+        from: row("d", "127.0.0.1:7001"),
+        rows: vec![row("e", "127.0.0.1:7002")],
+        beats: vec![row("e", "127.0.0.1:7002").beat()],
+        root: 5,
+        completeness,
+        digests: DigestAnswer {
+            buckets: (0..64).collect(),
+            objects: vec![object(4, "/echo"), retired()],
+            wanted: vec!["team/yard".parse().unwrap()],
+            more: true,
+        },
+    }))
+}
+
+pub struct Recorder {
+    pub reply: ExchangeReply,
+    pub requests: Requests,
+    pub grants: Rc<RefCell<Vec<GrantRequest>>>,
+}
+
+impl PeerService for Recorder {
+    fn exchange(&self, request: ExchangeRequest) -> ExchangeReply {
+        self.requests.borrow_mut().push(request);
+        self.reply.clone()
+    }
+
+    fn grant(&self, request: GrantRequest) -> GrantReply {
+        let granted = request.ask.as_ref().map(|ask| GrantOffer {
+            id: request.reports[0].id,
+            amount: ask.needed + ask.wanted,
+        });
+        let reply = GrantReply {
+            request: request.id,
+            offer: granted,
+            retry_after: Duration::from_millis(u64::from(request.reports[0].batch)),
+        };
+        self.grants.borrow_mut().push(request);
+        reply
+    }
+}
+
+pub type Requests = Rc<RefCell<Vec<ExchangeRequest>>>;
+
+pub fn serve(address: SocketAddr, reply: ExchangeReply) -> (PeerServer, Requests) {
+    let requests = Requests::default();
+    let service = Recorder {
+        reply,
+        requests: Rc::clone(&requests),
+        grants: Rc::default(),
+    };
+    let opts = ServerOptions {
+        idle_timeout: IDLE,
+        max_connections: 4,
+    };
+    let server = PeerServer::bind(address, Box::new(service), opts).unwrap();
+    (server, requests)
+}
+
+pub fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+pub fn patient() -> PeerClient {
+    PeerClient::new(ClientOptions {
+        call_timeout: DEADLINE,
+        ..ClientOptions::default()
+    })
+}
+
+pub fn versions_query() -> DigestRequest {
+    let version = Version {
+        id: "route/echo".parse().unwrap(),
+        revision: Revision(2),
+        rejected: Revision(6),
+    };
+    DigestRequest::Versions {
+        buckets: vec![0, 63],
+        held: vec![version],
+    }
+}
+
+pub fn confirmed(millis: u64) -> Completeness {
+    Completeness {
+        revision: Revision(8),
+        age: Duration::from_millis(millis),
+    }
+}
