Tell whether a reply counts as contact

A replaced incarnation that thaws still answers calls; its reply must not renew the fence of the instance that asked. The test fails when every reply counts.

--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -147,9 +147,13 @@
     pub round: u32,
 }
 
-/// An `Outcome` is what a message brought.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+/// An `Outcome` is what a reply brought.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Outcome {
+    /// The instance that replied.
+    pub from: Row,
+    /// Whether the reply counts as contact: its sender has not been replaced.
+    pub contact: bool,
     /// The changes of configuration.
     pub changes: Vec<Change>,
     /// The request by which the exchange goes on at once, if it does.
@@ -254,7 +258,7 @@
             return Err(replaced);
         }
     };
-    members.absorb(&state.from, Source::Direct, now);
+    let contact = members.admit(&state.from, now).is_ok();
     members.absorb_relayed(&state.from, &state.rows, &state.beats, now);
     let changes = store.merge_all(std::mem::take(&mut state.digests.objects));
     if store.digests().root() == state.root {
@@ -263,7 +267,12 @@
     let learned = !changes.is_empty() || pending.request.query == DigestRequest::Root;
     let next = follow_up(store, members, pending, &state, opts, now)
         .filter(|next| learned || !next.request.objects.is_empty());
-    Ok(Outcome { changes, next })
+    Ok(Outcome {
+        from: state.from,
+        contact,
+        changes,
+        next,
+    })
 }
 
 /// Returns the request by which an exchange goes on, if it does.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -100,6 +100,24 @@
     assert_eq!(members.standing(), Standing::Holder);
 }
 
+#[parameterized(
+    current = { 4, true },
+    restarted = { 5, true },
+    replaced = { 3, false },
+)]
+fn verify_reply_of_a_replaced_incarnation_is_no_contact(incarnation: u64, contact: bool) {
+    let (opts, now) = (ExchangeOptions::default(), at(1_000));
+    let (mut ours, mut theirs) = (ConfigStore::default(), ConfigStore::default());
+    let mut members = settled();
+    members.admit(&row("a", "d1", 4, 1), at(0)).unwrap();
+    let mut other = Members::new(row("a", "d1", incarnation, 9), OPTS, at(0));
+    let pending = exchange::open(&ours, &members, &opts, now);
+    let request = pending.request.clone();
+    let (reply, _) = exchange::answer(&mut theirs, &mut other, request, &opts, now);
+    let outcome = exchange::absorb(&mut ours, &mut members, &pending, reply, &opts, now);
+    assert_eq!(outcome.unwrap().contact, contact);
+}
+
 #[test]
 fn verify_own_name_known_at_start_and_later() {
     let mut starting = members();
