--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -111,6 +111,7 @@
     let mut members = settled();
     members.admit(&row("a", "d1", 4, 1), at(0)).unwrap();
     let mut other = Members::new(row("a", "d1", incarnation, 9), OPTS, at(0));
+    other.settle();
     let pending = exchange::open(&ours, &members, &opts, now);
     let request = pending.request.clone();
     let (reply, _) = exchange::answer(&mut theirs, &mut other, request, &opts, now);
