--- a/crates/core/src/orders/lease.rs
+++ b/crates/core/src/orders/lease.rs
@@ -213,6 +213,9 @@
     /// Takes in the record that was read, `None` when there is none.
     pub fn on_read(&mut self, current: Option<VersionedLease>, now: Time) {
         self.observe(current, now);
+        if self.due_write(now).is_some() {
+            self.next_call = now;
+        }
     }
 
     /// Takes in the answer to the write that [`Self::poll`] returned.
--- a/crates/core/tests/orders.rs
+++ b/crates/core/tests/orders.rs
@@ -70,6 +70,7 @@
 )]
 fn verify_candidate(current: Option<VersionedLease>, elapsed: u64, fencing: Option<u64>) {
     let mut keeper = keeper();
+    assert_eq!(keeper.poll(at(0)), Some(LeaseAction::Read));
     keeper.on_read(current, at(0));
     assert_eq!(
         polled_write(&mut keeper, at(elapsed)),
