--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -110,9 +110,10 @@
       slot @5 :UInt16;
       needed @6 :UInt64;
       wanted @7 :UInt64;
+      partial @8 :Bool;
     }
   }
-  reports @8 :List(GrantReport);
+  reports @9 :List(GrantReport);
 }
 
 struct GrantReport {
@@ -122,15 +123,8 @@
   number @1 :UInt64;
   team @2 :Text;
   slot @3 :UInt16;
-  batch @4 :UInt32;
-  spent @5 :UInt64;
-  refunds @6 :List(Refund);
-  returned @7 :UInt64;
-}
-
-struct Refund {
-  batch @0 :UInt32;
-  amount @1 :UInt64;
+  used @4 :UInt64;
+  returned @5 :UInt64;
 }
 
 struct GrantReply {
--- a/crates/peer/src/grants.rs
+++ b/crates/peer/src/grants.rs
@@ -9,7 +9,6 @@
 use limpetsaddle_core::limits::GrantReply;
 use limpetsaddle_core::limits::GrantReport;
 use limpetsaddle_core::limits::GrantRequest;
-use limpetsaddle_core::limits::Refund;
 use limpetsaddle_core::limits::RequestId;
 use limpetsaddle_core::units::Incarnation;
 use limpetsaddle_core::units::Tokens;
@@ -22,7 +21,6 @@
 use crate::peer_capnp::grant_report;
 use crate::peer_capnp::grant_request;
 use crate::peer_capnp::grant_request::ask;
-use crate::peer_capnp::refund;
 
 pub fn write_request(mut builder: grant_request::Builder<'_>, request: &GrantRequest) {
     builder.set_from(request.from.as_str());
@@ -45,6 +43,7 @@
     builder.set_slot(ask.slot);
     builder.set_needed(ask.needed.0);
     builder.set_wanted(ask.wanted.0);
+    builder.set_partial(ask.partial);
 }
 
 fn write_report(mut builder: grant_report::Builder<'_>, report: &GrantReport) {
@@ -52,15 +51,8 @@
     builder.set_number(report.id.number);
     builder.set_team(report.team.as_str());
     builder.set_slot(report.slot);
-    builder.set_batch(report.batch);
-    builder.set_spent(report.spent.0);
+    builder.set_used(report.used.0);
     builder.set_returned(report.returned.0);
-    let mut refunds = builder.init_refunds(size(report.refunds.len()));
-    for (i, refund) in (0..).zip(&report.refunds) {
-        let mut builder = refunds.reborrow().get(i);
-        builder.set_batch(refund.batch);
-        builder.set_amount(refund.amount.0);
-    }
 }
 
 pub fn read_request(reader: grant_request::Reader<'_>) -> Result<GrantRequest> {
@@ -81,6 +73,7 @@
             slot: ask.get_slot(),
             needed: Tokens(ask.get_needed()),
             wanted: Tokens(ask.get_wanted()),
+            partial: ask.get_partial(),
         }),
     })
 }
@@ -94,23 +87,13 @@
             },
             team: parse(reader.get_team()?)?,
             slot: reader.get_slot(),
-            batch: reader.get_batch(),
-            spent: Tokens(reader.get_spent()),
-            refunds: read_refunds(reader.get_refunds()?),
+            used: Tokens(reader.get_used()),
             returned: Tokens(reader.get_returned()),
         })
     };
     reader.iter().map(read).collect()
 }
 
-fn read_refunds(reader: struct_list::Reader<'_, refund::Owned>) -> Vec<Refund> {
-    let read = |reader: refund::Reader<'_>| Refund {
-        batch: reader.get_batch(),
-        amount: Tokens(reader.get_amount()),
-    };
-    reader.iter().map(read).collect()
-}
-
 pub fn write_reply(mut builder: grant_reply::Builder<'_>, reply: &GrantReply) {
     builder.set_request(reply.request.0);
     let millis = u64::try_from(reply.retry_after.as_millis()).unwrap_or(u64::MAX);
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -3699,6 +3699,7 @@
             self.builder.set_data_field::<u16>(9, 0u16);
             self.builder.set_data_field::<u64>(3, 0u64);
             self.builder.set_data_field::<u64>(4, 0u64);
+            self.builder.set_bool_field(160, false);
             self.builder.into()
         }
         #[inline]
@@ -3778,7 +3779,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(117, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3993,6 +3994,7 @@
                 self.builder.set_data_field::<u16>(9, 0u16);
                 self.builder.set_data_field::<u64>(3, 0u64);
                 self.builder.set_data_field::<u64>(4, 0u64);
+                self.builder.set_bool_field(160, false);
                 self.builder.into()
             }
             #[inline]
@@ -4174,6 +4176,10 @@
                 pub fn get_wanted(self) -> u64 {
                     self.reader.get_data_field::<u64>(4)
                 }
+                #[inline]
+                pub fn get_partial(self) -> bool {
+                    self.reader.get_bool_field(160)
+                }
             }
 
             pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4268,6 +4274,14 @@
                 pub fn set_wanted(&mut self, value: u64)  {
                     self.builder.set_data_field::<u64>(4, value);
                 }
+                #[inline]
+                pub fn get_partial(self) -> bool {
+                    self.builder.get_bool_field(160)
+                }
+                #[inline]
+                pub fn set_partial(&mut self, value: bool)  {
+                    self.builder.set_bool_field(160, value);
+                }
             }
 
             pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4279,7 +4293,7 @@
             impl Pipeline  {
             }
             mod _private {
-                pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+                pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                     ::capnp::word(230, 64, 65, 204, 28, 93, 81, 250),
                     ::capnp::word(28, 0, 0, 0, 1, 0, 5, 0),
@@ -4289,7 +4303,7 @@
                     ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                    ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -4297,35 +4311,42 @@
                     ::capnp::word(82, 101, 113, 117, 101, 115, 116, 46),
                     ::capnp::word(97, 115, 107, 46, 116, 111, 107, 101),
                     ::capnp::word(110, 115, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                    ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                     ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                     ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+                    ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                    ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                     ::capnp::word(1, 0, 0, 0, 9, 0, 0, 0),
                     ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+                    ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                    ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                     ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
                     ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                    ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                    ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                     ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
                     ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                    ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(4, 0, 0, 0, 160, 0, 0, 0),
+                    ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                    ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                    ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                    ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                    ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
                     ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
                     ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4358,6 +4379,14 @@
                     ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(112, 97, 114, 116, 105, 97, 108, 0),
+                    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ];
                 pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                     match index {
@@ -4365,6 +4394,7 @@
                         1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                         2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                         3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                        4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                         _ => ::capnp::introspect::panic_invalid_field_index(index),
                     }
                 }
@@ -4378,9 +4408,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME
                 );
-                pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+                pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
                 pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-                pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
+                pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,1,0,3];
                 pub(crate) const TYPE_ID: u64 = 0xfa51_5d1c_cc41_40e6;
             }
         }
@@ -4469,22 +4499,10 @@
             self.reader.get_data_field::<u16>(8)
         }
         #[inline]
-        pub fn get_batch(self) -> u32 {
-            self.reader.get_data_field::<u32>(5)
-        }
-        #[inline]
-        pub fn get_spent(self) -> u64 {
+        pub fn get_used(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_refunds(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::refund::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_refunds(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
         pub fn get_returned(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
@@ -4492,7 +4510,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4583,38 +4601,14 @@
             self.builder.set_data_field::<u16>(8, value);
         }
         #[inline]
-        pub fn get_batch(self) -> u32 {
-            self.builder.get_data_field::<u32>(5)
-        }
-        #[inline]
-        pub fn set_batch(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(5, value);
-        }
-        #[inline]
-        pub fn get_spent(self) -> u64 {
+        pub fn get_used(self) -> u64 {
             self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn set_spent(&mut self, value: u64)  {
+        pub fn set_used(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn get_refunds(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::refund::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_refunds(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::refund::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_refunds(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::refund::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-        }
-        #[inline]
-        pub fn has_refunds(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
         pub fn get_returned(self) -> u64 {
             self.builder.get_data_field::<u64>(4)
         }
@@ -4633,80 +4627,66 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(21, 36, 254, 46, 95, 122, 230, 222),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 71, 114, 97, 110, 116),
             ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 114, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4739,15 +4719,7 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 112, 101, 110, 116, 0, 0, 0),
+            ::capnp::word(117, 115, 101, 100, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4755,18 +4727,6 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 102, 117, 110, 100, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 161, 145, 18, 53, 230, 107, 180),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 116, 117, 114, 110, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -4783,10 +4743,8 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::peer_capnp::refund::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4800,236 +4758,13 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,6,7,3,5,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,5,3,2,4];
         pub(crate) const TYPE_ID: u64 = 0xdee6_7a5f_2efe_2415;
     }
 }
 
-pub mod refund {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
-    }
-
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
-        }
-    }
-
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
-        }
-    }
-
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-        }
-    }
-
-    impl <> Reader<'_,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
-        }
-        #[inline]
-        pub fn get_batch(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn get_amount(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-    }
-
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
-    }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-        }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-    }
-
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
-            self.builder.into_reader().into()
-        }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
-        }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-            self.builder.as_reader().into()
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.builder.as_reader().total_size()
-        }
-        #[inline]
-        pub fn get_batch(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn set_batch(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(0, value);
-        }
-        #[inline]
-        pub fn get_amount(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_amount(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-    }
-
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
-        }
-    }
-    impl Pipeline  {
-    }
-    mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(204, 161, 145, 18, 53, 230, 107, 180),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
-            ::capnp::word(152, 112, 226, 213, 196, 163, 246, 177),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 82, 101, 102, 117, 110),
-            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 109, 111, 117, 110, 116, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ];
-        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-            match index {
-                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                _ => ::capnp::introspect::panic_invalid_field_index(index),
-            }
-        }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-        }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0xb46b_e635_1291_a1cc;
-    }
-}
-
 pub mod grant_reply {
     #[derive(Copy, Clone)]
     pub struct Owned(());
