Count an owner's silence from when it was first seen to own a slot

Cause: an instance that starts and claims slots stands in the table before word of it has come round; a peer that had run for long took it for silent since its own start and would have taken the slots over at once. Ruled out: waiting for a row of every owner, which would leave the slots of an instance that died before its first exchange without an owner for ever. Change: the blackboard notes when each run of an owner was first seen in the table and counts silence from then; the proposal moves to a module of its own.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -4,14 +4,14 @@
 //! instance and keeps the parts in step when configuration changes.
 
 mod placing;
+mod slots;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use self::slots::OwnersSeen;
 use crate::config::Kind;
 use crate::config::Object;
-use crate::config::ObjectId;
-use crate::config::Phase;
 use crate::config::Policy;
 use crate::config::PoolKind;
 use crate::config::PoolSpec;
@@ -21,13 +21,9 @@
 use crate::fair_queue::TeamUsage;
 use crate::limits::Ledger;
 use crate::limits::LimitsOptions;
-use crate::limits::Member as SlotMember;
-use crate::limits::propose;
-use crate::limits::release;
 use crate::membership::Members;
 use crate::membership::MembersOptions;
 use crate::membership::Row;
-use crate::membership::Standing;
 use crate::names::DomainName;
 use crate::names::ModelName;
 use crate::names::PoolName;
@@ -36,7 +32,6 @@
 use crate::retry::RetryBudget;
 use crate::store::Change;
 use crate::store::ConfigStore;
-use crate::units::Revision;
 use crate::units::Time;
 use crate::units::WeightsVersion;
 use crate::upstreams::Arrival;
@@ -45,22 +40,11 @@
 
 pub use self::placing::Placement;
 pub use self::placing::Wanted;
+pub use self::slots::SlotWrite;
 
 /// The time from the start within which upstreams count as in service already.
 const BOOTSTRAP: Duration = Duration::from_secs(3);
 
-/// A `SlotWrite` is a change of a failure domain's slot owners to be written by
-/// conditional update.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct SlotWrite {
-    /// The object to write.
-    pub id: ObjectId,
-    /// The revision that the write depends on.
-    pub expected: Revision,
-    /// The next owners.
-    pub table: SlotTable,
-}
-
 /// A `BlackboardOptions` holds the options of a blackboard's parts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BlackboardOptions {
@@ -114,6 +98,7 @@
     /// The retries that the instance may still make.
     pub budget: RetryBudget,
     placers: BTreeMap<PoolName, Placer>,
+    owners: OwnersSeen,
     options: BlackboardOptions,
     started: Time,
 }
@@ -133,6 +118,7 @@
             usage: TeamUsage::default(),
             budget: RetryBudget::default(),
             placers: BTreeMap::new(),
+            owners: OwnersSeen::default(),
             options,
             started: now,
         }
@@ -224,6 +210,9 @@
                 };
                 if let Ok(name) = name.parse() {
                     self.ledger.set_slots(&name, object.revision, table, now);
+                    if name == *self.domain() {
+                        self.owners.note(table, now);
+                    }
                 }
             }
             (Kind::Upstream, Some(Spec::Upstream(upstream))) => {
@@ -250,84 +239,4 @@
         let spec = self.store.pool(pool);
         spec.is_some_and(|p| matches!(p.kind, PoolKind::Engine { .. }))
     }
-
-    /// Returns the change of slot owners that this instance should write.
-    #[must_use]
-    pub fn slot_proposal(&self, now: Time) -> Option<SlotWrite> {
-        if self.members.standing() != Standing::Holder {
-            return None;
-        }
-        let (id, expected, table) = self.slot_table()?;
-        let slots = self.store.domain(self.domain())?.slots;
-        let members = self.slot_members(&table, now);
-        let own = self.members.own();
-        let me = (own.name.clone(), own.incarnation);
-        let limits = &self.options.limits;
-        let table = propose(&me, &table, expected, slots, &members, limits)?;
-        Some(SlotWrite {
-            id,
-            expected,
-            table,
-        })
-    }
-
-    /// Returns the change by which this instance gives up its slots.
-    #[must_use]
-    pub fn slot_release(&self) -> Option<SlotWrite> {
-        let (id, expected, table) = self.slot_table()?;
-        let table = release(&self.members.own().name, &table)?;
-        Some(SlotWrite {
-            id,
-            expected,
-            table,
-        })
-    }
-
-    fn slot_table(&self) -> Option<(ObjectId, Revision, SlotTable)> {
-        let id = ObjectId {
-            kind: Kind::Slots,
-            name: self.domain().as_str().parse().ok()?,
-        };
-        let Some(object) = self.store.get(&id) else {
-            return Some((id, Revision::ABSENT, SlotTable::default()));
-        };
-        let table = match object.spec.as_deref() {
-            Some(Spec::Slots(table)) => table.clone(),
-            _ => SlotTable::default(),
-        };
-        Some((id, object.revision, table))
-    }
-
-    /// Returns the instances that matter for the slots: those of the failure
-    /// domain, and owners that this instance has never heard of.
-    fn slot_members(&self, table: &SlotTable, now: Time) -> Vec<SlotMember> {
-        let own = self.members.own();
-        let in_domain = self.members.iter().filter(|m| m.row.domain == own.domain);
-        let mut members: Vec<SlotMember> = in_domain
-            .map(|member| SlotMember {
-                name: member.row.name.clone(),
-                incarnation: member.row.incarnation,
-                silent_for: self
-                    .members
-                    .silent_for(&member.row.name, member.row.incarnation, now),
-                leaving: member.row.phase == Phase::Leaving,
-            })
-            .collect();
-        for owner in table.owners.iter().flatten() {
-            let known = members.iter().any(|m| m.name == owner.instance);
-            if known || owner.instance == own.name {
-                continue;
-            }
-            let silent_for = self
-                .members
-                .silent_for(&owner.instance, owner.incarnation, now);
-            members.push(SlotMember {
-                name: owner.instance.clone(),
-                incarnation: owner.incarnation,
-                silent_for,
-                leaving: false,
-            });
-        }
-        members
-    }
 }
--- a/crates/router/src/controllers/bootstrap.rs
+++ b/crates/router/src/controllers/bootstrap.rs
@@ -36,7 +36,7 @@
         let calls = seeds
             .iter()
             .copied()
-            .filter(|a| *a != instance.settings.peer);
+            .filter(|a| *a != instance.settings.advertise);
         let calls = calls.map(|address| exchange_with(Rc::clone(&instance), address));
         futures::future::join_all(calls).await;
         ask_known_peers(&instance).await;
--- a/crates/router/src/controllers/exchange.rs
+++ b/crates/router/src/controllers/exchange.rs
@@ -75,23 +75,14 @@
             return;
         };
         instance.metrics.count(Event::PeerOk);
-        let home = match &reply {
-            ExchangeReply::State(state) => state.from.domain == instance.settings.domain,
-            ExchangeReply::Replaced(_) => false,
-        };
-        next = absorb(instance, &pending, reply, home);
+        next = absorb(instance, &pending, reply);
     }
 }
 
 /// Takes in a reply and returns the next request of the exchange.
 ///
-/// Only an answer from the own failure domain, `home`, keeps the limits in force.
-fn absorb(
-    instance: &Rc<Instance>,
-    pending: &Pending,
-    reply: ExchangeReply,
-    home: bool,
-) -> Option<Pending> {
+/// Only contact with the own failure domain keeps the limits in force.
+fn absorb(instance: &Rc<Instance>, pending: &Pending, reply: ExchangeReply) -> Option<Pending> {
     let now = instance.now();
     let opts = ExchangeOptions::default();
     let outcome = {
@@ -111,7 +102,7 @@
         return None;
     };
     take(instance, &outcome.changes);
-    if home {
+    if outcome.contact && outcome.from.domain == instance.settings.domain {
         instance.contact(pending.sent);
     }
     outcome.next
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -74,7 +74,7 @@
             name: settings.name.clone(),
             incarnation,
             domain: settings.domain.clone(),
-            address: settings.peer,
+            address: settings.advertise,
             phase: Phase::Live,
             heartbeat: 0,
             revision: Revision::ABSENT,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -77,6 +77,13 @@
     "address for other instances",
     Some("127.0.0.1:8082"),
 );
+const ADVERTISE: Setting = setting(
+    "advertise",
+    "LIMPETSADDLE_ADVERTISE",
+    "IP:PORT",
+    "address under which other instances reach --peer; --peer itself if empty",
+    Some(""),
+);
 const PLATFORM: Setting = setting(
     "platform",
     "LIMPETSADDLE_PLATFORM",
@@ -134,12 +141,13 @@
     Some("info"),
 );
 
-const SETTINGS: [Setting; 13] = [
+const SETTINGS: [Setting; 14] = [
     NAME,
     DOMAIN,
     LISTEN,
     ADMIN,
     PEER,
+    ADVERTISE,
     PLATFORM,
     SEEDS,
     DRAIN,
@@ -163,6 +171,8 @@
     pub admin: SocketAddr,
     /// The address for other instances.
     pub peer: SocketAddr,
+    /// The address under which other instances reach this one.
+    pub advertise: SocketAddr,
     /// The addresses of the platform's object API.
     pub platform: Vec<SocketAddr>,
     /// The peer addresses to ask at start.
@@ -326,6 +336,7 @@
         let listen = self.value(&LISTEN);
         let admin = self.value(&ADMIN);
         let peer = self.value(&PEER);
+        let advertise: Option<Vec<SocketAddr>> = self.list(&ADVERTISE);
         let platform = self.list(&PLATFORM);
         let seeds = self.list(&SEEDS);
         let drain: Option<u64> = self.value(&DRAIN);
@@ -342,6 +353,7 @@
                 listen: listen?,
                 admin: admin?,
                 peer: peer?,
+                advertise: advertise?.first().copied().or(peer)?,
                 platform: platform?,
                 seeds: seeds?,
                 drain: Duration::from_secs(drain?),
