--- a/crates/core/tests/limits_ledger.rs
+++ b/crates/core/tests/limits_ledger.rs
@@ -335,3 +335,21 @@
     assert!(drawn.is_some());
     assert_eq!(available(&mut owner, later), 0);
 }
+
+/// A repeated report must not bring back what another reservation holds.
+#[test]
+fn verify_repeated_report_has_no_effect() {
+    let (mut owner, mut asker) = (full_owner(), ledger(1, 20, Time::ZERO));
+    let now = at(FULL_MS);
+    let req = ask(&mut asker, 400, now);
+    let answer = owner.on_grant_request(&req, now);
+    asker.on_grant_reply(&answer, now);
+    let first = admit(&mut asker, 200, now).unwrap();
+    let second = admit(&mut asker, 200, now).unwrap();
+    asker.settle(first, Tokens::ZERO, now);
+    let due = asker.tick(now);
+    deliver(&mut owner, &due, now);
+    deliver(&mut owner, &due, now);
+    assert_eq!(available(&mut owner, now), HOME_BURST - 200);
+    asker.settle(second, Tokens(200), now);
+}
