Refuse a claim's caller soon while the platform is silent

Cause: with every answer lost, an attempt held its caller for up to four timeouts.

Change: an attempt repeats no write once its claim window of 3 s has passed.

--- a/crates/core/src/claims/attempt.rs
+++ b/crates/core/src/claims/attempt.rs
@@ -24,6 +24,9 @@
     /// It must be far below `done_time_to_live`: a process that was paused for
     /// longer than an outcome is kept must not send.
     pub send_window: Duration,
+    /// The time from the start of an attempt after which it repeats no write, so
+    /// that its caller is refused soon while the platform is silent.
+    pub claim_window: Duration,
     /// The writes that an attempt makes at most to obtain its claim.
     pub max_writes: u32,
     /// The time for which the platform keeps an answer for replay.
@@ -44,6 +47,7 @@
     fn default() -> Self {
         Self {
             send_window: Duration::from_secs(10),
+            claim_window: Duration::from_secs(3),
             max_writes: 4,
             done_time_to_live: Duration::from_hours(24),
             not_run_time_to_live: Duration::from_hours(1),
@@ -221,7 +225,7 @@
     }
 
     fn write_again(mut self, now: Time) -> Step {
-        let late = now.since(self.started) >= self.options.send_window;
+        let late = now.since(self.started) >= self.options.claim_window;
         if late || self.writes >= self.options.max_writes {
             return self.give_up(None);
         }
--- a/crates/core/tests/claims.rs
+++ b/crates/core/tests/claims.rs
@@ -126,6 +126,17 @@
     assert_eq!(finish.settlement.is_some(), settles);
 }
 
+#[parameterized(
+    lost_in_time = { UNKNOWN, 2_999, true },
+    lost_late = { UNKNOWN, 3_000, false },
+    not_run_found_late = { same(OTHER, ClaimState::NotRun), 3_000, false },
+)]
+fn verify_claim_window(answer: WriteAnswer, elapsed: u64, repeats: bool) {
+    let (claiming, _) = Claiming::start(request(), ClaimOptions::default(), Time::ZERO);
+    let step = claiming.on_write(answer, Time::ZERO + Duration::from_millis(elapsed));
+    assert_eq!(matches!(step, Step::Write(..)), repeats);
+}
+
 #[test]
 fn verify_stored_answer_is_replayed() {
     let stored = outcome(b"confirmed");
