--- /dev/null
+++ b/crates/router/examples/support/setup.rs
@@ -0,0 +1,189 @@
+//! A platform's stand-in with a configuration, and the upstreams it names.
+
+use std::io;
+use std::net::SocketAddr;
+
+use limpetsaddle_core::keys::issue;
+use limpetsaddle_fakes::EngineOptions;
+use limpetsaddle_fakes::FakeEngine;
+use limpetsaddle_fakes::FakePlatform;
+use limpetsaddle_fakes::FakeService;
+use limpetsaddle_fakes::Instance;
+use limpetsaddle_fakes::PlatformOptions;
+use limpetsaddle_fakes::any_port;
+use serde_json::Value;
+use serde_json::json;
+
+/// The model that the engines serve.
+pub const MODEL: &str = "birch-7b";
+
+/// The tokens of one cache block.
+pub const BLOCK_TOKENS: usize = 2_048;
+
+/// The parts of a team's limits that are divided among the failure domains.
+const WHOLE_PARTS: usize = 1_000;
+
+/// The slots of each failure domain.
+const SLOTS: u16 = 6;
+
+/// The name of the pool of engines.
+const ENGINE_POOL: &str = "lm-pool";
+
+/// The name of the pool of plain services.
+const SERVICE_POOL: &str = "order-desk";
+
+/// A `Place` is where one instance runs.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The name of the instance.
+    pub name: String,
+    /// The failure domain.
+    pub domain: &'static str,
+    /// The address for callers.
+    pub listen: SocketAddr,
+    /// The address for operators.
+    pub admin: SocketAddr,
+    /// The address for other instances.
+    pub peer: SocketAddr,
+}
+
+impl Place {
+    /// Returns the flags of the daemon that runs here.
+    pub fn flags(&self, platform: SocketAddr, places: &[Self]) -> Vec<String> {
+        let seeds: Vec<String> = places.iter().map(|p| p.peer.to_string()).collect();
+        let flags = [
+            ("--name", self.name.clone()),
+            ("--domain", self.domain.to_owned()),
+            ("--platform", platform.to_string()),
+            ("--seeds", seeds.join(",")),
+            ("--listen", self.listen.to_string()),
+            ("--admin", self.admin.to_string()),
+            ("--peer", self.peer.to_string()),
+        ];
+        let pairs = flags.into_iter();
+        pairs
+            .flat_map(|(flag, value)| [flag.to_owned(), value])
+            .collect()
+    }
+}
+
+/// Returns `each` places in each failure domain, on ports from `port` on.
+pub fn places(domains: &[&'static str], each: usize, port: u16) -> Vec<Place> {
+    let mut port = port;
+    let mut next = || {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        port += 1;
+        address
+    };
+    let mut places = Vec::new();
+    for domain in domains {
+        for number in 1..=each {
+            places.push(Place {
+                name: format!("{domain}-{number}"),
+                domain,
+                listen: next(),
+                admin: next(),
+                peer: next(),
+            });
+        }
+    }
+    places
+}
+
+/// A `Setup` is a configured platform with its upstreams.
+pub struct Setup {
+    /// The platform.
+    pub platform: FakePlatform,
+    /// The engines.
+    pub engines: Vec<FakeEngine>,
+    /// The plain service, behind `/orders`.
+    pub service: FakeService,
+    domains: Vec<&'static str>,
+}
+
+impl Setup {
+    /// Starts a platform and `count` engines, divided among the failure domains.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub fn start(
+        domains: &[&'static str],
+        count: usize,
+        engine: &EngineOptions,
+    ) -> io::Result<Self> {
+        let mut setup = Self {
+            platform: FakePlatform::start(PlatformOptions::default())?,
+            engines: Vec::new(),
+            service: FakeService::start(any_port())?,
+            domains: domains.to_vec(),
+        };
+        for domain in domains {
+            let spec = json!({"domain": {"region": "vestland", "slots": SLOTS}});
+            setup.put(&format!("domain/{domain}"), spec);
+        }
+        setup.put_pools();
+        for i in 0..count {
+            let engine = FakeEngine::start(EngineOptions {
+                model: MODEL.to_owned(),
+                block_tokens: BLOCK_TOKENS,
+                ..engine.clone()
+            })?;
+            let domain = domains[i % domains.len()];
+            setup.put_upstream(&format!("lm-{i}"), ENGINE_POOL, domain, engine.address());
+            setup.engines.push(engine);
+        }
+        Ok(setup)
+    }
+
+    fn put_pools(&self) {
+        let kind = json!({"engine": {"model": MODEL, "weights": 1, "block": BLOCK_TOKENS}});
+        let pool = json!({"pool": {"kind": kind, "checks_fencing": true}});
+        self.put(&format!("pool/{ENGINE_POOL}"), pool);
+        let pool = json!({"pool": {"kind": "service"}});
+        self.put(&format!("pool/{SERVICE_POOL}"), pool);
+        let route = json!({"route": {"path": "/orders", "pool": SERVICE_POOL}});
+        self.put("route/orders", route);
+        let address = self.service.address();
+        self.put_upstream("order-desk-1", SERVICE_POOL, self.domains[0], address);
+    }
+
+    fn put_upstream(&self, name: &str, pool: &str, domain: &str, address: SocketAddr) {
+        let spec = json!({"upstream": {"pool": pool, "domain": domain, "address": address}});
+        self.put(&format!("upstream/{name}"), spec);
+    }
+
+    /// Writes a configuration object.
+    pub fn put(&self, id: &str, spec: Value) {
+        self.platform.state().put_config(id, spec);
+    }
+
+    /// Writes a team whose limits are split evenly, and returns its key.
+    pub fn put_team(&self, name: &str, rate: u64, burst: u64) -> String {
+        let id = format!("{name}1").parse().expect("a name");
+        let key = issue(&id, *b"a-key-for-examples-only!");
+        let parts = WHOLE_PARTS / self.domains.len();
+        let allotment = |domain: &&str| json!({"domain": domain, "parts": parts, "spread": 1});
+        let allotments: Vec<Value> = self.domains.iter().map(allotment).collect();
+        let team = json!({"team": {
+            "rate": rate,
+            "burst": burst,
+            "weight": 1,
+            "allotments": allotments,
+            "keys": [key.record],
+        }});
+        self.put(&format!("team/{name}"), team);
+        key.text
+    }
+
+    /// Lists the instances at the platform.
+    pub fn list_instances(&self, places: &[Place]) {
+        let instances = places.iter().map(|place| Instance {
+            name: place.name.clone(),
+            domain: place.domain.to_owned(),
+            address: place.peer,
+            phase: "live".to_owned(),
+        });
+        self.platform.state().set_instances(instances.collect());
+    }
+}
