Keep keys when a file is applied, and leave slots to the instances

Cause: applying a file from before a withdrawal would have revived the key, and one without the team's keys would have dropped them; a file could also have replaced the owners of slots.

Change: apply joins the keys of file and platform; files with slots are invalid.

Proof: verify_applied_file_neither_revives_nor_drops_a_key failed without the join; cargo test -p limpetsaddle-ctl, 36 + 10 + 7 + 34 + 1 passed.

--- a/crates/ctl/src/commands/files.rs
+++ b/crates/ctl/src/commands/files.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use limpetsaddle_core::config::Kind;
 use limpetsaddle_core::config::Object;
 use limpetsaddle_core::config::ObjectId;
 use limpetsaddle_core::config::Spec;
@@ -63,9 +64,12 @@
     old: Option<&Object>,
     timeout: Duration,
 ) -> Result<Change> {
-    let Entry { id, spec } = entry;
+    let Entry { id, mut spec } = entry;
     let revision = old.map_or(Revision::ABSENT, |o| o.revision);
     let old = old.and_then(|o| o.spec.as_deref());
+    if let (Some(Spec::Team(old)), Some(Spec::Team(new))) = (old, &mut spec) {
+        new.keys = teams::merged_keys(&old.keys, &new.keys);
+    }
     if old == spec.as_ref() {
         return Ok(Change {
             id,
@@ -119,6 +123,9 @@
         if !seen.insert(id) {
             findings.push(finding(Fault::Repeated));
         }
+        if id.kind == Kind::Slots {
+            findings.push(finding(Fault::NotForOperators));
+        }
         let Some(spec) = spec else { continue };
         if spec.kind() != id.kind {
             findings.push(finding(Fault::OtherKind));
--- a/crates/ctl/src/commands/teams.rs
+++ b/crates/ctl/src/commands/teams.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use limpetsaddle_core::config::Allotment;
+use limpetsaddle_core::config::KeyRecord;
 use limpetsaddle_core::config::Kind;
 use limpetsaddle_core::config::ObjectId;
 use limpetsaddle_core::config::Spec;
@@ -224,6 +225,21 @@
     editor::write(platform, id, expected, Some(&Spec::Team(new))).await
 }
 
+/// Returns the keys of `old` and those that `new` adds.
+///
+/// A key that has been withdrawn stays so, and no key is lost: an older copy of
+/// the team must neither revive a key nor forget one.
+pub(super) fn merged_keys(old: &[KeyRecord], new: &[KeyRecord]) -> Vec<KeyRecord> {
+    let mut keys = old.to_vec();
+    for key in &mut keys {
+        let withdrawn = new.iter().any(|k| k.id == key.id && k.withdrawn);
+        key.withdrawn = key.withdrawn || withdrawn;
+    }
+    let added = new.iter().filter(|k| old.iter().all(|o| o.id != k.id));
+    keys.extend(added.cloned());
+    keys
+}
+
 /// Returns for each failure domain the smaller of its old and new part.
 ///
 /// A part that is spread over other slots is taken away whole: the old and the
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -164,6 +164,9 @@
     /// The object occurs a second time.
     #[error("occurs more than once")]
     Repeated,
+    /// Only instances write objects of this kind.
+    #[error("is written by the instances, not by operators")]
+    NotForOperators,
     /// The object refers to one that does not exist.
     #[error("refers to {0}, which does not exist")]
     Dangling(ObjectId),
--- a/crates/ctl/tests/files.rs
+++ b/crates/ctl/tests/files.rs
@@ -33,6 +33,9 @@
     empty = { "empty", "[]", ExitCode::Success, &[] },
     valid = { "valid", &format!("[{DOMAIN}]"), ExitCode::Success, &[] },
     retired = { "retired", r#"[{"id":"domain/a","spec":null}]"#, ExitCode::Success, &[] },
+    slots = {
+        "slots", r#"[{"id":"slots/a","spec":{"slots":{"owners":[]}}}]"#, ExitCode::Invalid, &["instances"]
+    },
     not_json = { "not_json", "[", ExitCode::Invalid, &["EOF"] },
     not_a_list = { "not_a_list", DOMAIN, ExitCode::Invalid, &["expected a sequence"] },
     unknown_field = {
--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -89,6 +89,35 @@
     });
 }
 
+#[test]
+fn verify_applied_file_neither_revives_nor_drops_a_key() {
+    let fake = FakePlatform::start(PlatformOptions::default()).unwrap();
+    let path = concat!(env!("CARGO_TARGET_TMPDIR"), "/keys.json");
+    block_on(async {
+        for line in [SESSION[0], SESSION[5], SESSION[7], SESSION[7]] {
+            ctl(fake.address(), line).await;
+        }
+        let (_, shown) = ctl(fake.address(), "team show yard").await;
+        let mut team = shown["objects"][0].clone();
+        team.as_object_mut().unwrap().remove("revision");
+        let first = team["spec"]["team"]["keys"][0]["id"].clone();
+        let line = format!("key withdraw yard {}", first.as_str().unwrap());
+        ctl(fake.address(), &line).await;
+        // The file is from before the withdrawal and lacks the second key.
+        team["spec"]["team"]["keys"].as_array_mut().unwrap().pop();
+        std::fs::write(path, Value::from(vec![team]).to_string()).unwrap();
+        let (code, _) = ctl(fake.address(), &format!("apply {path}")).await;
+        assert_eq!(code, ExitCode::Success);
+        let (_, listed) = ctl(fake.address(), "key list yard").await;
+        let keys = listed["keys"].as_array().unwrap();
+        assert_eq!(keys.len(), 2);
+        assert_eq!(
+            (&keys[0]["withdrawn"], &keys[1]["withdrawn"]),
+            (&true.into(), &false.into())
+        );
+    });
+}
+
 /// Lets two operators switch the preset at once and returns their exit codes.
 async fn race(fake: &FakePlatform) -> [ExitCode; 2] {
     let address = fake.address();
