--- a/crates/router/examples/demo.rs
+++ b/crates/router/examples/demo.rs
@@ -20,10 +20,10 @@
 use limpetsaddle_router::settings::parse;
 use serde_json::json;
 
-use support::caller::request;
-use support::setup::MODEL;
-use support::setup::Setup;
-use support::setup::places;
+use crate::support::caller::request;
+use crate::support::setup::MODEL;
+use crate::support::setup::Setup;
+use crate::support::setup::places;
 
 /// The failure domains.
 const DOMAINS: [&str; 3] = ["bergen-a", "bergen-b", "voss-c"];
--- a/crates/router/examples/overhead.rs
+++ b/crates/router/examples/overhead.rs
@@ -21,11 +21,11 @@
 use limpetsaddle_router::errors::Result;
 use limpetsaddle_router::run::block_on;
 
-use support::caller::request;
-use support::caller::stream;
-use support::process::Process;
-use support::setup::Setup;
-use support::setup::places;
+use crate::support::caller::request;
+use crate::support::caller::stream;
+use crate::support::process::Process;
+use crate::support::setup::Setup;
+use crate::support::setup::places;
 
 /// The numbers of streams at once.
 const STREAMS: [usize; 3] = [1, 32, 256];
