Give a queued request its place at its turn

Cause: a queued request that was woken looked for a place again, lost it to a new arrival, and went back to the end of the queue. Change: the blackboard places the request whose turn it is and hands it the place; new arrivals queue behind those that wait. Claims are obtained and settled by the platform's client, which holds the loop already. Checked: the router's tests pass.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -39,6 +39,8 @@
 use crate::upstreams::UpstreamTable;
 
 pub use self::placing::Placement;
+pub use self::placing::Queued;
+pub use self::placing::Turn;
 pub use self::placing::Wanted;
 pub use self::slots::SlotWrite;
 
@@ -92,7 +94,7 @@
     /// The state of the upstreams.
     pub upstreams: UpstreamTable,
     /// The requests that wait for an upstream.
-    pub queue: FairQueue<W>,
+    pub queue: FairQueue<Queued<W>>,
     /// The recent use of each team.
     pub usage: TeamUsage,
     /// The retries that the instance may still make.
--- a/crates/core/src/blackboard/placing.rs
+++ b/crates/core/src/blackboard/placing.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use super::Blackboard;
+use crate::config::Policy;
+use crate::names::DomainName;
 use crate::names::PoolName;
 use crate::placement::Choice;
 use crate::placement::Feedback;
@@ -28,6 +30,19 @@
     pub exclude: &'a [UpstreamId],
 }
 
+impl<'a> Wanted<'a> {
+    const fn query(&self, domain: &'a DomainName, policy: &'a Policy) -> Query<'a> {
+        Query {
+            pool: self.pool,
+            domain,
+            chain: self.chain,
+            weights: self.weights,
+            exclude: self.exclude,
+            policy,
+        }
+    }
+}
+
 /// A `Placement` is a request's place at an upstream.
 #[derive(Debug)]
 pub struct Placement {
@@ -39,7 +54,69 @@
     pub address: SocketAddr,
 }
 
+/// A `Queued` is a request that waits for an upstream.
+#[derive(Debug)]
+pub struct Queued<W> {
+    pool: PoolName,
+    chain: PrefixChain,
+    weights: Option<WeightsVersion>,
+    exclude: Vec<UpstreamId>,
+    /// What stands for the request outside.
+    pub waiter: W,
+}
+
+impl<W> Queued<W> {
+    /// Returns a request that waits with `waiter`.
+    #[must_use]
+    pub fn new(wanted: &Wanted<'_>, waiter: W) -> Self {
+        Self {
+            pool: wanted.pool.clone(),
+            chain: wanted.chain.clone(),
+            weights: wanted.weights,
+            exclude: wanted.exclude.to_vec(),
+            waiter,
+        }
+    }
+
+    fn wanted(&self) -> Wanted<'_> {
+        Wanted {
+            pool: &self.pool,
+            chain: &self.chain,
+            weights: self.weights,
+            exclude: &self.exclude,
+        }
+    }
+}
+
+/// A `Turn` is a queued request that got a place.
+#[derive(Debug)]
+pub struct Turn<W> {
+    /// What stands for the request outside.
+    pub waiter: W,
+    /// The place.
+    pub placement: Placement,
+}
+
 impl<W> Blackboard<W> {
+    /// Places the queued request whose turn it is, if an upstream has room.
+    pub fn next_turn(&mut self, now: Time, random: u64) -> Option<Turn<W>> {
+        let upstreams = &self.upstreams;
+        let placers = &self.placers;
+        let policy = self.store.presets().in_force();
+        let domain = &self.members.own().domain;
+        let has_room = |queued: &Queued<W>| {
+            let query = queued.wanted().query(domain, policy);
+            let placer = placers.get(&queued.pool);
+            placer.is_some_and(|p| p.choose(&query, upstreams, now, random).is_ok())
+        };
+        let queued = self.queue.pop_if(now, has_room)?;
+        let placement = self.place(&queued.wanted(), now, random).ok()?;
+        Some(Turn {
+            waiter: queued.waiter,
+            placement,
+        })
+    }
+
     /// Chooses an upstream for a request and counts the attempt as outstanding.
     ///
     /// # Errors
@@ -56,14 +133,8 @@
             .placers
             .entry(wanted.pool.clone())
             .or_insert_with(|| Placer::new(options));
-        let query = Query {
-            pool: wanted.pool,
-            domain: &self.members.own().domain,
-            chain: wanted.chain,
-            weights: wanted.weights,
-            exclude: wanted.exclude,
-            policy: self.store.presets().in_force(),
-        };
+        let domain = &self.members.own().domain;
+        let query = wanted.query(domain, self.store.presets().in_force());
         let choice = placer.choose(&query, &self.upstreams, now, random)?;
         let row = self.upstreams.get(choice.upstream);
         let address = row.ok_or(Unplaced::NoUpstream)?.spec.address;
--- a/crates/router/src/controllers/ticks.rs
+++ b/crates/router/src/controllers/ticks.rs
@@ -34,13 +34,13 @@
     };
     for rejected in expired {
         // A caller that has left needs no answer.
-        let _ = rejected.item.send(Err(rejected.refusal));
+        let _ = rejected.item.waiter.send(Err(rejected.refusal));
     }
     for report in reports {
         let instance = Rc::clone(instance);
         monoio::spawn(async move { serve::send_grant(&instance, report).await });
     }
-    instance.wake_next();
+    instance.serve_queue();
 }
 
 fn record(instance: &Instance) {
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -8,6 +8,7 @@
 use futures::channel::oneshot;
 use limpetsaddle_core::blackboard::Blackboard;
 use limpetsaddle_core::blackboard::BlackboardOptions;
+use limpetsaddle_core::blackboard::Placement;
 use limpetsaddle_core::config::Phase;
 use limpetsaddle_core::membership::Row;
 use limpetsaddle_core::membership::new_incarnation;
@@ -15,6 +16,7 @@
 use limpetsaddle_core::units::Incarnation;
 use limpetsaddle_core::units::Revision;
 use limpetsaddle_core::units::Time;
+use limpetsaddle_core::upstreams::End;
 use limpetsaddle_http::Client;
 use limpetsaddle_peer::PeerClient;
 use limpetsaddle_platform::Platform;
@@ -29,7 +31,7 @@
 use crate::shutdown::Stopping;
 
 /// A `Waiter` is the end of a queued request that learns when its turn comes.
-pub type Waiter = oneshot::Sender<std::result::Result<(), Refusal>>;
+pub type Waiter = oneshot::Sender<std::result::Result<Placement, Refusal>>;
 
 /// An `Instance` is one running daemon.
 pub struct Instance {
@@ -158,16 +160,17 @@
         Running(Rc::clone(self))
     }
 
-    /// Lets the next queued request try for an upstream.
-    pub fn wake_next(&self) {
+    /// Gives places to queued requests for as long as there are any.
+    pub fn serve_queue(&self) {
         let now = self.now();
-        loop {
-            let Some(waiter) = self.board.borrow_mut().queue.pop(now) else {
-                return;
-            };
-            // A waiter whose caller has left is passed over.
-            if waiter.send(Ok(())).is_ok() {
-                return;
+        let random = self.random.draw();
+        let mut board = self.board.borrow_mut();
+        while let Some(turn) = board.next_turn(now, random) {
+            if let Err(Ok(unused)) = turn.waiter.send(Ok(turn.placement)) {
+                // The caller has left in the meantime.
+                board
+                    .upstreams
+                    .finish(unused.ticket, End::Cancelled, now, random);
             }
         }
     }
--- a/crates/router/src/serve/claimed.rs
+++ b/crates/router/src/serve/claimed.rs
@@ -11,22 +11,20 @@
 use limpetsaddle_core::claims::ClaimName;
 use limpetsaddle_core::claims::ClaimOptions;
 use limpetsaddle_core::claims::ClaimRequest;
-use limpetsaddle_core::claims::Claiming;
 use limpetsaddle_core::claims::Finish;
 use limpetsaddle_core::claims::Held;
 use limpetsaddle_core::claims::Outcome;
 use limpetsaddle_core::claims::OutcomeHeader;
 use limpetsaddle_core::claims::SendOutcome;
-use limpetsaddle_core::claims::SettleStep;
 use limpetsaddle_core::claims::Settlement;
-use limpetsaddle_core::claims::Step;
 use limpetsaddle_core::claims::StoredBody;
 use limpetsaddle_core::claims::Verdict;
-use limpetsaddle_core::hash::Digest;
+use limpetsaddle_core::claims::request_digest;
 use limpetsaddle_core::refusal::Ran;
 use limpetsaddle_core::refusal::Reason;
 use limpetsaddle_core::refusal::Refusal;
 use limpetsaddle_core::upstreams::End;
+use limpetsaddle_platform::Claimed;
 
 use super::Caller;
 use super::Exchange;
@@ -63,10 +61,12 @@
     };
     let instance = Rc::clone(exchange.instance);
     let request = claim_request(exchange, &caller, key);
-    let claimed = claim(&instance, request).await;
-    let (finish, answer) = match claimed {
-        Ok(held) => send(exchange, call, held).await,
-        Err(finish) => (finish, None),
+    let clock = instance.clock;
+    let options = ClaimOptions::default();
+    let claimed = instance.platform.claim(request, options, || clock.now());
+    let (finish, answer) = match claimed.await {
+        Claimed::Held(held) => send(exchange, call, held).await,
+        Claimed::Finished(finish) => (finish, None),
     };
     if let Some(settlement) = finish.settlement {
         monoio::spawn(settle(Rc::clone(&instance), settlement));
@@ -84,15 +84,10 @@
 
 fn claim_request(exchange: &Exchange<'_>, caller: &Caller, key: &str) -> ClaimRequest {
     let req = &exchange.req;
-    let mut content = Vec::new();
-    content.extend_from_slice(req.method().as_str().as_bytes());
-    content.push(b'\n');
-    content.extend_from_slice(super::path_and_query(req.uri()).as_bytes());
-    content.push(b'\n');
-    content.extend_from_slice(req.body());
+    let target = super::path_and_query(req.uri());
     ClaimRequest {
         name: ClaimName::new(&caller.team, key),
-        digest: Digest::of(&content),
+        digest: request_digest(req.method().as_str(), &target, req.body()),
         attempt: AttemptId {
             incarnation: exchange.instance.incarnation(),
             number: exchange.instance.next_number(),
@@ -100,23 +95,6 @@
     }
 }
 
-/// Obtains the claim, or the end of the attempt without sending.
-async fn claim(instance: &Rc<Instance>, request: ClaimRequest) -> Result<Held, Finish> {
-    let options = ClaimOptions::default();
-    let (mut claiming, mut write) = Claiming::start(request, options, instance.now());
-    loop {
-        let answer = instance.platform.write_claim(&write).await;
-        match claiming.on_write(answer, instance.now()) {
-            Step::Write(next, next_write) => {
-                claiming = next;
-                write = next_write;
-            }
-            Step::Send(held) => return Ok(held),
-            Step::Finish(finish) => return Err(finish),
-        }
-    }
-}
-
 async fn send(
     exchange: &Exchange<'_>,
     call: &mut ServiceCall,
@@ -206,16 +184,6 @@
 /// The instance counts it as a request in progress, so that a stop waits.
 async fn settle(instance: Rc<Instance>, settlement: Box<Settlement>) {
     let _running = instance.begin();
-    let mut settlement = settlement;
-    loop {
-        let write = settlement.write();
-        let answer = instance.platform.write_claim(&write).await;
-        match settlement.on_write(answer, instance.now()) {
-            SettleStep::Settled | SettleStep::GaveUp => return,
-            SettleStep::Retry(next, pause) => {
-                settlement = next;
-                monoio::time::sleep(pause).await;
-            }
-        }
-    }
+    let clock = instance.clock;
+    instance.platform.settle(settlement, || clock.now()).await;
 }
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -145,7 +145,7 @@
             let placement = placed.map_err(|refusal| after_attempts(refusal, attempts))?;
             let upstream = placement.choice.upstream;
             let ended = self.attempt(exchange, placement).await;
-            instance.wake_next();
+            instance.serve_queue();
             let failure = match ended {
                 Ended::Complete => return self.finish(exchange).await,
                 Ended::CallerLeft => {
--- a/crates/router/src/serve/placing.rs
+++ b/crates/router/src/serve/placing.rs
@@ -4,6 +4,7 @@
 
 use futures::channel::oneshot;
 use limpetsaddle_core::blackboard::Placement;
+use limpetsaddle_core::blackboard::Queued;
 use limpetsaddle_core::blackboard::Wanted;
 use limpetsaddle_core::fair_queue::Pushed;
 use limpetsaddle_core::names::TeamName;
@@ -29,16 +30,21 @@
     team: Option<&TeamName>,
     wanted: &Wanted<'_>,
 ) -> Result<Placement, Refusal> {
-    loop {
-        let now = instance.now();
-        let random = instance.random.draw();
-        let placed = instance.board.borrow_mut().place(wanted, now, random);
-        match placed {
-            Ok(placement) => return Ok(placement),
-            Err(Unplaced::AllFull) => wait(instance, team, wanted).await?,
-            Err(unplaced @ Unplaced::NoUpstream) => {
-                return Err(unplaced.refusal().retry_after(NO_UPSTREAM_WAIT));
-            }
+    let now = instance.now();
+    let random = instance.random.draw();
+    let placed = {
+        let mut board = instance.board.borrow_mut();
+        // Whoever waits already goes first.
+        match team {
+            Some(_) if !board.queue.is_empty() => Err(Unplaced::AllFull),
+            _ => board.place(wanted, now, random),
+        }
+    };
+    match placed {
+        Ok(placement) => Ok(placement),
+        Err(Unplaced::AllFull) => wait(instance, team, wanted).await,
+        Err(unplaced @ Unplaced::NoUpstream) => {
+            Err(unplaced.refusal().retry_after(NO_UPSTREAM_WAIT))
         }
     }
 }
@@ -47,8 +53,9 @@
     instance: &Rc<Instance>,
     team: Option<&TeamName>,
     wanted: &Wanted<'_>,
-) -> Result<(), Refusal> {
+) -> Result<Placement, Refusal> {
     let turn = enqueue(instance, team, wanted)?;
+    instance.serve_queue();
     // The sender is dropped only when the queue is, at the end of the process.
     turn.await
         .unwrap_or(Err(Refusal::not_run(Reason::Stopping)))
@@ -58,7 +65,7 @@
     instance: &Rc<Instance>,
     team: Option<&TeamName>,
     wanted: &Wanted<'_>,
-) -> Result<oneshot::Receiver<Result<(), Refusal>>, Refusal> {
+) -> Result<oneshot::Receiver<Result<Placement, Refusal>>, Refusal> {
     let now = instance.now();
     let (tx, rx) = oneshot::channel();
     let mut board = instance.board.borrow_mut();
@@ -68,11 +75,12 @@
     };
     let weight = board.store.team(team).map_or(1, |t| t.weight);
     let cost = wanted.chain.prompt().max(Tokens(1));
-    match board.queue.push(team, weight, cost, tx, &policy, now) {
+    let queued = Queued::new(wanted, tx);
+    match board.queue.push(team, weight, cost, queued, &policy, now) {
         Ok(Pushed::Queued) => Ok(rx),
         Ok(Pushed::Displaced(rejected)) => {
             // The displaced request gets its final answer at once.
-            let _ = rejected.item.send(Err(rejected.refusal));
+            let _ = rejected.item.waiter.send(Err(rejected.refusal));
             Ok(rx)
         }
         Err(rejected) => Err(rejected.refusal),
--- a/crates/router/src/serve/services.rs
+++ b/crates/router/src/serve/services.rs
@@ -209,7 +209,7 @@
     let mut board = instance.board.borrow_mut();
     board.upstreams.finish(placement.ticket, end, now, random);
     drop(board);
-    instance.wake_next();
+    instance.serve_queue();
 }
 
 /// Passes an answer on piece by piece.
