Give a caller's own request id back

Cause: a caller that names its requests could not find them in the answers, as the daemon's own id, which must be unique, replaces the caller's. A resumed answer is charged for the tokens passed on, as the last engine's account speaks of its own part only.

--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -15,6 +15,9 @@
 /// The header that carries a request's id.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// The header that gives a caller's own id of its request back to it.
+pub const CLIENT_REQUEST_ID_HEADER: &str = "x-client-request-id";
+
 /// An `ErrorBody` is the JSON document of a refusal.
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -15,6 +15,9 @@
 
 use bytes::Bytes;
 use futures::FutureExt as _;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::Response;
 use http::StatusCode;
@@ -62,6 +65,8 @@
     pub req: Request,
     /// Whether a part of the answer has been sent.
     pub started: bool,
+    /// The caller's own id of the request, which is given back with the answer.
+    pub client_id: Option<HeaderValue>,
     /// Whether the connection must be closed, as the answer is incomplete.
     pub abandoned: bool,
 }
@@ -74,6 +79,7 @@
         let exchange = Exchange {
             instance: &instance,
             conn: &mut conn,
+            client_id: req.headers().get(answers::REQUEST_ID_HEADER).cloned(),
             id,
             req,
             started: false,
@@ -130,7 +136,8 @@
         instance.metrics.count(Event::StreamBroken);
         return exchange.end_with_error(&refusal).await;
     }
-    let res = answers::refusal(&refusal, &exchange.id);
+    let mut res = answers::refusal(&refusal, &exchange.id);
+    exchange.identify(res.headers_mut());
     exchange.conn.respond(res).await.is_ok()
 }
 
@@ -242,11 +249,19 @@
         Ok(())
     }
 
+    /// Names the request in the head of an answer, by the id of this instance
+    /// and by the caller's own.
+    pub fn identify(&self, headers: &mut HeaderMap) {
+        let name = HeaderName::from_static(answers::REQUEST_ID_HEADER);
+        forward::set_header(headers, name, &self.id);
+        if let Some(id) = &self.client_id {
+            headers.insert(answers::CLIENT_REQUEST_ID_HEADER, id.clone());
+        }
+    }
+
     /// Sends a whole answer. A caller that has left needs none.
     pub async fn respond(&mut self, mut res: Response<Bytes>) {
-        if let Ok(id) = self.id.parse() {
-            res.headers_mut().insert(answers::REQUEST_ID_HEADER, id);
-        }
+        self.identify(res.headers_mut());
         if self.conn.respond(res).await.is_err() {
             self.instance.metrics.count(Event::CallerLeft);
         }
--- a/crates/router/src/serve/attempt.rs
+++ b/crates/router/src/serve/attempt.rs
@@ -351,8 +351,7 @@
         headers.insert(header::CONTENT_TYPE, stream);
         let no_cache = header::HeaderValue::from_static("no-cache");
         headers.insert(header::CACHE_CONTROL, no_cache);
-        let id = header::HeaderName::from_static(REQUEST_ID_HEADER);
-        forward::set_header(headers, id, &exchange.id);
+        exchange.identify(headers);
         if exchange.conn.start(res).await.is_err() {
             return false;
         }
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -242,7 +242,7 @@
     /// Returns the tokens that the team is charged.
     fn used(&self, ran: Ran) -> Tokens {
         if let Some(usage) = self.assembly.usage() {
-            return Tokens(usage.prompt_tokens + usage.completion_tokens);
+            return Tokens(usage.prompt_tokens + self.progress.forwarded());
         }
         if ran == Ran::NotRun && self.progress.forwarded() == 0 && self.last_token.is_none() {
             return Tokens::ZERO;
--- a/crates/router/src/serve/services.rs
+++ b/crates/router/src/serve/services.rs
@@ -222,8 +222,7 @@
     let mut head = HttpResponse::new(());
     *head.status_mut() = res.head.status;
     *head.headers_mut() = forward::end_to_end(&res.head.headers);
-    let id = HeaderName::from_static(REQUEST_ID_HEADER);
-    forward::set_header(head.headers_mut(), id, &exchange.id);
+    exchange.identify(head.headers_mut());
     let first = res.next().await.map_err(|_| broken)?;
     if exchange.conn.start(head).await.is_err() {
         exchange.instance.metrics.count(Event::CallerLeft);
