--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -15,6 +15,7 @@
 use limpetsaddle_core::limits::GrantRequest;
 use limpetsaddle_core::membership::exchange::ExchangeReply;
 use limpetsaddle_core::membership::exchange::ExchangeRequest;
+use monoio::net::ListenerOpts;
 use monoio::net::TcpListener;
 use monoio::net::TcpStream;
 use monoio::time::sleep;
@@ -106,7 +107,7 @@
         service: Box<dyn PeerService>,
         opts: ServerOptions,
     ) -> Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = TcpListener::bind_with_config(address, &exclusive())?;
         let address = listener.local_addr()?;
         let shared = Rc::new(Shared {
             opts,
@@ -136,6 +137,13 @@
     }
 }
 
+/// Returns options by which two processes cannot share an address unnoticed.
+const fn exclusive() -> ListenerOpts {
+    let mut opts = ListenerOpts::new();
+    opts.reuse_port = false;
+    opts
+}
+
 /// Accepts connections until it is dropped, which also ends the connections.
 async fn accept(listener: TcpListener, shared: Rc<Shared>) -> io::Result<()> {
     let mut closers: Vec<oneshot::Sender<()>> = Vec::new();
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -15,6 +15,7 @@
 use log::warn;
 use monoio::LegacyDriver;
 use monoio::RuntimeBuilder;
+use monoio::net::ListenerOpts;
 use monoio::net::TcpListener;
 
 use crate::admin;
@@ -165,7 +166,10 @@
 ///
 /// Returns [`Error::Listen`] with the address.
 pub fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
+    // Two processes must never share an address unnoticed.
+    let exclusive = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &exclusive)
+        .map_err(|source| Error::Listen { address, source })
 }
 
 async fn serve_callers(
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -198,18 +198,22 @@
         let mut refusal = Refusal::not_run(Reason::NoUpstream);
         for weights in versions {
             self.set_weights(weights);
-            let wanted = Wanted {
-                pool: &self.pool,
-                chain: &self.chain,
-                weights: Some(weights),
-                exclude: failed,
-            };
-            match placing::place(instance, Some(&self.caller.team), &wanted).await {
-                Ok(placement) => return Ok(placement),
-                Err(other) => refusal = other,
-            }
-            if refusal.reason != Reason::NoUpstream {
-                break;
+            // Where no other upstream is there, one that failed is tried again.
+            for exclude in [failed, &[]] {
+                let wanted = Wanted {
+                    pool: &self.pool,
+                    chain: &self.chain,
+                    weights: Some(weights),
+                    exclude,
+                };
+                let team = Some(&self.caller.team);
+                match placing::place(instance, team, &wanted).await {
+                    Ok(placement) => return Ok(placement),
+                    Err(other) => refusal = other,
+                }
+                if refusal.reason != Reason::NoUpstream {
+                    return Err(refusal);
+                }
             }
         }
         Err(refusal)
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -22,6 +22,7 @@
 pub use call::tokens;
 pub use daemon::Daemon;
 pub use daemon::DaemonOptions;
+pub use daemon::free_address;
 pub use fleet::Fleet;
 pub use fleet::FleetOptions;
 pub use fleet::MODEL;
