Keep hints of 16,384 blocks a pool

Cause: five pools with 65,536 hints each would take about 30 MB, nearly all that control may take at the size to come, for entries that are believed for ten seconds at most. Ruled out: a shorter life of hints, which the answers shorten already. Change: a quarter of the entries. At 49 requests a second of eight blocks, 3,920 are young enough to be believed. Conclusion: the bound does not bind at these sizes.

--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -86,7 +86,7 @@
 impl Default for PlacerOptions {
     fn default() -> Self {
         Self {
-            capacity: 65_536,
+            capacity: 16_384,
             hint_life: Duration::from_secs(10),
             home_group: 16,
             max_queue: Duration::from_millis(800),
