Check a stream's key before each token and find escaped keys

Cause: the check of a running stream's key waited for 500 ms without a token, so that a stream with a token every 20 ms ran to its end after the withdrawal (1.3 MB, seen in two cases); keys with percent escapes in paths and headers and with JSON escapes in bodies went to upstreams in plain text. Change: the key is checked before each token as well; the places of a request are searched with their escapes resolved (core: keys::body_holds_key). Not covered: keys that a caller encodes by other means, such as base64, and answers of plain services that are under way when the key is withdrawn.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -17,6 +17,7 @@
 use crate::refusal::Reason;
 use crate::store::ConfigStore;
 
+pub use self::places::body_holds_key;
 pub use self::places::contains_key;
 pub use self::places::is_credential;
 pub use self::places::presented_key;
--- a/crates/core/src/keys/places.rs
+++ b/crates/core/src/keys/places.rs
@@ -77,13 +77,35 @@
 /// Returns whether `value` holds the start of a caller's key.
 ///
 /// Values of any other header, path or parameter that do must not reach an
-/// upstream either.
+/// upstream either. Percent escapes are recognised.
 #[must_use]
 pub fn contains_key(value: &[u8]) -> bool {
     let prefix = KEY_PREFIX.as_bytes();
-    value
-        .windows(prefix.len())
-        .any(|part| part.eq_ignore_ascii_case(prefix))
+    let found = |value: &[u8]| {
+        let mut parts = value.windows(prefix.len());
+        parts.any(|part| part.eq_ignore_ascii_case(prefix))
+    };
+    found(value) || (value.contains(&b'%') && found(&unescape(value)))
+}
+
+/// Returns whether the body of a request holds `key`, plainly or with percent
+/// escapes or the escapes of JSON strings, which upstreams resolve.
+///
+/// ```
+/// use limpetsaddle_core::keys::body_holds_key;
+///
+/// assert!(body_holds_key(br#"{"a": "\u006csk-k1-secret"}"#, b"lsk-k1-secret"));
+/// assert!(!body_holds_key(br#"{"a": "lsk-"}"#, b"lsk-k1-secret"));
+/// ```
+#[must_use]
+pub fn body_holds_key(body: &[u8], key: &[u8]) -> bool {
+    if key.is_empty() {
+        return false;
+    }
+    let found = |body: &[u8]| body.windows(key.len()).any(|part| part == key);
+    found(body)
+        || (body.contains(&b'%') && found(&unescape(body)))
+        || (body.contains(&b'\\') && found(&unescape_json(body)))
 }
 
 /// Returns the query of a request without the parameters that carry keys.
@@ -106,17 +128,17 @@
 
 fn is_harmless(pair: &str) -> bool {
     let (name, _) = pair.split_once('=').unwrap_or((pair, ""));
-    let name = unescape(name);
+    let name = unescape(name.as_bytes());
     let named = CREDENTIAL_PARAMETERS
         .iter()
         .any(|p| name.eq_ignore_ascii_case(p.as_bytes()));
-    !named && !contains_key(&unescape(pair))
+    !named && !contains_key(pair.as_bytes())
 }
 
 /// Returns `text` with its percent escapes resolved.
-fn unescape(text: &str) -> Vec<u8> {
+fn unescape(text: &[u8]) -> Vec<u8> {
     let mut plain = Vec::with_capacity(text.len());
-    let mut rest = text.as_bytes();
+    let mut rest = text;
     while let Some((first, tail)) = rest.split_first() {
         let escaped = (*first == b'%').then(|| tail.get(..2)).flatten();
         let byte = escaped.and_then(hex_byte);
@@ -126,6 +148,20 @@
     plain
 }
 
+/// Returns `text` with those escapes of JSON strings resolved that stand for a
+/// character which a key can hold.
+fn unescape_json(text: &[u8]) -> Vec<u8> {
+    let mut plain = Vec::with_capacity(text.len());
+    let mut rest = text;
+    while let Some((first, tail)) = rest.split_first() {
+        let digits = tail.strip_prefix(b"u00").and_then(|t| t.get(..2));
+        let escaped = digits.filter(|_| *first == b'\\').and_then(hex_byte);
+        plain.push(escaped.unwrap_or(*first));
+        rest = if escaped.is_some() { &tail[5..] } else { tail };
+    }
+    plain
+}
+
 fn hex_byte(digits: &[u8]) -> Option<u8> {
     if !digits.iter().all(u8::is_ascii_hexdigit) {
         return None;
--- a/crates/router/src/serve/attempt.rs
+++ b/crates/router/src/serve/attempt.rs
@@ -42,7 +42,8 @@
 use crate::instance::Instance;
 use crate::metrics::Event;
 
-/// The time between two checks of a running stream's key.
+/// The longest time between two checks of the key while an engine is silent.
+/// Each token is preceded by a check as well.
 const KEY_CHECK: Duration = Duration::from_millis(500);
 
 /// The header in which an engine names its incarnation.
@@ -134,12 +135,12 @@
         let mut events = std::pin::pin!(events(res));
         loop {
             let event = match next(exchange.conn, events.as_mut()).await {
-                Next::Token(event) => event,
-                Next::CallerLeft => return Ended::CallerLeft,
-                Next::Tick if self.may_go_on(attempt.instance) => continue,
-                Next::Tick => {
+                Next::Token(_) | Next::Tick if !self.may_go_on(attempt.instance) => {
                     return Ended::Refused(Refusal::unknown(Reason::WithdrawnKey));
                 }
+                Next::Token(event) => event,
+                Next::Tick => continue,
+                Next::CallerLeft => return Ended::CallerLeft,
                 Next::End(failure) => return self.stream_ended(failure),
             };
             match self.progress.accept(&event.head()) {
--- a/crates/router/src/serve/forward.rs
+++ b/crates/router/src/serve/forward.rs
@@ -4,6 +4,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::response::Parts;
+use limpetsaddle_core::keys::body_holds_key;
 use limpetsaddle_core::keys::contains_key;
 use limpetsaddle_core::keys::is_credential;
 use limpetsaddle_core::refusal::Reason;
@@ -35,9 +36,10 @@
     let Ok(key) = exchange.key() else {
         return Ok(());
     };
-    let body = exchange.req.body();
-    let found = !key.is_empty() && body.windows(key.len()).any(|part| part == key);
-    if found { Err(bad) } else { Ok(()) }
+    if body_holds_key(exchange.req.body(), key) {
+        return Err(bad);
+    }
+    Ok(())
 }
 
 /// Returns the caller's headers without credentials and without those that
