Test that a restarted daemon asks its peers itself

The earlier cases passed without the question at the start, as peers bring the configuration within a second; here no peer can reach the daemon.

--- a/crates/router/tests/restart.rs
+++ b/crates/router/tests/restart.rs
@@ -97,6 +97,25 @@
     }
 }
 
+#[parameterized(
+    one = { &[0] },
+    domain = { &[0, 1] },
+)]
+fn verify_a_restarted_daemon_asks_its_peers(herd: &[usize]) {
+    let (mut fleet, before) = cold();
+    fleet.platform.state().faults = down(Outage::Unavailable);
+    // Nobody can bring the configuration to those that start anew.
+    for i in herd {
+        fleet.peer_paths[*i].cut();
+    }
+    restart(&mut fleet, herd);
+    for i in herd {
+        fleet.daemons[*i].wait_ready();
+        assert_serves(&fleet, *i);
+        assert!(fleet.daemons[*i].revision() >= before);
+    }
+}
+
 #[parameterized(
     one = { &[0] },
     another = { &[1] },
