--- a/crates/router/tests/keys.rs
+++ b/crates/router/tests/keys.rs
@@ -13,6 +13,8 @@
 use std::time::Instant;
 
 use limpetsaddle_fakes::EngineOptions;
+use limpetsaddle_fakes::StreamFault;
+use limpetsaddle_fakes::StreamFaultKind;
 use serde_json::json;
 use support::Fleet;
 use support::FleetOptions;
@@ -27,6 +29,13 @@
 /// The tokens of a stream that would run far longer than a test waits.
 const LONG_ANSWER: u64 = 10_000;
 
+/// Streams of which no token ever comes.
+const STALLED: StreamFault = StreamFault {
+    kind: StreamFaultKind::Stall,
+    after: 0,
+    streams: u32::MAX,
+};
+
 fn bearer(key: &str) -> String {
     format!("Bearer {key}")
 }
@@ -82,11 +91,16 @@
 }
 
 #[parameterized(
-    quick_platform = { Duration::ZERO, Duration::from_millis(20) },
-    slow_platform = { Duration::from_millis(400), Duration::from_millis(20) },
-    slow_stream = { Duration::ZERO, Duration::from_millis(700) },
+    quick_platform = { Duration::ZERO, Duration::from_millis(20), None },
+    slow_platform = { Duration::from_millis(400), Duration::from_millis(20), None },
+    slow_stream = { Duration::ZERO, Duration::from_millis(700), None },
+    silent_engine = { Duration::ZERO, Duration::ZERO, Some(STALLED) },
 )]
-fn verify_a_withdrawn_key_stops_working(platform_delay: Duration, token_delay: Duration) {
+fn verify_a_withdrawn_key_stops_working(
+    platform_delay: Duration,
+    token_delay: Duration,
+    stream: Option<StreamFault>,
+) {
     let fleet = Fleet::start(&FleetOptions {
         daemons: vec!["a", "a", "b"],
         engine: EngineOptions {
@@ -105,6 +119,7 @@
     for caller in &mut callers {
         assert_eq!(caller.models(&key), 200);
     }
+    fleet.engines[0].state().faults.stream = stream;
     let stream = |(i, at): (usize, &SocketAddr)| {
         let (at, key) = (*at, key.clone());
         thread::spawn(move || chat(at, &key, &format!("stream {i}"), LONG_ANSWER))
