Prove that an order runs at most once

Cause: that a non-idempotent request runs at most once was proved for the decisions in virtual time, not for whole daemons. Change: tests with daemons as processes against the service's own record of its runs; the harness hands out ports from below those that the system gives to connections, as one start failed with "address already in use", and a call whose answer breaks off ends instead of spinning. A stop counts a request from its first byte and tells callers on kept connections that the answer is the last; a settlement counts as in progress from before its task starts.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -129,6 +129,22 @@
         }
     }
 
+    /// Waits for the first byte of the next request and returns whether it came.
+    ///
+    /// Cancelling loses nothing. A request that has begun can be told in this
+    /// way from a connection that is idle.
+    pub async fn ready(&mut self) -> bool {
+        if !self.keep_alive || !self.wait_for_request().await {
+            self.keep_alive = false;
+        }
+        self.keep_alive
+    }
+
+    /// Makes the next answer the last one, and tells the caller so in its head.
+    pub const fn close_after_answer(&mut self) {
+        self.keep_alive = false;
+    }
+
     /// Reads the next request with its whole body.
     ///
     /// Returns `None` when the caller closed the connection between requests or
@@ -139,8 +155,7 @@
     /// Fails when the request is malformed, ambiguous about its length, too large,
     /// too slow or cut short. The request has then not been taken in.
     pub async fn next_request(&mut self) -> Result<Option<Request>> {
-        if !self.keep_alive || !self.wait_for_request().await {
-            self.keep_alive = false;
+        if !self.ready().await {
             return Ok(None);
         }
         self.stage = Stage::Unanswered;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -33,6 +33,7 @@
 use crate::answers;
 use crate::completion::Endpoint;
 use crate::instance::Instance;
+use crate::instance::Running;
 use crate::metrics::Event;
 
 pub use self::admission::send as send_grant;
@@ -68,8 +69,13 @@
 
 /// Serves the requests of one connection, one after the other.
 pub async fn serve_connection(instance: Rc<Instance>, mut conn: Connection) {
-    while let Some(req) = next_request(&instance, &mut conn).await {
-        let running = instance.begin();
+    while let Some(running) = begun(&instance, &mut conn).await {
+        let Some(req) = next_request(&instance, &mut conn).await else {
+            return;
+        };
+        if instance.draining.is_closed() {
+            conn.close_after_answer();
+        }
         let id = instance.next_request_id();
         let exchange = Exchange {
             instance: &instance,
@@ -81,24 +87,32 @@
         };
         let open = answer(exchange).await;
         drop(running);
-        if !open || !conn.keep_alive() || instance.draining.is_closed() {
+        if !open || !conn.keep_alive() {
             return;
         }
     }
 }
 
+/// Waits until a request begins, or returns `None` when the connection is to be
+/// closed. A request counts as in progress from its first byte.
+async fn begun(instance: &Rc<Instance>, conn: &mut Connection) -> Option<Running> {
+    let mut ready = std::pin::pin!(conn.ready().fuse());
+    let mut drain = std::pin::pin!(instance.draining.closed().fuse());
+    futures::select_biased! {
+        ready = ready => return ready.then(|| instance.begin()),
+        () = drain => {}
+    }
+    // The caller has not been told that this connection ends, so that a stop
+    // waits for one more request.
+    let running = instance.begin();
+    let ready = monoio::time::timeout(LAST_REQUEST, ready).await;
+    ready.unwrap_or(false).then_some(running)
+}
+
 /// Returns the next request, or `None` when the connection is to be closed.
 async fn next_request(instance: &Rc<Instance>, conn: &mut Connection) -> Option<Request> {
-    let read = {
-        let mut next = std::pin::pin!(conn.next_request().fuse());
-        let mut drain = std::pin::pin!(instance.draining.closed().fuse());
-        futures::select_biased! {
-            read = next => Some(read),
-            () = drain => monoio::time::timeout(LAST_REQUEST, next).await.ok(),
-        }
-    };
-    let error = match read? {
-        Ok(req) => return req,
+    let error = match conn.next_request().await.transpose()? {
+        Ok(req) => return Some(req),
         Err(error) => error,
     };
     let reason = match error {
--- a/crates/router/src/serve/claimed.rs
+++ b/crates/router/src/serve/claimed.rs
@@ -32,6 +32,7 @@
 use super::services::ServiceCall;
 use super::services::finish;
 use crate::instance::Instance;
+use crate::instance::Running;
 
 /// The longest answer that is read for a claimed request, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -69,7 +70,8 @@
         Claimed::Finished(finish) => (finish, None),
     };
     if let Some(settlement) = finish.settlement {
-        monoio::spawn(settle(Rc::clone(&instance), settlement));
+        let running = instance.begin();
+        monoio::spawn(settle(Rc::clone(&instance), settlement, running));
     }
     match (finish.verdict, answer) {
         (Verdict::Forward, Some(answer)) => {
@@ -182,8 +184,7 @@
 
 /// Records the end of an attempt, for as long as the platform does not answer.
 /// The instance counts it as a request in progress, so that a stop waits.
-async fn settle(instance: Rc<Instance>, settlement: Box<Settlement>) {
-    let _running = instance.begin();
+async fn settle(instance: Rc<Instance>, settlement: Box<Settlement>, _running: Running) {
     let clock = instance.clock;
     instance.platform.settle(settlement, || clock.now()).await;
 }
--- a/crates/router/tests/support/call.rs
+++ b/crates/router/tests/support/call.rs
@@ -95,14 +95,14 @@
         answer.status = res.head.status.as_u16();
         answer.headers = res.head.headers.clone();
         let mut body = Vec::new();
-        loop {
+        while body.len() <= MAX_ANSWER_BYTES {
             match res.next().await {
                 Ok(Some(piece)) => body.extend_from_slice(&piece),
-                Ok(None) => answer.complete = true,
-                Err(_) => {}
-            }
-            if answer.complete || body.len() > MAX_ANSWER_BYTES {
-                break;
+                Ok(None) => {
+                    answer.complete = true;
+                    break;
+                }
+                Err(_) => break,
             }
         }
         answer.body = String::from_utf8_lossy(&body).into_owned();
--- a/crates/router/tests/support/daemon.rs
+++ b/crates/router/tests/support/daemon.rs
@@ -3,13 +3,17 @@
 use std::fs::File;
 use std::io::Read as _;
 use std::io::Seek as _;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 
+use limpetsaddle_core::hash::mix;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
@@ -49,10 +53,25 @@
     log: File,
 }
 
-/// Returns an address on which nothing listens.
+/// The ports that tests hand out. The system chooses the near ends of
+/// connections from higher ones, so that none of them can take a port between
+/// its choice here and the daemon's start.
+const PORTS: std::ops::Range<u16> = 10_000..30_000;
+
+/// Returns an address on which nothing listens, another one each time.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound socket")
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    // Processes that test at the same time begin at different ports.
+    let first = mix(u64::from(std::process::id())) % PORTS.len() as u64;
+    loop {
+        let offset = first + u64::from(TAKEN.fetch_add(1, Ordering::Relaxed));
+        let offset = offset % PORTS.len() as u64;
+        let port = PORTS.start + u16::try_from(offset).expect("within the range");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Daemon {
