Let peers speak before a starting instance is ready

Cause: an object that is invalid at the platform has its last good state at the peers only. Bookmarks behind an open hole of a watch counted as the platform's word on what is complete, so that a daemon reported a revision whose change it lacked; the test of skipping watches showed that. Change: an instance is ready when its configuration is complete and its peers have been asked; a bookmark counts when no hole is open, or when five looks in a row found that holes mean nothing.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -59,7 +59,7 @@
 }
 
 fn is_ready(instance: &Instance) -> bool {
-    !instance.draining.is_closed() && instance.board.borrow().is_ready()
+    !instance.draining.is_closed() && instance.is_ready()
 }
 
 fn metrics(instance: &Instance) -> Response<Bytes> {
--- a/crates/router/src/controllers/bootstrap.rs
+++ b/crates/router/src/controllers/bootstrap.rs
@@ -31,17 +31,15 @@
 /// does not read everything from the platform once for each instance.
 pub async fn run(instance: Rc<Instance>) {
     monoio::spawn(from_platform(Rc::clone(&instance)));
-    let seeds = instance.settings.seeds.clone();
-    while !instance.board.borrow().is_ready() {
-        let calls = seeds
-            .iter()
-            .copied()
-            .filter(|a| *a != instance.settings.advertise);
-        let calls = calls.map(|address| exchange_with(Rc::clone(&instance), address));
-        futures::future::join_all(calls).await;
+    while !instance.is_ready() {
+        let asked_seeds = ask_seeds(&instance).await;
+        if asked_seeds {
+            instance.note_peers_asked();
+        }
         ask_known_peers(&instance).await;
+        instance.note_peers_asked();
         settle(&instance);
-        if !instance.board.borrow().is_ready() {
+        if !instance.is_ready() {
             monoio::time::sleep(PAUSE).await;
         }
     }
@@ -50,6 +48,19 @@
     info!(revision = revision.0; "the configuration is in force");
 }
 
+/// Asks the configured peers and returns whether there are any.
+async fn ask_seeds(instance: &Rc<Instance>) -> bool {
+    let settings = &instance.settings;
+    let seeds = settings.seeds.iter().copied();
+    let calls: Vec<_> = seeds
+        .filter(|address| *address != settings.advertise)
+        .map(|address| exchange_with(Rc::clone(instance), address))
+        .collect();
+    let any = !calls.is_empty();
+    futures::future::join_all(calls).await;
+    any
+}
+
 async fn from_platform(instance: Rc<Instance>) {
     read_instances(&instance).await;
     monoio::time::sleep(PEERS_FIRST).await;
--- a/crates/router/src/controllers/watch.rs
+++ b/crates/router/src/controllers/watch.rs
@@ -27,11 +27,14 @@
 /// that skipped a change leaves a hole that only a full reading shows.
 const WATCHES_PER_LIST: u32 = 10;
 
-/// The shortest pause between two looks into holes of a watch.
-const MIN_GAP_PAUSE: Duration = Duration::from_secs(1);
+/// The pause between two looks into holes of a watch.
+const GAP_PAUSE: Duration = Duration::from_secs(1);
 
-/// The longest pause between two looks into holes of a watch.
-const MAX_GAP_PAUSE: Duration = Duration::from_mins(5);
+/// The pause between two looks once holes have turned out to mean nothing.
+const LONG_GAP_PAUSE: Duration = Duration::from_mins(5);
+
+/// The looks without a find after which holes mean nothing.
+const FRUITLESS_LOOKS: u32 = 5;
 
 /// Watches the platform for as long as this instance is one of its failure
 /// domain's watchers.
@@ -103,23 +106,13 @@
 ///
 /// A hole tells of a change that the watch has left out, where the platform
 /// numbers the changes of the configuration without holes. Where other writes
-/// take numbers too, reading everything again finds nothing, and the pause before
-/// the next look doubles.
-#[derive(Debug)]
+/// take numbers too, reading everything again finds nothing time after time, and
+/// holes are then hardly heeded any more.
+#[derive(Debug, Default)]
 struct Gaps {
-    pause: Duration,
-    look_after: Time,
     is_open: bool,
-}
-
-impl Default for Gaps {
-    fn default() -> Self {
-        Self {
-            pause: MIN_GAP_PAUSE,
-            look_after: Time::ZERO,
-            is_open: false,
-        }
-    }
+    fruitless: u32,
+    look_after: Time,
 }
 
 impl Gaps {
@@ -129,14 +122,17 @@
         self.is_open && now >= self.look_after
     }
 
+    /// Returns whether the platform's word on what is complete can be taken.
+    const fn trusts_word(&self) -> bool {
+        !self.is_open || self.fruitless >= FRUITLESS_LOOKS
+    }
+
     fn looked(&mut self, found: bool, now: Time) {
-        self.pause = if found {
-            MIN_GAP_PAUSE
-        } else {
-            (self.pause * 2).min(MAX_GAP_PAUSE)
-        };
-        self.look_after = now + self.pause;
         self.is_open = false;
+        self.fruitless = if found { 0 } else { self.fruitless + 1 };
+        let heeded = self.fruitless < FRUITLESS_LOOKS;
+        let pause = if heeded { GAP_PAUSE } else { LONG_GAP_PAUSE };
+        self.look_after = now + pause;
     }
 }
 
@@ -158,7 +154,7 @@
     match event {
         WatchEvent::Object(object) => merge(instance, vec![object]),
         WatchEvent::Invalid(_) => instance.metrics.count(Event::ConfigInvalid),
-        WatchEvent::Bookmark(revision) if !look => confirm(instance, revision),
+        WatchEvent::Bookmark(revision) if gaps.trusts_word() => confirm(instance, revision),
         WatchEvent::Bookmark(_) => {}
     }
     if !look {
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -59,6 +59,7 @@
     requests: Cell<u64>,
     running: Cell<u64>,
     contact: Cell<Time>,
+    peers_asked: Cell<bool>,
 }
 
 impl Instance {
@@ -101,6 +102,7 @@
             requests: Cell::new(0),
             running: Cell::new(0),
             contact: Cell::new(Time::ZERO),
+            peers_asked: Cell::new(false),
         }))
     }
 
@@ -120,6 +122,20 @@
         self.now().since(self.contact.get())
     }
 
+    /// Records that the peers have had their chance to bring what they hold.
+    pub fn note_peers_asked(&self) {
+        self.peers_asked.set(true);
+    }
+
+    /// Returns whether a complete configuration is in force.
+    ///
+    /// Peers may hold the last good state of an object that is invalid at the
+    /// platform, so that the platform's word alone does not suffice.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.peers_asked.get() && self.board.borrow().is_ready()
+    }
+
     /// Counts a call to the platform.
     pub fn note_platform(&self, succeeded: bool) {
         self.metrics.count(if succeeded {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -163,7 +163,7 @@
         "/readyz" => return readiness(exchange).await,
         _ => {}
     }
-    if !exchange.instance.board.borrow().is_ready() {
+    if !exchange.instance.is_ready() {
         let wait = std::time::Duration::from_secs(1);
         return Err(Refusal::not_run(Reason::NotReady).retry_after(wait));
     }
@@ -187,7 +187,7 @@
     if exchange.instance.draining.is_closed() {
         return Err(Refusal::not_run(Reason::Stopping));
     }
-    if !exchange.instance.board.borrow().is_ready() {
+    if !exchange.instance.is_ready() {
         return Err(Refusal::not_run(Reason::NotReady));
     }
     exchange.document(&Health { status: "ready" }).await
