Go on when an engine turns out to hold other weights

Cause: during a roll-out a request met engines whose weights had changed since their last report. Each counted as a failed attempt, and the request was answered with 502 upstream_failed after three of them. Change: an answer from other weights is dropped and noted, and the request is placed anew with what is now known, at most 16 times.

--- a/crates/router/src/serve/attempt.rs
+++ b/crates/router/src/serve/attempt.rs
@@ -61,6 +61,8 @@
     Refused(Refusal),
     /// The attempt failed and may be followed by another one.
     Failed(Failure),
+    /// The engine holds other weights than it was known for, which is noted.
+    OtherWeights,
 }
 
 /// A `Next` is what a running stream waited for.
@@ -259,9 +261,12 @@
         let own = head.headers.get(REQUEST_ID_HEADER);
         let crossed = own.is_some_and(|own| own.as_bytes() != id.as_bytes());
         let stale = weights.is_some_and(|weights| weights != job.scope.weights);
-        if crossed || stale {
+        if crossed {
             return Err(Ended::Failed(Failure::BadAnswer));
         }
+        if stale {
+            return Err(Ended::OtherWeights);
+        }
         Ok(())
     }
 
@@ -291,7 +296,7 @@
 fn end_of(ended: &Ended) -> End {
     match ended {
         Ended::Complete => End::Answered,
-        Ended::CallerLeft | Ended::Refused(_) => End::Cancelled,
+        Ended::CallerLeft | Ended::Refused(_) | Ended::OtherWeights => End::Cancelled,
         Ended::Failed(failure) => forward::end_of(*failure),
     }
 }
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -33,6 +33,10 @@
 use crate::instance::Instance;
 use crate::metrics::Event;
 
+/// The engines that may turn out to hold other weights before that counts as a
+/// failed attempt.
+const MAX_SURPRISES: u32 = 16;
+
 /// The time after its arrival until which a request may start another attempt.
 const ATTEMPTS_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -140,6 +144,7 @@
         let instance = Rc::clone(exchange.instance);
         let mut failed: Vec<UpstreamId> = Vec::new();
         deposit(&instance);
+        let mut surprises = 0;
         loop {
             let placed = self.place(&instance, &failed).await;
             let placement = placed.map_err(|refusal| after_attempts(refusal, attempts))?;
@@ -154,6 +159,13 @@
                 }
                 Ended::Refused(refusal) => return Err(refusal),
                 Ended::Failed(failure) => failure,
+                // The table now knows better, and no token has been passed on
+                // from the wrong weights: the next place is a right one.
+                Ended::OtherWeights if surprises < MAX_SURPRISES => {
+                    surprises += 1;
+                    continue;
+                }
+                Ended::OtherWeights => Failure::BadAnswer,
             };
             failed.push(upstream);
             self.delay(&instance, attempts, failure).await?;
