--- a/crates/router/tests/claims.rs
+++ b/crates/router/tests/claims.rs
@@ -31,11 +31,14 @@
         engines: Vec::new(),
         ..FleetOptions::default()
     });
-    // A second way to the same service, which a retry can take.
-    let second = serde_json::json!({"upstream": {
-        "pool": "order-desk", "domain": "a", "address": fleet.service.address(),
-    }});
-    let revision = fleet.put("upstream/desk-2", second);
+    // Further ways to the same service, so that a retry always finds one.
+    let mut revision = 0;
+    for i in 2..10 {
+        let spec = serde_json::json!({"upstream": {
+            "pool": "order-desk", "domain": "a", "address": fleet.service.address(),
+        }});
+        revision = fleet.put(&format!("upstream/desk-{i}"), spec);
+    }
     for daemon in &fleet.daemons {
         daemon.wait_ready();
     }
