Start the streams of a withdrawal before the paths are cut

Cause: in a run of the whole workspace the case silent_engine failed with rate_limited: the lone daemon of a failure domain, cut off from the platform, mints no tokens once its fence has passed, so that its stream never began. Change: the streams begin while the paths are whole, again where tokens are not there yet; the withdrawal and what is asked of the streams are as before.

--- a/crates/router/tests/keys.rs
+++ b/crates/router/tests/keys.rs
@@ -109,10 +109,6 @@
         },
         ..FleetOptions::default()
     });
-    // One beside a peer that reaches the platform, one in another failure
-    // domain: both learn of changes from peers only.
-    fleet.platform_paths[1].cut();
-    fleet.platform_paths[2].cut();
     let key = fleet.team.key.clone();
     let listens: Vec<_> = fleet.daemons.iter().map(support::Daemon::listen).collect();
     let mut callers: Vec<_> = listens.iter().map(|at| Caller::connect(*at)).collect();
@@ -122,12 +118,25 @@
     fleet.engines[0].state().faults.stream = stream;
     let stream = |(i, at): (usize, &SocketAddr)| {
         let (at, key) = (*at, key.clone());
-        thread::spawn(move || chat(at, &key, &format!("stream {i}"), LONG_ANSWER))
+        thread::spawn(move || {
+            loop {
+                let answer = chat(at, &key, &format!("stream {i}"), LONG_ANSWER);
+                // A daemon may not have gathered tokens for it yet.
+                if answer.code() != "rate_limited" {
+                    return answer;
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        })
     };
     let streams: Vec<_> = listens.iter().enumerate().map(stream).collect();
     wait_until("running streams", || {
         fleet.engines[0].state().runs.len() >= streams.len()
     });
+    // One beside a peer that reaches the platform, one in another failure
+    // domain: both learn of changes from peers only.
+    fleet.platform_paths[1].cut();
+    fleet.platform_paths[2].cut();
     fleet.platform.state().faults.delay = platform_delay;
     fleet.put("team/ample", fleet.team.withdrawn());
     let withdrawn = Instant::now();
