--- a/crates/core/src/config/policy.rs
+++ b/crates/core/src/config/policy.rs
@@ -111,7 +111,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            recompute_weight: 100,
+            recompute_weight: 200,
             max_outstanding: 64,
             max_queued: 256,
             max_wait: Duration::from_millis(400),
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -238,6 +238,8 @@
 #[test]
 fn verify_hot_prefix_spreads_and_is_pulled_back() {
     let mut bench = Bench::new(10);
+    // A queue as long as the prefix is then worth leaving its home.
+    bench.policy.recompute_weight = 100;
     let mut placer = placer();
     let text = "sheet of 20 bytes...".repeat(2_200);
     let chain = PrefixChain::new(Digest::of(b"scope"), text.as_bytes(), Tokens(2_000));
--- /dev/null
+++ b/crates/router/examples/control.rs
@@ -0,0 +1,378 @@
+//! Measures what control costs a daemon: processor time, memory, bytes to and
+//! from peers and the platform, and calls of the platform.
+//!
+//! Daemons run in processes of their own in one failure domain, without
+//! callers. All that they send each other and the platform passes relays that
+//! count it. One dimension at a time is varied: the instances, the objects of
+//! the configuration, its changes, and the engines to be looked after.
+
+mod support;
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use getopts::Options;
+use limpetsaddle_core::keys::issue;
+use limpetsaddle_fakes::EngineOptions;
+use limpetsaddle_fakes::FakeEngine;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::fit::fit;
+use crate::support::process::Process;
+use crate::support::relay;
+use crate::support::relay::Relay;
+use crate::support::setup::Place;
+use crate::support::setup::Setup;
+use crate::support::setup::places;
+
+/// The failure domain.
+const DOMAIN: &str = "bergen-a";
+
+/// The model of the engines that are looked after.
+const FLEET_MODEL: &str = "spruce-70b";
+
+/// The instances where they are not what is varied.
+const INSTANCES: usize = 6;
+
+/// The objects where they are not what is varied.
+const OBJECTS: usize = 100;
+
+/// The ports of one instance.
+const PORTS: u16 = 3;
+
+/// A `Case` is one fleet to measure.
+#[derive(Clone, Copy)]
+struct Case {
+    instances: usize,
+    objects: usize,
+    engines: usize,
+    changes: u32,
+}
+
+/// The fleet that the varied ones differ from in one dimension.
+const BASE: Case = Case {
+    instances: INSTANCES,
+    objects: OBJECTS,
+    engines: 0,
+    changes: 0,
+};
+
+/// A `Cost` is what a fleet used a second, for each instance.
+struct Cost {
+    case: Case,
+    /// Percent of a core, and that of the busiest instance.
+    processor: f64,
+    busiest: f64,
+    /// Processor time from the start to the beginning of the window, in ms.
+    start: f64,
+    /// Resident memory in MB, and that of the largest instance.
+    resident: f64,
+    largest: f64,
+    /// Bytes a second of connections with peers, sent and received.
+    peer: f64,
+    /// Bytes a second of connections with the platform, both ways, and those
+    /// of the instance with most.
+    platform: f64,
+    most_platform: f64,
+    /// Calls of the platform a second by the whole fleet.
+    reads: f64,
+    writes: f64,
+}
+
+/// A `Bench` holds how cases are run.
+struct Bench {
+    program: PathBuf,
+    port: u16,
+    settle: Duration,
+    window: Duration,
+}
+
+/// A `Total` is what the instances of a fleet have used so far.
+struct Total {
+    processor: Vec<f64>,
+    peer: u64,
+    platform: Vec<u64>,
+    reads: u64,
+    writes: u64,
+}
+
+/// A `Fleet` is a set of running daemons behind their relays.
+struct Fleet {
+    daemons: Vec<Process>,
+    peers: Vec<Relay>,
+    platforms: Vec<Relay>,
+}
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    let daemon = "the daemon [target/release/limpetsaddle]";
+    options.optopt("", "daemon", daemon, "PATH");
+    options.optopt("", "port", "first of the ports to use [21000]", "PORT");
+    options.optopt("", "settle", "wait before each window [12]", "SECONDS");
+    options.optopt("", "window", "length of each window [20]", "SECONDS");
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let bench = options.parse(args).ok().and_then(|matches| {
+        let daemon = matches.opt_str("daemon");
+        let seconds = |name, default| matches.opt_get_default::<u64>(name, default).ok();
+        Some(Bench {
+            program: daemon
+                .unwrap_or_else(|| "target/release/limpetsaddle".to_owned())
+                .into(),
+            port: matches.opt_get_default("port", 21_000).ok()?,
+            settle: Duration::from_secs(seconds("settle", 12)?),
+            window: Duration::from_secs(seconds("window", 20)?.max(1)),
+        })
+    });
+    let Some(bench) = bench else {
+        eprint!("{}", options.usage("Usage: control [OPTIONS]"));
+        return ExitCode::FAILURE;
+    };
+    match run(bench) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("control: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(mut bench: Bench) -> io::Result<()> {
+    print_head();
+    let instances = [3, 6, 12, 24].map(|instances| Case { instances, ..BASE });
+    let objects = [1_000, 5_000].map(|objects| Case { objects, ..BASE });
+    let changes = [1, 4].map(|changes| Case { changes, ..BASE });
+    let engines = [50, 200].map(|engines| Case { engines, ..BASE });
+    let by_instances = bench.measure_all(&instances)?;
+    let base = &by_instances[1];
+    let by_objects = bench.measure_all(&objects)?;
+    let by_changes = bench.measure_all(&changes)?;
+    let by_engines = bench.measure_all(&engines)?;
+    println!("\n| a unit | figure | at nothing | each adds | farthest point |");
+    println!("|---|---|---|---|---|");
+    let all: Vec<&Cost> = by_instances.iter().collect();
+    print_fits("instance of the domain", &all, |c| c.instances as f64);
+    let with_base = |others| std::iter::once(base).chain(others).collect::<Vec<_>>();
+    let all = with_base(by_objects.iter());
+    print_fits("1,000 objects", &all, |c| c.objects as f64 / 1_000.0);
+    let all = with_base(by_changes.iter());
+    print_fits("change a second", &all, |c| f64::from(c.changes));
+    let all = with_base(by_engines.iter());
+    print_fits("100 engines", &all, |c| c.engines as f64 / 100.0);
+    Ok(())
+}
+
+impl Bench {
+    fn measure_all(&mut self, cases: &[Case]) -> io::Result<Vec<Cost>> {
+        let mut costs = Vec::new();
+        for case in cases {
+            let cost = self.measure(*case)?;
+            print_cost(&cost);
+            costs.push(cost);
+        }
+        Ok(costs)
+    }
+
+    fn measure(&mut self, case: Case) -> io::Result<Cost> {
+        let setup = Setup::start(&[DOMAIN], 0, &EngineOptions::default())?;
+        put_objects(&setup, case.objects);
+        let _engine = put_engines(&setup, case.engines)?;
+        let places = places(&[DOMAIN], case.instances, self.port);
+        // A closed listener's port cannot be bound again at once.
+        self.port += PORTS * u16::try_from(case.instances).unwrap_or(u16::MAX);
+        let fleet = Fleet::start(&self.program, &setup, &places)?;
+        thread::sleep(self.settle);
+        let before = fleet.total(&setup);
+        let began = Instant::now();
+        make_changes(&setup, case.changes, self.window);
+        let after = fleet.total(&setup);
+        Ok(fleet.cost(case, &before, &after, began.elapsed()))
+    }
+}
+
+impl Fleet {
+    fn start(program: &Path, setup: &Setup, places: &[Place]) -> io::Result<Self> {
+        let addresses: Vec<SocketAddr> = places.iter().map(|place| place.peer).collect();
+        let peers = relay::start(&addresses)?;
+        let platforms = relay::start(&vec![setup.platform.address(); places.len()])?;
+        let mut shown = places.to_vec();
+        for (place, relay) in shown.iter_mut().zip(&peers) {
+            place.peer = relay.address;
+        }
+        setup.list_instances(&shown);
+        let mut daemons = Vec::new();
+        for (i, place) in places.iter().enumerate() {
+            let mut flags = place.flags(platforms[i].address, &shown);
+            flags.extend(["--advertise".to_owned(), shown[i].peer.to_string()]);
+            daemons.push(Process::start(program, &flags)?);
+        }
+        Ok(Self {
+            daemons,
+            peers,
+            platforms,
+        })
+    }
+
+    fn total(&self, setup: &Setup) -> Total {
+        let calls = setup.platform.state().calls;
+        let processor = self.daemons.iter().map(|d| d.processor_time());
+        Total {
+            processor: processor.map(|t| t.as_secs_f64()).collect(),
+            peer: self.peers.iter().map(Relay::bytes).sum(),
+            platform: self.platforms.iter().map(Relay::bytes).collect(),
+            reads: calls.reads + calls.watches,
+            writes: calls.writes,
+        }
+    }
+
+    fn cost(&self, case: Case, before: &Total, after: &Total, elapsed: Duration) -> Cost {
+        let seconds = elapsed.as_secs_f64();
+        let rate = |a: u64, b: u64| (b - a) as f64 / seconds;
+        let used = before.processor.iter().zip(&after.processor);
+        let used: Vec<f64> = used.map(|(a, b)| (b - a) / seconds * 100.0).collect();
+        let platform = before.platform.iter().zip(&after.platform);
+        let platform: Vec<f64> = platform.map(|(a, b)| rate(*a, *b)).collect();
+        let resident = self.daemons.iter().map(|d| d.resident() as f64 / 1e6);
+        let resident: Vec<f64> = resident.collect();
+        let start: Vec<f64> = before.processor.iter().map(|s| s * 1_000.0).collect();
+        Cost {
+            case,
+            processor: mean(&used),
+            busiest: largest(&used),
+            start: mean(&start),
+            resident: mean(&resident),
+            largest: largest(&resident),
+            // Each byte is sent by one instance and received by another.
+            peer: rate(before.peer, after.peer) * 2.0 / case.instances as f64,
+            platform: mean(&platform),
+            most_platform: largest(&platform),
+            reads: rate(before.reads, after.reads),
+            writes: rate(before.writes, after.writes),
+        }
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+fn largest(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+/// Writes teams with three keys each, in place of the objects of a site.
+fn put_objects(setup: &Setup, count: usize) {
+    for i in 0..count {
+        setup.put(&format!("team/t{i}"), team(i, 0));
+    }
+}
+
+fn team(number: usize, version: u64) -> Value {
+    let key = |k: usize| {
+        let id = format!("t{number}k{k}").parse().expect("a name");
+        issue(&id, *b"a-key-for-examples-only!").record
+    };
+    let keys: Vec<_> = (0..3).map(key).collect();
+    json!({"team": {
+        "rate": 2_000 + version,
+        "burst": 40_000,
+        "weight": 1,
+        "allotments": [{"domain": DOMAIN, "parts": 1_000, "spread": 1}],
+        "keys": keys,
+    }})
+}
+
+/// Writes upstreams that all lead to one engine, which is returned.
+fn put_engines(setup: &Setup, count: usize) -> io::Result<FakeEngine> {
+    let engine = FakeEngine::start(EngineOptions {
+        model: FLEET_MODEL.to_owned(),
+        records: false,
+        ..EngineOptions::default()
+    })?;
+    let kind = json!({"engine": {"model": FLEET_MODEL, "weights": 1, "block": 256}});
+    setup.put(
+        "pool/fleet",
+        json!({"pool": {"kind": kind, "checks_fencing": true}}),
+    );
+    for i in 0..count {
+        let address = engine.address();
+        let spec = json!({"pool": "fleet", "domain": DOMAIN, "address": address});
+        setup.put(&format!("upstream/fleet-{i}"), json!({"upstream": spec}));
+    }
+    Ok(engine)
+}
+
+/// Changes `rate` teams a second, evenly, for the length of `window`.
+fn make_changes(setup: &Setup, rate: u32, window: Duration) {
+    if rate == 0 {
+        thread::sleep(window);
+        return;
+    }
+    let seconds = u32::try_from(window.as_secs()).unwrap_or(u32::MAX);
+    for i in 0..rate * seconds {
+        let number = i as usize % OBJECTS;
+        setup.put(&format!("team/t{number}"), team(number, u64::from(i) + 1));
+        thread::sleep(Duration::from_secs(1) / rate);
+    }
+}
+
+fn print_head() {
+    println!(
+        "| instances | objects | engines | changes a second | processor, % of a core | busiest | until the window, ms | resident, MB | largest | peers, bytes a second | platform, bytes a second | most | reads a second, fleet | writes a second, fleet |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+}
+
+fn print_cost(cost: &Cost) {
+    let case = cost.case;
+    println!(
+        "| {} | {} | {} | {} | {:.2} | {:.2} | {:.0} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.2} | {:.2} |",
+        case.instances,
+        case.objects,
+        case.engines,
+        case.changes,
+        cost.processor,
+        cost.busiest,
+        cost.start,
+        cost.resident,
+        cost.largest,
+        cost.peer,
+        cost.platform,
+        cost.most_platform,
+        cost.reads,
+        cost.writes,
+    );
+}
+
+/// A `Figure` is one figure of a cost, with its name.
+type Figure = (&'static str, fn(&Cost) -> f64);
+
+/// The figures through which lines are laid.
+const FIGURES: [Figure; 9] = [
+    ("processor, % of a core", |c| c.processor),
+    ("processor of the busiest", |c| c.busiest),
+    ("until the window, ms", |c| c.start),
+    ("resident, MB", |c| c.resident),
+    ("peers, bytes a second", |c| c.peer),
+    ("platform, bytes a second", |c| c.platform),
+    ("platform, most", |c| c.most_platform),
+    ("reads a second, fleet", |c| c.reads),
+    ("writes a second, fleet", |c| c.writes),
+];
+
+fn print_fits(unit: &str, costs: &[&Cost], along: fn(&Case) -> f64) {
+    for (name, figure) in FIGURES {
+        let points = costs.iter().map(|cost| (along(&cost.case), figure(cost)));
+        let line = fit(&points.collect::<Vec<_>>());
+        println!(
+            "| {unit} | {name} | {:.2} | {:.3} | {:.2} |",
+            line.base, line.slope, line.off
+        );
+    }
+}
--- /dev/null
+++ b/crates/router/examples/load/tally.rs
@@ -0,0 +1,132 @@
+//! What a run came to.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use limpetsaddle_core::hash::Digest;
+use limpetsaddle_core::placement::PrefixChain;
+use limpetsaddle_core::units::Tokens;
+use serde_json::Value;
+
+use crate::mix::FLOODING_TEAM;
+use crate::mix::Mix;
+use crate::mix::TEAM_PERCENT;
+use crate::support::caller::Streamed;
+use crate::support::setup::BLOCK_TOKENS;
+
+/// The codes of refusals by a team's limits.
+const LIMIT_CODES: [&str; 2] = ["rate_limited", "limits_unavailable"];
+
+/// A `Tally` adds up the answers of one run.
+pub struct Tally {
+    first: Histogram<u64>,
+    gaps: Histogram<u64>,
+    prompt: u64,
+    cached: u64,
+    unavoidable: u64,
+    seen: HashSet<u64>,
+    offered: [u64; TEAM_PERCENT.len()],
+    served: [u64; TEAM_PERCENT.len()],
+    requests: u64,
+    within: u64,
+    refused_within: u64,
+    failed: BTreeMap<String, u64>,
+}
+
+impl Tally {
+    /// Returns a tally of nothing.
+    pub fn new() -> Self {
+        let histogram = || Histogram::new(3).expect("a valid precision");
+        Self {
+            first: histogram(),
+            gaps: histogram(),
+            prompt: 0,
+            cached: 0,
+            unavoidable: 0,
+            seen: HashSet::new(),
+            offered: [0; TEAM_PERCENT.len()],
+            served: [0; TEAM_PERCENT.len()],
+            requests: 0,
+            within: 0,
+            refused_within: 0,
+            failed: BTreeMap::new(),
+        }
+    }
+
+    /// Adds what came of a request for `tokens` tokens.
+    pub fn add(&mut self, team: usize, prompt: &str, tokens: u64, seen: &Streamed) {
+        self.requests += 1;
+        self.offered[team] += tokens;
+        let is_within = team != FLOODING_TEAM;
+        self.within += u64::from(is_within);
+        if !seen.complete {
+            let code = seen.code();
+            let limited = LIMIT_CODES.contains(&code.as_str());
+            self.refused_within += u64::from(is_within && limited);
+            *self.failed.entry(code).or_default() += 1;
+            return;
+        }
+        self.served[team] += tokens;
+        record(&mut self.first, seen.first.unwrap_or_default());
+        for gap in &seen.gaps {
+            record(&mut self.gaps, *gap);
+        }
+        self.add_usage(team, prompt, &seen.document()["usage"]);
+    }
+
+    /// Each block must be computed once; what is computed beyond that is lost.
+    fn add_usage(&mut self, team: usize, prompt: &str, usage: &Value) {
+        let salt = Digest::of(team.to_string().as_bytes());
+        let text = format!("user\n{prompt}\n");
+        let chain = PrefixChain::new(salt, text.as_bytes(), Tokens(BLOCK_TOKENS as u64));
+        let known = |block: &&u64| self.seen.contains(*block);
+        let known = chain.blocks().iter().take_while(known).count();
+        self.unavoidable += chain.prompt().0 - chain.tokens_of(known).0;
+        self.seen.extend(chain.blocks());
+        self.prompt += usage["prompt_tokens"].as_u64().unwrap_or(0);
+        let cached = &usage["prompt_tokens_details"]["cached_tokens"];
+        self.cached += cached.as_u64().unwrap_or(0);
+    }
+
+    /// Prints the row of a table.
+    pub fn print(&self, name: &str, mix: &Mix, length: Duration, rate: fn(&Mix, usize) -> u64) {
+        let quantile = |h: &Histogram<u64>, q| h.value_at_quantile(q) / 1_000;
+        let failed: Vec<String> = self
+            .failed
+            .iter()
+            .map(|(k, v)| format!("{k} {v}"))
+            .collect();
+        println!(
+            "| {name} | {} | {:.1}% | {} / {} / {} | {} | {:.2} | {:.1}% | {} of {} | {} |",
+            self.requests,
+            self.cached as f64 * 100.0 / self.prompt.max(1) as f64,
+            quantile(&self.first, 0.5),
+            quantile(&self.first, 0.95),
+            quantile(&self.first, 0.99),
+            quantile(&self.gaps, 0.95),
+            (self.prompt - self.cached) as f64 / self.unavoidable.max(1) as f64,
+            self.worst_share(mix, length, rate) * 100.0,
+            self.refused_within,
+            self.within,
+            failed.join(", "),
+        );
+    }
+
+    /// Returns the least that a team was served of the smaller of its demand
+    /// and its rate over the run.
+    fn worst_share(&self, mix: &Mix, length: Duration, rate: fn(&Mix, usize) -> u64) -> f64 {
+        let shares = (0..TEAM_PERCENT.len()).map(|team| {
+            let allowed = rate(mix, team) * length.as_secs();
+            let due = self.offered[team].min(allowed).max(1);
+            self.served[team] as f64 / due as f64
+        });
+        shares.fold(1.0, f64::min)
+    }
+}
+
+fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+    histogram.record(micros).expect("the histogram grows");
+}
--- a/crates/router/examples/overhead.rs
+++ b/crates/router/examples/overhead.rs
@@ -5,25 +5,28 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
-use std::time::Instant;
 
 use getopts::Options;
 use hdrhistogram::Histogram;
 use limpetsaddle_fakes::EngineOptions;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
+use limpetsaddle_http::Request;
 use limpetsaddle_router::errors::Result;
 use limpetsaddle_router::run::block_on;
 
+use crate::support::caller::Streamed;
 use crate::support::caller::request;
 use crate::support::caller::stream;
 use crate::support::process::Process;
+use crate::support::setup::BLOCK_TOKENS;
 use crate::support::setup::Setup;
 use crate::support::setup::places;
 
@@ -36,21 +39,21 @@
 /// The time between two tokens at the engine.
 const TOKEN_DELAY: Duration = Duration::from_millis(10);
 
-/// The answers of each stream.
-const ROUNDS: usize = 4;
+/// The answers of each stream, one after the other.
+const ROUNDS: usize = 16;
 
 /// The failure domain.
 const DOMAIN: &str = "bergen-a";
 
-/// The characters of the prompt.
-const PROMPT_CHARACTERS: usize = 4_000;
+/// The characters of the prompt: two blocks, which are found cached, and a
+/// short question.
+const PROMPT_CHARACTERS: usize = 2 * BLOCK_TOKENS * 4 + 40;
 
 /// A `Load` is what one side measured.
 struct Load {
     first: Histogram<u64>,
     gaps: Histogram<u64>,
-    failed: u64,
-    elapsed: Duration,
+    failed: BTreeMap<String, u64>,
     resident: u64,
 }
 
@@ -100,7 +103,9 @@
     let daemon = Process::start(program, &places[0].flags(setup.platform.address(), &places))?;
     let listen = places[0].listen;
     let direct = setup.engines[0].address();
-    run(warm_up(listen, &key))?;
+    for address in [direct, listen] {
+        run(warm_up(address, &key))?;
+    }
     println!(
         "| streams | time to first token, direct | through the daemon | added p50 | added p95 | between tokens, direct | through the daemon | added p50 | added p95 |"
     );
@@ -129,56 +134,72 @@
     out.ok_or_else(|| io::ErrorKind::Other.into())
 }
 
+/// Asks until an answer is complete, which leaves the prompt cached.
 async fn warm_up(address: SocketAddr, key: &str) {
     let client = Client::new(ClientOptions::default());
-    while !stream(&client, address, request(key, None, "warm up", 1))
-        .await
-        .complete
-    {
+    while !stream(&client, address, prompt(key)).await.complete {
         monoio::time::sleep(Duration::from_millis(200)).await;
     }
 }
 
+fn prompt(key: &str) -> Request {
+    request(key, Some("direct"), &"x".repeat(PROMPT_CHARACTERS), TOKENS)
+}
+
+/// Keeps `streams` answers running, which begin at even distances.
 async fn load(address: SocketAddr, key: &str, streams: usize, daemon: &Process) -> Load {
     let histogram = || Histogram::new(3).expect("a valid precision");
     let mut load = Load {
         first: histogram(),
         gaps: histogram(),
-        failed: 0,
-        elapsed: Duration::ZERO,
+        failed: BTreeMap::new(),
         resident: 0,
     };
-    let started = Instant::now();
-    let prompt = "x".repeat(PROMPT_CHARACTERS);
-    for round in 0..ROUNDS {
-        let tasks: Vec<_> = (0..streams)
-            .map(|i| {
-                let id = format!("direct-{round}-{i}");
-                let req = request(key, Some(&id), &prompt, TOKENS);
-                monoio::spawn(async move {
-                    let client = Client::new(ClientOptions::default());
-                    stream(&client, address, req).await
-                })
+    let answer = TOKEN_DELAY * u32::try_from(TOKENS).unwrap_or(u32::MAX);
+    let apart = answer / u32::try_from(streams).unwrap_or(u32::MAX);
+    let tasks: Vec<_> = (0..streams)
+        .map(|i| {
+            let key = key.to_owned();
+            let delay = apart * u32::try_from(i).unwrap_or(u32::MAX);
+            monoio::spawn(async move {
+                monoio::time::sleep(delay).await;
+                let client = Client::new(ClientOptions::default());
+                let mut answers = Vec::new();
+                for _ in 0..ROUNDS {
+                    answers.push(stream(&client, address, prompt(&key)).await);
+                }
+                answers
             })
-            .collect();
-        monoio::time::sleep(TOKEN_DELAY * 20).await;
-        load.resident = load.resident.max(daemon.resident());
-        for task in tasks {
-            let seen = task.await;
-            load.failed += u64::from(!seen.complete);
-            record(&mut load.first, seen.first);
-            for gap in seen.gaps {
-                record(&mut load.gaps, Some(gap));
-            }
+        })
+        .collect();
+    // By then every stream has begun its second answer.
+    monoio::time::sleep(answer * 3).await;
+    load.resident = daemon.resident();
+    for task in tasks {
+        for seen in task.await {
+            load.add(&seen);
         }
     }
-    load.elapsed = started.elapsed();
     load
 }
 
+impl Load {
+    fn add(&mut self, seen: &Streamed) {
+        if !seen.complete {
+            *self.failed.entry(seen.code()).or_default() += 1;
+            return;
+        }
+        record(&mut self.first, seen.first);
+        for gap in &seen.gaps {
+            record(&mut self.gaps, Some(*gap));
+        }
+    }
+}
+
 fn record(histogram: &mut Histogram<u64>, span: Option<Duration>) {
     if let Some(span) = span {
-        histogram.saturating_record(u64::try_from(span.as_micros()).unwrap_or(u64::MAX));
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        histogram.record(micros).expect("the histogram grows");
     }
 }
 
@@ -202,8 +223,11 @@
         added(&past.gaps, &through.gaps, 0.5),
         added(&past.gaps, &through.gaps, 0.95),
     );
-    if past.failed + through.failed > 0 {
-        println!("failed: {} direct, {} through", past.failed, through.failed);
+    if !past.failed.is_empty() || !through.failed.is_empty() {
+        eprintln!(
+            "failed, direct: {:?}, through: {:?}",
+            past.failed, through.failed
+        );
     }
 }
 
--- a/crates/router/examples/support/caller.rs
+++ b/crates/router/examples/support/caller.rs
@@ -8,6 +8,7 @@
 use http::header::HeaderName;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::Request;
+use serde_json::Value;
 use serde_json::json;
 
 use super::setup::MODEL;
@@ -27,6 +28,27 @@
     pub tail: Vec<u8>,
 }
 
+impl Streamed {
+    /// Returns the JSON document of the last event before the end, or of the
+    /// body.
+    pub fn document(&self) -> Value {
+        let text = self.tail.strip_prefix(b"data: ").unwrap_or(&self.tail);
+        serde_json::from_slice(text).unwrap_or_default()
+    }
+
+    /// Returns the code of a refusal or of the event that ended a stream.
+    pub fn code(&self) -> String {
+        if self.status == 0 {
+            return "no_answer".to_owned();
+        }
+        match self.document()["error"]["code"].as_str() {
+            Some(code) => code.to_owned(),
+            None if self.status == 200 => "broken".to_owned(),
+            None => self.status.to_string(),
+        }
+    }
+}
+
 /// Returns a request for a streamed chat completion.
 ///
 /// An engine that is asked without a router needs `request_id` itself.
@@ -49,6 +71,23 @@
         .expect("a valid request")
 }
 
+/// Returns a request for an engine itself, whose blocks are kept under `salt`.
+pub fn salted_request(salt: &str, prompt: &str, max_tokens: u64) -> Request {
+    let body = json!({
+        "model": MODEL,
+        "stream": true,
+        "max_tokens": max_tokens,
+        "cache_salt": salt,
+        "messages": [{"role": "user", "content": prompt}],
+    });
+    http::Request::post("/v1/chat/completions")
+        .header("host", "localhost")
+        .header("content-type", "application/json")
+        .header("x-request-id", "direct")
+        .body(Bytes::from(body.to_string()))
+        .expect("a valid request")
+}
+
 /// Sends a request and reads the answer as it comes.
 pub async fn stream(client: &Client, address: SocketAddr, req: Request) -> Streamed {
     let mut seen = Streamed::default();
--- a/crates/router/examples/support/mod.rs
+++ b/crates/router/examples/support/mod.rs
@@ -3,5 +3,7 @@
 #![allow(dead_code, reason = "each example uses a part of this")]
 
 pub mod caller;
+pub mod fit;
 pub mod process;
+pub mod relay;
 pub mod setup;
