--- a/crates/router/examples/control.rs
+++ b/crates/router/examples/control/main.rs
@@ -1,11 +1,18 @@
 //! Measures what control costs a daemon: processor time, memory, bytes to and
 //! from peers and the platform, and calls of the platform.
 //!
-//! Daemons run in processes of their own in one failure domain, without
-//! callers. All that they send each other and the platform passes relays that
+//! Daemons run in processes of their own in one failure domain. All that they send each other and the platform passes relays that
 //! count it. One dimension at a time is varied: the instances, the objects of
-//! the configuration, its changes, and the engines to be looked after.
+//! the configuration, its changes, the engines to be looked after, and short
+//! requests of a hundred teams.
 
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "the counts of a run lie far below the precision"
+)]
+
+mod callers;
+#[path = "../support/mod.rs"]
 mod support;
 
 use std::io;
@@ -18,6 +25,7 @@
 use std::time::Instant;
 
 use getopts::Options;
+use limpetsaddle_core::keys::IssuedKey;
 use limpetsaddle_core::keys::issue;
 use limpetsaddle_fakes::EngineOptions;
 use limpetsaddle_fakes::FakeEngine;
@@ -39,10 +47,10 @@
 const FLEET_MODEL: &str = "spruce-70b";
 
 /// The instances where they are not what is varied.
-const INSTANCES: usize = 6;
+const INSTANCES: u32 = 6;
 
 /// The objects where they are not what is varied.
-const OBJECTS: usize = 100;
+const OBJECTS: u32 = 100;
 
 /// The ports of one instance.
 const PORTS: u16 = 3;
@@ -50,10 +58,11 @@
 /// A `Case` is one fleet to measure.
 #[derive(Clone, Copy)]
 struct Case {
-    instances: usize,
-    objects: usize,
-    engines: usize,
+    instances: u32,
+    objects: u32,
+    engines: u32,
     changes: u32,
+    requests: u32,
 }
 
 /// The fleet that the varied ones differ from in one dimension.
@@ -62,8 +71,64 @@
     objects: OBJECTS,
     engines: 0,
     changes: 0,
+    requests: 0,
 };
 
+/// A `Dimension` is what is varied, with its sizes.
+struct Dimension {
+    name: &'static str,
+    /// The unit of the fits, and its name.
+    unit: f64,
+    label: &'static str,
+    base: u32,
+    sizes: &'static [u32],
+    set: fn(&mut Case, u32),
+}
+
+/// The dimensions.
+const DIMENSIONS: &[Dimension] = &[
+    Dimension {
+        name: "instances",
+        unit: 1.0,
+        label: "instance of the domain",
+        base: BASE.instances,
+        sizes: &[3, 12, 24],
+        set: |case, size| case.instances = size,
+    },
+    Dimension {
+        name: "objects",
+        unit: 1_000.0,
+        label: "1,000 objects",
+        base: BASE.objects,
+        sizes: &[1_000, 5_000],
+        set: |case, size| case.objects = size,
+    },
+    Dimension {
+        name: "changes",
+        unit: 1.0,
+        label: "change a second",
+        base: BASE.changes,
+        sizes: &[1, 4],
+        set: |case, size| case.changes = size,
+    },
+    Dimension {
+        name: "engines",
+        unit: 100.0,
+        label: "100 engines",
+        base: BASE.engines,
+        sizes: &[50, 200],
+        set: |case, size| case.engines = size,
+    },
+    Dimension {
+        name: "requests",
+        unit: 1.0,
+        label: "request a second, fleet",
+        base: BASE.requests,
+        sizes: &[30, 120],
+        set: |case, size| case.requests = size,
+    },
+];
+
 /// A `Cost` is what a fleet used a second, for each instance.
 struct Cost {
     case: Case,
@@ -92,6 +157,7 @@
     port: u16,
     settle: Duration,
     window: Duration,
+    vary: Option<String>,
 }
 
 /// A `Total` is what the instances of a fleet have used so far.
@@ -117,6 +183,8 @@
     options.optopt("", "port", "first of the ports to use [21000]", "PORT");
     options.optopt("", "settle", "wait before each window [12]", "SECONDS");
     options.optopt("", "window", "length of each window [20]", "SECONDS");
+    let names = "instances, objects, changes, engines or requests [all]";
+    options.optopt("", "vary", names, "NAME");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let bench = options.parse(args).ok().and_then(|matches| {
         let daemon = matches.opt_str("daemon");
@@ -128,6 +196,7 @@
             port: matches.opt_get_default("port", 21_000).ok()?,
             settle: Duration::from_secs(seconds("settle", 12)?),
             window: Duration::from_secs(seconds("window", 20)?.max(1)),
+            vary: matches.opt_str("vary"),
         })
     });
     let Some(bench) = bench else {
@@ -145,52 +214,55 @@
 
 fn run(mut bench: Bench) -> io::Result<()> {
     print_head();
-    let instances = [3, 6, 12, 24].map(|instances| Case { instances, ..BASE });
-    let objects = [1_000, 5_000].map(|objects| Case { objects, ..BASE });
-    let changes = [1, 4].map(|changes| Case { changes, ..BASE });
-    let engines = [50, 200].map(|engines| Case { engines, ..BASE });
-    let by_instances = bench.measure_all(&instances)?;
-    let base = &by_instances[1];
-    let by_objects = bench.measure_all(&objects)?;
-    let by_changes = bench.measure_all(&changes)?;
-    let by_engines = bench.measure_all(&engines)?;
+    let base = bench.measure(BASE)?;
+    print_cost(&base);
+    let mut measured = Vec::new();
+    for dimension in DIMENSIONS {
+        if bench.vary.as_ref().is_some_and(|v| v != dimension.name) {
+            continue;
+        }
+        let mut costs = Vec::new();
+        for size in dimension.sizes {
+            let mut case = BASE;
+            (dimension.set)(&mut case, *size);
+            let cost = bench.measure(case)?;
+            print_cost(&cost);
+            costs.push((f64::from(*size), cost));
+        }
+        measured.push((dimension, costs));
+    }
     println!("\n| a unit | figure | at nothing | each adds | farthest point |");
     println!("|---|---|---|---|---|");
-    let all: Vec<&Cost> = by_instances.iter().collect();
-    print_fits("instance of the domain", &all, |c| c.instances as f64);
-    let with_base = |others| std::iter::once(base).chain(others).collect::<Vec<_>>();
-    let all = with_base(by_objects.iter());
-    print_fits("1,000 objects", &all, |c| c.objects as f64 / 1_000.0);
-    let all = with_base(by_changes.iter());
-    print_fits("change a second", &all, |c| f64::from(c.changes));
-    let all = with_base(by_engines.iter());
-    print_fits("100 engines", &all, |c| c.engines as f64 / 100.0);
+    for (dimension, costs) in &measured {
+        let mut points = vec![(f64::from(dimension.base), &base)];
+        points.extend(costs.iter().map(|(size, cost)| (*size, cost)));
+        print_fits(dimension, &points);
+    }
     Ok(())
 }
 
 impl Bench {
-    fn measure_all(&mut self, cases: &[Case]) -> io::Result<Vec<Cost>> {
-        let mut costs = Vec::new();
-        for case in cases {
-            let cost = self.measure(*case)?;
-            print_cost(&cost);
-            costs.push(cost);
-        }
-        Ok(costs)
-    }
-
     fn measure(&mut self, case: Case) -> io::Result<Cost> {
-        let setup = Setup::start(&[DOMAIN], 0, &EngineOptions::default())?;
-        put_objects(&setup, case.objects);
+        let serving = usize::from(case.requests > 0);
+        let engine = EngineOptions {
+            records: false,
+            ..EngineOptions::default()
+        };
+        let setup = Setup::start(&[DOMAIN], serving, &engine)?;
+        let keys = put_objects(&setup, case.objects);
         let _engine = put_engines(&setup, case.engines)?;
-        let places = places(&[DOMAIN], case.instances, self.port);
+        let places = places(&[DOMAIN], case.instances as usize, self.port);
         // A closed listener's port cannot be bound again at once.
         self.port += PORTS * u16::try_from(case.instances).unwrap_or(u16::MAX);
         let fleet = Fleet::start(&self.program, &setup, &places)?;
         thread::sleep(self.settle);
         let before = fleet.total(&setup);
         let began = Instant::now();
-        make_changes(&setup, case.changes, self.window);
+        if case.requests > 0 {
+            callers::call(&places, &keys, case.requests, self.window)?;
+        } else {
+            make_changes(&setup, case.changes, self.window);
+        }
         let after = fleet.total(&setup);
         Ok(fleet.cost(case, &before, &after, began.elapsed()))
     }
@@ -221,7 +293,7 @@
 
     fn total(&self, setup: &Setup) -> Total {
         let calls = setup.platform.state().calls;
-        let processor = self.daemons.iter().map(|d| d.processor_time());
+        let processor = self.daemons.iter().map(Process::processor_time);
         Total {
             processor: processor.map(|t| t.as_secs_f64()).collect(),
             peer: self.peers.iter().map(Relay::bytes).sum(),
@@ -249,7 +321,7 @@
             resident: mean(&resident),
             largest: largest(&resident),
             // Each byte is sent by one instance and received by another.
-            peer: rate(before.peer, after.peer) * 2.0 / case.instances as f64,
+            peer: rate(before.peer, after.peer) * 2.0 / f64::from(case.instances),
             platform: mean(&platform),
             most_platform: largest(&platform),
             reads: rate(before.reads, after.reads),
@@ -267,18 +339,22 @@
 }
 
 /// Writes teams with three keys each, in place of the objects of a site.
-fn put_objects(setup: &Setup, count: usize) {
+///
+/// Returns the first key of each.
+fn put_objects(setup: &Setup, count: u32) -> Vec<String> {
     for i in 0..count {
         setup.put(&format!("team/t{i}"), team(i, 0));
     }
+    (0..count).map(|i| key(i, 0).text).collect()
 }
 
-fn team(number: usize, version: u64) -> Value {
-    let key = |k: usize| {
-        let id = format!("t{number}k{k}").parse().expect("a name");
-        issue(&id, *b"a-key-for-examples-only!").record
-    };
-    let keys: Vec<_> = (0..3).map(key).collect();
+fn key(team: u32, number: u32) -> IssuedKey {
+    let id = format!("t{team}k{number}").parse().expect("a name");
+    issue(&id, *b"a-key-for-examples-only!")
+}
+
+fn team(number: u32, version: u32) -> Value {
+    let keys: Vec<_> = (0..3).map(|k| key(number, k).record).collect();
     json!({"team": {
         "rate": 2_000 + version,
         "burst": 40_000,
@@ -289,7 +365,7 @@
 }
 
 /// Writes upstreams that all lead to one engine, which is returned.
-fn put_engines(setup: &Setup, count: usize) -> io::Result<FakeEngine> {
+fn put_engines(setup: &Setup, count: u32) -> io::Result<FakeEngine> {
     let engine = FakeEngine::start(EngineOptions {
         model: FLEET_MODEL.to_owned(),
         records: false,
@@ -316,27 +392,28 @@
     }
     let seconds = u32::try_from(window.as_secs()).unwrap_or(u32::MAX);
     for i in 0..rate * seconds {
-        let number = i as usize % OBJECTS;
-        setup.put(&format!("team/t{number}"), team(number, u64::from(i) + 1));
+        let number = i % OBJECTS;
+        setup.put(&format!("team/t{number}"), team(number, i + 1));
         thread::sleep(Duration::from_secs(1) / rate);
     }
 }
 
 fn print_head() {
     println!(
-        "| instances | objects | engines | changes a second | processor, % of a core | busiest | until the window, ms | resident, MB | largest | peers, bytes a second | platform, bytes a second | most | reads a second, fleet | writes a second, fleet |"
+        "| instances | objects | engines | changes a second | requests a second | processor, % of a core | busiest | until the window, ms | resident, MB | largest | peers, bytes a second | platform, bytes a second | most | reads a second, fleet | writes a second, fleet |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
 }
 
 fn print_cost(cost: &Cost) {
     let case = cost.case;
     println!(
-        "| {} | {} | {} | {} | {:.2} | {:.2} | {:.0} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.2} | {:.2} |",
+        "| {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.0} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.2} | {:.2} |",
         case.instances,
         case.objects,
         case.engines,
         case.changes,
+        case.requests,
         cost.processor,
         cost.busiest,
         cost.start,
@@ -366,13 +443,14 @@
     ("writes a second, fleet", |c| c.writes),
 ];
 
-fn print_fits(unit: &str, costs: &[&Cost], along: fn(&Case) -> f64) {
+fn print_fits(dimension: &Dimension, points: &[(f64, &Cost)]) {
     for (name, figure) in FIGURES {
-        let points = costs.iter().map(|cost| (along(&cost.case), figure(cost)));
+        let points = points.iter();
+        let points = points.map(|(size, cost)| (size / dimension.unit, figure(cost)));
         let line = fit(&points.collect::<Vec<_>>());
         println!(
-            "| {unit} | {name} | {:.2} | {:.3} | {:.2} |",
-            line.base, line.slope, line.off
+            "| {} | {name} | {:.2} | {:.3} | {:.2} |",
+            dimension.label, line.base, line.slope, line.off
         );
     }
 }
--- a/crates/router/examples/load/main.rs
+++ b/crates/router/examples/load/main.rs
@@ -5,6 +5,11 @@
 //! come into demand, an engine crashes and comes back empty, a team floods, and
 //! a daemon is killed.
 
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "the counts of a run lie far below the precision"
+)]
+
 mod drive;
 mod mix;
 #[path = "../support/mod.rs"]
@@ -22,6 +27,7 @@
 use getopts::Matches;
 use getopts::Options;
 use limpetsaddle_fakes::EngineOptions;
+use limpetsaddle_fakes::FakeEngine;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
 use limpetsaddle_router::errors::Result;
@@ -34,7 +40,7 @@
 use crate::mix::TEAM_PERCENT;
 use crate::mix::arrivals;
 use crate::support::caller::request;
-use crate::support::caller::stream;
+use crate::support::caller::until_served;
 use crate::support::process::Process;
 use crate::support::setup::Place;
 use crate::support::setup::Setup;
@@ -169,7 +175,7 @@
         })
         .collect();
     let places = places(&DOMAINS, INSTANCES, plan.port);
-    let mut targets = setup.engines.iter().map(|e| e.address()).collect();
+    let mut targets = setup.engines.iter().map(FakeEngine::address).collect();
     let mut daemons = Vec::new();
     if policy == Policy::Daemons {
         plan.port += PORTS * u16::try_from(places.len()).unwrap_or(u16::MAX);
@@ -183,9 +189,10 @@
     let length = plan.length;
     block(async {
         if policy == Policy::Daemons {
-            warm_up(&places, &keys).await;
+            warm_up(&places, &keys).await?;
         }
         driver.run(arrivals, disturb).await;
+        Ok(())
     })?;
     eprintln!("{}: {length:?} done", mix.name);
     Ok(driver)
@@ -232,25 +239,24 @@
 }
 
 /// Waits until every team is served everywhere and its burst has filled.
-async fn warm_up(places: &[Place], keys: &[String]) {
+async fn warm_up(places: &[Place], keys: &[String]) -> io::Result<()> {
     let client = Client::new(ClientOptions::default());
     for place in places {
         for key in keys {
-            while !stream(&client, place.listen, request(key, None, "warm up", 1))
-                .await
-                .complete
-            {
-                monoio::time::sleep(Duration::from_millis(200)).await;
-            }
+            let short = || request(key, None, "warm up", 1);
+            until_served(&client, place.listen, short).await?;
         }
     }
     monoio::time::sleep(Duration::from_secs(BURST_SECONDS)).await;
+    Ok(())
 }
 
-fn block(work: impl Future<Output = ()>) -> io::Result<()> {
+fn block(work: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    let mut out = Ok(());
     let ran: Result<()> = block_on(async {
-        work.await;
+        out = work.await;
         Ok(())
     });
-    ran.map_err(io::Error::other)
+    ran.map_err(io::Error::other)?;
+    out
 }
--- a/crates/router/examples/overhead.rs
+++ b/crates/router/examples/overhead.rs
@@ -25,6 +25,7 @@
 use crate::support::caller::Streamed;
 use crate::support::caller::request;
 use crate::support::caller::stream;
+use crate::support::caller::until_served;
 use crate::support::process::Process;
 use crate::support::setup::BLOCK_TOKENS;
 use crate::support::setup::Setup;
@@ -104,7 +105,9 @@
     let listen = places[0].listen;
     let direct = setup.engines[0].address();
     for address in [direct, listen] {
-        run(warm_up(address, &key))?;
+        // This leaves the prompt cached, too.
+        let client = Client::new(ClientOptions::default());
+        run(until_served(&client, address, || prompt(&key)))??;
     }
     println!(
         "| streams | time to first token, direct | through the daemon | added p50 | added p95 | between tokens, direct | through the daemon | added p50 | added p95 |"
@@ -112,13 +115,15 @@
     println!("|---|---|---|---|---|---|---|---|---|");
     let mut costs = Vec::new();
     for streams in STREAMS {
-        let idle = daemon.resident();
+        let resident = daemon.resident();
+        let began = daemon.processor_time();
         let past = run(load(direct, &key, streams, &daemon))?;
-        let before = daemon.processor_time();
+        // The daemon is idle meanwhile, and what it uses then is not for streams.
+        let idle = daemon.processor_time().saturating_sub(began);
         let through = run(load(listen, &key, streams, &daemon))?;
-        let used = daemon.processor_time().saturating_sub(before);
+        let used = daemon.processor_time().saturating_sub(began + idle * 2);
         print_row(streams, &past, &through);
-        costs.push((streams, idle, used, through));
+        costs.push((streams, resident, used, through));
     }
     print_costs(&costs);
     Ok(())
@@ -134,14 +139,6 @@
     out.ok_or_else(|| io::ErrorKind::Other.into())
 }
 
-/// Asks until an answer is complete, which leaves the prompt cached.
-async fn warm_up(address: SocketAddr, key: &str) {
-    let client = Client::new(ClientOptions::default());
-    while !stream(&client, address, prompt(key)).await.complete {
-        monoio::time::sleep(Duration::from_millis(200)).await;
-    }
-}
-
 fn prompt(key: &str) -> Request {
     request(key, Some("direct"), &"x".repeat(PROMPT_CHARACTERS), TOKENS)
 }
--- a/crates/router/examples/support/caller.rs
+++ b/crates/router/examples/support/caller.rs
@@ -1,5 +1,6 @@
 //! A caller that streams completions and notes when each piece comes.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,6 +14,12 @@
 
 use super::setup::MODEL;
 
+/// The time between two tries at a fleet that does not serve yet.
+const WARM_UP_PAUSE: Duration = Duration::from_millis(200);
+
+/// The tries at a fleet that does not serve yet, a minute's worth.
+const WARM_UP_TRIES: u32 = 300;
+
 /// A `Streamed` is what a caller saw of one answer.
 #[derive(Clone, Debug, Default)]
 pub struct Streamed {
@@ -111,3 +118,23 @@
     }
     seen
 }
+
+/// Repeats a request until it is answered completely, as a new fleet has no
+/// tokens at first.
+///
+/// # Errors
+///
+/// Fails with [`io::ErrorKind::TimedOut`] after a minute without an answer.
+pub async fn until_served(
+    client: &Client,
+    address: SocketAddr,
+    req: impl Fn() -> Request,
+) -> io::Result<()> {
+    for _ in 0..WARM_UP_TRIES {
+        if stream(client, address, req()).await.complete {
+            return Ok(());
+        }
+        monoio::time::sleep(WARM_UP_PAUSE).await;
+    }
+    Err(io::ErrorKind::TimedOut.into())
+}
