--- a/crates/router/examples/control/main.rs
+++ b/crates/router/examples/control/main.rs
@@ -43,6 +43,9 @@
 /// The failure domain.
 const DOMAIN: &str = "bergen-a";
 
+/// The failure domain of the engines that others look after.
+const ELSEWHERE: &str = "voss-c";
+
 /// The model of the engines that are looked after.
 const FLEET_MODEL: &str = "spruce-70b";
 
@@ -61,6 +64,8 @@
     instances: u32,
     objects: u32,
     engines: u32,
+    /// The engines of other failure domains.
+    elsewhere: u32,
     changes: u32,
     requests: u32,
 }
@@ -70,6 +75,18 @@
     instances: INSTANCES,
     objects: OBJECTS,
     engines: 0,
+    elsewhere: 0,
+    changes: 0,
+    requests: 0,
+};
+
+/// One of 19 failure domains of a fleet of 450 instances, 1,100 teams and 4,700
+/// engines, without callers.
+const TARGET: Case = Case {
+    instances: 24,
+    objects: 1_100,
+    engines: 247,
+    elsewhere: 4_453,
     changes: 0,
     requests: 0,
 };
@@ -183,7 +200,7 @@
     options.optopt("", "port", "first of the ports to use [21000]", "PORT");
     options.optopt("", "settle", "wait before each window [12]", "SECONDS");
     options.optopt("", "window", "length of each window [20]", "SECONDS");
-    let names = "instances, objects, changes, engines or requests [all]";
+    let names = "instances, objects, changes, engines, requests or target [all]";
     options.optopt("", "vary", names, "NAME");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let bench = options.parse(args).ok().and_then(|matches| {
@@ -231,6 +248,9 @@
         }
         measured.push((dimension, costs));
     }
+    if bench.vary.as_ref().is_none_or(|v| v == "target") {
+        print_cost(&bench.measure(TARGET)?);
+    }
     println!("\n| a unit | figure | at nothing | each adds | farthest point |");
     println!("|---|---|---|---|---|");
     for (dimension, costs) in &measured {
@@ -250,7 +270,7 @@
         };
         let setup = Setup::start(&[DOMAIN], serving, &engine)?;
         let keys = put_objects(&setup, case.objects);
-        let _engine = put_engines(&setup, case.engines)?;
+        let _engine = put_engines(&setup, &case)?;
         let places = places(&[DOMAIN], case.instances as usize, self.port);
         // A closed listener's port cannot be bound again at once.
         self.port += PORTS * u16::try_from(case.instances).unwrap_or(u16::MAX);
@@ -365,7 +385,7 @@
 }
 
 /// Writes upstreams that all lead to one engine, which is returned.
-fn put_engines(setup: &Setup, count: u32) -> io::Result<FakeEngine> {
+fn put_engines(setup: &Setup, case: &Case) -> io::Result<FakeEngine> {
     let engine = FakeEngine::start(EngineOptions {
         model: FLEET_MODEL.to_owned(),
         records: false,
@@ -376,9 +396,14 @@
         "pool/fleet",
         json!({"pool": {"kind": kind, "checks_fencing": true}}),
     );
-    for i in 0..count {
+    setup.put(
+        &format!("domain/{ELSEWHERE}"),
+        json!({"domain": {"region": "vestland", "slots": 6}}),
+    );
+    for i in 0..case.engines + case.elsewhere {
         let address = engine.address();
-        let spec = json!({"pool": "fleet", "domain": DOMAIN, "address": address});
+        let domain = if i < case.engines { DOMAIN } else { ELSEWHERE };
+        let spec = json!({"pool": "fleet", "domain": domain, "address": address});
         setup.put(&format!("upstream/fleet-{i}"), json!({"upstream": spec}));
     }
     Ok(engine)
@@ -400,7 +425,7 @@
 
 fn print_head() {
     println!(
-        "| instances | objects | engines | changes a second | requests a second | processor, % of a core | busiest | until the window, ms | resident, MB | largest | peers, bytes a second | platform, bytes a second | most | reads a second, fleet | writes a second, fleet |"
+        "| instances | objects | engines here + elsewhere | changes a second | requests a second | processor, % of a core | busiest | until the window, ms | resident, MB | largest | peers, bytes a second | platform, bytes a second | most | reads a second, fleet | writes a second, fleet |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
 }
@@ -408,10 +433,11 @@
 fn print_cost(cost: &Cost) {
     let case = cost.case;
     println!(
-        "| {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.0} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.2} | {:.2} |",
+        "| {} | {} | {} + {} | {} | {} | {:.2} | {:.2} | {:.0} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.2} | {:.2} |",
         case.instances,
         case.objects,
         case.engines,
+        case.elsewhere,
         case.changes,
         case.requests,
         cost.processor,
--- a/crates/router/examples/load/drive.rs
+++ b/crates/router/examples/load/drive.rs
@@ -110,7 +110,7 @@
                 self.ask_engine(&arrival, &prompt).await
             }
         };
-        let tokens = prompt.len() as u64 / 4 + self.mix.answer;
+        let tokens = arrival.tokens(&self.mix);
         let mut tally = self.tally.borrow_mut();
         tally.add(arrival.team, &prompt, tokens, &seen);
     }
--- a/crates/router/examples/load/main.rs
+++ b/crates/router/examples/load/main.rs
@@ -147,7 +147,7 @@
         for (policy, name) in POLICIES {
             let driver = drive(&mut plan, mix, policy)?;
             let tally = driver.tally.borrow();
-            tally.print(name, &mix, plan.length, team_rate);
+            tally.print(name, &due(&mix, &plan));
         }
     }
     Ok(())
@@ -158,6 +158,30 @@
     mix.demand(team) * 3 / 2
 }
 
+/// Returns the tokens that one ideal bucket would admit for each team.
+fn due(mix: &Mix, plan: &Plan) -> Vec<u64> {
+    let arrivals = arrivals(mix, plan.seed, plan.length);
+    let one = |team| {
+        let rate = team_rate(mix, team) as f64;
+        let burst = rate * BURST_SECONDS as f64;
+        let mut level = burst;
+        let mut last = Duration::ZERO;
+        let mut due = 0;
+        for arrival in arrivals.iter().filter(|arrival| arrival.team == team) {
+            let minted = rate * arrival.at.saturating_sub(last).as_secs_f64();
+            level = burst.min(level + minted);
+            last = arrival.at;
+            let tokens = arrival.tokens(mix);
+            if level >= tokens as f64 {
+                level -= tokens as f64;
+                due += tokens;
+            }
+        }
+        due
+    };
+    (0..TEAM_PERCENT.len()).map(one).collect()
+}
+
 fn drive(plan: &mut Plan, mix: Mix, policy: Policy) -> io::Result<Rc<Driver>> {
     let engine = EngineOptions {
         token_delay: TOKEN_DELAY,
--- a/crates/router/examples/load/mix.rs
+++ b/crates/router/examples/load/mix.rs
@@ -114,6 +114,16 @@
 }
 
 impl Arrival {
+    /// Returns the tokens that the request asks for.
+    pub fn tokens(&self, mix: &Mix) -> u64 {
+        let blocks = mix.blocks.iter().sum::<usize>() * BLOCK_TOKENS;
+        let question = match self.question {
+            Some(_) => BLOCK_TOKENS,
+            None => BLOCK_TOKENS / 3,
+        };
+        (blocks + question) as u64 + mix.answer
+    }
+
     /// Returns the text of the prompt.
     pub fn prompt(&self, mix: &Mix) -> String {
         let mut text = String::new();
--- a/crates/router/examples/load/tally.rs
+++ b/crates/router/examples/load/tally.rs
@@ -11,7 +11,6 @@
 use serde_json::Value;
 
 use crate::mix::FLOODING_TEAM;
-use crate::mix::Mix;
 use crate::mix::TEAM_PERCENT;
 use crate::support::caller::Streamed;
 use crate::support::setup::BLOCK_TOKENS;
@@ -27,7 +26,6 @@
     cached: u64,
     unavoidable: u64,
     seen: HashSet<u64>,
-    offered: [u64; TEAM_PERCENT.len()],
     served: [u64; TEAM_PERCENT.len()],
     requests: u64,
     within: u64,
@@ -46,7 +44,6 @@
             cached: 0,
             unavoidable: 0,
             seen: HashSet::new(),
-            offered: [0; TEAM_PERCENT.len()],
             served: [0; TEAM_PERCENT.len()],
             requests: 0,
             within: 0,
@@ -58,7 +55,6 @@
     /// Adds what came of a request for `tokens` tokens.
     pub fn add(&mut self, team: usize, prompt: &str, tokens: u64, seen: &Streamed) {
         self.requests += 1;
-        self.offered[team] += tokens;
         let is_within = team != FLOODING_TEAM;
         self.within += u64::from(is_within);
         if !seen.complete {
@@ -90,8 +86,8 @@
         self.cached += cached.as_u64().unwrap_or(0);
     }
 
-    /// Prints the row of a table.
-    pub fn print(&self, name: &str, mix: &Mix, length: Duration, rate: fn(&Mix, usize) -> u64) {
+    /// Prints the row of a table; `due` is what each team was to be served.
+    pub fn print(&self, name: &str, due: &[u64]) {
         let quantile = |h: &Histogram<u64>, q| h.value_at_quantile(q) / 1_000;
         let failed: Vec<String> = self
             .failed
@@ -107,21 +103,16 @@
             quantile(&self.first, 0.99),
             quantile(&self.gaps, 0.95),
             (self.prompt - self.cached) as f64 / self.unavoidable.max(1) as f64,
-            self.worst_share(mix, length, rate) * 100.0,
+            self.worst_share(due) * 100.0,
             self.refused_within,
             self.within,
             failed.join(", "),
         );
     }
 
-    /// Returns the least that a team was served of the smaller of its demand
-    /// and its rate over the run.
-    fn worst_share(&self, mix: &Mix, length: Duration, rate: fn(&Mix, usize) -> u64) -> f64 {
-        let shares = (0..TEAM_PERCENT.len()).map(|team| {
-            let allowed = rate(mix, team) * length.as_secs();
-            let due = self.offered[team].min(allowed).max(1);
-            self.served[team] as f64 / due as f64
-        });
+    fn worst_share(&self, due: &[u64]) -> f64 {
+        let shares = self.served.iter().zip(due);
+        let shares = shares.map(|(served, due)| *served as f64 / (*due).max(1) as f64);
         shares.fold(1.0, f64::min)
     }
 }
