Run the two fleets of the limits tests one after the other

Cause: in one full run a daemon could not start, "Address already in use", and two others were "replaced by another incarnation": the harness picks free ports and releases them, so the other test's daemons, of the same names, took them.

Ruled out: a fault of the limits; the daemon ended before it served.

Change: a lock lets one fleet be up at a time. The race with other processes on the machine stays, since it lies in the harness.

--- a/crates/router/tests/limits.rs
+++ b/crates/router/tests/limits.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -17,6 +18,10 @@
 use support::FleetOptions;
 use support::Team;
 
+/// Held by the run whose fleet is up. Ports of stopped daemons are free for a
+/// while, and a daemon of another fleet that took one would mix the two.
+static FLEET: Mutex<()> = Mutex::new(());
+
 /// The longest answer that a caller asks for, in tokens.
 const ANSWER: u64 = 40;
 
@@ -153,6 +158,7 @@
 
 #[test]
 fn verify_bound_under_faults() {
+    let _alone = FLEET.lock().unwrap_or_else(PoisonError::into_inner);
     let mut fleet = Fleet::start(&FleetOptions {
         daemons: vec!["a", "a", "a", "b", "b", "b", "c", "c", "c"],
         engines: vec!["a", "b", "c"],
@@ -228,6 +234,7 @@
 fn verify_thawed_owners_spend_nothing() {
     const RATE: u64 = 200;
     const BURST: u64 = 1_000;
+    let _alone = FLEET.lock().unwrap_or_else(PoisonError::into_inner);
     let fleet = Fleet::start(&FleetOptions {
         daemons: vec!["a", "a", "a"],
         engines: vec!["a"],
