Give orders without waiting, and count them for as long as they may run

Cause, found by the history of orders: an engine that already had the state a new holder asks for, by the last holder's order, counted as done with the new order while that one still ran, and three loads went on at once. Found by reading: an engine that never answers an order held up the renewal of the lease; the holder asked each of 247 engines each second. Found by the tests of a roll-out: the stand-in reported no load in progress; and a request tried engines that had just refused it before engines with other weights, until its attempts ran out. Ruled out for the last: the retry budget and the pace of orders; the failure stayed with both changed and went with the order of the tries. Change: while an order of the last holder may still act, a load counts for its longest time; orders go out at the same time, with a timeout; settled engines are read every fourth round; engines report loads; an upstream that refuses is avoided; failed upstreams are tried again last. limpetctl writes the presets under the name that instances take (presets/current; it wrote presets/presets, which none took).

--- a/crates/core/src/orders/planner.rs
+++ b/crates/core/src/orders/planner.rs
@@ -1,6 +1,7 @@
 //! The choice of the next orders.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -118,11 +119,16 @@
     Unknown,
 }
 
+/// The number of the first holder, which has no predecessor.
+const FIRST: FencingNumber = FencingNumber(1);
+
 #[derive(Clone, Debug)]
 struct Outstanding {
     number: u64,
     order: Order,
     given: Time,
+    /// Whether an order of the last holder may still change the engine.
+    is_contested: bool,
     accepted: Option<Acceptance>,
 }
 
@@ -208,6 +214,7 @@
             number: self.last_number,
             order: order.clone(),
             given: now,
+            is_contested: tenure.fencing > FIRST && now < tenure.since + self.options.order_life(),
             accepted: None,
         };
         self.outstanding
@@ -251,7 +258,8 @@
         self.outstanding.retain(|upstream, o| {
             let view = engines.iter().find(|e| e.upstream == *upstream);
             let report = view.and_then(|e| e.report.as_ref());
-            let ended = report.is_some_and(|r| has_ended(o, r));
+            let execution = self.options.order_execution;
+            let ended = report.is_some_and(|r| has_ended(o, r, execution));
             !ended && now.since(o.given) < life
         });
     }
@@ -279,11 +287,18 @@
 
 /// An order that was not accepted yet may still reach the engine, whatever the
 /// engine reports meanwhile.
-fn has_ended(outstanding: &Outstanding, report: &EngineReport) -> bool {
+///
+/// While an order of the last holder may still change the engine, the state that
+/// this order asks for may have come from that one: the order then counts for as
+/// long as it may take, even if the engine reports no load.
+fn has_ended(outstanding: &Outstanding, report: &EngineReport, execution: Duration) -> bool {
     let Some(accepted) = outstanding.accepted.filter(|a| report.taken > a.learned) else {
         return false;
     };
     let restarted = report.incarnation != accepted.incarnation;
+    if outstanding.is_contested && report.taken.since(accepted.learned) < execution {
+        return restarted;
+    }
     let done = match &outstanding.order {
         Order::Load { model, weights } => {
             report.model == *model && report.weights == *weights && !report.loading
--- a/crates/core/tests/orders.rs
+++ b/crates/core/tests/orders.rs
@@ -199,22 +199,40 @@
     assert_eq!(orders.len(), next);
 }
 
+/// An order given at the tenure's age `age`; times in milliseconds from there.
 #[parameterized(
-    not_accepted = { None, 21_000, 2, 1 },
-    report_from_before = { Some(21_500), 21_000, 2, 1 },
-    loaded = { Some(20_500), 21_000, 2, 0 },
-    still_loading = { Some(20_500), 21_000, 1, 1 },
+    not_accepted = { 15_000, None, 1_000, 2, 1 },
+    report_from_before = { 15_000, Some(1_500), 1_000, 2, 1 },
+    loaded = { 15_000, Some(500), 1_000, 2, 0 },
+    still_loading = { 15_000, Some(500), 1_000, 1, 1 },
+    perhaps_by_the_last_holder = { 5_000, Some(500), 1_000, 2, 1 },
+    after_the_longest_load = { 5_000, Some(500), 10_500, 2, 0 },
 )]
-fn verify_end_of_load(accepted: Option<u64>, taken: u64, weights: u64, outstanding: usize) {
+fn verify_end_of_load(
+    age: u64,
+    accepted: Option<u64>,
+    taken: u64,
+    weights: u64,
+    outstanding: usize,
+) {
+    let given = TENURE.since + Duration::from_millis(age);
+    let at = |millis| given + Duration::from_millis(millis);
+    let tenure = Tenure {
+        until: at(60_000),
+        ..TENURE
+    };
     let mut planner = OrderPlanner::new(OrderOptions::default());
-    let orders = planner.plan(Some(TENURE), &[view("a", true, 1, Role::Both)], at(20_000));
+    let mut engine = view("a", true, 1, Role::Both);
+    engine.report.as_mut().unwrap().taken = given;
+    let orders = planner.plan(Some(tenure), &[engine.clone()], given);
     if let Some(now) = accepted {
         let answer = OrderAnswer::Accepted(Incarnation(1));
         planner.on_answer(&orders[0], answer, at(now));
     }
-    let mut engine = view("a", true, weights, Role::Both);
-    engine.report.as_mut().unwrap().taken = at(taken);
-    planner.plan(Some(TENURE), &[engine], at(22_000));
+    let report = engine.report.as_mut().unwrap();
+    report.weights = WeightsVersion(weights);
+    report.taken = at(taken);
+    planner.plan(Some(tenure), &[engine], at(taken + 1_000));
     assert_eq!(planner.outstanding_loads(), outstanding);
 }
 
--- a/crates/core/tests/orders_history.rs
+++ b/crates/core/tests/orders_history.rs
@@ -311,3 +311,32 @@
         prop_assert!(world.engines.values().all(|e| e.weights == desired));
     }
 }
+
+/// The engine has the state that the new holder asks for from the last holder's
+/// order, so that the new order must not count as carried out by that.
+#[test]
+fn verify_an_inherited_state_ends_no_order() {
+    let schedule = [
+        Op::Run(1, Fate::Delivered),
+        Op::Run(1, Fate::Delivered),
+        Op::Run(0, Fate::Delivered),
+        Op::Send(1, 0),
+        Op::Advance(Duration::from_secs(8)),
+        Op::Run(0, Fate::AnsweredLate),
+        Op::Run(0, Fate::Delivered),
+        Op::Advance(Duration::from_millis(244)),
+        Op::Advance(Duration::from_millis(756)),
+        Op::Send(0, 61),
+    ];
+    let settle = (0..SETTLE_STEPS).flat_map(|_| {
+        [
+            Op::Run(0, Fate::Delivered),
+            Op::Send(0, 10),
+            Op::Advance(Duration::from_secs(1)),
+        ]
+    });
+    let mut world = World::new();
+    for op in schedule.into_iter().chain(settle) {
+        world.apply(op).expect("orders come from one place");
+    }
+}
--- a/crates/ctl/src/commands/presets.rs
+++ b/crates/ctl/src/commands/presets.rs
@@ -7,6 +7,7 @@
 use limpetsaddle_core::config::Preset;
 use limpetsaddle_core::config::PresetsSpec;
 use limpetsaddle_core::config::Spec;
+use limpetsaddle_core::store::PRESETS_NAME;
 use limpetsaddle_core::units::Revision;
 use limpetsaddle_platform::Platform;
 
@@ -15,9 +16,6 @@
 use crate::error::Result;
 use crate::report::Report;
 
-/// The name of the one object that holds the presets.
-const PRESETS_NAME: &str = "presets";
-
 fn presets_id() -> Result<ObjectId> {
     let name = PRESETS_NAME.parse();
     let name = name.map_err(|e: limpetsaddle_core::Error| Error::invalid(&PRESETS_NAME, e))?;
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -16,9 +16,9 @@
 use crate::support::block_on;
 use crate::support::serve;
 
-const PEAK: &str = r#"{"id":"presets/presets","revision":8,"spec":{"presets":{"active":"peak"}}}"#;
+const PEAK: &str = r#"{"id":"presets/current","revision":8,"spec":{"presets":{"active":"peak"}}}"#;
 const MAINTENANCE: &str =
-    r#"{"id":"presets/presets","revision":9,"spec":{"presets":{"active":"maintenance"}}}"#;
+    r#"{"id":"presets/current","revision":9,"spec":{"presets":{"active":"maintenance"}}}"#;
 const RETIRED: &str = r#"{"id":"team/yard","revision":4,"spec":null}"#;
 const TEAM: &str = r#"{"id":"team/yard","revision":7,"spec":{"team":{
     "rate":100,"burst":1000,"weight":1,"allotments":[
--- a/crates/fakes/src/engine/serving.rs
+++ b/crates/fakes/src/engine/serving.rs
@@ -46,6 +46,7 @@
     waiting: usize,
     queued_tokens: u64,
     role: Role,
+    loading: bool,
 }
 
 /// The body of an order.
@@ -142,6 +143,7 @@
         waiting: engine.schedule.waiting(),
         queued_tokens: engine.schedule.queued_tokens(),
         role: engine.role,
+        loading: engine.is_loading(),
     };
     engine.report = Some(Report {
         made_at: Instant::now(),
--- a/crates/router/src/controllers/orders.rs
+++ b/crates/router/src/controllers/orders.rs
@@ -44,6 +44,12 @@
 /// The time between two rounds.
 const PERIOD: Duration = Duration::from_secs(1);
 
+/// The rounds between two readings of engines that are all as desired.
+const SETTLED_ROUNDS: u32 = 4;
+
+/// The longest wait for an engine's answer to an order.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The longest answer of an engine in bytes.
 const MAX_ANSWER_BYTES: usize = 4_096;
 
@@ -57,8 +63,14 @@
     keeper: LeaseKeeper,
     planner: OrderPlanner,
     holds: bool,
+    round: u32,
+    is_settled: bool,
+    seen: Vec<Wish>,
 }
 
+/// A `Wish` is what an engine is to hold, for a comparison with the last round.
+type Wish = (UpstreamName, DesiredEngine);
+
 /// A `Target` is an engine of this failure domain.
 struct Target {
     name: UpstreamName,
@@ -67,6 +79,12 @@
     desired: DesiredEngine,
 }
 
+impl Target {
+    fn wish(&self) -> Wish {
+        (self.name.clone(), self.desired.clone())
+    }
+}
+
 /// A `Report` is an engine's answer to `GET /load`, as far as orders need it.
 #[derive(Debug, Deserialize)]
 struct Report {
@@ -109,6 +127,9 @@
         keeper: LeaseKeeper::new(holder, options),
         planner: OrderPlanner::new(options),
         holds: false,
+        round: 0,
+        is_settled: false,
+        seen: Vec::new(),
         instance,
     };
     while stopping.pause(jittered(&giver.instance, PERIOD)).await {
@@ -147,28 +168,50 @@
 
     async fn give_orders(&mut self) {
         let instance = Rc::clone(&self.instance);
-        let targets = match self.keeper.tenure(instance.now()) {
-            Some(_) => targets(&instance),
-            None => Vec::new(),
-        };
+        if self.keeper.tenure(instance.now()).is_none() {
+            self.planner.plan(None, &[], instance.now());
+            return;
+        }
+        let targets = targets(&instance);
+        if !self.is_due(&targets) {
+            return;
+        }
         let views = views(&instance, &targets).await;
+        self.is_settled = views.iter().all(is_as_desired);
+        self.seen = targets.iter().map(Target::wish).collect();
         // The tenure may have ended while the reports were on their way.
         let now = instance.now();
         let orders = self.planner.plan(self.keeper.tenure(now), &views, now);
         let addresses: BTreeMap<&UpstreamName, SocketAddr> =
             targets.iter().map(|t| (&t.name, t.address)).collect();
-        for order in orders {
-            let Some(address) = addresses.get(&order.upstream) else {
-                continue;
-            };
+        let sends = orders.iter().map(|order| {
             instance.metrics.count(Event::OrderGiven);
-            let answer = send(&instance, &order, *address).await;
+            send(&instance, order, addresses.get(&order.upstream).copied())
+        });
+        let answers = futures::future::join_all(sends).await;
+        for (order, answer) in orders.iter().zip(answers) {
             if answer == OrderAnswer::Fenced {
                 self.keeper.outrun(order.fencing);
             }
-            self.planner.on_answer(&order, answer, instance.now());
+            self.planner.on_answer(order, answer, instance.now());
         }
     }
+
+    /// Returns whether engines are to be asked in this round: seldom while all
+    /// are as desired, and at once when something else is desired.
+    fn is_due(&mut self, targets: &[Target]) -> bool {
+        self.round = self.round.wrapping_add(1);
+        let same = targets
+            .iter()
+            .map(Target::wish)
+            .eq(self.seen.iter().cloned());
+        !self.is_settled || !same || self.round.is_multiple_of(SETTLED_ROUNDS)
+    }
+}
+
+fn is_as_desired(view: &EngineView) -> bool {
+    let report = view.report.as_ref();
+    report.is_some_and(|r| r.weights == view.desired.weights && r.model == view.desired.model)
 }
 
 /// Returns the engines that this failure domain's holder gives orders to.
@@ -247,7 +290,16 @@
     Some(req)
 }
 
-async fn send(instance: &Instance, order: &GiveOrder, address: SocketAddr) -> OrderAnswer {
+async fn send(instance: &Instance, order: &GiveOrder, address: Option<SocketAddr>) -> OrderAnswer {
+    let Some(address) = address else {
+        return OrderAnswer::NotSent;
+    };
+    let sent = monoio::time::timeout(SEND_TIMEOUT, give(instance, order, address));
+    // An engine that does not answer must not hold up the renewal of the lease.
+    sent.await.unwrap_or(OrderAnswer::Unknown)
+}
+
+async fn give(instance: &Instance, order: &GiveOrder, address: SocketAddr) -> OrderAnswer {
     let body = crate::answers::json(&OrderBody {
         fencing: order.fencing,
         order: &order.order,
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -208,14 +208,14 @@
             _ => vec![self.scope.weights],
         };
         let mut refusal = Refusal::not_run(Reason::NoUpstream);
-        for weights in versions {
-            self.set_weights(weights);
-            // Where no other upstream is there, one that failed is tried again.
-            for exclude in [failed, &[]] {
+        // Where no other upstream is there, one that failed is tried again.
+        for exclude in [failed, &[]] {
+            for weights in &versions {
+                self.set_weights(*weights);
                 let wanted = Wanted {
                     pool: &self.pool,
                     chain: &self.chain,
-                    weights: Some(weights),
+                    weights: Some(*weights),
                     exclude,
                 };
                 let team = Some(&self.caller.team);
--- a/crates/router/src/serve/forward.rs
+++ b/crates/router/src/serve/forward.rs
@@ -97,8 +97,10 @@
 /// Returns what a failed attempt says of the upstream's health.
 pub const fn end_of(failure: Failure) -> End {
     match failure {
-        Failure::TimedOutBeforeAnswer => End::TimedOut,
-        Failure::RefusedNotRun | Failure::BadAnswer => End::Cancelled,
+        // An upstream that refuses, for example while it loads weights, is
+        // avoided while there are others, just as one that is slow.
+        Failure::TimedOutBeforeAnswer | Failure::RefusedNotRun => End::TimedOut,
+        Failure::BadAnswer => End::Cancelled,
         Failure::ConnectFailed | Failure::ResetBeforeAnswer | Failure::BrokeMidStream => {
             End::Unreachable
         }
