Find free ports without binding them

Cause: one run of all checks failed as a daemon found its port in use. The harness bound each port to see whether it was free; a child process that another thread was starting at that moment kept the socket until it had begun its program. Change: the harness tries to connect instead. Checked: the tests of stops, restarts and configuration pass.

--- a/crates/router/tests/support/daemon.rs
+++ b/crates/router/tests/support/daemon.rs
@@ -5,7 +5,7 @@
 use std::io::Seek as _;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
+use std::net::TcpStream;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
@@ -69,7 +69,9 @@
         let port = PORTS.start + offset % (PORTS.end - PORTS.start);
         let port = u16::try_from(port).expect("the ports fit");
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(address).is_ok() {
+        // A socket bound here could live on in a child process that another
+        // thread is just starting, so the port is tried by connecting.
+        if TcpStream::connect(address).is_err() {
             return address;
         }
     }
