--- a/crates/router/src/controllers/orders.rs
+++ b/crates/router/src/controllers/orders.rs
@@ -69,7 +69,11 @@
 }
 
 /// A `Wish` is what an engine is to hold, for a comparison with the last round.
-type Wish = (UpstreamName, DesiredEngine);
+#[derive(Eq, PartialEq)]
+struct Wish {
+    upstream: UpstreamName,
+    desired: DesiredEngine,
+}
 
 /// A `Target` is an engine of this failure domain.
 struct Target {
@@ -81,7 +85,10 @@
 
 impl Target {
     fn wish(&self) -> Wish {
-        (self.name.clone(), self.desired.clone())
+        Wish {
+            upstream: self.name.clone(),
+            desired: self.desired.clone(),
+        }
     }
 }
 
@@ -201,10 +208,8 @@
     /// are as desired, and at once when something else is desired.
     fn is_due(&mut self, targets: &[Target]) -> bool {
         self.round = self.round.wrapping_add(1);
-        let same = targets
-            .iter()
-            .map(Target::wish)
-            .eq(self.seen.iter().cloned());
+        let wishes: Vec<Wish> = targets.iter().map(Target::wish).collect();
+        let same = wishes == self.seen;
         !self.is_settled || !same || self.round.is_multiple_of(SETTLED_ROUNDS)
     }
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -7,25 +7,16 @@
 mod attempt;
 mod claimed;
 mod completions;
+mod exchange;
 mod forward;
 mod placing;
 mod services;
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use futures::FutureExt as _;
-use http::HeaderMap;
-use http::HeaderName;
-use http::HeaderValue;
 use http::Method;
-use http::Response;
-use http::StatusCode;
 use http::Uri;
-use limpetsaddle_core::keys::authenticate;
-use limpetsaddle_core::keys::presented_key;
-use limpetsaddle_core::names::KeyId;
-use limpetsaddle_core::names::TeamName;
 use limpetsaddle_core::refusal::Reason;
 use limpetsaddle_core::refusal::Refusal;
 use limpetsaddle_http::Connection;
@@ -40,38 +31,13 @@
 use crate::metrics::Event;
 
 pub use self::admission::send as send_grant;
+pub use self::exchange::Caller;
+pub use self::exchange::Exchange;
 
 /// The time that an open connection gets for one more request once the
 /// instance takes no new connections.
 pub const LAST_REQUEST: std::time::Duration = std::time::Duration::from_secs(1);
 
-/// A `Caller` is who sent a request.
-#[derive(Clone, Debug)]
-pub struct Caller {
-    /// The team that the key belongs to.
-    pub team: TeamName,
-    /// The key.
-    pub key_id: KeyId,
-}
-
-/// An `Exchange` is one request with the connection that waits for its answer.
-pub struct Exchange<'a> {
-    /// The instance that serves.
-    pub instance: &'a Rc<Instance>,
-    /// The caller's connection.
-    pub conn: &'a mut Connection,
-    /// The request's id.
-    pub id: Rc<str>,
-    /// The caller's request.
-    pub req: Request,
-    /// Whether a part of the answer has been sent.
-    pub started: bool,
-    /// The caller's own id of the request, which is given back with the answer.
-    pub client_id: Option<HeaderValue>,
-    /// Whether the connection must be closed, as the answer is incomplete.
-    pub abandoned: bool,
-}
-
 /// Serves the requests of one connection, one after the other.
 pub async fn serve_connection(instance: Rc<Instance>, mut conn: Connection) {
     while let Some(running) = begun(&instance, &mut conn).await {
@@ -159,7 +125,10 @@
     let path = exchange.req.uri().path().to_owned();
     let method = exchange.req.method().clone();
     match path.as_str() {
-        "/healthz" => return exchange.document(&Health { status: "ok" }).await,
+        "/healthz" => {
+            exchange.document(&Health { status: "ok" }).await;
+            return Ok(());
+        }
         "/readyz" => return readiness(exchange).await,
         _ => {}
     }
@@ -190,7 +159,8 @@
     if !exchange.instance.is_ready() {
         return Err(Refusal::not_run(Reason::NotReady));
     }
-    exchange.document(&Health { status: "ready" }).await
+    exchange.document(&Health { status: "ready" }).await;
+    Ok(())
 }
 
 #[derive(Serialize)]
@@ -230,67 +200,8 @@
             data: data.collect(),
         }
     };
-    exchange.document(&list).await
-}
-
-impl Exchange<'_> {
-    /// Returns the caller whose key came with the request.
-    ///
-    /// # Errors
-    ///
-    /// Refuses a request whose key is missing, unknown or withdrawn.
-    pub fn authenticate(&self) -> Result<Caller, Refusal> {
-        let key = self.key().map_err(Refusal::not_run)?;
-        let board = self.instance.board.borrow();
-        let (team, key_id) = authenticate(&board.store, key).map_err(Refusal::not_run)?;
-        Ok(Caller { team, key_id })
-    }
-
-    /// Returns the key that came with the request.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason when there is no single well-formed key.
-    pub fn key(&self) -> Result<&[u8], Reason> {
-        let headers = self.req.headers().iter();
-        presented_key(headers.map(|(name, value)| (name.as_str(), value.as_bytes())))
-    }
-
-    /// Answers with a JSON document.
-    async fn document<T: Serialize>(&mut self, value: &T) -> Result<(), Refusal> {
-        let res = answers::document(StatusCode::OK, answers::json(value));
-        self.respond(res).await;
-        Ok(())
-    }
-
-    /// Names the request in the head of an answer, by the id of this instance
-    /// and by the caller's own.
-    pub fn identify(&self, headers: &mut HeaderMap) {
-        let name = HeaderName::from_static(answers::REQUEST_ID_HEADER);
-        forward::set_header(headers, name, &self.id);
-        if let Some(id) = &self.client_id {
-            headers.insert(answers::CLIENT_REQUEST_ID_HEADER, id.clone());
-        }
-    }
-
-    /// Sends a whole answer. A caller that has left needs none.
-    pub async fn respond(&mut self, mut res: Response<Bytes>) {
-        self.identify(res.headers_mut());
-        if self.conn.respond(res).await.is_err() {
-            self.instance.metrics.count(Event::CallerLeft);
-        }
-    }
-
-    /// Ends a started stream with an error event, so that it cannot be taken
-    /// for a complete one.
-    async fn end_with_error(&mut self, refusal: &Refusal) -> bool {
-        let body = answers::refusal_body(refusal, &self.id);
-        let mut event = Vec::with_capacity(body.len() + 16);
-        event.extend_from_slice(b"data: ");
-        event.extend_from_slice(&body);
-        event.extend_from_slice(b"\n\n");
-        self.conn.send(event.into()).await.is_ok() && self.conn.finish().await.is_ok()
-    }
+    exchange.document(&list).await;
+    Ok(())
 }
 
 /// Returns the path and query of a URI as they go to an upstream.
