Let one loop serve the stand-ins' connections, and one call read reports

Cause: a read-through of the whole change found the same connection loop in three stand-ins, the same GET request in two controllers, and a counted event that nothing counts. Change: control::attend serves the platform, the engines and the service; orders read reports by the call that load reports use; ConfigStale is gone. No behaviour changes, but that the giver of orders no longer sends a content type with a GET request.

--- a/crates/fakes/src/engine/serving.rs
+++ b/crates/fakes/src/engine/serving.rs
@@ -25,6 +25,7 @@
 use crate::answers::pause;
 use crate::answers::query_number;
 use crate::answers::stream_head;
+use crate::control;
 use crate::control::control;
 use crate::host::POLL;
 use crate::host::Shared;
@@ -66,20 +67,8 @@
     Role(Role),
 }
 
-pub async fn attend(mut connection: Connection, shared: Shared<Engine>) {
-    while let Ok(Some(req)) = connection.next_request().await {
-        let controlled = control_call(&req, &mut shared.lock());
-        let res = match controlled {
-            Some(res) => Some(res),
-            None => serve_call(&req, &mut connection, &shared).await,
-        };
-        let Some(res) = res else {
-            return;
-        };
-        if connection.respond(res).await.is_err() {
-            return;
-        }
-    }
+pub async fn attend(connection: Connection, shared: Shared<Engine>) {
+    control::attend(connection, shared, control_call, serve_call).await;
 }
 
 fn control_call(req: &Request, engine: &mut Engine) -> Option<Answer> {
--- a/crates/fakes/src/platform/calls.rs
+++ b/crates/fakes/src/platform/calls.rs
@@ -22,25 +22,14 @@
 use crate::answers::hang;
 use crate::answers::json;
 use crate::answers::query_number;
+use crate::control;
 use crate::control::control;
 use crate::control::replace;
 use crate::host::Shared;
 
 /// Serves the calls of one connection.
-pub async fn attend(mut connection: Connection, shared: Shared<Platform>) {
-    while let Ok(Some(req)) = connection.next_request().await {
-        let controlled = control_call(&req, &mut shared.lock());
-        let res = match controlled {
-            Some(res) => Some(res),
-            None => serve_call(&req, &mut connection, &shared).await,
-        };
-        let Some(res) = res else {
-            return;
-        };
-        if connection.respond(res).await.is_err() {
-            return;
-        }
-    }
+pub async fn attend(connection: Connection, shared: Shared<Platform>) {
+    control::attend(connection, shared, control_call, serve_call).await;
 }
 
 fn control_call(req: &Request, platform: &mut Platform) -> Option<Answer> {
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -13,6 +13,7 @@
 use crate::answers::hang;
 use crate::answers::json;
 use crate::answers::not_run;
+use crate::control;
 use crate::control::control;
 use crate::host::Fake;
 use crate::host::Shared;
@@ -114,20 +115,12 @@
     req.headers().iter().map(line).collect()
 }
 
-async fn attend(mut connection: Connection, shared: Shared<Service>) {
-    while let Ok(Some(req)) = connection.next_request().await {
-        let controlled = control(&req, &mut *shared.lock(), |service| &mut service.fault);
-        let res = match controlled {
-            Some(res) => res,
-            None => match run(&req, &mut connection, &shared).await {
-                Some(res) => res,
-                None => return,
-            },
-        };
-        if connection.respond(res).await.is_err() {
-            return;
-        }
-    }
+async fn attend(connection: Connection, shared: Shared<Service>) {
+    control::attend(connection, shared, control_call, run).await;
+}
+
+fn control_call(req: &Request, service: &mut Service) -> Option<crate::answers::Answer> {
+    control(req, service, |service| &mut service.fault)
 }
 
 async fn run(
--- a/crates/router/src/controllers/loads.rs
+++ b/crates/router/src/controllers/loads.rs
@@ -111,7 +111,9 @@
     board.upstreams.report(id, load, Some(identity), sent, now);
 }
 
-async fn fetch(instance: &Instance, address: SocketAddr, path: &'static str) -> Option<Bytes> {
+/// Returns the body of an upstream's short answer to a GET request, or `None`
+/// when none came.
+pub async fn fetch(instance: &Instance, address: SocketAddr, path: &'static str) -> Option<Bytes> {
     let mut req = Request::new(Bytes::new());
     *req.uri_mut() = http::Uri::from_static(path);
     let host = address.to_string().parse().ok()?;
--- a/crates/router/src/controllers/orders.rs
+++ b/crates/router/src/controllers/orders.rs
@@ -37,6 +37,7 @@
 use serde::Serialize;
 
 use super::exchange::jittered;
+use super::loads::fetch;
 use crate::instance::Instance;
 use crate::metrics::Event;
 use crate::shutdown::Stopping;
@@ -273,21 +274,14 @@
 }
 
 async fn report(instance: &Instance, address: SocketAddr) -> Option<Report> {
-    let req = request(address, Method::GET, "/load", Bytes::new())?;
-    let res = instance.upstream.send(address, req).await.ok()?;
-    let body = res.collect(MAX_ANSWER_BYTES).await.ok()?;
+    let body = fetch(instance, address, "/load").await?;
     serde_json::from_slice(&body).ok()
 }
 
-fn request(
-    address: SocketAddr,
-    method: Method,
-    path: &'static str,
-    body: Bytes,
-) -> Option<Request> {
+fn request(address: SocketAddr, body: Bytes) -> Option<Request> {
     let mut req = Request::new(body);
-    *req.method_mut() = method;
-    *req.uri_mut() = http::Uri::from_static(path);
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = http::Uri::from_static("/orders");
     let headers = req.headers_mut();
     headers.insert(header::HOST, address.to_string().parse().ok()?);
     let json = header::HeaderValue::from_static("application/json");
@@ -309,7 +303,7 @@
         fencing: order.fencing,
         order: &order.order,
     });
-    let Some(req) = request(address, Method::POST, "/orders", body) else {
+    let Some(req) = request(address, body) else {
         return OrderAnswer::NotSent;
     };
     // A process that was paused must not send what another holder has replaced.
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -44,8 +44,6 @@
     ConfigTaken,
     /// An invalid configuration object was left out.
     ConfigInvalid,
-    /// An older revision of a configuration object was ignored.
-    ConfigStale,
     /// A connection with the platform's watch was opened.
     WatchOpened,
     /// A watch had left out a change, so that everything was read again.
@@ -83,7 +81,6 @@
             Self::TokenGap => "token_gap",
             Self::ConfigTaken => "config_taken",
             Self::ConfigInvalid => "config_invalid",
-            Self::ConfigStale => "config_stale",
             Self::WatchOpened => "watch_opened",
             Self::WatchGap => "watch_gap",
             Self::PlatformFailed => "platform_failed",
