--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::directory::CacheNews;
+
 /// The size up to which a beacon fits one datagram without fragments, in bytes.
 pub const MAX_BEACON_BYTES: usize = 1_400;
 
@@ -34,6 +36,19 @@
     pub waiting_tokens: u32,
     /// The tokens that running requests hold in memory.
     pub held_tokens: u32,
+    /// The requests that cannot be continued elsewhere.
+    pub fragile: u32,
+}
+
+/// A `ServiceUse` is what an instance sent to a service since its start.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceUse {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// The requests.
+    pub requests: u64,
+    /// The sends beyond the first of each request.
+    pub retries: u64,
 }
 
 /// A `WeightsNews` tells of an upstream's weights.
@@ -45,8 +60,9 @@
     pub born_ms: u64,
     /// The version of the weights.
     pub version: u64,
-    /// Whether the version is being loaded; requests are turned away meanwhile.
-    pub loading: bool,
+    /// The milliseconds for which the upstream is to get no requests, as it
+    /// loads the version or is about to.
+    pub away_ms: u32,
 }
 
 /// A `Beacon` is what one instance tells all others, several times a second.
@@ -65,6 +81,10 @@
     pub loads: Vec<UpstreamLoad>,
     /// The weights that changed lately.
     pub weights: Vec<WeightsNews>,
+    /// The use of services.
+    pub services: Vec<ServiceUse>,
+    /// The prompts that engines have read since the last beacon.
+    pub cached: Vec<CacheNews>,
 }
 
 /// A `BeaconError` tells why a datagram is not a beacon.
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -231,6 +231,11 @@
         self.services.get(name)
     }
 
+    /// Returns every service.
+    pub fn services(&self) -> impl Iterator<Item = &Rc<Service>> {
+        self.services.values()
+    }
+
     /// Returns the team that holds `key`.
     #[must_use]
     pub fn team_of(&self, key: &str) -> Option<&Rc<Team>> {
--- /dev/null
+++ b/crates/fleet/src/directory.rs
@@ -0,0 +1,156 @@
+//! Which engines hold which shared parts of prompts.
+//!
+//! Answers the load of long shared prompts: what one engine has read, others
+//! fetch instead of reading it again. Instances learn of parts from their own
+//! placements and from beacons. Engines drop the parts that were used least
+//! recently; that is followed by counting the tokens that came after.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use limpetsaddle_core::hash::stable_hash;
+use limpetsaddle_core::units::Time;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::prompt::CacheSalt;
+use crate::prompt::Prompt;
+
+/// The part of an engine's memory that cached parts keep beside running requests.
+const KEPT_PART: f64 = 0.7;
+
+/// The time after which a part that was not used is not looked for any more.
+const LONGEST_KEPT: Duration = Duration::from_secs(30);
+
+/// The number of keys from which old ones are removed.
+const PRUNE_FROM: usize = 8_192;
+
+/// A `ChainKey` stands for a part of a prompt together with all parts before it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct ChainKey(u64);
+
+/// A `Link` is one shared part of a prompt in its place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Link {
+    /// The part and all before it.
+    pub key: ChainKey,
+    /// The tokens of this part alone.
+    pub tokens: u64,
+}
+
+/// Returns the shared parts of a prompt under a salt.
+#[must_use]
+pub fn chain(prompt: &Prompt, salt: &CacheSalt) -> Vec<Link> {
+    let mut before = stable_hash(&[salt.as_str().as_bytes()]);
+    let link = |part: &crate::prompt::Part| {
+        before = stable_hash(&[&before.to_le_bytes(), part.id.as_bytes()]);
+        Link {
+            key: ChainKey(before),
+            tokens: part.tokens,
+        }
+    };
+    prompt.shared().iter().map(link).collect()
+}
+
+/// A `CacheNews` tells that an engine has read a prompt.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CacheNews {
+    /// The hash of the engine's id.
+    pub holder: u64,
+    /// The shared parts.
+    pub keys: Vec<ChainKey>,
+    /// The tokens that the engine took into memory.
+    pub new_tokens: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    holder: u64,
+    position: u64,
+    used: Time,
+}
+
+/// A `PrefixDirectory` knows which engines hold which parts.
+#[derive(Debug, Default)]
+pub struct PrefixDirectory {
+    marks: HashMap<ChainKey, Vec<Mark>>,
+    positions: HashMap<u64, u64>,
+    news: Vec<CacheNews>,
+}
+
+impl PrefixDirectory {
+    /// Records that an engine has read a prompt for this instance.
+    pub fn read(&mut self, news: CacheNews, now: Time) {
+        self.learn(&news, now);
+        self.news.push(news);
+    }
+
+    /// Takes what another instance tells.
+    pub fn learn(&mut self, news: &CacheNews, now: Time) {
+        let position = self.positions.entry(news.holder).or_default();
+        *position += u64::from(news.new_tokens);
+        let mark = Mark {
+            holder: news.holder,
+            position: *position,
+            used: now,
+        };
+        for key in &news.keys {
+            let marks = self.marks.entry(*key).or_default();
+            marks.retain(|m| m.holder != news.holder);
+            marks.push(mark);
+        }
+        if self.marks.len() > PRUNE_FROM {
+            self.prune(now);
+        }
+    }
+
+    /// Returns how many leading parts of a chain an engine holds.
+    #[must_use]
+    pub fn depth(&self, holder: u64, chain: &[Link], memory_tokens: u64, now: Time) -> usize {
+        let held = |link: &&Link| self.holds(holder, link.key, memory_tokens, now);
+        chain.iter().take_while(held).count()
+    }
+
+    /// Forgets everything about an engine that lost its memory.
+    pub fn forget(&mut self, holder: u64) {
+        for marks in self.marks.values_mut() {
+            marks.retain(|m| m.holder != holder);
+        }
+        self.positions.remove(&holder);
+    }
+
+    /// Returns what other instances have not been told yet.
+    pub fn take_news(&mut self) -> Vec<CacheNews> {
+        std::mem::take(&mut self.news)
+    }
+
+    fn holds(&self, holder: u64, key: ChainKey, memory_tokens: u64, now: Time) -> bool {
+        let marks = self.marks.get(&key);
+        let mark = marks.and_then(|marks| marks.iter().find(|m| m.holder == holder));
+        let Some(mark) = mark else {
+            return false;
+        };
+        let position = self.positions.get(&holder).copied().unwrap_or_default();
+        let since = position.saturating_sub(mark.position);
+        now.since(mark.used) < LONGEST_KEPT && since < kept_tokens(memory_tokens)
+    }
+
+    fn prune(&mut self, now: Time) {
+        let recent = |mark: &Mark| now.since(mark.used) < LONGEST_KEPT;
+        for marks in self.marks.values_mut() {
+            marks.retain(recent);
+        }
+        self.marks.retain(|_, marks| !marks.is_empty());
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "a part of a memory's size needs no exactness"
+)]
+fn kept_tokens(memory_tokens: u64) -> u64 {
+    (memory_tokens as f64 * KEPT_PART) as u64
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod beacon;
 pub mod configuration;
+pub mod directory;
 pub mod events;
 pub mod freshness;
 pub mod health;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -11,6 +11,7 @@
 use crate::beacon::Beacon;
 use crate::beacon::UpstreamLoad;
 use crate::limits::Attendance;
+use crate::retry_budget::RetryCount;
 
 /// The `PeerOptions` say when an instance counts as silent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -54,6 +55,7 @@
     sequence: u64,
     heard: Option<Time>,
     spent: HashMap<u64, u64>,
+    sent: HashMap<u64, RetryCount>,
     loads: HashMap<u64, UpstreamLoad>,
 }
 
@@ -66,6 +68,26 @@
     pub used: i64,
 }
 
+/// A `SendReport` is what a peer sent to a service since its last beacon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SendReport {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// The requests and retries.
+    pub count: RetryCount,
+}
+
+/// The `Reports` are what one beacon adds to the last.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Reports {
+    /// The use of limits.
+    pub used: Vec<UseReport>,
+    /// The use of services.
+    pub sent: Vec<SendReport>,
+    /// Whether the beacon is newer than all before it.
+    pub is_new: bool,
+}
+
 /// The `Peers` are the other instances of the fleet.
 #[derive(Debug)]
 pub struct Peers {
@@ -96,6 +118,7 @@
                 sequence: 0,
                 heard: None,
                 spent: HashMap::new(),
+                sent: HashMap::new(),
                 loads: HashMap::new(),
             };
             let mut peer = self.peers.remove(&registration.name).unwrap_or_else(fresh);
@@ -105,41 +128,33 @@
         self.peers = kept;
     }
 
-    /// Takes a beacon and returns what it tells of the use of limits.
+    /// Takes a beacon and returns what it adds to the last.
     ///
-    /// Beacons of unregistered instances and beacons that were overtaken tell
-    /// nothing.
-    pub fn hear(&mut self, beacon: &Beacon, now: Time) -> Vec<UseReport> {
+    /// Beacons of unregistered instances and beacons that were overtaken add
+    /// nothing. What a peer did before it was first heard of is not known to be
+    /// recent, and is left out.
+    pub fn hear(&mut self, beacon: &Beacon, now: Time) -> Reports {
         let Some(peer) = self.peers.get_mut(beacon.sender.as_str()) else {
-            return Vec::new();
+            return Reports::default();
         };
         let restarted = beacon.incarnation != peer.incarnation;
         if !restarted && beacon.sequence <= peer.sequence {
-            return Vec::new();
+            return Reports::default();
         }
+        let known = peer.heard.is_some();
         if restarted {
             peer.spent.clear();
+            peer.sent.clear();
         }
-        let known = peer.heard.is_some();
         peer.incarnation = beacon.incarnation;
         peer.sequence = beacon.sequence;
         peer.heard = Some(now);
         peer.loads = beacon.loads.iter().map(|l| (l.upstream, *l)).collect();
-        let mut reports = Vec::new();
-        for team in &beacon.teams {
-            let before = peer.spent.insert(team.team, team.spent);
-            // What a peer admitted before it was first heard of is not known to
-            // be recent.
-            let before = before.unwrap_or(if known { 0 } else { team.spent });
-            let used = team.spent.cast_signed() - before.cast_signed();
-            if used != 0 {
-                reports.push(UseReport {
-                    team: team.team,
-                    used,
-                });
-            }
+        Reports {
+            used: use_reports(peer, beacon, known),
+            sent: send_reports(peer, beacon, known),
+            is_new: true,
         }
-        reports
     }
 
     /// Returns the time between two beacons in a fleet of this size.
@@ -175,6 +190,7 @@
             requests: sum.requests + load.requests,
             waiting_tokens: sum.waiting_tokens.saturating_add(load.waiting_tokens),
             held_tokens: sum.held_tokens.saturating_add(load.held_tokens),
+            fragile: sum.fragile + load.fragile,
         })
     }
 
@@ -209,3 +225,39 @@
         peer.heard.is_some_and(|at| now.since(at) < limit)
     }
 }
+
+fn use_reports(peer: &mut Peer, beacon: &Beacon, known: bool) -> Vec<UseReport> {
+    let mut reports = Vec::new();
+    for team in &beacon.teams {
+        let before = peer.spent.insert(team.team, team.spent);
+        let before = before.unwrap_or(if known { 0 } else { team.spent });
+        let used = team.spent.cast_signed() - before.cast_signed();
+        if used != 0 {
+            reports.push(UseReport {
+                team: team.team,
+                used,
+            });
+        }
+    }
+    reports
+}
+
+fn send_reports(peer: &mut Peer, beacon: &Beacon, known: bool) -> Vec<SendReport> {
+    let mut reports = Vec::new();
+    for service in &beacon.services {
+        let total = RetryCount {
+            requests: service.requests,
+            retries: service.retries,
+        };
+        let before = peer.sent.insert(service.service, total);
+        let before = before.unwrap_or(if known { RetryCount::default() } else { total });
+        reports.push(SendReport {
+            service: service.service,
+            count: RetryCount {
+                requests: total.requests.saturating_sub(before.requests),
+                retries: total.retries.saturating_sub(before.retries),
+            },
+        });
+    }
+    reports
+}
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,9 +1,10 @@
 //! The choice of an upstream for one request.
 //!
-//! For prompts, each combination of shared parts has a home among the engines,
-//! which every instance computes alike. A request goes to the engine with the
-//! shortest expected time to its first event: the home has the shared parts in
-//! memory, any other engine fetches them from there first.
+//! Answers the load of long shared prompts. A prompt goes to the engine with the
+//! shortest expected time to its first event: an engine that holds the shared
+//! parts only reads the rest, any other fetches them from an engine that does.
+//! Parts that no engine holds are read at their home, which every instance
+//! computes alike, so that requests which begin alike meet there.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,6 +14,9 @@
 
 use crate::Name;
 use crate::configuration::Engine;
+use crate::directory::Link;
+use crate::directory::PrefixDirectory;
+use crate::directory::chain;
 use crate::peers::Peers;
 use crate::prompt::CacheSalt;
 use crate::prompt::CacheUse;
@@ -71,8 +75,12 @@
     pub weights: Option<u64>,
     /// How the upstream uses cached prompts.
     pub cache: Option<CacheUse>,
-    /// The tokens that count as waiting until the first event.
+    /// The tokens that the upstream has to read.
     pub prompt_tokens: u64,
+    /// The tokens that the upstream takes into memory.
+    pub new_tokens: u64,
+    /// The shared parts that the upstream holds once it has read the prompt.
+    pub chain: Vec<Link>,
     /// The expected time to the first event.
     pub expected: Duration,
 }
@@ -84,6 +92,8 @@
     pub upstreams: &'a Upstreams,
     /// The other instances and their work.
     pub peers: &'a Peers,
+    /// Which engines hold which parts of prompts.
+    pub directory: &'a PrefixDirectory,
     /// The failure domain of this instance.
     pub domain: &'a str,
     /// The upstreams that were tried for this request.
@@ -102,7 +112,7 @@
     fn candidates(&self, service: &str) -> Vec<&'a Upstream> {
         let untried = |row: &&Upstream| !self.tried.contains(&row.entry.id);
         let all: Vec<_> = self.upstreams.of_service(service).filter(untried).collect();
-        let good = |row: &&&Upstream| !row.health.is_avoided(self.now) && !row.is_loading(self.now);
+        let good = |row: &&&Upstream| !row.health.is_avoided(self.now) && !row.is_away(self.now);
         let best: Vec<_> = all.iter().filter(good).copied().collect();
         if best.is_empty() { all } else { best }
     }
@@ -114,9 +124,6 @@
 /// What an upstream at which every request failed lately counts as slower.
 const FAILING_PENALTY: Duration = Duration::from_secs(1);
 
-/// The shared tokens below which reading again is as quick as fetching.
-const MIN_FETCH_TOKENS: u64 = 400;
-
 /// The time to start a fetch, beside the transfer itself.
 const FETCH_START: Duration = Duration::from_millis(3);
 
@@ -135,6 +142,8 @@
         weights: None,
         cache: None,
         prompt_tokens: 0,
+        new_tokens: 0,
+        chain: Vec::new(),
         expected: Duration::ZERO,
     })
 }
@@ -171,6 +180,23 @@
     pub named: Option<&'a NamedWeights>,
 }
 
+/// What reading a part elsewhere than at its home counts as slower, as other
+/// requests for it are likely to be under way to the home.
+const NOT_HOME: Duration = Duration::from_millis(60);
+
+/// What a fetch counts as slower than having the parts, beyond its time: the
+/// copy takes memory that other parts lose.
+const COPY_PENALTY: Duration = Duration::from_millis(15);
+
+/// A `Candidate` is an engine with what it holds of a prompt.
+struct Candidate<'a> {
+    row: &'a Upstream,
+    version: Option<u64>,
+    held: u64,
+    fetched: u64,
+    source: Option<SocketAddr>,
+}
+
 /// Chooses an engine for a prompt.
 #[must_use]
 pub fn place_prompt(
@@ -179,36 +205,99 @@
     around: &Surroundings<'_>,
 ) -> Option<Placement> {
     let model = req.prompt.model.as_deref().unwrap_or_default();
-    let home = home(req, around);
-    let mut best: Option<(f64, f64, &Upstream)> = None;
+    let home = home(req, around).map(|row| row.hash);
+    let mut chains: Vec<(u64, CacheSalt, Vec<Link>)> = Vec::new();
+    let mut best: Option<(f64, f64, Candidate<'_>)> = None;
     for row in around.candidates(req.service) {
         let Some(stale) = staleness(row, model, req.named, options, around.now) else {
             continue;
         };
-        let expected = expected_ms(row, home, req, options, around);
+        let version = row.weights(model);
+        let chain = chain_for(version, model, req, &mut chains);
+        let candidate = candidate(row, version, chain, req, around);
+        let expected = expected_ms(&candidate, req, options, around);
         let cost = expected
             + stale
+            + extra_ms(&candidate, home, req)
             + row.health.failing() * millis(FAILING_PENALTY)
             + far(row, around) * millis(OTHER_DOMAIN)
             + jitter(row, around);
-        if best.is_none_or(|(least, _, _)| cost < least) {
-            best = Some((cost, expected, row));
+        if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+            best = Some((cost, expected, candidate));
         }
     }
-    let (_, expected, row) = best?;
-    let weights = row.weights(model);
-    let cache = weights.map(|version| cache_use(row, home, version, req, around.now));
+    let (_, expected, chosen) = best?;
+    let chain = chains
+        .into_iter()
+        .find(|(v, _, _)| Some(*v) == chosen.version);
+    let (salt, chain) = chain.map_or((None, Vec::new()), |(_, salt, links)| (Some(salt), links));
+    let tail = req.prompt.input_tokens.saturating_sub(chosen.held);
     Some(Placement {
-        upstream: Name::clone(&row.entry.id),
-        address: row.entry.address,
-        weights,
-        cache,
-        prompt_tokens: waiting_tokens(row, home, req.prompt),
+        upstream: Name::clone(&chosen.row.entry.id),
+        address: chosen.row.entry.address,
+        weights: chosen.version,
+        cache: salt.map(|salt| CacheUse {
+            salt,
+            fetch_from: chosen.source,
+            save_to: None,
+        }),
+        prompt_tokens: tail.saturating_sub(chosen.fetched),
+        new_tokens: tail + req.prompt.max_output_tokens,
+        chain,
         expected: Duration::try_from_secs_f64(expected / 1_000.0).unwrap_or_default(),
     })
 }
 
-/// Returns the engine that keeps the request's shared parts.
+/// Returns the shared parts of the prompt under the salt for a version.
+fn chain_for<'c>(
+    version: Option<u64>,
+    model: &str,
+    req: &PromptRequest<'_>,
+    chains: &'c mut Vec<(u64, CacheSalt, Vec<Link>)>,
+) -> &'c [Link] {
+    let Some(version) = version else {
+        return &[];
+    };
+    let known = chains.iter().position(|(v, _, _)| *v == version);
+    let at = known.unwrap_or_else(|| {
+        let salt = CacheSalt::new(model, version, req.isolated);
+        let links = chain(req.prompt, &salt);
+        chains.push((version, salt, links));
+        chains.len() - 1
+    });
+    &chains[at].2
+}
+
+fn candidate<'a>(
+    row: &'a Upstream,
+    version: Option<u64>,
+    chain: &[Link],
+    req: &PromptRequest<'_>,
+    around: &Surroundings<'a>,
+) -> Candidate<'a> {
+    let memory = req.engine.memory_tokens;
+    let depth = |row: &Upstream| around.directory.depth(row.hash, chain, memory, around.now);
+    let tokens = |depth: usize| chain[..depth].iter().map(|link| link.tokens).sum::<u64>();
+    let own = depth(row);
+    let sources = around
+        .upstreams
+        .of_service(req.service)
+        .filter(|other| other.hash != row.hash && !other.health.is_avoided(around.now));
+    // The nearest of the engines that hold most.
+    let source = sources
+        .map(|other| (depth(other), other.entry.domain == row.entry.domain, other))
+        .max_by_key(|(depth, near, _)| (*depth, *near))
+        .filter(|(depth, _, _)| *depth > own);
+    Candidate {
+        row,
+        version,
+        held: tokens(own),
+        fetched: source.map_or(0, |(depth, _, _)| tokens(depth) - tokens(own)),
+        source: source.map(|(_, _, other)| other.entry.address),
+    }
+}
+
+/// Returns the home of the request's shared parts.
 fn home<'a>(req: &PromptRequest<'_>, around: &Surroundings<'a>) -> Option<&'a Upstream> {
     let scope = req.isolated.unwrap_or_default();
     let parts = req.prompt.shared_hash(scope);
@@ -216,6 +305,20 @@
     all.max_by_key(|row| mix(row.hash ^ parts))
 }
 
+/// Returns what a choice costs others, in milliseconds.
+fn extra_ms(candidate: &Candidate<'_>, home: Option<u64>, req: &PromptRequest<'_>) -> f64 {
+    let shared = req.prompt.shared_tokens();
+    let mut extra = 0.0;
+    if candidate.fetched > 0 {
+        extra += millis(COPY_PENALTY) * count(candidate.fetched) / count(shared.max(1));
+    }
+    let unknown = shared.saturating_sub(candidate.held + candidate.fetched);
+    if unknown > 0 && home != Some(candidate.row.hash) {
+        extra += millis(NOT_HOME) * count(unknown) / count(shared.max(1));
+    }
+    extra
+}
+
 /// Returns what old weights add to the cost in milliseconds, or `None` where
 /// they may no longer be used.
 fn staleness(
@@ -244,74 +347,36 @@
 }
 
 fn expected_ms(
-    row: &Upstream,
-    home: Option<&Upstream>,
+    candidate: &Candidate<'_>,
     req: &PromptRequest<'_>,
     options: &PlacementOptions,
     around: &Surroundings<'_>,
 ) -> f64 {
+    let row = candidate.row;
     let elsewhere = around.peers.load(row.hash, around.now);
     let waiting = u64::from(row.own.waiting_tokens) + u64::from(elsewhere.waiting_tokens);
     let held = u64::from(row.own.held_tokens) + u64::from(elsewhere.held_tokens);
-    let tail = req
-        .prompt
-        .input_tokens
-        .saturating_sub(req.prompt.shared_tokens());
+    let present = candidate.held + candidate.fetched;
+    let unread = req.prompt.input_tokens.saturating_sub(present);
     let needed = held + req.prompt.charged_tokens();
     // What does not fit into memory waits until others have ended, about as long
     // as it takes to read as many tokens.
     let overflow = needed.saturating_sub(req.engine.memory_tokens);
-    let tokens = waiting + tail + overflow;
+    let tokens = waiting + unread + overflow;
     let reading = count(tokens) / options.prefill_per_ms * row.slowness;
-    let fetching = if is_home(row, home) {
-        0.0
-    } else {
-        fetch_ms(req)
-    };
-    reading + fetching + millis(options.base)
+    reading + fetch_ms(candidate.fetched, req) + millis(options.base)
 }
 
-fn fetch_ms(req: &PromptRequest<'_>) -> f64 {
-    let bits = count(req.prompt.shared_tokens() * req.engine.token_bytes * 8);
+fn fetch_ms(tokens: u64, req: &PromptRequest<'_>) -> f64 {
+    if tokens == 0 {
+        return 0.0;
+    }
+    let bits = count(tokens * req.engine.token_bytes * 8);
     // Transfers between failure domains take twice as long.
     let transfer = bits / (req.engine.link_mbps.max(1.0) * 1_000.0) * 2.0;
     transfer + millis(FETCH_START)
 }
 
-fn is_home(row: &Upstream, home: Option<&Upstream>) -> bool {
-    home.is_some_and(|home| home.entry.id == row.entry.id)
-}
-
-fn waiting_tokens(row: &Upstream, home: Option<&Upstream>, prompt: &Prompt) -> u64 {
-    let shared = prompt.shared_tokens();
-    let tail = prompt.input_tokens.saturating_sub(shared);
-    // A fetch takes about as long as reading a tenth of the tokens.
-    let fetched = if is_home(row, home) { 0 } else { shared / 10 };
-    tail + fetched
-}
-
-fn cache_use(
-    row: &Upstream,
-    home: Option<&Upstream>,
-    version: u64,
-    req: &PromptRequest<'_>,
-    now: Time,
-) -> CacheUse {
-    let model = req.prompt.model.as_deref().unwrap_or_default();
-    let worth_it = req.prompt.shared_tokens() >= MIN_FETCH_TOKENS;
-    let source = home.filter(|home| {
-        worth_it
-            && home.entry.id != row.entry.id
-            && home.weights(model) == Some(version)
-            && !home.health.is_avoided(now)
-    });
-    CacheUse {
-        salt: CacheSalt::new(model, version, req.isolated),
-        fetch_from: source.map(|home| home.entry.address),
-        save_to: None,
-    }
-}
-
 fn millis(span: Duration) -> f64 {
     span.as_secs_f64() * 1_000.0
 }
--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -1,5 +1,10 @@
-//! The part of a fleet's retries that one instance may use.
+//! The retries that all instances of a fleet may make together.
+//!
+//! Each instance counts the requests and retries of the last seconds, its own
+//! and those that others report. While others are silent it uses only its part
+//! of the budget.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
@@ -7,61 +12,124 @@
 /// The `BudgetOptions` bound retries over all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetOptions {
-    /// The retries that each first send earns.
+    /// The retries that each request permits.
     pub ratio: f64,
-    /// The retries that all instances together may make beyond that in a window.
+    /// The retries beyond that in a window.
     pub slack: f64,
     /// The length of the window.
     pub window: Duration,
 }
 
-/// The part of the budget that is used, so that sends which cross the edge of a
-/// window stay inside it.
-const USED_PART: f64 = 0.8;
+/// The part of the budget that is used; the rest covers what instances retry
+/// before they hear of each other.
+const USED_PART: f64 = 0.75;
+
+/// The length of the slots into which the window is divided.
+const SLOT: Duration = Duration::from_millis(250);
+
+/// A `RetryCount` is a number of requests and of retries.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RetryCount {
+    /// The requests.
+    pub requests: u64,
+    /// The sends beyond the first of each request.
+    pub retries: u64,
+}
 
-/// A `RetryBudget` holds the retries that are left to one instance at one service.
 #[derive(Clone, Copy, Debug)]
+struct Slot {
+    start: Time,
+    count: RetryCount,
+}
+
+/// A `RetryBudget` follows the retries at one service.
+#[derive(Clone, Debug)]
 pub struct RetryBudget {
     options: BudgetOptions,
-    level: f64,
-    refilled: Time,
+    slots: VecDeque<Slot>,
+    own: RetryCount,
 }
 
 impl RetryBudget {
-    /// Returns a full budget of one among `instances`.
+    /// Returns a budget of which nothing was used.
     #[must_use]
-    pub fn new(options: BudgetOptions, instances: usize, now: Time) -> Self {
+    pub const fn new(options: BudgetOptions) -> Self {
         Self {
             options,
-            level: share(&options, instances),
-            refilled: now,
+            slots: VecDeque::new(),
+            own: RetryCount {
+                requests: 0,
+                retries: 0,
+            },
         }
     }
 
-    /// Earns retries with the first send of a request.
-    pub fn deposit(&mut self, instances: usize) {
-        let most = share(&self.options, instances).max(1.0) * 2.0;
-        self.level = (self.level + self.options.ratio * USED_PART).min(most);
+    /// Counts a request of this instance.
+    pub fn request(&mut self, now: Time) {
+        self.own.requests += 1;
+        let count = RetryCount {
+            requests: 1,
+            retries: 0,
+        };
+        self.count(count, now);
+    }
+
+    /// Counts what another instance did since its last report.
+    pub fn count(&mut self, count: RetryCount, now: Time) {
+        self.expire(now);
+        let fresh = |slot: &&mut Slot| now.since(slot.start) < SLOT;
+        if let Some(slot) = self.slots.back_mut().filter(fresh) {
+            slot.count.requests += count.requests;
+            slot.count.retries += count.retries;
+            return;
+        }
+        self.slots.push_back(Slot { start: now, count });
+    }
+
+    /// Returns how many retries are left; `part` is the part of all instances
+    /// that is heard of.
+    #[must_use]
+    pub fn left(&self, part: f64, now: Time) -> f64 {
+        let recent = |slot: &&Slot| now.since(slot.start) < self.options.window + SLOT;
+        let recent = self.slots.iter().filter(recent);
+        let sum = recent.fold(RetryCount::default(), |sum, slot| RetryCount {
+            requests: sum.requests + slot.count.requests,
+            retries: sum.retries + slot.count.retries,
+        });
+        let allowed = self.options.ratio * count(sum.requests) + self.options.slack * part;
+        allowed * USED_PART - count(sum.retries)
     }
 
     /// Takes one retry, or returns false when none is left.
-    pub fn withdraw(&mut self, instances: usize, now: Time) -> bool {
-        let most = share(&self.options, instances);
-        let elapsed = now.since(self.refilled).as_secs_f64();
-        let refill = most * elapsed / self.options.window.as_secs_f64().max(1.0);
-        self.refilled = now;
-        self.level = (self.level + refill).min(self.level.max(most));
-        if self.level < 1.0 {
+    pub fn withdraw(&mut self, part: f64, now: Time) -> bool {
+        if self.left(part, now) < 1.0 {
             return false;
         }
-        self.level -= 1.0;
+        self.own.retries += 1;
+        let count = RetryCount {
+            requests: 0,
+            retries: 1,
+        };
+        self.count(count, now);
         true
     }
+
+    /// Returns what this instance did since its start.
+    #[must_use]
+    pub const fn own(&self) -> RetryCount {
+        self.own
+    }
+
+    fn expire(&mut self, now: Time) {
+        let window = self.options.window + SLOT;
+        while let Some(first) = self.slots.front()
+            && now.since(first.start) >= window
+        {
+            self.slots.pop_front();
+        }
+    }
 }
 
-/// Half of an instance's share of the slack may be spent at once; the other half
-/// comes back in the course of a window.
-fn share(options: &BudgetOptions, instances: usize) -> f64 {
-    let instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
-    options.slack * USED_PART / f64::from(instances) / 2.0
+fn count(value: u64) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
 }
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -28,6 +28,38 @@
     pub version: u64,
 }
 
+/// A `SwitchMode` is what becomes of an engine's running requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SwitchMode {
+    /// The engine loads once its requests have ended.
+    AfterRuns,
+    /// The engine breaks its requests off; streams go on elsewhere.
+    CutRuns,
+}
+
+/// Decides what becomes of the running requests of an engine that is to load.
+///
+/// Requests are broken off only where all of them can go on elsewhere and the
+/// budget covers that. `waited` is the time for which the engine has got no new
+/// requests; `None` means that waiting a little longer is better.
+#[must_use]
+pub fn switch_mode(
+    requests: u32,
+    fragile: u32,
+    retries_left: f64,
+    waited: Duration,
+) -> Option<SwitchMode> {
+    if fragile == 0 && f64::from(requests) <= retries_left {
+        return Some(SwitchMode::CutRuns);
+    }
+    let patient = fragile > 0 && waited < LONGEST_EMPTYING;
+    (!patient).then_some(SwitchMode::AfterRuns)
+}
+
+/// The longest time for which an engine gets no new requests so that those which
+/// cannot be continued elsewhere end first.
+const LONGEST_EMPTYING: Duration = Duration::from_millis(900);
+
 /// The part of a service's engines that load at once.
 const AT_ONCE_PART: usize = 5;
 
@@ -37,13 +69,20 @@
 /// The pause before an engine that did not load gets another order.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
-/// A `Rollout` keeps track of the engines that are loading.
+/// A `Rollout` keeps track of the engines that are being emptied or loading.
 #[derive(Debug, Default)]
 pub struct Rollout {
-    loading: BTreeMap<Name, u64>,
+    engines: BTreeMap<Name, Stage>,
     paused: BTreeMap<Name, Time>,
 }
 
+/// How far an engine is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    Emptying,
+    Loading { until: Time },
+}
+
 impl Rollout {
     /// Returns whether any engine lacks the newest weights.
     #[must_use]
@@ -51,7 +90,8 @@
         named.iter().any(|n| behind(upstreams, n).next().is_some())
     }
 
-    /// Returns the engines that are to load now, and counts them as loading.
+    /// Returns the engines that are to be emptied now, so that there is always
+    /// one ready when another has loaded.
     pub fn plan(
         &mut self,
         upstreams: &Upstreams,
@@ -62,23 +102,16 @@
         self.paused.retain(|_, until| now < *until);
         let mut loads = Vec::new();
         for named in named {
-            let serving = upstreams
-                .iter()
-                .filter(|r| r.weights(&named.model).is_some());
-            let at_once = serving.count().div_ceil(AT_ONCE_PART).max(AT_ONCE_LEAST);
-            let mut waiting: Vec<&Upstream> = behind(upstreams, named)
-                .filter(|row| !self.loading.contains_key(&row.entry.id))
-                .filter(|row| !self.paused.contains_key(&row.entry.id))
-                .collect();
-            waiting.sort_by_key(|row| {
-                let elsewhere = peers.load(row.hash, now).requests;
-                let dark = row.health.is_avoided(now);
-                (dark, row.own.requests + elsewhere)
-            });
-            let room = at_once.saturating_sub(self.loading.len());
-            for row in waiting.into_iter().take(room) {
-                self.loading
-                    .insert(Name::clone(&row.entry.id), named.version);
+            let at_once = at_once(upstreams, &named.model);
+            let emptying = self.engines.values().filter(|s| **s == Stage::Emptying);
+            let room = at_once.saturating_sub(emptying.count());
+            for row in self
+                .waiting(upstreams, peers, named, now)
+                .into_iter()
+                .take(room)
+            {
+                self.engines
+                    .insert(Name::clone(&row.entry.id), Stage::Emptying);
                 loads.push(Load {
                     upstream: Name::clone(&row.entry.id),
                     address: row.entry.address,
@@ -90,22 +123,61 @@
         loads
     }
 
-    /// Records that an order has ended, with the weights in place or not.
+    /// Returns whether another engine may begin to load.
+    #[must_use]
+    pub fn may_load(&self, upstreams: &Upstreams, model: &str, now: Time) -> bool {
+        let loading = |stage: &&Stage| matches!(stage, Stage::Loading { until } if now < *until);
+        let loading = self.engines.values().filter(loading).count();
+        loading < at_once(upstreams, model)
+    }
+
+    /// Counts an engine as loading until `until`, or until its load has ended.
+    pub fn loading(&mut self, upstream: &str, until: Time) {
+        if let Some(stage) = self.engines.get_mut(upstream) {
+            *stage = Stage::Loading { until };
+        }
+    }
+
+    /// Records that a load has ended, with the weights in place or not.
     pub fn ended(&mut self, upstream: &str, loaded: bool, now: Time) {
-        if let Some((id, _)) = self.loading.remove_entry(upstream)
+        if let Some((id, _)) = self.engines.remove_entry(upstream)
             && !loaded
         {
             self.paused.insert(id, now + RETRY_PAUSE);
         }
     }
 
-    /// Returns whether any order has not ended.
+    /// Returns whether any load has not ended.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        !self.loading.is_empty()
+        !self.engines.is_empty()
+    }
+
+    /// Returns the engines that lack the weights, those with the least work first.
+    fn waiting<'a>(
+        &self,
+        upstreams: &'a Upstreams,
+        peers: &Peers,
+        named: &'a NamedWeights,
+        now: Time,
+    ) -> Vec<&'a Upstream> {
+        let idle = |row: &&Upstream| {
+            !self.engines.contains_key(&row.entry.id) && !self.paused.contains_key(&row.entry.id)
+        };
+        let mut waiting: Vec<&Upstream> = behind(upstreams, named).filter(idle).collect();
+        waiting.sort_by_key(|row| {
+            let elsewhere = peers.load(row.hash, now).requests;
+            (row.health.is_avoided(now), row.own.requests + elsewhere)
+        });
+        waiting
     }
 }
 
+fn at_once(upstreams: &Upstreams, model: &str) -> usize {
+    let serving = upstreams.iter().filter(|row| row.weights(model).is_some());
+    serving.count().div_ceil(AT_ONCE_PART).max(AT_ONCE_LEAST)
+}
+
 fn behind<'a>(
     upstreams: &'a Upstreams,
     named: &'a NamedWeights,
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -59,10 +59,23 @@
 pub struct Ticket {
     /// The upstream.
     pub upstream: Name,
+    work: Work,
     waiting_tokens: u32,
     held_tokens: u32,
     started: Time,
-    expected: Duration,
+}
+
+/// The `Work` of a request for an upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Work {
+    /// The prompt tokens to be read.
+    pub waiting_tokens: u64,
+    /// The tokens that the request holds in memory.
+    pub held_tokens: u64,
+    /// Whether the request cannot be continued elsewhere.
+    pub fragile: bool,
+    /// The expected time to the first event.
+    pub expected: Duration,
 }
 
 /// An `Upstream` is one row of the table.
@@ -78,8 +91,8 @@
     pub own: UpstreamLoad,
     /// The observed against the expected time to the first event.
     pub slowness: f64,
-    loading_until: Option<Time>,
-    weights_changed: Time,
+    away_until: Option<Time>,
+    announced: Option<Time>,
     missing_since: Option<Time>,
 }
 
@@ -91,10 +104,11 @@
         all.find(|w| &*w.model == model).map(|w| w.version)
     }
 
-    /// Returns whether the upstream is loading weights and turns requests away.
+    /// Returns whether the upstream is to get no requests for now, as it loads
+    /// weights, is about to, or has just turned a request away.
     #[must_use]
-    pub fn is_loading(&self, now: Time) -> bool {
-        self.loading_until.is_some_and(|until| now < until)
+    pub fn is_away(&self, now: Time) -> bool {
+        self.away_until.is_some_and(|until| now < until)
     }
 
     /// Returns whether new requests may go there, whatever its health.
@@ -110,11 +124,7 @@
 /// The bounds of an upstream's slowness, against single odd observations.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 8.0);
 
-/// The time for which a load of weights is expected to turn requests away; a
-/// first answer ends it sooner.
-const LOADING_TIME: Duration = Duration::from_millis(450);
-
-/// The time for which beacons repeat that weights have changed.
+/// The time for which the instance that gives orders repeats what it did.
 const NEWS_TIME: Duration = Duration::from_secs(3);
 
 /// The time that upstreams get to appear again after an outage of the platform.
@@ -149,8 +159,8 @@
                 health: Health::default(),
                 own: UpstreamLoad::default(),
                 slowness: 1.0,
-                loading_until: None,
-                weights_changed: now,
+                away_until: None,
+                announced: None,
                 missing_since: None,
                 entry,
             };
@@ -162,7 +172,7 @@
         row.missing_since = None;
         // What was seen in answers may be newer than the entry.
         for weights in known {
-            learn(row, &weights.model, weights.version, now);
+            learn(row, &weights.model, weights.version);
         }
     }
 
@@ -227,27 +237,20 @@
     }
 
     /// Counts a request as sent to an upstream.
-    pub fn start(
-        &mut self,
-        id: &str,
-        prompt_tokens: u64,
-        output_tokens: u64,
-        expected: Duration,
-        now: Time,
-    ) -> Option<Ticket> {
+    pub fn start(&mut self, id: &str, work: Work, now: Time) -> Option<Ticket> {
         let row = self.rows.get_mut(id)?;
-        let waiting_tokens = u32::try_from(prompt_tokens).unwrap_or(u32::MAX);
-        let held = prompt_tokens.saturating_add(output_tokens);
-        let held_tokens = u32::try_from(held).unwrap_or(u32::MAX);
+        let waiting_tokens = u32::try_from(work.waiting_tokens).unwrap_or(u32::MAX);
+        let held_tokens = u32::try_from(work.held_tokens).unwrap_or(u32::MAX);
         row.own.requests += 1;
+        row.own.fragile += u32::from(work.fragile);
         row.own.waiting_tokens = row.own.waiting_tokens.saturating_add(waiting_tokens);
         row.own.held_tokens = row.own.held_tokens.saturating_add(held_tokens);
         Some(Ticket {
             upstream: Name::clone(&row.entry.id),
+            work,
             waiting_tokens,
             held_tokens,
             started: now,
-            expected,
         })
     }
 
@@ -256,10 +259,9 @@
         let Some(row) = self.rows.get_mut(&ticket.upstream) else {
             return;
         };
-        row.loading_until = None;
         row.own.waiting_tokens = row.own.waiting_tokens.saturating_sub(ticket.waiting_tokens);
         ticket.waiting_tokens = 0;
-        let expected = ticket.expected.as_secs_f64();
+        let expected = ticket.work.expected.as_secs_f64();
         if expected > 0.0 {
             let seen = now.since(ticket.started).as_secs_f64() / expected;
             let seen = seen.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
@@ -273,6 +275,8 @@
             return;
         };
         row.own.requests = row.own.requests.saturating_sub(1);
+        let fragile = u32::from(ticket.work.fragile);
+        row.own.fragile = row.own.fragile.saturating_sub(fragile);
         row.own.waiting_tokens = row.own.waiting_tokens.saturating_sub(ticket.waiting_tokens);
         row.own.held_tokens = row.own.held_tokens.saturating_sub(ticket.held_tokens);
         if let Some(verdict) = verdict {
@@ -281,24 +285,24 @@
     }
 
     /// Learns an upstream's weights from an answer of its own.
-    pub fn saw_weights(&mut self, id: &str, model: &str, version: u64, now: Time) {
+    pub fn saw_weights(&mut self, id: &str, model: &str, version: u64) {
         if let Some(row) = self.rows.get_mut(id) {
-            learn(row, model, version, now);
+            learn(row, model, version);
         }
     }
 
-    /// Records that an upstream was told to load weights.
-    pub fn loading(&mut self, id: &str, now: Time) {
+    /// Gives an upstream no requests for a time, and lets other instances know.
+    pub fn set_away(&mut self, id: &str, span: Duration, now: Time) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.loading_until = Some(now + LOADING_TIME);
-            row.weights_changed = now;
+            row.away_until = Some(now + span);
+            row.announced = Some(now);
         }
     }
 
     /// Records that an upstream turned a request away.
     pub fn turned_away(&mut self, id: &str, pause: Duration, now: Time) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.loading_until = row.loading_until.max(Some(now + pause));
+            row.away_until = row.away_until.max(Some(now + pause));
         }
     }
 
@@ -309,23 +313,22 @@
             return;
         };
         if let Some(model) = row.entry.weights.first().map(|w| Name::clone(&w.model)) {
-            learn(row, &model, news.version, now);
-        }
-        if news.loading && !row.is_loading(now) {
-            row.loading_until = Some(now + LOADING_TIME / 2);
+            learn(row, &model, news.version);
         }
+        let away = Duration::from_millis(u64::from(news.away_ms));
+        row.away_until = (!away.is_zero()).then_some(now + away);
     }
 
     /// Returns what other instances should know of weights.
     #[must_use]
     pub fn weights_news(&self, now: Time) -> Vec<WeightsNews> {
-        let recent = |row: &&Upstream| now.since(row.weights_changed) < NEWS_TIME;
+        let recent = |row: &&Upstream| row.announced.is_some_and(|at| now.since(at) < NEWS_TIME);
         let news = |row: &Upstream| {
             row.entry.weights.first().map(|w| WeightsNews {
                 upstream: row.hash,
                 born_ms: row.entry.born_ms,
                 version: w.version,
-                loading: row.is_loading(now),
+                away_ms: away_ms(row, now),
             })
         };
         self.rows.values().filter(recent).filter_map(news).collect()
@@ -344,13 +347,18 @@
 }
 
 /// Weights of one process never go back, so that the highest version seen holds.
-fn learn(row: &mut Upstream, model: &str, version: u64, now: Time) {
+fn learn(row: &mut Upstream, model: &str, version: u64) {
     let held = row.entry.weights.iter_mut().find(|w| &*w.model == model);
     if let Some(held) = held
         && held.version < version
     {
         held.version = version;
-        row.weights_changed = now;
-        row.loading_until = None;
     }
 }
+
+fn away_ms(row: &Upstream, now: Time) -> u32 {
+    let left = row
+        .away_until
+        .map_or(Duration::ZERO, |until| until.since(now));
+    u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/router/src/fleet/beacons.rs
+++ b/crates/router/src/fleet/beacons.rs
@@ -62,16 +62,26 @@
     };
     let now = instance.now();
     let reports = instance.peers.borrow_mut().hear(&beacon, now);
-    for report in reports {
+    if !reports.is_new {
+        return;
+    }
+    for report in &reports.used {
         if let Some(team) = instance.team_name(report.team) {
             let mut limits = instance.limits.borrow_mut();
             limits.used_elsewhere(&team, report.used);
         }
     }
+    for report in &reports.sent {
+        instance.sent_elsewhere(report);
+    }
     let mut upstreams = instance.upstreams.borrow_mut();
     for news in &beacon.weights {
         upstreams.news(news, now);
     }
+    let mut directory = instance.directory.borrow_mut();
+    for news in &beacon.cached {
+        directory.learn(news, now);
+    }
 }
 
 async fn tell(instance: Rc<FleetInstance>, socket: Rc<UdpSocket>, stopping: Stopping) {
@@ -137,5 +147,7 @@
     beacon.teams = teams.collect();
     beacon.loads = upstreams.loads();
     beacon.weights = upstreams.weights_news(now);
+    beacon.services = instance.service_uses();
+    beacon.cached = instance.directory.borrow_mut().take_news();
     beacon
 }
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -8,10 +8,12 @@
 
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::beacon::name_hash;
 use limpetsaddle_fleet::peers::Registration;
 use limpetsaddle_fleet::placement::NamedWeights;
 use limpetsaddle_fleet::tenure::TenureRecord;
 use limpetsaddle_fleet::upstreams::REAPPEAR_TIME;
+use limpetsaddle_fleet::upstreams::UpstreamEntry;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Call;
 use limpetsaddle_platform_wire::store::Change;
@@ -202,6 +204,16 @@
 struct UpstreamFollower(Rc<FleetInstance>);
 
 impl UpstreamFollower {
+    /// Forgets what the engine held before it started anew.
+    fn forget_if_new(&self, entry: &UpstreamEntry) {
+        let upstreams = self.0.upstreams.borrow();
+        let held = upstreams.get(&entry.id);
+        if held.is_none_or(|row| row.entry.born_ms != entry.born_ms) {
+            let hash = name_hash(&entry.id);
+            self.0.directory.borrow_mut().forget(hash);
+        }
+    }
+
     fn take(&self, object: &Object) {
         let now = self.0.now();
         let revision = object.revision;
@@ -212,6 +224,7 @@
                 let weights = entry.weights.first().map_or(0, |w| w.version);
                 let born_ms = entry.born_ms;
                 let service = Name::clone(&entry.service);
+                self.forget_if_new(&entry);
                 self.0.upstreams.borrow_mut().upsert(entry, now);
                 info!(
                     upstream, revision, phase, weights, born_ms, service:display;
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -16,6 +16,7 @@
 use limpetsaddle_fleet::configuration::RouteKind;
 use limpetsaddle_fleet::configuration::Service;
 use limpetsaddle_fleet::configuration::share_draw;
+use limpetsaddle_fleet::directory::CacheNews;
 use limpetsaddle_fleet::health::Verdict;
 use limpetsaddle_fleet::placement;
 use limpetsaddle_fleet::placement::Placement;
@@ -25,6 +26,7 @@
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_fleet::upstreams::Ticket;
+use limpetsaddle_fleet::upstreams::Work;
 use limpetsaddle_http::Connection;
 use limpetsaddle_http::Request;
 use limpetsaddle_platform_wire::headers;
@@ -80,30 +82,43 @@
 }
 
 impl Claim {
-    fn new(instance: &Rc<FleetInstance>, placement: &Placement, prompt: Option<&Prompt>) -> Self {
-        let output = prompt.map_or(0, |p| p.max_output_tokens);
+    fn new(instance: &Rc<FleetInstance>, placement: &Placement, work: Work) -> Self {
         let now = instance.now();
         let mut upstreams = instance.upstreams.borrow_mut();
-        let ticket = upstreams.start(
-            &placement.upstream,
-            placement.prompt_tokens,
-            output,
-            placement.expected,
-            now,
-        );
+        Self {
+            ticket: upstreams.start(&placement.upstream, work, now),
+            instance: Rc::clone(instance),
+            verdict: None,
+        }
+    }
+
+    /// Returns a claim on nothing, for an answer that has ended.
+    fn none(instance: &Rc<FleetInstance>) -> Self {
         Self {
             instance: Rc::clone(instance),
-            ticket,
+            ticket: None,
             verdict: None,
         }
     }
 
-    /// Records that the first event has come.
-    pub fn first_event(&mut self) {
+    /// Records that the first event has come, and with it that the prompt is in
+    /// the upstream's memory.
+    pub fn first_event(&mut self, placement: &Placement) {
         let now = self.instance.now();
-        if let Some(ticket) = &mut self.ticket {
-            let mut upstreams = self.instance.upstreams.borrow_mut();
-            upstreams.first_event(ticket, now);
+        let Some(ticket) = &mut self.ticket else {
+            return;
+        };
+        let mut upstreams = self.instance.upstreams.borrow_mut();
+        upstreams.first_event(ticket, now);
+        if placement.cache.is_some()
+            && let Some(row) = upstreams.get(&placement.upstream)
+        {
+            let news = CacheNews {
+                holder: row.hash,
+                keys: placement.chain.iter().map(|link| link.key).collect(),
+                new_tokens: u32::try_from(placement.new_tokens).unwrap_or(u32::MAX),
+            };
+            self.instance.directory.borrow_mut().read(news, now);
         }
     }
 }
@@ -182,7 +197,7 @@
     pub async fn open(&mut self) -> Result<Opened, Refusal> {
         loop {
             let placement = self.place()?;
-            let mut claim = Claim::new(self.instance, &placement, self.prompt());
+            let mut claim = Claim::new(self.instance, &placement, self.work(&placement));
             let (outcome, limited) = self.try_at(&placement, &mut claim).await;
             let (failure, answer) = match outcome {
                 Try::Opened(opened) => {
@@ -207,13 +222,8 @@
                 (NextStep::Retry, _) => instance.metrics.retried(failure),
                 // An upstream's own failure is the answer where nothing else is.
                 (NextStep::GiveUp(_), Some(answer)) => {
-                    let claim = Claim {
-                        instance: Rc::clone(instance),
-                        ticket: None,
-                        verdict: None,
-                    };
                     return Ok(Opened {
-                        claim,
+                        claim: Claim::none(instance),
                         placement,
                         opened: relay::Answer::Whole(answer),
                     });
@@ -228,6 +238,16 @@
         self.accepted.inquiry.prompt.as_ref()
     }
 
+    fn work(&self, placement: &Placement) -> Work {
+        let prompt = self.prompt();
+        Work {
+            waiting_tokens: placement.prompt_tokens,
+            held_tokens: prompt.map_or(0, Prompt::charged_tokens),
+            fragile: !self.accepted.route.kind.may_repeat(),
+            expected: placement.expected,
+        }
+    }
+
     fn place(&self) -> Result<Placement, Refusal> {
         let instance = self.instance;
         let now = instance.now();
@@ -238,9 +258,11 @@
         let service = self.accepted.configuration.service(&self.service);
         let upstreams = instance.upstreams.borrow();
         let peers = instance.peers.borrow();
+        let directory = instance.directory.borrow();
         let around = Surroundings {
             upstreams: &upstreams,
             peers: &peers,
+            directory: &directory,
             domain: &instance.settings.domain,
             tried: &self.tried,
             now,
@@ -294,7 +316,7 @@
     /// own time and not with the request's.
     async fn try_at(&mut self, placement: &Placement, claim: &mut Claim) -> (Try, bool) {
         if self.sent == 0 {
-            self.instance.earn_retry(&self.service);
+            self.instance.count_request(&self.service);
         }
         self.sent += 1;
         let now = self.instance.now();
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -8,8 +8,10 @@
 
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::beacon::ServiceUse;
 use limpetsaddle_fleet::beacon::name_hash;
 use limpetsaddle_fleet::configuration::Configuration;
+use limpetsaddle_fleet::directory::PrefixDirectory;
 use limpetsaddle_fleet::freshness::Freshness;
 use limpetsaddle_fleet::freshness::FreshnessOptions;
 use limpetsaddle_fleet::health::HealthOptions;
@@ -18,6 +20,7 @@
 use limpetsaddle_fleet::limits::TeamLimit;
 use limpetsaddle_fleet::peers::PeerOptions;
 use limpetsaddle_fleet::peers::Peers;
+use limpetsaddle_fleet::peers::SendReport;
 use limpetsaddle_fleet::placement::NamedWeights;
 use limpetsaddle_fleet::placement::PlacementOptions;
 use limpetsaddle_fleet::retry_budget::BudgetOptions;
@@ -76,6 +79,8 @@
     pub upstreams: RefCell<Upstreams>,
     /// The other instances.
     pub peers: RefCell<Peers>,
+    /// Which engines hold which parts of prompts.
+    pub directory: RefCell<PrefixDirectory>,
     /// The limits of teams.
     pub limits: RefCell<Limits>,
     /// The newest weights of each model.
@@ -127,6 +132,7 @@
             ))),
             upstreams: RefCell::new(Upstreams::new(HealthOptions::default())),
             peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default())),
+            directory: RefCell::new(PrefixDirectory::default()),
             limits: RefCell::new(Limits::new(LimitOptions {
                 overdraft: bounds.limit_slack * OVERDRAFT_PART,
             })),
@@ -171,9 +177,18 @@
         let hashed = |(name, _): &(Name, TeamLimit)| (name_hash(name), Name::clone(name));
         self.team_names.replace(limits.iter().map(hashed).collect());
         self.limits.borrow_mut().configure(&limits, self.now());
+        self.prepare_budgets(&configuration);
         self.configuration.replace(Some(Rc::new(configuration)));
     }
 
+    /// Makes room for the budget of every service, so that what others send
+    /// there is counted.
+    fn prepare_budgets(&self, configuration: &Configuration) {
+        for service in configuration.services() {
+            self.with_budget(&service.name, |_, _| ());
+        }
+    }
+
     /// Returns the team that beacons speak of by `hash`.
     pub fn team_name(&self, hash: u64) -> Option<Name> {
         self.team_names.borrow().get(&hash).cloned()
@@ -187,23 +202,53 @@
             && self.freshness.borrow().wants_callers(now)
     }
 
-    /// Earns retries at a service with the first send of a request.
-    pub fn earn_retry(&self, service: &Name) {
-        self.with_budget(service, |budget, instances, _| budget.deposit(instances));
+    /// Counts the first send of a request to a service.
+    pub fn count_request(&self, service: &Name) {
+        let now = self.now();
+        self.with_budget(service, |budget, _| budget.request(now));
     }
 
     /// Takes a retry at a service, or returns false when none is left.
     pub fn take_retry(&self, service: &Name) -> bool {
-        self.with_budget(service, RetryBudget::withdraw)
+        let now = self.now();
+        self.with_budget(service, |budget, part| budget.withdraw(part, now))
     }
 
-    fn with_budget<T>(
-        &self,
-        service: &Name,
-        work: impl FnOnce(&mut RetryBudget, usize, Time) -> T,
-    ) -> T {
+    /// Returns the retries that are left at a service.
+    pub fn retries_left(&self, service: &Name) -> f64 {
         let now = self.now();
-        let instances = self.peers.borrow().attendance(now).registered;
+        self.with_budget(service, |budget, part| budget.left(part, now))
+    }
+
+    /// Counts what another instance sent to a service.
+    pub fn sent_elsewhere(&self, report: &SendReport) {
+        let service = {
+            let budgets = self.budgets.borrow();
+            let mut names = budgets.keys();
+            names
+                .find(|name| name_hash(name) == report.service)
+                .cloned()
+        };
+        // A service that is in no configuration here gets no retries either.
+        if let Some(service) = service {
+            let now = self.now();
+            self.with_budget(&service, |budget, _| budget.count(report.count, now));
+        }
+    }
+
+    /// Returns what this instance sent to each service.
+    pub fn service_uses(&self) -> Vec<ServiceUse> {
+        let budgets = self.budgets.borrow();
+        let uses = budgets.iter().map(|(name, budget)| ServiceUse {
+            service: name_hash(name),
+            requests: budget.own().requests,
+            retries: budget.own().retries,
+        });
+        uses.collect()
+    }
+
+    fn with_budget<T>(&self, service: &Name, work: impl FnOnce(&mut RetryBudget, f64) -> T) -> T {
+        let part = self.peers.borrow().attendance(self.now()).part();
         let bounds = &self.settings.bounds;
         let options = BudgetOptions {
             ratio: bounds.retry_ratio,
@@ -213,8 +258,8 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(Name::clone(service))
-            .or_insert_with(|| RetryBudget::new(options, instances, now));
-        work(budget, instances, now)
+            .or_insert_with(|| RetryBudget::new(options));
+        work(budget, part)
     }
 
     /// Returns the number of requests in progress.
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -114,18 +114,17 @@
         return Try::failed(Failure::BadAnswer);
     }
     if status.is_success() && streams {
-        return open_stream(res, claim).await;
+        return open_stream(placement, res, claim).await;
     }
-    read_whole(forwarding, res, claim).await
+    read_whole(forwarding, placement, res, claim).await
 }
 
 fn learn_weights(forwarding: &Forwarding<'_>, placement: &Placement, marks: &AnswerMarks) {
     let prompt = forwarding.accepted.inquiry.prompt.as_ref();
     let model = prompt.and_then(|p| p.model.as_deref());
     if let Some((model, version)) = model.zip(marks.weights) {
-        let now = forwarding.instance.now();
         let mut upstreams = forwarding.instance.upstreams.borrow_mut();
-        upstreams.saw_weights(&placement.upstream, model, version, now);
+        upstreams.saw_weights(&placement.upstream, model, version);
     }
 }
 
@@ -145,6 +144,7 @@
 
 async fn read_whole(
     forwarding: &Forwarding<'_>,
+    placement: &Placement,
     res: limpetsaddle_http::Response,
     claim: &mut Claim,
 ) -> Try {
@@ -152,7 +152,7 @@
     let Ok(body) = read.collect(MAX_ANSWER_BYTES).await else {
         return Try::failed(Failure::Broke);
     };
-    claim.first_event();
+    claim.first_event(placement);
     let status = head.status;
     let answer = whole(head, body);
     if status.is_success() {
@@ -190,7 +190,11 @@
 }
 
 /// Reads a stream up to its first event.
-async fn open_stream(res: limpetsaddle_http::Response, claim: &mut Claim) -> Try {
+async fn open_stream(
+    placement: &Placement,
+    res: limpetsaddle_http::Response,
+    claim: &mut Claim,
+) -> Try {
     let (head, res) = split(res);
     let mut head = Response::from_parts(head, ());
     limpetsaddle_http::remove_hop_by_hop(head.headers_mut());
@@ -204,7 +208,7 @@
         Ok(()) => {}
         Err(_) => return Try::failed(Failure::Broke),
     }
-    claim.first_event();
+    claim.first_event(placement);
     Try::Opened(Answer::Stream(Box::new(stream)))
 }
 
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -5,8 +5,10 @@
 
 use http::StatusCode;
 use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::rollout;
 use limpetsaddle_fleet::rollout::Load;
 use limpetsaddle_fleet::rollout::Rollout;
+use limpetsaddle_fleet::rollout::SwitchMode;
 use limpetsaddle_fleet::tenure::TenureAnswer;
 use limpetsaddle_fleet::tenure::TenureWrite;
 use limpetsaddle_platform_wire as wire;
@@ -31,15 +33,22 @@
 /// The time that an engine gets to answer a report or an order.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The time from an order to the first look at its outcome: a load takes about
-/// as long.
+/// The time that an engine takes to load weights, from the users' sheets of
+/// their engines.
 const LOAD_TIME: Duration = Duration::from_millis(340);
 
-/// The time between two looks at an engine that is loading.
-const POLL: Duration = Duration::from_millis(120);
+/// The time between two looks at an engine that is being emptied or is loading.
+const POLL: Duration = Duration::from_millis(60);
+
+/// The age that a report may have.
+const REPORT_AGE: Duration = Duration::from_millis(250);
+
+/// The time for which other instances send nothing to an engine that is being
+/// emptied; it is told again with each look.
+const AWAY: Duration = Duration::from_millis(400);
 
 /// The longest time for one engine, its running requests included.
-const LONGEST_LOAD: Duration = Duration::from_millis(4_000);
+const LONGEST_LOAD: Duration = Duration::from_millis(5_000);
 
 /// Follows what has to be loaded until the instance ends.
 pub async fn run(instance: Rc<FleetInstance>, stopping: Stopping) {
@@ -129,57 +138,124 @@
 /// Has one engine load weights.
 async fn load_weights(instance: Rc<FleetInstance>, load: Load) {
     let started = instance.now();
-    let mut accepted_at = None;
-    let loaded = loop {
-        if instance.now().since(started) > LONGEST_LOAD {
-            break false;
+    let loaded = match empty(&instance, &load).await {
+        Some(mode) => order_load(&instance, &load, mode).await,
+        None => false,
+    };
+    let now = instance.now();
+    let took_ms = now.since(started).as_millis() as u64;
+    let version = load.version;
+    info!(upstream:display = load.upstream, version, loaded, took_ms; "load ended");
+    let mut rollout = instance.rollout.borrow_mut();
+    rollout.ended(&load.upstream, loaded, now);
+}
+
+/// Keeps new requests from an engine until its load can begin, and returns what
+/// becomes of its running requests.
+async fn empty(instance: &FleetInstance, load: &Load) -> Option<SwitchMode> {
+    let started = instance.now();
+    loop {
+        order_time(instance)?;
+        let now = instance.now();
+        let waited = now.since(started);
+        let (requests, fragile, service) = {
+            let mut upstreams = instance.upstreams.borrow_mut();
+            upstreams.set_away(&load.upstream, AWAY, now);
+            let row = upstreams.get(&load.upstream)?;
+            let elsewhere = instance.peers.borrow().load(row.hash, now);
+            let requests = row.own.requests + elsewhere.requests;
+            let fragile = row.own.fragile + elsewhere.fragile;
+            (requests, fragile, row.entry.service.clone())
+        };
+        // Other instances have heard of it after an interval or two.
+        let known = waited >= instance.peers.borrow().interval() * 2;
+        let turn = {
+            let upstreams = instance.upstreams.borrow();
+            let rollout = instance.rollout.borrow();
+            rollout.may_load(&upstreams, &load.model, now)
+        };
+        let left = instance.retries_left(&service);
+        let mode = rollout::switch_mode(requests, fragile, left, waited);
+        if let Some(mode) = mode.filter(|_| turn && known) {
+            let until = now + LONGEST_LOAD;
+            instance.rollout.borrow_mut().loading(&load.upstream, until);
+            return Some(mode);
         }
-        let report = match report(&instance, &load).await {
+        if waited > LONGEST_LOAD {
+            return None;
+        }
+        monoio::time::sleep(POLL).await;
+    }
+}
+
+/// Orders a load and returns whether the weights are in place.
+async fn order_load(instance: &FleetInstance, load: &Load, mode: SwitchMode) -> bool {
+    let started = instance.now();
+    let mut ordered = None;
+    while instance.now().since(started) < LONGEST_LOAD {
+        let report = match report(instance, load).await {
             Ok(report) => report,
             Err(error) => {
                 warn!(upstream:display = load.upstream, error:display; "no report");
-                break false;
+                return false;
             }
         };
-        if take_report(&instance, &load, &report) {
-            break true;
+        if take_report(instance, load, &report) {
+            return true;
         }
-        // A report is older than its answer and may not show the order yet.
-        let stale = accepted_at.is_some_and(|orders| report.orders <= orders);
-        if report.is_busy || stale {
+        if report.is_busy || is_outdated(&report, ordered, instance.now()) {
+            instance
+                .upstreams
+                .borrow_mut()
+                .set_away(&load.upstream, AWAY, instance.now());
             monoio::time::sleep(POLL).await;
             continue;
         }
-        let Some(fencing) = order_time(&instance) else {
-            break false;
+        let Some(fencing) = order_time(instance) else {
+            return false;
         };
-        match order(&instance, &load, &report, fencing).await {
+        match order(instance, load, &report, mode, fencing).await {
             Some(OrderAnswer::Accepted) => {
-                accepted_at = Some(report.orders);
+                ordered = Some((report.orders, instance.now()));
+                accepted(instance, load, mode);
                 monoio::time::sleep(LOAD_TIME).await;
             }
             Some(OrderAnswer::InPlace) => {
-                saw(&instance, &load, load.version);
-                break true;
+                saw(instance, load, load.version);
+                return true;
             }
             Some(OrderAnswer::Conflict) | None => monoio::time::sleep(POLL).await,
             Some(OrderAnswer::Fenced | OrderAnswer::Unknown | OrderAnswer::Misdirected) => {
-                break false;
+                return false;
             }
         }
-    };
+    }
+    false
+}
+
+/// Returns whether a report is from before the order that was accepted last.
+fn is_outdated(report: &Report, ordered: Option<(u64, Time)>, now: Time) -> bool {
+    ordered.is_some_and(|(orders, at)| {
+        report.orders <= orders && now.since(at) < LOAD_TIME + REPORT_AGE
+    })
+}
+
+/// Lets the next engine begin when this one is expected to have loaded.
+fn accepted(instance: &FleetInstance, load: &Load, mode: SwitchMode) {
+    if mode == SwitchMode::AfterRuns {
+        return;
+    }
     let now = instance.now();
-    let took_ms = now.since(started).as_millis() as u64;
-    let version = load.version;
-    info!(upstream:display = load.upstream, version, loaded, took_ms; "load ended");
+    let mut upstreams = instance.upstreams.borrow_mut();
+    upstreams.set_away(&load.upstream, LOAD_TIME, now);
+    upstreams.saw_weights(&load.upstream, &load.model, load.version);
     let mut rollout = instance.rollout.borrow_mut();
-    rollout.ended(&load.upstream, loaded, now);
+    rollout.loading(&load.upstream, now + LOAD_TIME);
 }
 
 fn saw(instance: &FleetInstance, load: &Load, version: u64) {
-    let now = instance.now();
     let mut upstreams = instance.upstreams.borrow_mut();
-    upstreams.saw_weights(&load.upstream, &load.model, version, now);
+    upstreams.saw_weights(&load.upstream, &load.model, version);
 }
 
 /// Takes a report and returns whether the weights are in place.
@@ -205,20 +281,18 @@
     instance: &FleetInstance,
     load: &Load,
     report: &Report,
+    mode: SwitchMode,
     fencing: u64,
 ) -> Option<OrderAnswer> {
     let order = WeightsOrder {
         upstream: &load.upstream,
         model: &load.model,
         version: load.version,
+        mode,
         holder: &instance.settings.name,
         fencing,
         orders: report.orders,
     };
-    instance
-        .upstreams
-        .borrow_mut()
-        .loading(&load.upstream, instance.now());
     let answer = give(instance, load, &order).await;
     let version = load.version;
     let upstream = &load.upstream;
@@ -228,7 +302,7 @@
             let answer_code = answer.code();
             instance.metrics.order(answer_code);
             info!(
-                upstream:display, version, fencing, orders = report.orders, status,
+                upstream:display, version, mode:debug, fencing, orders = report.orders, status,
                 answer = answer_code;
                 "order given"
             );
