Confirm the configuration when the store's wait ends, and use the permitted excess of limits

Change: an empty watch confirms up to the end of its wait; buckets hold 0.55 of the excess that the operators permit; a stop takes last requests for 2.8 s; placement does not begin on old weights what would start too late; instances try for the tenure in turn.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -53,9 +53,8 @@
         }
     }
 
-    /// Records that the platform answered a call that was sent at `sent`.
-    ///
-    /// Whatever changed before `sent` is contained in that answer.
+    /// Records that the platform held nothing newer at `at`: the sending of a
+    /// call that it answered, or the end of the wait that it was asked for.
     ///
     /// ```
     /// use std::time::Duration;
@@ -71,8 +70,8 @@
     /// assert!(freshness.trusts_keys(Time::ZERO));
     /// assert!(!freshness.trusts_keys(Time::ZERO + Duration::from_secs(4)));
     /// ```
-    pub fn confirm(&mut self, sent: Time) {
-        self.confirmed = self.confirmed.max(Some(sent));
+    pub fn confirm(&mut self, at: Time) {
+        self.confirmed = self.confirmed.max(Some(at));
     }
 
     /// Returns the time since the last confirmation.
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -35,7 +35,7 @@
         Self {
             first_pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(4),
-            failing_part: 0.2,
+            failing_part: 0.3,
         }
     }
 }
@@ -89,7 +89,7 @@
             }
             return;
         }
-        let at_once = matches!(verdict, Verdict::Unreachable | Verdict::Silent);
+        let at_once = verdict == Verdict::Unreachable;
         if at_once || self.failing >= options.failing_part {
             self.pause(options, now);
         }
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -12,12 +12,45 @@
 
 use crate::Name;
 
-/// The `LimitOptions` say how far a shared limit may be stretched.
+/// The `LimitOptions` say by how much a limit may be exceeded in a window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitOptions {
-    /// The units beyond its burst that a team may use, as instances learn of
-    /// each other's use with a delay.
-    pub overdraft: f64,
+    /// The units that a team may use beyond its limit in a window.
+    pub slack: f64,
+    /// The part of the limit of a window that a team may use beyond it.
+    pub overage: f64,
+    /// The length of the window.
+    pub window: Duration,
+}
+
+impl Default for LimitOptions {
+    fn default() -> Self {
+        Self {
+            slack: 0.0,
+            overage: 0.0,
+            window: Duration::from_secs(8),
+        }
+    }
+}
+
+/// The part of the permitted excess that a team may use at once. The rest covers
+/// what instances admit before they hear of each other.
+const EXCESS_AT_ONCE: f64 = 0.55;
+
+/// The part of the permitted excess with which all instances together start, as
+/// teams may have used up their limit before a restart of all.
+const EXCESS_AT_START: f64 = 0.15;
+
+impl LimitOptions {
+    fn excess(&self, limit: &TeamLimit) -> f64 {
+        let window = units(limit.rate) * self.window.as_secs_f64() + units(limit.burst);
+        self.slack + self.overage * window
+    }
+
+    /// Returns the units that a team may use at once.
+    fn capacity(&self, limit: &TeamLimit) -> f64 {
+        units(limit.burst) + self.excess(limit) * EXCESS_AT_ONCE
+    }
 }
 
 /// A `TeamLimit` is the rate and burst of one team.
@@ -89,21 +122,22 @@
 
     /// Puts the limits of a configuration in force.
     ///
-    /// A team that is new here starts with this instance's share of its burst.
+    /// A team that is new here starts with this instance's share of a small part
+    /// of its limit.
     pub fn configure(&mut self, teams: &[(Name, TeamLimit)], now: Time) {
         let part = self.start_part();
         let mut kept = HashMap::with_capacity(teams.len());
         for (name, limit) in teams {
             let fresh = || Bucket {
                 limit: *limit,
-                level: units(limit.burst) * part,
+                level: self.options.excess(limit) * EXCESS_AT_START * part,
                 refilled: now,
                 spent: 0,
             };
             let mut bucket = self.buckets.remove(name).unwrap_or_else(fresh);
             refill(&mut bucket, self.attendance, self.options, now);
             bucket.limit = *limit;
-            bucket.level = bucket.level.min(capacity(limit, self.options, 1.0));
+            bucket.level = bucket.level.min(self.options.capacity(limit));
             kept.insert(Name::clone(name), bucket);
         }
         self.buckets = kept;
@@ -136,9 +170,8 @@
             return Ok(());
         }
         refill(bucket, self.attendance, self.options, now);
-        let overdraft = self.options.overdraft * self.attendance.part();
-        let needed = units(cost).min(units(bucket.limit.burst) * self.attendance.part());
-        let missing = needed - bucket.level - overdraft;
+        let most = self.options.capacity(&bucket.limit) * self.attendance.part();
+        let missing = units(cost).min(most) - bucket.level;
         if missing > 0.0 {
             let rate = units(bucket.limit.rate) * self.attendance.part();
             let wait = Duration::try_from_secs_f64(missing / rate).unwrap_or(MAX_WAIT);
@@ -187,10 +220,6 @@
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
-fn capacity(limit: &TeamLimit, options: LimitOptions, part: f64) -> f64 {
-    (units(limit.burst).max(options.overdraft)) * part
-}
-
 fn refill(bucket: &mut Bucket, attendance: Attendance, options: LimitOptions, now: Time) {
     let part = attendance.part();
     let elapsed = now.since(bucket.refilled).as_secs_f64();
@@ -198,7 +227,7 @@
     let filled = bucket.level + units(bucket.limit.rate) * part * elapsed;
     let limit = &bucket.limit;
     // A limit that is deeply overdrawn is repaid in bounded time.
-    let floor = -(units(limit.rate) + units(limit.burst) + options.overdraft);
-    let most = units(limit.burst) * part;
+    let floor = -(units(limit.rate) * 2.0 + options.capacity(limit));
+    let most = options.capacity(limit) * part;
     bucket.level = filled.min(most).max(floor);
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -180,9 +180,10 @@
     pub named: Option<&'a NamedWeights>,
 }
 
-/// What reading a part elsewhere than at its home counts as slower, as other
-/// requests for it are likely to be under way to the home.
-const NOT_HOME: Duration = Duration::from_millis(60);
+/// How often the reading of a part elsewhere than at its home counts, as other
+/// requests for it are likely to be under way to the home and the part would be
+/// read twice.
+const NOT_HOME: f64 = 1.0;
 
 /// What a fetch counts as slower than having the parts, beyond its time: the
 /// copy takes memory that other parts lose.
@@ -209,16 +210,16 @@
     let mut chains: Vec<(u64, CacheSalt, Vec<Link>)> = Vec::new();
     let mut best: Option<(f64, f64, Candidate<'_>)> = None;
     for row in around.candidates(req.service) {
-        let Some(stale) = staleness(row, model, req.named, options, around.now) else {
-            continue;
-        };
         let version = row.weights(model);
         let chain = chain_for(version, model, req, &mut chains);
         let candidate = candidate(row, version, chain, req, around);
         let expected = expected_ms(&candidate, req, options, around);
+        let Some(stale) = staleness(row, expected, req, options, around.now) else {
+            continue;
+        };
         let cost = expected
             + stale
-            + extra_ms(&candidate, home, req)
+            + extra_ms(&candidate, home, req, options)
             + row.health.failing() * millis(FAILING_PENALTY)
             + far(row, around) * millis(OTHER_DOMAIN)
             + jitter(row, around);
@@ -306,7 +307,12 @@
 }
 
 /// Returns what a choice costs others, in milliseconds.
-fn extra_ms(candidate: &Candidate<'_>, home: Option<u64>, req: &PromptRequest<'_>) -> f64 {
+fn extra_ms(
+    candidate: &Candidate<'_>,
+    home: Option<u64>,
+    req: &PromptRequest<'_>,
+    options: &PlacementOptions,
+) -> f64 {
     let shared = req.prompt.shared_tokens();
     let mut extra = 0.0;
     if candidate.fetched > 0 {
@@ -314,7 +320,7 @@
     }
     let unknown = shared.saturating_sub(candidate.held + candidate.fetched);
     if unknown > 0 && home != Some(candidate.row.hash) {
-        extra += millis(NOT_HOME) * count(unknown) / count(shared.max(1));
+        extra += NOT_HOME * count(unknown) / options.prefill_per_ms;
     }
     extra
 }
@@ -323,19 +329,24 @@
 /// they may no longer be used.
 fn staleness(
     row: &Upstream,
-    model: &str,
-    named: Option<&NamedWeights>,
+    expected_ms: f64,
+    req: &PromptRequest<'_>,
     options: &PlacementOptions,
     now: Time,
 ) -> Option<f64> {
-    let Some(named) = named else {
+    let Some(named) = req.named else {
         return Some(0.0);
     };
-    if row.weights(model).is_some_and(|v| v >= named.version) {
+    if row
+        .weights(&named.model)
+        .is_some_and(|v| v >= named.version)
+    {
         return Some(0.0);
     }
     let age = now.since(named.since);
-    if age >= options.old_weights_end {
+    // The request counts from when its engine begins with it.
+    let begins = millis(age) + expected_ms * LATE_BEGIN;
+    if begins >= millis(options.old_weights_end) {
         return None;
     }
     let counts = age >= options.old_weights_grace;
@@ -346,6 +357,9 @@
     })
 }
 
+/// How much later than expected a request may begin.
+const LATE_BEGIN: f64 = 2.0;
+
 fn expected_ms(
     candidate: &Candidate<'_>,
     req: &PromptRequest<'_>,
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::Name;
+use crate::limits::LimitOptions;
 
 /// The `Bounds` are the promises that the operators of a fleet set in figures.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,8 +20,8 @@
     pub retry_slack: f64,
     /// The window in which retries are counted.
     pub retry_window: Duration,
-    /// The units that a team may exceed its limit by in a window.
-    pub limit_slack: f64,
+    /// The excess over a team's limit that is permitted.
+    pub limits: LimitOptions,
     /// The time within which two givers of orders count as taking turns.
     pub order_turns: Duration,
     /// The time after which requests run on newly named weights only.
@@ -35,7 +36,7 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window: Duration::from_secs(10),
-            limit_slack: 0.0,
+            limits: LimitOptions::default(),
             order_turns: Duration::from_secs(3),
             weights: Duration::from_secs(6),
         }
--- a/crates/fleet/src/tenure.rs
+++ b/crates/fleet/src/tenure.rs
@@ -36,9 +36,9 @@
     #[must_use]
     pub fn for_turns(bound: Duration) -> Self {
         Self {
-            duration: Duration::from_millis(1_200),
-            renewal: Duration::from_millis(400),
-            handover: bound + Duration::from_millis(500),
+            duration: Duration::from_millis(1_000),
+            renewal: Duration::from_millis(350),
+            handover: bound + Duration::from_millis(400),
             stagger: Duration::from_millis(60),
         }
     }
@@ -109,6 +109,9 @@
     next_try: Time,
 }
 
+/// The most instances that are let try first.
+const MAX_STAGGER: u32 = 15;
+
 /// The wait after a write that failed or was lost to another instance.
 const RETRY_WAIT: Duration = Duration::from_millis(150);
 
@@ -212,7 +215,7 @@
 
     fn next_record(&mut self, wanted: bool, rank: u32, now: Time) -> Option<TenureRecord> {
         let Some(observed) = self.observed.clone() else {
-            let waits = self.staggered(wanted, rank, now);
+            let waits = self.staggered(wanted, rank, now.since(self.started), now);
             return (wanted && !waits).then(|| self.record(1, 0, false));
         };
         let last = &observed.record;
@@ -225,8 +228,8 @@
         } else {
             last.duration + self.options.handover
         };
-        let free = now.since(observed.since) >= quiet;
-        if !wanted || !free || self.staggered(wanted, rank, now) {
+        let free_at = observed.since + quiet;
+        if now < free_at || self.staggered(wanted, rank, now.since(free_at), now) {
             return None;
         }
         Some(self.record(last.fencing + 1, renewals, false))
@@ -257,13 +260,15 @@
         self.options.duration.saturating_sub(self.options.renewal)
     }
 
-    /// Returns whether instances before this one in rank have the first try.
-    fn staggered(&mut self, wanted: bool, rank: u32, now: Time) -> bool {
+    /// Returns whether instances before this one in rank have the first try, once
+    /// the record has been free for `free` and orders are wanted.
+    fn staggered(&mut self, wanted: bool, rank: u32, free: Duration, now: Time) -> bool {
         if !wanted {
             return true;
         }
         let since = *self.wanted_since.get_or_insert(now);
-        now.since(since.max(self.started)) < self.options.stagger * rank.min(20)
+        let turn = self.options.stagger * rank.min(MAX_STAGGER);
+        now.since(since).min(free) < turn
     }
 
     fn record(&self, fencing: u64, renewals: u64, released: bool) -> TenureRecord {
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -30,14 +30,17 @@
 
 /// The wait of a watch on the configuration. It bounds the age of the last
 /// confirmation, for which keys are trusted only a few seconds.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_500);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
 
 /// The wait of a watch on upstreams. A connection that has fallen silent is
 /// noticed when it ends.
 const UPSTREAMS_WAIT: Duration = Duration::from_millis(2_500);
 
-/// The wait of a watch on kinds that change seldom.
-const QUIET_WAIT: Duration = Duration::from_millis(5_000);
+/// The wait of a watch on named weights.
+const WEIGHTS_WAIT: Duration = Duration::from_millis(3_000);
+
+/// The wait of a watch on kinds whose age does no harm.
+const QUIET_WAIT: Duration = Duration::from_millis(10_000);
 
 /// The bounds of the pause after a failed call.
 const PAUSE: (u64, u64) = (60, 240);
@@ -62,8 +65,8 @@
     /// Takes one change.
     fn changed(&self, change: Change);
 
-    /// Records that a call that was sent at `sent` was answered.
-    fn confirmed(&self, _sent: Time) {}
+    /// Records that nothing newer than what was taken existed at `at`.
+    fn confirmed(&self, _at: Time) {}
 }
 
 /// Starts the tasks that follow the store.
@@ -104,10 +107,10 @@
         instance.store.note(outcome.as_ref().err(), instance.now());
         instance.metrics.store_call(outcome.is_ok());
         match outcome {
-            Ok(next) => {
-                from = next;
+            Ok(step) => {
+                from = step.next;
                 if from.is_some() {
-                    follower.confirmed(sent);
+                    follower.confirmed(sent + step.waited);
                 }
             }
             Err(_) => {
@@ -118,28 +121,46 @@
     }
 }
 
-/// Makes one call and returns the revision from which to go on, or `None` when
-/// everything has to be listed again.
+/// A `Step` is the outcome of one call.
+struct Step {
+    /// The revision from which to go on, or `None` to list everything again.
+    next: Option<u64>,
+    /// The time for which the store has certainly waited before it answered.
+    waited: Duration,
+}
+
 async fn step<F: Follower>(
     instance: &FleetInstance,
     follower: &F,
     from: Option<u64>,
-) -> Result<Option<u64>, StoreError> {
+) -> Result<Step, StoreError> {
     let Some(from) = from else {
         let (objects, at) = instance.store.list(F::KIND).await?;
         follower.listed(objects);
-        return Ok(Some(at));
+        return Ok(Step {
+            next: Some(at),
+            waited: Duration::ZERO,
+        });
     };
+    let sent = instance.now();
     match instance.store.watch(F::KIND, from, F::WAIT).await? {
         Watched::Changes { changes, at } => {
+            // The store answers a watch without changes when its wait is over.
+            let whole_wait = changes.is_empty() && instance.now().since(sent) >= F::WAIT;
             for change in changes {
                 follower.changed(change);
             }
-            Ok(Some(at))
+            Ok(Step {
+                next: Some(at),
+                waited: if whole_wait { F::WAIT } else { Duration::ZERO },
+            })
         }
         Watched::HistoryGone => {
             info!(kind = F::KIND, from; "the store dropped its history; listing again");
-            Ok(None)
+            Ok(Step {
+                next: None,
+                waited: Duration::ZERO,
+            })
         }
     }
 }
@@ -196,8 +217,8 @@
         }
     }
 
-    fn confirmed(&self, sent: Time) {
-        self.0.freshness.borrow_mut().confirm(sent);
+    fn confirmed(&self, at: Time) {
+        self.0.freshness.borrow_mut().confirm(at);
     }
 }
 
@@ -303,7 +324,7 @@
 
 impl Follower for WeightsFollower {
     const KIND: &'static str = wire::store::WEIGHTS;
-    const WAIT: Duration = QUIET_WAIT;
+    const WAIT: Duration = WEIGHTS_WAIT;
 
     fn listed(&self, objects: Vec<Object>) {
         let now = self.0.now().from_start();
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -15,7 +15,6 @@
 use limpetsaddle_fleet::freshness::Freshness;
 use limpetsaddle_fleet::freshness::FreshnessOptions;
 use limpetsaddle_fleet::health::HealthOptions;
-use limpetsaddle_fleet::limits::LimitOptions;
 use limpetsaddle_fleet::limits::Limits;
 use limpetsaddle_fleet::limits::TeamLimit;
 use limpetsaddle_fleet::peers::PeerOptions;
@@ -40,13 +39,9 @@
 use crate::errors::Result;
 use crate::shutdown::Stopping;
 
-/// The part of the permitted excess over a limit that teams may use up at once;
-/// the rest covers what instances admit before they hear of each other.
-const OVERDRAFT_PART: f64 = 0.3;
-
-/// The time before the bound for old weights from which they are not used, as a
-/// request takes time to reach its engine.
-const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
+/// The time before the bound for old weights by which a request has to begin at
+/// the latest, by what its engine is expected to need.
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(600);
 
 /// The time that a connection to an upstream may take to be established. One
 /// lost packet costs a second, and another upstream answers sooner.
@@ -133,9 +128,7 @@
             upstreams: RefCell::new(Upstreams::new(HealthOptions::default())),
             peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default())),
             directory: RefCell::new(PrefixDirectory::default()),
-            limits: RefCell::new(Limits::new(LimitOptions {
-                overdraft: bounds.limit_slack * OVERDRAFT_PART,
-            })),
+            limits: RefCell::new(Limits::new(bounds.limits)),
             named: RefCell::new(Vec::new()),
             tenure: RefCell::new(Tenure::new(
                 name,
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -33,14 +33,15 @@
 const METRICS_PORT: u16 = 9_464;
 
 /// The time after the start of a stop in which new connections are still
-/// served: the balancer asks once a second and goes by two answers.
-const LAME_DUCK: Duration = Duration::from_millis(2_600);
+/// served: the balancer asks once a second and goes by two answers. Requests
+/// that arrive later than three seconds after the signal could not be finished.
+const LAME_DUCK: Duration = Duration::from_millis(2_100);
 
 /// The time between two looks at the requests in progress during a stop.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
 /// The time before the end of the permitted stop at which the process ends.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
+const STOP_MARGIN: Duration = Duration::from_millis(250);
 
 /// Runs an instance until a signal asks it to stop.
 ///
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -20,7 +20,7 @@
 
 /// The time that an open connection gets for one more request once the
 /// instance takes no new connections.
-pub const LAST_REQUEST: Duration = Duration::from_millis(1_500);
+pub const LAST_REQUEST: Duration = Duration::from_millis(700);
 
 /// The time between two looks at the longest idle time, which a configuration
 /// may change.
