Fetch from the KV store what engines have dropped

Change: parts that the store lacks are saved there; a fetch names the engine that surely holds most, then the store, then an engine that may; two instances ask the store whether it is up and the others go by their beacons.

--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::directory::CacheNews;
+use crate::store_watch::StoreNews;
 
 /// The size up to which a beacon fits one datagram without fragments, in bytes.
 pub const MAX_BEACON_BYTES: usize = 1_400;
@@ -83,6 +84,8 @@
     pub weights: Vec<WeightsNews>,
     /// The use of services.
     pub services: Vec<ServiceUse>,
+    /// The start of the KV store, from instances that ask it themselves.
+    pub store: Option<StoreNews>,
     /// The prompts that engines have read since the last beacon.
     pub cached: Vec<CacheNews>,
 }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -105,8 +105,19 @@
     pub name: Name,
     /// What its engines can do, for a service of model engines.
     pub engine: Option<Engine>,
-    /// The address of the KV store, for a service that is one.
-    pub kv_store: Option<SocketAddr>,
+    /// The KV store, for a service that is one.
+    pub kv_store: Option<KvStore>,
+}
+
+/// A `KvStore` keeps parts of prompts for engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KvStore {
+    /// Where engines fetch from and save to.
+    pub address: SocketAddr,
+    /// Its memory in tokens.
+    pub memory_tokens: u64,
+    /// The speed of its link in megabits a second.
+    pub link_mbps: f64,
 }
 
 /// A `Charge` tells how a team's requests count against its limit.
@@ -255,8 +266,8 @@
 
     /// Returns the KV store, if there is one.
     #[must_use]
-    pub fn kv_store(&self) -> Option<SocketAddr> {
-        self.services.values().find_map(|s| s.kv_store)
+    pub fn kv_store(&self) -> Option<&KvStore> {
+        self.services.values().find_map(|s| s.kv_store.as_ref())
     }
 }
 
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -16,8 +16,26 @@
 use crate::prompt::CacheSalt;
 use crate::prompt::Prompt;
 
-/// The part of an engine's memory that cached parts keep beside running requests.
-const KEPT_PART: f64 = 0.7;
+/// How certainly an engine is to hold a part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Certainty {
+    /// The part has probably not been dropped yet.
+    Likely,
+    /// So little came after the part that it has hardly been dropped.
+    Sure,
+}
+
+impl Certainty {
+    /// Returns the part of an engine's memory that may have been taken by what
+    /// came after a part that is still held. Running requests take memory too,
+    /// and parts that are used again stay without taking more.
+    const fn kept_part(self) -> f64 {
+        match self {
+            Self::Likely => 1.0,
+            Self::Sure => 0.5,
+        }
+    }
+}
 
 /// The time after which a part that was not used is not looked for any more.
 const LONGEST_KEPT: Duration = Duration::from_secs(30);
@@ -105,10 +123,19 @@
         }
     }
 
-    /// Returns how many leading parts of a chain an engine holds.
+    /// Returns how many leading parts of a chain an engine with `memory` tokens
+    /// holds.
     #[must_use]
-    pub fn depth(&self, holder: u64, chain: &[Link], memory_tokens: u64, now: Time) -> usize {
-        let held = |link: &&Link| self.holds(holder, link.key, memory_tokens, now);
+    pub fn depth(
+        &self,
+        holder: u64,
+        chain: &[Link],
+        memory: u64,
+        certainty: Certainty,
+        now: Time,
+    ) -> usize {
+        let kept = kept_tokens(memory, certainty);
+        let held = |link: &&Link| self.holds(holder, link.key, kept, now);
         chain.iter().take_while(held).count()
     }
 
@@ -125,7 +152,7 @@
         std::mem::take(&mut self.news)
     }
 
-    fn holds(&self, holder: u64, key: ChainKey, memory_tokens: u64, now: Time) -> bool {
+    fn holds(&self, holder: u64, key: ChainKey, kept: u64, now: Time) -> bool {
         let marks = self.marks.get(&key);
         let mark = marks.and_then(|marks| marks.iter().find(|m| m.holder == holder));
         let Some(mark) = mark else {
@@ -133,7 +160,7 @@
         };
         let position = self.positions.get(&holder).copied().unwrap_or_default();
         let since = position.saturating_sub(mark.position);
-        now.since(mark.used) < LONGEST_KEPT && since < kept_tokens(memory_tokens)
+        now.since(mark.used) < LONGEST_KEPT && since < kept
     }
 
     fn prune(&mut self, now: Time) {
@@ -151,6 +178,6 @@
     clippy::cast_sign_loss,
     reason = "a part of a memory's size needs no exactness"
 )]
-fn kept_tokens(memory_tokens: u64) -> u64 {
-    (memory_tokens as f64 * KEPT_PART) as u64
+fn kept_tokens(memory_tokens: u64, certainty: Certainty) -> u64 {
+    (memory_tokens as f64 * certainty.kept_part()) as u64
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod settings;
+pub mod store_watch;
 pub mod tenure;
 pub mod upstreams;
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -13,7 +13,10 @@
 use limpetsaddle_core::units::Time;
 
 use crate::Name;
+use crate::beacon::name_hash;
 use crate::configuration::Engine;
+use crate::configuration::KvStore;
+use crate::directory::Certainty;
 use crate::directory::Link;
 use crate::directory::PrefixDirectory;
 use crate::directory::chain;
@@ -178,6 +181,8 @@
     pub isolated: Option<&'a str>,
     /// The newest weights of the prompt's model, if any were named.
     pub named: Option<&'a NamedWeights>,
+    /// The KV store, while it is up.
+    pub store: Option<&'a KvStore>,
 }
 
 /// How often the reading of a part elsewhere than at its home counts, as other
@@ -195,7 +200,23 @@
     version: Option<u64>,
     held: u64,
     fetched: u64,
-    source: Option<SocketAddr>,
+    source: Option<Source>,
+}
+
+/// A `Source` is where an engine fetches parts from.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    address: SocketAddr,
+    link_mbps: f64,
+}
+
+impl Source {
+    const fn engine(row: &Upstream, engine: &Engine) -> Self {
+        Self {
+            address: row.entry.address,
+            link_mbps: engine.link_mbps,
+        }
+    }
 }
 
 /// Chooses an engine for a prompt.
@@ -232,6 +253,7 @@
         .into_iter()
         .find(|(v, _, _)| Some(*v) == chosen.version);
     let (salt, chain) = chain.map_or((None, Vec::new()), |(_, salt, links)| (Some(salt), links));
+    let save_to = save_to(req, &chain, around);
     let tail = req.prompt.input_tokens.saturating_sub(chosen.held);
     Some(Placement {
         upstream: Name::clone(&chosen.row.entry.id),
@@ -239,8 +261,8 @@
         weights: chosen.version,
         cache: salt.map(|salt| CacheUse {
             salt,
-            fetch_from: chosen.source,
-            save_to: None,
+            fetch_from: chosen.source.map(|source| source.address),
+            save_to,
         }),
         prompt_tokens: tail.saturating_sub(chosen.fetched),
         new_tokens: tail + req.prompt.max_output_tokens,
@@ -277,27 +299,88 @@
     around: &Surroundings<'a>,
 ) -> Candidate<'a> {
     let memory = req.engine.memory_tokens;
-    let depth = |row: &Upstream| around.directory.depth(row.hash, chain, memory, around.now);
+    let depth = |row: &Upstream, certainty| {
+        let directory = around.directory;
+        directory.depth(row.hash, chain, memory, certainty, around.now)
+    };
     let tokens = |depth: usize| chain[..depth].iter().map(|link| link.tokens).sum::<u64>();
-    let own = depth(row);
-    let sources = around
-        .upstreams
-        .of_service(req.service)
-        .filter(|other| other.hash != row.hash && !other.health.is_avoided(around.now));
-    // The nearest of the engines that hold most.
-    let source = sources
-        .map(|other| (depth(other), other.entry.domain == row.entry.domain, other))
-        .max_by_key(|(depth, near, _)| (*depth, *near))
-        .filter(|(depth, _, _)| *depth > own);
+    let own = depth(row, Certainty::Likely);
+    let engine = |certainty| {
+        let others = around.upstreams.of_service(req.service);
+        let others =
+            others.filter(|other| other.hash != row.hash && !other.health.is_avoided(around.now));
+        // The nearest of the engines that hold most.
+        others
+            .map(|other| {
+                (
+                    depth(other, certainty),
+                    other.entry.domain == row.entry.domain,
+                    other,
+                )
+            })
+            .max_by_key(|(depth, near, _)| (*depth, *near))
+            .map(|(depth, _, other)| (depth, Source::engine(other, req.engine)))
+    };
+    let store = req.store.map(|store| {
+        let source = Source {
+            address: store.address,
+            link_mbps: store.link_mbps,
+        };
+        (store_depth(store, chain, around), source)
+    });
+    // Of equal depth, an engine that surely holds the parts is the quickest
+    // source, and one that may have dropped them the last.
+    let source = [engine(Certainty::Likely), store, engine(Certainty::Sure)]
+        .into_iter()
+        .flatten()
+        .max_by_key(|(depth, _)| *depth)
+        .filter(|(depth, _)| *depth > 0);
+    let fetched = source.map_or(0, |(depth, _)| tokens(depth).saturating_sub(tokens(own)));
     Candidate {
         row,
         version,
         held: tokens(own),
-        fetched: source.map_or(0, |(depth, _, _)| tokens(depth) - tokens(own)),
-        source: source.map(|(_, _, other)| other.entry.address),
+        fetched,
+        // An engine may have dropped what it is believed to hold; a source from
+        // which nothing is needed costs nothing.
+        source: source.map(|(_, source)| source),
     }
 }
 
+fn store_depth(store: &KvStore, chain: &[Link], around: &Surroundings<'_>) -> usize {
+    let hash = store_hash(store.address);
+    let directory = around.directory;
+    directory.depth(
+        hash,
+        chain,
+        store.memory_tokens,
+        Certainty::Likely,
+        around.now,
+    )
+}
+
+/// Returns the hash under which the directory knows the KV store.
+#[must_use]
+pub fn store_hash(address: SocketAddr) -> u64 {
+    name_hash(&address.to_string())
+}
+
+/// The shared tokens from which a prompt is saved to the KV store.
+const MIN_SAVE_TOKENS: u64 = 1_000;
+
+/// Returns whether the parts of a prompt are to be saved: they are many, and
+/// the store does not hold them.
+fn save_to(
+    req: &PromptRequest<'_>,
+    chain: &[Link],
+    around: &Surroundings<'_>,
+) -> Option<SocketAddr> {
+    let store = req.store?;
+    let many = req.prompt.shared_tokens() >= MIN_SAVE_TOKENS;
+    let missing = store_depth(store, chain, around) < chain.len();
+    (many && missing).then_some(store.address)
+}
+
 /// Returns the home of the request's shared parts.
 fn home<'a>(req: &PromptRequest<'_>, around: &Surroundings<'a>) -> Option<&'a Upstream> {
     let scope = req.isolated.unwrap_or_default();
@@ -378,16 +461,16 @@
     let overflow = needed.saturating_sub(req.engine.memory_tokens);
     let tokens = waiting + unread + overflow;
     let reading = count(tokens) / options.prefill_per_ms * row.slowness;
-    reading + fetch_ms(candidate.fetched, req) + millis(options.base)
+    reading + fetch_ms(candidate, req) + millis(options.base)
 }
 
-fn fetch_ms(tokens: u64, req: &PromptRequest<'_>) -> f64 {
-    if tokens == 0 {
+fn fetch_ms(candidate: &Candidate<'_>, req: &PromptRequest<'_>) -> f64 {
+    let Some(source) = candidate.source.filter(|_| candidate.fetched > 0) else {
         return 0.0;
-    }
-    let bits = count(tokens * req.engine.token_bytes * 8);
+    };
+    let bits = count(candidate.fetched * req.engine.token_bytes * 8);
     // Transfers between failure domains take twice as long.
-    let transfer = bits / (req.engine.link_mbps.max(1.0) * 1_000.0) * 2.0;
+    let transfer = bits / (source.link_mbps.max(1.0) * 1_000.0) * 2.0;
     transfer + millis(FETCH_START)
 }
 
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -151,7 +151,7 @@
     ///
     /// A process that started anew knows nothing of before, so that nothing
     /// that was learned of the last one holds.
-    pub fn upsert(&mut self, entry: UpstreamEntry, now: Time) {
+    pub fn upsert(&mut self, entry: UpstreamEntry) {
         let held = self.rows.get_mut(&entry.id);
         let Some(row) = held.filter(|row| row.entry.born_ms == entry.born_ms) else {
             let row = Upstream {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod forward;
 mod instance;
+mod kv_store;
 mod metrics;
 mod operators;
 mod relay;
--- a/crates/router/src/fleet/beacons.rs
+++ b/crates/router/src/fleet/beacons.rs
@@ -6,6 +6,7 @@
 use limpetsaddle_fleet::beacon::Beacon;
 use limpetsaddle_fleet::beacon::TeamUse;
 use limpetsaddle_fleet::beacon::name_hash;
+use limpetsaddle_fleet::store_watch::StoreWatch;
 use log::info;
 use log::warn;
 use monoio::net::udp::UdpSocket;
@@ -74,6 +75,9 @@
     for report in &reports.sent {
         instance.sent_elsewhere(report);
     }
+    if let Some(boot) = beacon.store {
+        instance.heard_store(boot);
+    }
     let mut upstreams = instance.upstreams.borrow_mut();
     for news in &beacon.weights {
         upstreams.news(news, now);
@@ -148,6 +152,9 @@
     beacon.loads = upstreams.loads();
     beacon.weights = upstreams.weights_news(now);
     beacon.services = instance.service_uses();
+    let rank = instance.peers.borrow().rank(now);
+    let store = instance.kv_store.borrow().news(now);
+    beacon.store = store.filter(|_| StoreWatch::asks(rank));
     beacon.cached = instance.directory.borrow_mut().take_news();
     beacon
 }
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -236,7 +236,6 @@
     }
 
     fn take(&self, object: &Object) {
-        let now = self.0.now();
         let revision = object.revision;
         let upstream = object.name.as_str();
         match wire::servers::decode(object) {
@@ -246,7 +245,7 @@
                 let born_ms = entry.born_ms;
                 let service = Name::clone(&entry.service);
                 self.forget_if_new(&entry);
-                self.0.upstreams.borrow_mut().upsert(entry, now);
+                self.0.upstreams.borrow_mut().upsert(entry);
                 info!(
                     upstream, revision, phase, weights, born_ms, service:display;
                     "upstream listed"
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -13,6 +13,7 @@
 use limpetsaddle_fleet::attempt::Attempts;
 use limpetsaddle_fleet::attempt::Failure;
 use limpetsaddle_fleet::attempt::NextStep;
+use limpetsaddle_fleet::configuration::KvStore;
 use limpetsaddle_fleet::configuration::RouteKind;
 use limpetsaddle_fleet::configuration::Service;
 use limpetsaddle_fleet::configuration::share_draw;
@@ -110,15 +111,26 @@
         };
         let mut upstreams = self.instance.upstreams.borrow_mut();
         upstreams.first_event(ticket, now);
-        if placement.cache.is_some()
-            && let Some(row) = upstreams.get(&placement.upstream)
-        {
+        let Some(cache) = &placement.cache else {
+            return;
+        };
+        let keys = || placement.chain.iter().map(|link| link.key).collect();
+        let mut directory = self.instance.directory.borrow_mut();
+        if let Some(row) = upstreams.get(&placement.upstream) {
             let news = CacheNews {
                 holder: row.hash,
-                keys: placement.chain.iter().map(|link| link.key).collect(),
+                keys: keys(),
+                new_tokens: u32::try_from(placement.new_tokens).unwrap_or(u32::MAX),
+            };
+            directory.read(news, now);
+        }
+        if let Some(store) = cache.save_to {
+            let news = CacheNews {
+                holder: placement::store_hash(store),
+                keys: keys(),
                 new_tokens: u32::try_from(placement.new_tokens).unwrap_or(u32::MAX),
             };
-            self.instance.directory.borrow_mut().read(news, now);
+            directory.read(news, now);
         }
     }
 }
@@ -238,6 +250,10 @@
         self.accepted.inquiry.prompt.as_ref()
     }
 
+    fn store(&self) -> Option<&KvStore> {
+        self.accepted.configuration.kv_store()
+    }
+
     fn work(&self, placement: &Placement) -> Work {
         let prompt = self.prompt();
         Work {
@@ -279,6 +295,9 @@
                     prompt,
                     isolated: isolated.map(|team| &*team.name),
                     named: named.iter().find(|n| &*n.model == model),
+                    store: self
+                        .store()
+                        .filter(|_| instance.kv_store.borrow().is_up(now)),
                 };
                 placement::place_prompt(&req, &instance.placement, &around)
             }
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -22,15 +22,18 @@
 use limpetsaddle_fleet::peers::SendReport;
 use limpetsaddle_fleet::placement::NamedWeights;
 use limpetsaddle_fleet::placement::PlacementOptions;
+use limpetsaddle_fleet::placement::store_hash;
 use limpetsaddle_fleet::retry_budget::BudgetOptions;
 use limpetsaddle_fleet::retry_budget::RetryBudget;
 use limpetsaddle_fleet::rollout::Rollout;
 use limpetsaddle_fleet::settings::FleetSettings;
+use limpetsaddle_fleet::store_watch::StoreWatch;
 use limpetsaddle_fleet::tenure::Tenure;
 use limpetsaddle_fleet::tenure::TenureOptions;
 use limpetsaddle_fleet::upstreams::Upstreams;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
+use log::info;
 
 use super::metrics::Metrics;
 use super::store::StoreClient;
@@ -76,6 +79,8 @@
     pub peers: RefCell<Peers>,
     /// Which engines hold which parts of prompts.
     pub directory: RefCell<PrefixDirectory>,
+    /// What is known of the KV store.
+    pub kv_store: RefCell<StoreWatch>,
     /// The limits of teams.
     pub limits: RefCell<Limits>,
     /// The newest weights of each model.
@@ -127,6 +132,7 @@
             ))),
             upstreams: RefCell::new(Upstreams::new(HealthOptions::default())),
             peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default())),
+            kv_store: RefCell::new(StoreWatch::default()),
             directory: RefCell::new(PrefixDirectory::default()),
             limits: RefCell::new(Limits::new(bounds.limits)),
             named: RefCell::new(Vec::new()),
@@ -255,6 +261,20 @@
         work(budget, part)
     }
 
+    /// Records that the KV store was heard of, here or by another instance.
+    pub fn heard_store(&self, boot: u64) {
+        let now = self.now();
+        if !self.kv_store.borrow_mut().heard(boot, now) {
+            return;
+        }
+        let configuration = self.configuration();
+        if let Some(store) = configuration.as_ref().and_then(|c| c.kv_store()) {
+            let hash = store_hash(store.address);
+            self.directory.borrow_mut().forget(hash);
+            info!(store:display = store.address, boot; "KV store started anew");
+        }
+    }
+
     /// Returns the number of requests in progress.
     pub const fn running(&self) -> u64 {
         self.running.get()
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -17,6 +17,7 @@
 use super::beacons;
 use super::follow;
 use super::instance::FleetInstance;
+use super::kv_store;
 use super::operators;
 use super::rollout;
 use super::serve;
@@ -96,6 +97,7 @@
     beacons::start(instance, ending)?;
     follow::start(instance, ending);
     monoio::spawn(rollout::run(Rc::clone(instance), ending.clone()));
+    monoio::spawn(kv_store::run(Rc::clone(instance), ending.clone()));
     for listener in [readiness, metrics] {
         monoio::spawn(operators::serve(
             Rc::clone(instance),
