Count the age of weights from the version that an engine lacks

Ruled out: a late watch (all instances learned of the versions within 10 ms). Change: what operators named is remembered by version; engines furthest behind load first.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod store_watch;
 pub mod tenure;
 pub mod upstreams;
+pub mod weights;
 
 use std::rc::Rc;
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -26,6 +26,7 @@
 use crate::prompt::Prompt;
 use crate::upstreams::Upstream;
 use crate::upstreams::Upstreams;
+use crate::weights::NamedWeights;
 
 /// The `PlacementOptions` are the figures by which engines are compared.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -56,17 +57,6 @@
     }
 }
 
-/// A `NamedWeights` is the newest version of a model's weights that operators named.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct NamedWeights {
-    /// The model.
-    pub model: Name,
-    /// The version.
-    pub version: u64,
-    /// When this instance learned of it.
-    pub since: Time,
-}
-
 /// A `Placement` is the upstream chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -417,16 +407,14 @@
     options: &PlacementOptions,
     now: Time,
 ) -> Option<f64> {
-    let Some(named) = req.named else {
+    let version = req.named.and_then(|n| row.weights(&n.model));
+    let age = req
+        .named
+        .zip(version)
+        .and_then(|(n, v)| n.behind_for(v, now));
+    let Some(age) = age else {
         return Some(0.0);
     };
-    if row
-        .weights(&named.model)
-        .is_some_and(|v| v >= named.version)
-    {
-        return Some(0.0);
-    }
-    let age = now.since(named.since);
     // The request counts from when its engine begins with it.
     let begins = millis(age) + expected_ms * LATE_BEGIN;
     if begins >= millis(options.old_weights_end) {
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -11,9 +11,9 @@
 
 use crate::Name;
 use crate::peers::Peers;
-use crate::placement::NamedWeights;
 use crate::upstreams::Upstream;
 use crate::upstreams::Upstreams;
+use crate::weights::NamedWeights;
 
 /// A `Load` is one engine that is to load weights.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -116,7 +116,7 @@
                     upstream: Name::clone(&row.entry.id),
                     address: row.entry.address,
                     model: Name::clone(&named.model),
-                    version: named.version,
+                    version: named.newest(),
                 });
             }
         }
@@ -153,7 +153,8 @@
         !self.engines.is_empty()
     }
 
-    /// Returns the engines that lack the weights, those with the least work first.
+    /// Returns the engines that lack the weights, those with the oldest ones first
+    /// and among these those with the least work.
     fn waiting<'a>(
         &self,
         upstreams: &'a Upstreams,
@@ -167,7 +168,9 @@
         let mut waiting: Vec<&Upstream> = behind(upstreams, named).filter(idle).collect();
         waiting.sort_by_key(|row| {
             let elsewhere = peers.load(row.hash, now).requests;
-            (row.health.is_avoided(now), row.own.requests + elsewhere)
+            let version = row.weights(&named.model).unwrap_or_default();
+            let dark = row.health.is_avoided(now);
+            (dark, version, row.own.requests + elsewhere)
         });
         waiting
     }
@@ -184,7 +187,7 @@
 ) -> impl Iterator<Item = &'a Upstream> {
     let lacks = |row: &&Upstream| {
         let version = row.weights(&named.model);
-        row.takes_work() && version.is_some_and(|v| v < named.version)
+        row.takes_work() && version.is_some_and(|v| v < named.newest())
     };
     upstreams.iter().filter(lacks)
 }
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -10,10 +10,10 @@
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::beacon::name_hash;
 use limpetsaddle_fleet::peers::Registration;
-use limpetsaddle_fleet::placement::NamedWeights;
 use limpetsaddle_fleet::tenure::TenureRecord;
 use limpetsaddle_fleet::upstreams::REAPPEAR_TIME;
 use limpetsaddle_fleet::upstreams::UpstreamEntry;
+use limpetsaddle_fleet::weights::NamedWeights;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Call;
 use limpetsaddle_platform_wire::store::Change;
@@ -298,17 +298,14 @@
             Ok((model, version)) => {
                 let mut named = self.0.named.borrow_mut();
                 let held = named.iter_mut().find(|n| n.model == model);
-                match held {
-                    Some(held) if held.version >= version => return,
-                    Some(held) => {
-                        held.version = version;
-                        held.since = since;
-                    }
-                    None => named.push(NamedWeights {
-                        model: Name::clone(&model),
-                        version,
-                        since,
-                    }),
+                let is_newer = if let Some(held) = held {
+                    held.name(version, since)
+                } else {
+                    named.push(NamedWeights::new(Name::clone(&model), version, since));
+                    true
+                };
+                if !is_newer {
+                    return;
                 }
                 let revision = object.revision;
                 info!(model:display, version, revision; "weights named");
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus::TextEncoder;
 
 use crate::errors::MetricsError;
+use crate::logging;
 
 /// Upper bounds of the buckets for times, in seconds. They lie around the
 /// latencies that the users' routes aim at.
@@ -31,7 +32,6 @@
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
-    lost_lines: Counter<u64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
 }
@@ -54,6 +54,10 @@
             let histogram = meter.f64_histogram(name);
             histogram.with_boundaries(TIME_BUCKETS.to_vec()).build()
         };
+        meter
+            .u64_observable_counter("limpetsaddle_lost_log_lines")
+            .with_callback(|observer| observer.observe(logging::lost_lines(), &[]))
+            .build();
         Ok(Self {
             requests: meter.u64_counter("limpetsaddle_requests").build(),
             answers: meter.u64_counter("limpetsaddle_answers").build(),
@@ -61,7 +65,6 @@
             retries: meter.u64_counter("limpetsaddle_retries").build(),
             store_calls: meter.u64_counter("limpetsaddle_store_calls").build(),
             orders: meter.u64_counter("limpetsaddle_orders").build(),
-            lost_lines: meter.u64_counter("limpetsaddle_lost_log_lines").build(),
             first_event: times("limpetsaddle_first_event_seconds"),
             answer_time: times("limpetsaddle_answer_seconds"),
             registry,
@@ -107,11 +110,6 @@
         self.orders.add(1, &[KeyValue::new("answer", answer)]);
     }
 
-    /// Counts log lines that were not written.
-    pub fn lost_lines(&self, count: u64) {
-        self.lost_lines.add(count, &[]);
-    }
-
     /// Returns all samples in the text format of Prometheus.
     ///
     /// # Errors
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -6,6 +6,8 @@
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -68,6 +70,14 @@
 /// The longest line in bytes: a pipe takes lines of this size whole or not at all.
 const MAX_LINE_BYTES: usize = 4_096;
 
+static LOST_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of lines that were dropped since the start.
+#[must_use]
+pub fn lost_lines() -> u64 {
+    LOST_LINES.load(Ordering::Relaxed)
+}
+
 /// A `LineSink` writes lines to standard output, and counts those that it drops
 /// because they are too many or the reader has stalled.
 struct LineSink {
@@ -94,22 +104,27 @@
         self.refilled = now;
         self.allowance = (self.allowance + elapsed * LINES_PER_SECOND).min(LINE_BURST);
         if self.allowance < 1.0 {
-            self.dropped += 1;
+            self.drop_line();
             return;
         }
         if self.dropped > 0 {
             let note = json!({"event": "log lines dropped", "count": self.dropped});
             if !put(&note.to_string()) {
-                self.dropped += 1;
+                self.drop_line();
                 return;
             }
             self.dropped = 0;
         }
         self.allowance -= 1.0;
         if !put(line) {
-            self.dropped += 1;
+            self.drop_line();
         }
     }
+
+    fn drop_line(&mut self) {
+        self.dropped += 1;
+        LOST_LINES.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 /// Writes a line whole or not at all, and returns whether it was written.
