Test the decisions of a fleet's instance, and leave room for retries not heard of yet

Cause: a test that floods eight instances with failures made 59 retries in a window that permits 56: each instance uses the last retries before it hears of the others'. Change: an instance counts one unheard retry for each other instance; tests of limits, tenure, rollout, placement, attempts and peers, three of them over random schedules. Conclusion: the tenure and the limits keep their bounds under lost, late and repeated writes, restarts and silence.

--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -9,6 +9,8 @@
 
 use limpetsaddle_core::units::Time;
 
+use crate::limits::Attendance;
+
 /// The `BudgetOptions` bound retries over all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetOptions {
@@ -86,10 +88,13 @@
         self.slots.push_back(Slot { start: now, count });
     }
 
-    /// Returns how many retries are left; `part` is the part of all instances
-    /// that is heard of.
+    /// Returns how many retries are left to this instance.
+    ///
+    /// Each other instance may have made one that was not heard of yet.
     #[must_use]
-    pub fn left(&self, part: f64, now: Time) -> f64 {
+    pub fn left(&self, attendance: Attendance, now: Time) -> f64 {
+        let part = attendance.part();
+        let unheard = attendance.heard.saturating_sub(1);
         let recent = |slot: &&Slot| now.since(slot.start) < self.options.window + SLOT;
         let recent = self.slots.iter().filter(recent);
         let sum = recent.fold(RetryCount::default(), |sum, slot| RetryCount {
@@ -97,12 +102,12 @@
             retries: sum.retries + slot.count.retries,
         });
         let allowed = self.options.ratio * count(sum.requests) + self.options.slack * part;
-        allowed * USED_PART - count(sum.retries)
+        allowed * USED_PART - count(sum.retries) - count(unheard as u64)
     }
 
     /// Takes one retry, or returns false when none is left.
-    pub fn withdraw(&mut self, part: f64, now: Time) -> bool {
-        if self.left(part, now) < 1.0 {
+    pub fn withdraw(&mut self, attendance: Attendance, now: Time) -> bool {
+        if self.left(attendance, now) < 1.0 {
             return false;
         }
         self.own.retries += 1;
--- /dev/null
+++ b/crates/fleet/tests/fleet.rs
@@ -0,0 +1,267 @@
+//! Peers, retries, freshness, events and the store's entries.
+
+mod support;
+
+use std::time::Duration;
+
+use limpetsaddle_fleet::beacon::Beacon;
+use limpetsaddle_fleet::beacon::ServiceUse;
+use limpetsaddle_fleet::beacon::TeamUse;
+use limpetsaddle_fleet::beacon::WeightsNews;
+use limpetsaddle_fleet::events::EventSplitter;
+use limpetsaddle_fleet::freshness::Freshness;
+use limpetsaddle_fleet::freshness::FreshnessOptions;
+use limpetsaddle_fleet::health::Health;
+use limpetsaddle_fleet::health::HealthOptions;
+use limpetsaddle_fleet::health::Verdict;
+use limpetsaddle_fleet::limits::Attendance;
+use limpetsaddle_fleet::peers::PeerOptions;
+use limpetsaddle_fleet::peers::Peers;
+use limpetsaddle_fleet::peers::Registration;
+use limpetsaddle_fleet::retry_budget::BudgetOptions;
+use limpetsaddle_fleet::retry_budget::RetryBudget;
+use limpetsaddle_fleet::retry_budget::RetryCount;
+use proptest::prelude::*;
+use support::Fleet;
+use support::MODEL;
+use support::at;
+use support::engine;
+
+fn peers(names: &[&str]) -> Peers {
+    let mut peers = Peers::new("own".into(), PeerOptions::default());
+    let all = names.iter().enumerate().map(|(i, name)| Registration {
+        name: (*name).into(),
+        address: ([10, 0, 0, u8::try_from(i).unwrap()], 7600).into(),
+    });
+    peers.register(all.collect(), at(0));
+    peers
+}
+
+fn beacon(sequence: u64, spent: u64) -> Beacon {
+    let mut beacon = Beacon::new("a", 1, sequence);
+    beacon.teams = vec![TeamUse { team: 5, spent }];
+    beacon
+}
+
+#[test]
+fn verify_use_is_counted_once_however_beacons_arrive() {
+    let mut peers = peers(&["own", "a"]);
+    assert!(peers.hear(&beacon(1, 100), at(0)).used.is_empty());
+    let used = |reports: &[limpetsaddle_fleet::peers::UseReport]| {
+        reports.iter().map(|r| r.used).sum::<i64>()
+    };
+    // The third is lost, the second comes twice and late.
+    assert_eq!(used(&peers.hear(&beacon(2, 150), at(100)).used), 50);
+    assert_eq!(used(&peers.hear(&beacon(2, 150), at(110)).used), 0);
+    assert_eq!(used(&peers.hear(&beacon(4, 300), at(300)).used), 150);
+    assert_eq!(used(&peers.hear(&beacon(2, 150), at(310)).used), 0);
+}
+
+#[test]
+fn verify_a_restarted_peer_counts_from_nothing() {
+    let mut peers = peers(&["own", "a"]);
+    peers.hear(&beacon(9, 5_000), at(0));
+    let mut restarted = beacon(1, 70);
+    restarted.incarnation = 2;
+    let reports = peers.hear(&restarted, at(100));
+    assert_eq!(reports.used[0].used, 70);
+}
+
+#[test]
+fn verify_silence_is_noticed_and_forgotten_instances_are_named() {
+    let mut peers = peers(&["own", "a", "b"]);
+    peers.hear(&beacon(1, 0), at(0));
+    assert_eq!(peers.attendance(at(100)).heard, 2);
+    assert_eq!(peers.attendance(at(100)).registered, 3);
+    assert_eq!(peers.attendance(at(1_000)).heard, 1);
+    assert_eq!(peers.forgotten(at(31_000)).count(), 2);
+}
+
+#[test]
+fn verify_a_beacon_survives_its_encoding_and_others_are_refused() {
+    let sent = beacon(3, 9);
+    assert_eq!(Beacon::decode(&sent.encode().unwrap()).unwrap(), sent);
+    assert!(Beacon::decode(b"\x09anything").is_err());
+    assert!(Beacon::decode(b"").is_err());
+}
+
+fn budget() -> RetryBudget {
+    RetryBudget::new(BudgetOptions {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    })
+}
+
+fn attendance(heard: usize) -> Attendance {
+    Attendance {
+        registered: 8,
+        heard,
+    }
+}
+
+#[test]
+fn verify_retries_of_all_instances_stay_within_the_budget() {
+    let mut fleet: Vec<RetryBudget> = (0..8).map(|_| budget()).collect();
+    let mut times: Vec<u64> = Vec::new();
+    let mut pending: Vec<(u64, usize)> = Vec::new();
+    for now in 0..20_000_u64 {
+        pending.retain(|(sent, from)| {
+            let due = sent + 100 <= now;
+            if due {
+                let count = RetryCount {
+                    requests: 0,
+                    retries: 1,
+                };
+                for (index, budget) in fleet.iter_mut().enumerate() {
+                    if index != *from {
+                        budget.count(count, at(now));
+                    }
+                }
+            }
+            !due
+        });
+        // Every instance wants a retry every 40 ms, and no request is counted.
+        if now % 5 == 0 {
+            let index = usize::try_from(now / 5 % 8).unwrap();
+            if fleet[index].withdraw(attendance(8), at(now)) {
+                times.push(now);
+                pending.push((now, index));
+            }
+        }
+    }
+    let window = |start: u64| {
+        times
+            .iter()
+            .filter(|t| (start..start + 10_000).contains(*t))
+            .count()
+    };
+    let busiest = times.iter().map(|t| window(*t)).max().unwrap();
+    assert!(busiest <= 56, "{busiest} retries in a window");
+}
+
+#[test]
+fn verify_a_cut_off_instance_uses_only_its_part() {
+    let mut alone = budget();
+    let mut taken = 0;
+    while alone.withdraw(attendance(1), at(0)) {
+        taken += 1;
+    }
+    assert!(taken <= 7, "{taken}");
+}
+
+#[test]
+fn verify_the_use_of_services_is_reported_by_difference() {
+    let mut peers = peers(&["own", "a"]);
+    let with = |sequence, requests, retries| {
+        let mut beacon = Beacon::new("a", 1, sequence);
+        beacon.services = vec![ServiceUse {
+            service: 4,
+            requests,
+            retries,
+        }];
+        beacon
+    };
+    peers.hear(&with(1, 10, 1), at(0));
+    let reports = peers.hear(&with(2, 25, 4), at(100));
+    assert_eq!(
+        reports.sent[0].count,
+        RetryCount {
+            requests: 15,
+            retries: 3
+        }
+    );
+}
+
+#[test]
+fn verify_keys_are_trusted_until_shortly_before_a_withdrawal_must_hold() {
+    let bound = Duration::from_secs(5);
+    let mut freshness = Freshness::new(FreshnessOptions::for_withdrawal(bound));
+    assert!(!freshness.trusts_keys(at(0)));
+    freshness.confirm(at(1_000));
+    assert!(freshness.trusts_keys(at(4_500)));
+    // A watch may lag by a second, and the request needs time to arrive.
+    assert!(!freshness.trusts_keys(at(4_900)));
+    // An older confirmation changes nothing.
+    freshness.confirm(at(500));
+    assert!(freshness.trusts_keys(at(4_500)));
+}
+
+#[test]
+fn verify_scattered_failures_do_not_take_an_upstream_out_and_many_do() {
+    let options = HealthOptions::default();
+    let mut health = Health::default();
+    for second in 0..20 {
+        for _ in 0..20 {
+            health.record(Verdict::Answered, &options, at(second * 1_000));
+        }
+        health.record(Verdict::Broke, &options, at(second * 1_000));
+        assert!(!health.is_avoided(at(second * 1_000)));
+    }
+    health.record(Verdict::Broke, &options, at(20_000));
+    health.record(Verdict::Broke, &options, at(20_001));
+    assert!(health.is_avoided(at(20_002)));
+    assert!(!health.is_avoided(at(25_000)));
+}
+
+#[test]
+fn verify_only_the_giver_of_orders_changes_who_is_away() {
+    let mut fleet = Fleet::new(vec![engine(1, 1)]);
+    let hash = fleet.upstreams.get("e1").unwrap().hash;
+    let news = |away_ms, version, born_ms| WeightsNews {
+        upstream: hash,
+        born_ms,
+        version,
+        away_ms,
+    };
+    fleet.upstreams.news(&news(300, 1, 1), at(0));
+    assert!(fleet.upstreams.get("e1").unwrap().is_away(at(200)));
+    // What was heard is not repeated.
+    assert!(fleet.upstreams.weights_news(at(10)).is_empty());
+    fleet.upstreams.news(&news(0, 2, 1), at(250));
+    let row = fleet.upstreams.get("e1").unwrap();
+    assert!(!row.is_away(at(260)));
+    assert_eq!(row.weights(MODEL), Some(2));
+    // News of a process that has ended say nothing of its successor.
+    fleet.upstreams.news(&news(300, 9, 77), at(300));
+    assert_eq!(fleet.upstreams.get("e1").unwrap().weights(MODEL), Some(2));
+}
+
+#[test]
+fn verify_entries_that_lapsed_in_an_outage_have_time_to_return() {
+    let mut fleet = Fleet::new(vec![engine(1, 1), engine(2, 1)]);
+    fleet.upstreams.missing("e1", at(0));
+    fleet.upstreams.missing("e2", at(0));
+    fleet.upstreams.upsert(engine(2, 1));
+    assert!(fleet.upstreams.drop_missing(at(1_900)).is_empty());
+    let gone = fleet.upstreams.drop_missing(at(2_300));
+    assert_eq!(gone.len(), 1);
+    assert!(fleet.upstreams.get("e1").is_none());
+    assert!(fleet.upstreams.get("e2").is_some());
+}
+
+proptest! {
+    /// However a stream is cut into pieces, its events come out whole and in order.
+    #[test]
+    fn verify_events_do_not_depend_on_how_bytes_arrive(
+        sizes in prop::collection::vec(1..40_usize, 1..200),
+        count in 1..30_usize,
+    ) {
+        let stream: String = (0..count).map(|i| format!("id: {i}\ndata: {}\n\n", i * 7)).collect();
+        let mut splitter = EventSplitter::default();
+        let mut ids = Vec::new();
+        let mut rest = stream.as_bytes();
+        let mut sizes = sizes.iter().cycle();
+        while !rest.is_empty() {
+            let (piece, more) = rest.split_at((*sizes.next().unwrap()).min(rest.len()));
+            rest = more;
+            splitter.push(piece);
+            for event in splitter.by_ref() {
+                prop_assert!(event.bytes.ends_with(b"\n\n"));
+                ids.push(event.id.unwrap().parse::<usize>().unwrap());
+            }
+        }
+        prop_assert!(!splitter.has_rest());
+        prop_assert_eq!(ids, (0..count).collect::<Vec<_>>());
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/limits.rs
@@ -0,0 +1,216 @@
+//! Limits of teams over several instances.
+
+use std::time::Duration;
+
+use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::limits::Attendance;
+use limpetsaddle_fleet::limits::LimitOptions;
+use limpetsaddle_fleet::limits::Limits;
+use limpetsaddle_fleet::limits::TeamLimit;
+use proptest::prelude::*;
+
+const TEAM: &str = "team";
+
+const LIMIT: TeamLimit = TeamLimit {
+    rate: 30_000,
+    burst: 30_000,
+};
+
+const OPTIONS: LimitOptions = LimitOptions {
+    slack: 110_000.0,
+    overage: 0.1,
+    window: Duration::from_secs(8),
+};
+
+/// The units that the operators permit in one window.
+const PERMITTED: u64 = (30_000 * 8 + 30_000) * 11 / 10 + 110_000;
+
+/// The delay with which instances learn of each other's use.
+const DELAY_MS: u64 = 100;
+
+fn at(millis: u64) -> Time {
+    Time::from_origin(Duration::from_millis(millis))
+}
+
+fn limits(registered: usize, heard: usize, now: Time) -> Limits {
+    let mut limits = Limits::new(OPTIONS);
+    limits.attend(Attendance { registered, heard }, now);
+    limits.configure(&[(Name::from(TEAM), LIMIT)], now);
+    limits
+}
+
+/// Returns the most that was admitted in any window.
+fn busiest_window(admitted: &[(u64, u64)]) -> u64 {
+    let window = 8_000;
+    let sum_from = |start: u64| {
+        let inside = admitted
+            .iter()
+            .filter(|(t, _)| (start..start + window).contains(t));
+        inside.map(|(_, cost)| cost).sum::<u64>()
+    };
+    admitted
+        .iter()
+        .map(|(t, _)| sum_from(*t))
+        .max()
+        .unwrap_or(0)
+}
+
+/// A `Flood` is a team that sends at many times its rate to all instances.
+struct Flood {
+    instances: Vec<Limits>,
+    admitted: Vec<(u64, u64)>,
+    unreported: Vec<(u64, usize, u64)>,
+}
+
+impl Flood {
+    fn new(count: usize) -> Self {
+        Self {
+            instances: (0..count).map(|_| limits(count, count, at(0))).collect(),
+            admitted: Vec::new(),
+            unreported: Vec::new(),
+        }
+    }
+
+    fn attend(&mut self, index: usize, attendance: Attendance, now: u64) {
+        self.instances[index].attend(attendance, at(now));
+    }
+
+    fn request(&mut self, now: u64, index: usize, cost: u64) {
+        if self.instances[index].take(TEAM, cost, at(now)).is_ok() {
+            self.admitted.push((now, cost));
+            self.unreported.push((now, index, cost));
+        }
+    }
+
+    /// Tells instances what others admitted; `hear` tells who hears whom.
+    fn report(&mut self, now: u64, hear: impl Fn(usize, usize) -> bool) {
+        let (due, rest): (Vec<_>, Vec<_>) = self
+            .unreported
+            .drain(..)
+            .partition(|(sent, _, _)| sent + DELAY_MS <= now);
+        self.unreported = rest;
+        for (_, from, cost) in due {
+            for (index, limits) in self.instances.iter_mut().enumerate() {
+                if index != from && hear(from, index) {
+                    limits.used_elsewhere(TEAM, i64::try_from(cost).unwrap());
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn verify_a_flood_over_eight_instances_stays_within_what_is_permitted() {
+    let mut flood = Flood::new(8);
+    for now in 0..30_000_u64 {
+        flood.report(now, |_, _| true);
+        // Twelve times the rate in requests of 3,000 units.
+        if now % 8 == 0 {
+            let index = usize::try_from(now / 8 % 8).unwrap();
+            flood.request(now, index, 3_000);
+        }
+    }
+    assert!(busiest_window(&flood.admitted) <= PERMITTED);
+}
+
+#[test]
+fn verify_two_sides_of_a_partition_stay_within_what_is_permitted() {
+    let mut flood = Flood::new(8);
+    let side = |index: usize| index < 5;
+    for now in 0..30_000_u64 {
+        let cut = (10_000..20_000).contains(&now);
+        flood.report(now, |from, to| !cut || side(from) == side(to));
+        // Silence is noticed after four beacons.
+        if now == 10_400 || now == 20_100 {
+            for index in 0..8 {
+                let heard = if now == 20_100 {
+                    8
+                } else {
+                    3 + 2 * usize::from(side(index))
+                };
+                let registered = 8;
+                flood.attend(index, Attendance { registered, heard }, now);
+            }
+        }
+        if now % 8 == 0 {
+            let index = usize::try_from(now / 8 % 8).unwrap();
+            flood.request(now, index, 3_000);
+        }
+    }
+    assert!(busiest_window(&flood.admitted) <= PERMITTED);
+}
+
+#[test]
+fn verify_a_restart_of_all_instances_grants_no_second_burst() {
+    let mut flood = Flood::new(8);
+    for now in 0..20_000_u64 {
+        flood.report(now, |_, _| true);
+        if now == 9_000 {
+            flood.instances = (0..8).map(|_| limits(8, 8, at(now))).collect();
+            flood.unreported.clear();
+        }
+        if now % 8 == 0 && !(8_000..9_000).contains(&now) {
+            let index = usize::try_from(now / 8 % 8).unwrap();
+            flood.request(now, index, 3_000);
+        }
+    }
+    assert!(busiest_window(&flood.admitted) <= PERMITTED);
+}
+
+#[test]
+fn verify_a_steady_team_within_its_rate_is_never_refused() {
+    let mut limits = limits(8, 8, at(0));
+    for second in 5..60_u64 {
+        let now = at(second * 1_000);
+        assert!(limits.take(TEAM, 29_000, now).is_ok(), "second {second}");
+    }
+}
+
+#[test]
+fn verify_a_request_larger_than_the_burst_is_admitted_once_the_limit_is_unused() {
+    let mut limits = limits(1, 1, at(0));
+    assert!(limits.take(TEAM, 45_000, at(30_000)).is_ok());
+}
+
+#[test]
+fn verify_a_refusal_tells_when_the_request_may_be_admitted() {
+    let mut limits = limits(1, 1, at(0));
+    while limits.take(TEAM, 10_000, at(30_000)).is_ok() {}
+    let wait = limits.take(TEAM, 10_000, at(30_000)).unwrap_err();
+    assert!(!wait.is_zero());
+    assert!(limits.take(TEAM, 10_000, at(30_000) + wait).is_ok());
+}
+
+#[test]
+fn verify_a_refund_makes_room() {
+    let mut limits = limits(1, 1, at(0));
+    while limits.take(TEAM, 10_000, at(30_000)).is_ok() {}
+    limits.refund(TEAM, 10_000);
+    assert!(limits.take(TEAM, 10_000, at(30_000)).is_ok());
+}
+
+proptest! {
+    #[test]
+    fn verify_any_schedule_of_requests_and_silences_stays_within_what_is_permitted(
+        requests in prop::collection::vec((0..20_000_u64, 0..6_usize, 500..20_000_u64), 1..600),
+        silences in prop::collection::vec((0..20_000_u64, 0..6_usize, 1..6_usize), 0..6),
+    ) {
+        let mut flood = Flood::new(6);
+        let mut requests = requests;
+        requests.sort_unstable();
+        for (now, index, cost) in requests {
+            flood.report(now, |_, _| true);
+            for (when, silent, heard) in &silences {
+                if *when <= now {
+                    // Hearing fewer than there are makes an instance careful,
+                    // never generous.
+                    let attendance = Attendance { registered: 6, heard: *heard };
+                    flood.attend(*silent, attendance, now);
+                }
+            }
+            flood.request(now, index, cost);
+        }
+        prop_assert!(busiest_window(&flood.admitted) <= PERMITTED);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/placement.rs
@@ -0,0 +1,234 @@
+//! The choice of an upstream.
+
+mod support;
+
+use std::time::Duration;
+
+use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::configuration::KvStore;
+use limpetsaddle_fleet::directory::CacheNews;
+use limpetsaddle_fleet::directory::chain;
+use limpetsaddle_fleet::health::Verdict;
+use limpetsaddle_fleet::placement::Placement;
+use limpetsaddle_fleet::placement::PlacementOptions;
+use limpetsaddle_fleet::placement::PromptRequest;
+use limpetsaddle_fleet::placement::place_plain;
+use limpetsaddle_fleet::placement::place_prompt;
+use limpetsaddle_fleet::placement::store_hash;
+use limpetsaddle_fleet::prompt::CacheSalt;
+use limpetsaddle_fleet::prompt::Prompt;
+use limpetsaddle_fleet::upstreams::Work;
+use limpetsaddle_fleet::weights::NamedWeights;
+use support::Fleet;
+use support::MODEL;
+use support::SERVICE;
+use support::at;
+use support::engine;
+use support::engine_spec;
+use support::plain;
+use support::prompt;
+
+fn place(
+    fleet: &Fleet,
+    prompt: &Prompt,
+    named: Option<&NamedWeights>,
+    now: Time,
+) -> Option<Placement> {
+    place_with(fleet, prompt, named, None, None, now)
+}
+
+fn place_with(
+    fleet: &Fleet,
+    prompt: &Prompt,
+    named: Option<&NamedWeights>,
+    isolated: Option<&str>,
+    store: Option<&KvStore>,
+    now: Time,
+) -> Option<Placement> {
+    let engine = engine_spec();
+    let req = PromptRequest {
+        service: SERVICE,
+        engine: &engine,
+        prompt,
+        isolated,
+        named,
+        store,
+    };
+    let options = PlacementOptions::default();
+    place_prompt(&req, &options, &fleet.around(now, 7))
+}
+
+/// Lets an engine hold the shared parts of a prompt.
+fn hold(fleet: &mut Fleet, hash: u64, prompt: &Prompt, version: u64, now: Time) {
+    let salt = CacheSalt::new(MODEL, version, None);
+    let keys = chain(prompt, &salt).iter().map(|link| link.key).collect();
+    let news = CacheNews {
+        holder: hash,
+        keys,
+        new_tokens: 9_000,
+    };
+    fleet.directory.learn(&news, now);
+}
+
+fn hash(fleet: &Fleet, id: &str) -> u64 {
+    fleet.upstreams.get(id).unwrap().hash
+}
+
+fn sheet() -> Prompt {
+    prompt(&[
+        ("instruction", 2_500),
+        ("sheet", 3_800),
+        ("question", 2_900),
+    ])
+}
+
+#[test]
+fn verify_requests_that_begin_alike_meet_at_one_engine() {
+    let fleet = Fleet::new((1..=9).map(|i| engine(i, 1)).collect());
+    let first = place(&fleet, &sheet(), None, at(0)).unwrap();
+    let other = prompt(&[("instruction", 2_500), ("sheet", 3_800), ("another", 400)]);
+    let second = place(&fleet, &other, None, at(1)).unwrap();
+    assert_eq!(first.upstream, second.upstream);
+}
+
+#[test]
+fn verify_an_engine_that_holds_the_parts_is_preferred() {
+    let mut fleet = Fleet::new((1..=9).map(|i| engine(i, 1)).collect());
+    let home = place(&fleet, &sheet(), None, at(0)).unwrap().upstream;
+    let holder = if &*home == "e1" { "e2" } else { "e1" };
+    let holder_hash = hash(&fleet, holder);
+    hold(&mut fleet, holder_hash, &sheet(), 1, at(0));
+    let placement = place(&fleet, &sheet(), None, at(10)).unwrap();
+    assert_eq!(&*placement.upstream, holder);
+    assert_eq!(placement.prompt_tokens, 2_900);
+}
+
+#[test]
+fn verify_a_busy_holder_is_fetched_from() {
+    let mut fleet = Fleet::new((1..=9).map(|i| engine(i, 1)).collect());
+    let holder_hash = hash(&fleet, "e1");
+    hold(&mut fleet, holder_hash, &sheet(), 1, at(0));
+    let work = Work {
+        waiting_tokens: 40_000,
+        held_tokens: 40_000,
+        ..Work::default()
+    };
+    let _ticket = fleet.upstreams.start("e1", work, at(0)).unwrap();
+    let placement = place(&fleet, &sheet(), None, at(10)).unwrap();
+    assert_ne!(&*placement.upstream, "e1");
+    let address = fleet.upstreams.get("e1").unwrap().entry.address;
+    assert_eq!(placement.cache.unwrap().fetch_from, Some(address));
+}
+
+#[test]
+fn verify_parts_of_other_weights_are_never_fetched() {
+    let mut fleet = Fleet::new(vec![engine(1, 1), engine(2, 2)]);
+    let old = hash(&fleet, "e1");
+    hold(&mut fleet, old, &sheet(), 1, at(0));
+    let named = NamedWeights::new(MODEL.into(), 2, at(0));
+    let placement = place(&fleet, &sheet(), Some(&named), at(5_400)).unwrap();
+    assert_eq!(&*placement.upstream, "e2");
+    assert_eq!(placement.cache.unwrap().fetch_from, None);
+}
+
+#[test]
+fn verify_an_isolated_team_has_a_salt_of_its_own() {
+    let fleet = Fleet::new(vec![engine(1, 1)]);
+    let salt = |isolated| {
+        let placed = place_with(&fleet, &sheet(), None, isolated, None, at(0));
+        placed.unwrap().cache.unwrap().salt
+    };
+    assert_ne!(salt(None), salt(Some("t1")));
+    assert_ne!(salt(Some("t1")), salt(Some("t2")));
+}
+
+#[test]
+fn verify_parts_that_no_engine_holds_come_from_the_store() {
+    let mut fleet = Fleet::new((1..=3).map(|i| engine(i, 1)).collect());
+    let store = KvStore {
+        address: ([10, 9, 9, 9], 80).into(),
+        memory_tokens: 700_000,
+        link_mbps: 170_000.0,
+    };
+    let first = place_with(&fleet, &sheet(), None, None, Some(&store), at(0)).unwrap();
+    assert_eq!(first.cache.unwrap().save_to, Some(store.address));
+    hold(&mut fleet, store_hash(store.address), &sheet(), 1, at(0));
+    let second = place_with(&fleet, &sheet(), None, None, Some(&store), at(10)).unwrap();
+    let cache = second.cache.unwrap();
+    assert_eq!(cache.fetch_from, Some(store.address));
+    assert_eq!(cache.save_to, None);
+}
+
+#[test]
+fn verify_parts_are_forgotten_as_others_take_their_memory() {
+    let mut fleet = Fleet::new(vec![engine(1, 1)]);
+    let holder = hash(&fleet, "e1");
+    hold(&mut fleet, holder, &sheet(), 1, at(0));
+    let before = place(&fleet, &sheet(), None, at(10)).unwrap();
+    for index in 0..12 {
+        let id = format!("other-{index}");
+        let other = prompt(&[(id.as_str(), 6_000), ("question", 3_000)]);
+        hold(&mut fleet, holder, &other, 1, at(20));
+    }
+    let after = place(&fleet, &sheet(), None, at(30)).unwrap();
+    assert!(after.prompt_tokens > before.prompt_tokens);
+}
+
+#[test]
+fn verify_an_engine_that_is_two_versions_behind_is_not_used() {
+    // The last naming was just now; the engine has been behind since the first.
+    let fleet = Fleet::new(vec![engine(1, 1)]);
+    let mut named = NamedWeights::new(MODEL.into(), 2, at(0));
+    named.name(3, at(5_900));
+    assert!(place(&fleet, &sheet(), Some(&named), at(1_000)).is_some());
+    assert!(place(&fleet, &sheet(), Some(&named), at(6_000)).is_none());
+}
+
+#[test]
+fn verify_an_engine_with_old_weights_gets_nothing_that_begins_too_late() {
+    let mut fleet = Fleet::new(vec![engine(1, 1)]);
+    let named = NamedWeights::new(MODEL.into(), 2, at(0));
+    let now = at(4_000);
+    assert!(place(&fleet, &sheet(), Some(&named), now).is_some());
+    let work = Work {
+        waiting_tokens: 60_000,
+        ..Work::default()
+    };
+    let _ticket = fleet.upstreams.start("e1", work, now).unwrap();
+    assert!(place(&fleet, &sheet(), Some(&named), now).is_none());
+}
+
+#[test]
+fn verify_an_upstream_that_cannot_be_reached_is_left_out_for_a_while() {
+    let mut fleet = Fleet::new(vec![plain(1), plain(2)]);
+    let ticket = fleet.upstreams.start("e1", Work::default(), at(0)).unwrap();
+    fleet
+        .upstreams
+        .finish(&ticket, Some(Verdict::Unreachable), at(0));
+    for random in 0..50 {
+        let chosen = place_plain(SERVICE, &fleet.around(at(100), random)).unwrap();
+        assert_eq!(&*chosen.upstream, "e2");
+    }
+}
+
+#[test]
+fn verify_plain_requests_go_where_the_fewest_are() {
+    let mut fleet = Fleet::new(vec![plain(1), plain(2)]);
+    for _ in 0..4 {
+        let _ticket = fleet.upstreams.start("e1", Work::default(), at(0)).unwrap();
+    }
+    let chosen = place_plain(SERVICE, &fleet.around(at(1), 3)).unwrap();
+    assert_eq!(&*chosen.upstream, "e2");
+}
+
+#[test]
+fn verify_a_restarted_engine_holds_nothing_of_before() {
+    let mut fleet = Fleet::new(vec![engine(1, 1)]);
+    fleet
+        .upstreams
+        .set_away("e1", Duration::from_secs(9), at(0));
+    let mut entry = engine(1, 1);
+    entry.born_ms = 2;
+    fleet.upstreams.upsert(entry);
+    assert!(!fleet.upstreams.get("e1").unwrap().is_away(at(1)));
+}
--- /dev/null
+++ b/crates/fleet/tests/rollout.rs
@@ -0,0 +1,91 @@
+//! The order in which engines load new weights.
+
+mod support;
+
+use std::time::Duration;
+
+use limpetsaddle_fleet::rollout::Rollout;
+use limpetsaddle_fleet::rollout::SwitchMode;
+use limpetsaddle_fleet::rollout::switch_mode;
+use limpetsaddle_fleet::upstreams::Work;
+use limpetsaddle_fleet::weights::NamedWeights;
+use support::Fleet;
+use support::MODEL;
+use support::at;
+use support::engine;
+use yare::parameterized;
+
+fn named(versions: &[(u64, u64)]) -> Vec<NamedWeights> {
+    let (first, rest) = versions.split_first().unwrap();
+    let mut named = NamedWeights::new(MODEL.into(), first.0, at(first.1));
+    for (version, since) in rest {
+        named.name(*version, at(*since));
+    }
+    vec![named]
+}
+
+#[test]
+fn verify_engines_furthest_behind_load_first() {
+    // The engine with the oldest weights has the most work, as others were
+    // always preferred to it.
+    let mut fleet = Fleet::new(vec![engine(1, 3), engine(2, 3), engine(3, 2), engine(4, 3)]);
+    for _ in 0..20 {
+        let _ticket = fleet.upstreams.start("e3", Work::default(), at(0)).unwrap();
+    }
+    let named = named(&[(3, 0), (4, 2_000)]);
+    let mut rollout = Rollout::default();
+    let loads = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(2_100));
+    assert_eq!(&*loads[0].upstream, "e3");
+    assert!(loads.iter().all(|load| load.version == 4));
+}
+
+#[test]
+fn verify_no_more_engines_load_at_once_than_slow_each_other_down() {
+    let fleet = Fleet::new((1..=9).map(|i| engine(i, 1)).collect());
+    let named = named(&[(2, 0)]);
+    let mut rollout = Rollout::default();
+    let first = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(0));
+    assert_eq!(first.len(), 2);
+    for load in &first {
+        assert!(rollout.may_load(&fleet.upstreams, MODEL, at(0)));
+        rollout.loading(&load.upstream, at(340));
+    }
+    assert!(!rollout.may_load(&fleet.upstreams, MODEL, at(0)));
+    // Two more are emptied meanwhile, and begin when the first have loaded.
+    let second = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(100));
+    assert_eq!(second.len(), 2);
+    assert!(rollout.may_load(&fleet.upstreams, MODEL, at(350)));
+}
+
+#[test]
+fn verify_an_engine_that_did_not_load_is_tried_again_after_a_pause() {
+    let fleet = Fleet::new(vec![engine(1, 1)]);
+    let named = named(&[(2, 0)]);
+    let mut rollout = Rollout::default();
+    let load = rollout
+        .plan(&fleet.upstreams, &fleet.peers, &named, at(0))
+        .remove(0);
+    rollout.ended(&load.upstream, false, at(100));
+    let soon = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(200));
+    assert!(soon.is_empty());
+    let later = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(600));
+    assert_eq!(later.len(), 1);
+}
+
+#[parameterized(
+    idle = { 0, 0, 5.0, 0, Some(SwitchMode::CutRuns) },
+    streams_that_go_on_elsewhere = { 4, 0, 5.0, 0, Some(SwitchMode::CutRuns) },
+    more_streams_than_retries = { 8, 0, 5.0, 0, Some(SwitchMode::AfterRuns) },
+    a_request_that_cannot_go_on_is_waited_for = { 3, 1, 5.0, 300, None },
+    but_not_for_ever = { 3, 1, 5.0, 1_000, Some(SwitchMode::AfterRuns) },
+)]
+fn verify_running_requests_are_cut_only_where_they_go_on(
+    requests: u32,
+    fragile: u32,
+    retries: f64,
+    waited_ms: u64,
+    expected: Option<SwitchMode>,
+) {
+    let waited = Duration::from_millis(waited_ms);
+    assert_eq!(switch_mode(requests, fragile, retries, waited), expected);
+}
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,120 @@
+//! What the tests of decisions share.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::configuration::Engine;
+use limpetsaddle_fleet::directory::PrefixDirectory;
+use limpetsaddle_fleet::health::HealthOptions;
+use limpetsaddle_fleet::peers::PeerOptions;
+use limpetsaddle_fleet::peers::Peers;
+use limpetsaddle_fleet::placement::Surroundings;
+use limpetsaddle_fleet::prompt::Part;
+use limpetsaddle_fleet::prompt::Prompt;
+use limpetsaddle_fleet::upstreams::Phase;
+use limpetsaddle_fleet::upstreams::UpstreamEntry;
+use limpetsaddle_fleet::upstreams::Upstreams;
+use limpetsaddle_fleet::upstreams::Weights;
+
+/// The service of the engines.
+pub const SERVICE: &str = "lm";
+
+/// The model of the engines.
+pub const MODEL: &str = "m";
+
+/// Returns a point in time.
+pub fn at(millis: u64) -> Time {
+    Time::from_origin(Duration::from_millis(millis))
+}
+
+/// Returns an engine's entry with weights of `version`.
+pub fn engine(index: u8, version: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        id: format!("e{index}").into(),
+        service: SERVICE.into(),
+        address: ([10, 0, 0, index], 8080).into(),
+        domain: "a".into(),
+        phase: Phase::Ready,
+        slots: 64,
+        born_ms: 1,
+        weights: vec![Weights {
+            model: MODEL.into(),
+            version,
+        }],
+    }
+}
+
+/// Returns a plain upstream's entry.
+pub fn plain(index: u8) -> UpstreamEntry {
+    UpstreamEntry {
+        weights: Vec::new(),
+        slots: 6,
+        ..engine(index, 0)
+    }
+}
+
+/// Returns what the engines of the tests can do.
+pub fn engine_spec() -> Engine {
+    Engine {
+        slots: 64,
+        memory_tokens: 90_000,
+        token_bytes: 163_840,
+        link_mbps: 1_100_000.0,
+        models: vec![MODEL.into()],
+    }
+}
+
+/// Returns a prompt whose last part is its own.
+pub fn prompt(parts: &[(&str, u64)]) -> Prompt {
+    let part = |(id, tokens): &(&str, u64)| Part {
+        id: (*id).into(),
+        tokens: *tokens,
+    };
+    Prompt {
+        model: Some(MODEL.into()),
+        input_tokens: parts.iter().map(|(_, tokens)| tokens).sum(),
+        max_output_tokens: 50,
+        parts: parts.iter().map(part).collect(),
+    }
+}
+
+/// A `Fleet` is the surroundings of a decision.
+pub struct Fleet {
+    pub upstreams: Upstreams,
+    pub peers: Peers,
+    pub directory: PrefixDirectory,
+    pub tried: Vec<Name>,
+}
+
+impl Fleet {
+    /// Returns surroundings with the given upstreams and no other instance.
+    pub fn new(entries: Vec<UpstreamEntry>) -> Self {
+        let mut upstreams = Upstreams::new(HealthOptions::default());
+        for entry in entries {
+            upstreams.upsert(entry);
+        }
+        Self {
+            upstreams,
+            peers: Peers::new(Rc::from("own"), PeerOptions::default()),
+            directory: PrefixDirectory::default(),
+            tried: Vec::new(),
+        }
+    }
+
+    /// Returns the surroundings at a time.
+    pub fn around(&self, now: Time, random: u64) -> Surroundings<'_> {
+        Surroundings {
+            upstreams: &self.upstreams,
+            peers: &self.peers,
+            directory: &self.directory,
+            domain: "a",
+            tried: &self.tried,
+            now,
+            random,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/tenure.rs
@@ -0,0 +1,207 @@
+//! The tenure of the instance that gives orders, against a model of the store.
+
+use std::time::Duration;
+
+use limpetsaddle_core::hash::mix;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::tenure::Tenure;
+use limpetsaddle_fleet::tenure::TenureAnswer;
+use limpetsaddle_fleet::tenure::TenureOptions;
+use limpetsaddle_fleet::tenure::TenureRecord;
+use limpetsaddle_fleet::tenure::TenureWrite;
+use proptest::prelude::*;
+
+/// The time within which two givers of orders count as taking turns.
+const TURNS: Duration = Duration::from_secs(3);
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+fn at(millis: u64) -> Time {
+    Time::from_origin(Duration::from_millis(millis))
+}
+
+fn instance(name: &str) -> Tenure {
+    Tenure::new(name.into(), TenureOptions::for_turns(TURNS), at(0))
+}
+
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    record: Option<TenureRecord>,
+}
+
+impl Store {
+    fn current(&self) -> Option<(u64, TenureRecord)> {
+        self.record.clone().map(|record| (self.revision, record))
+    }
+
+    fn write(&mut self, write: &TenureWrite) -> TenureAnswer {
+        let held = self.record.as_ref().map(|_| self.revision);
+        if held != write.expected {
+            return TenureAnswer::Lost;
+        }
+        self.revision += 1;
+        self.record = Some(write.record.clone());
+        TenureAnswer::Written(self.revision)
+    }
+}
+
+fn acquire(tenure: &mut Tenure, store: &mut Store, now: Time) -> bool {
+    tenure.observe(store.current(), now);
+    let Some(write) = tenure.due_write(true, 0, now) else {
+        return false;
+    };
+    let answer = store.write(&write);
+    tenure.answered(answer, now);
+    tenure.may_order(now).is_some()
+}
+
+#[test]
+fn verify_an_unused_record_is_taken_at_once() {
+    let mut store = Store::default();
+    assert!(acquire(&mut instance("a"), &mut store, at(10)));
+}
+
+#[test]
+fn verify_a_released_record_is_quiet_before_another_instance_orders() {
+    let mut store = Store::default();
+    let mut first = instance("a");
+    let mut second = instance("b");
+    assert!(acquire(&mut first, &mut store, at(0)));
+    let release = first.due_write(false, 0, at(400)).unwrap();
+    assert!(release.record.released);
+    let answer = store.write(&release);
+    first.answered(answer, at(400));
+    assert!(first.may_order(at(400)).is_none());
+    assert!(!acquire(&mut second, &mut store, at(500)));
+    assert!(!acquire(&mut second, &mut store, at(3_400)));
+    assert!(acquire(&mut second, &mut store, at(3_950)));
+}
+
+#[test]
+fn verify_the_last_holder_takes_a_released_record_again_at_once() {
+    let mut store = Store::default();
+    let mut first = instance("a");
+    assert!(acquire(&mut first, &mut store, at(0)));
+    let release = first.due_write(false, 0, at(400)).unwrap();
+    let answer = store.write(&release);
+    first.answered(answer, at(400));
+    assert!(acquire(&mut first, &mut store, at(600)));
+}
+
+#[test]
+fn verify_a_restarted_holder_orders_under_a_higher_fencing_number() {
+    let mut store = Store::default();
+    assert!(acquire(&mut instance("a"), &mut store, at(0)));
+    let before = store.record.clone().unwrap().fencing;
+    let mut restarted = instance("a");
+    assert!(acquire(&mut restarted, &mut store, at(700)));
+    let (fencing, _) = restarted.may_order(at(700)).unwrap();
+    assert!(fencing > before);
+}
+
+#[test]
+fn verify_a_holder_that_was_suspended_may_not_order() {
+    let mut store = Store::default();
+    let mut first = instance("a");
+    assert!(acquire(&mut first, &mut store, at(0)));
+    assert!(first.may_order(at(900)).is_some());
+    assert!(first.may_order(at(5_000)).is_none());
+}
+
+#[test]
+fn verify_instances_try_in_the_order_of_their_rank() {
+    let mut store = Store::default();
+    let mut later = instance("c");
+    later.observe(store.current(), at(0));
+    assert!(later.due_write(true, 4, at(0)).is_none());
+    assert!(later.due_write(true, 4, at(100)).is_none());
+    let write = later.due_write(true, 4, at(300)).unwrap();
+    assert_eq!(store.write(&write), TenureAnswer::Written(1));
+}
+
+/// What one step of a random history does.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An instance looks at the record and writes what is due.
+    Act { fate: u8, wanted: bool },
+    /// An instance starts anew.
+    Restart,
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u16, u8, Step)>> {
+    let step = prop_oneof![
+        8 => (0..8_u8, prop::bool::weighted(0.8))
+            .prop_map(|(fate, wanted)| Step::Act { fate, wanted }),
+        1 => Just(Step::Restart),
+    ];
+    prop::collection::vec((1..400_u16, 0..3_u8, step), 1..300)
+}
+
+proptest! {
+    /// Writes are lost, answered late or carried out late; instances restart. No
+    /// two instances order within the bound, and fencing numbers never go back.
+    #[test]
+    fn verify_no_two_instances_take_turns(steps in steps(), seed in any::<u64>()) {
+        let mut store = Store::default();
+        let mut fleet: Vec<Tenure> = NAMES.iter().map(|name| instance(name)).collect();
+        let mut late: Vec<(u64, TenureWrite)> = Vec::new();
+        let mut orders: Vec<(u64, usize, u64)> = Vec::new();
+        let mut now = 0;
+        let mut random = seed;
+        for (pause, who, step) in steps {
+            now += u64::from(pause);
+            late.retain(|(due, write)| {
+                let done = *due <= now;
+                if done {
+                    store.write(write);
+                }
+                !done
+            });
+            let index = usize::from(who);
+            match step {
+                Step::Restart => {
+                    let started = at(now);
+                    let options = TenureOptions::for_turns(TURNS);
+                    fleet[index] = Tenure::new(NAMES[index].into(), options, started);
+                }
+                Step::Act { fate, wanted } => {
+                    let tenure = &mut fleet[index];
+                    // A stale view does no harm.
+                    random = mix(random);
+                    if random % 4 > 0 {
+                        tenure.observe(store.current(), at(now));
+                    }
+                    if let Some(write) = tenure.due_write(wanted, u32::from(who), at(now)) {
+                        match fate {
+                            0 => tenure.answered(TenureAnswer::Unknown, at(now)),
+                            1 => {
+                                late.push((now + 1_500 + random % 4_000, write));
+                                tenure.answered(TenureAnswer::Unknown, at(now));
+                            }
+                            2 => {
+                                store.write(&write);
+                                tenure.answered(TenureAnswer::Unknown, at(now));
+                            }
+                            _ => {
+                                let answer = store.write(&write);
+                                tenure.answered(answer, at(now));
+                            }
+                        }
+                    }
+                    if let Some((fencing, _)) = tenure.may_order(at(now)) {
+                        orders.push((now, index, fencing));
+                    }
+                }
+            }
+        }
+        for pair in orders.windows(2) {
+            let [(t1, a, f1), (t2, b, f2)] = pair else { unreachable!() };
+            prop_assert!(f2 >= f1, "fencing went back: {pair:?}");
+            if a != b {
+                let gap = Duration::from_millis(t2 - t1);
+                prop_assert!(f2 > f1 && gap >= TURNS, "turns within the bound: {pair:?}");
+            }
+        }
+    }
+}
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -15,6 +15,7 @@
 use limpetsaddle_fleet::freshness::Freshness;
 use limpetsaddle_fleet::freshness::FreshnessOptions;
 use limpetsaddle_fleet::health::HealthOptions;
+use limpetsaddle_fleet::limits::Attendance;
 use limpetsaddle_fleet::limits::Limits;
 use limpetsaddle_fleet::limits::TeamLimit;
 use limpetsaddle_fleet::peers::PeerOptions;
@@ -210,13 +211,15 @@
     /// Takes a retry at a service, or returns false when none is left.
     pub fn take_retry(&self, service: &Name) -> bool {
         let now = self.now();
-        self.with_budget(service, |budget, part| budget.withdraw(part, now))
+        self.with_budget(service, |budget, attendance| {
+            budget.withdraw(attendance, now)
+        })
     }
 
     /// Returns the retries that are left at a service.
     pub fn retries_left(&self, service: &Name) -> f64 {
         let now = self.now();
-        self.with_budget(service, |budget, part| budget.left(part, now))
+        self.with_budget(service, |budget, attendance| budget.left(attendance, now))
     }
 
     /// Counts what another instance sent to a service.
@@ -246,8 +249,12 @@
         uses.collect()
     }
 
-    fn with_budget<T>(&self, service: &Name, work: impl FnOnce(&mut RetryBudget, f64) -> T) -> T {
-        let part = self.peers.borrow().attendance(self.now()).part();
+    fn with_budget<T>(
+        &self,
+        service: &Name,
+        work: impl FnOnce(&mut RetryBudget, Attendance) -> T,
+    ) -> T {
+        let attendance = self.peers.borrow().attendance(self.now());
         let bounds = &self.settings.bounds;
         let options = BudgetOptions {
             ratio: bounds.retry_ratio,
@@ -258,7 +265,7 @@
         let budget = budgets
             .entry(Name::clone(service))
             .or_insert_with(|| RetryBudget::new(options));
-        work(budget, part)
+        work(budget, attendance)
     }
 
     /// Records that the KV store was heard of, here or by another instance.
