Load engines one by one while the others have a backlog

Ruled out: slower engines (they were as quick before); retries. Change: above 4,000 waiting tokens an engine, loads go one by one for 2.5 s; streams and long prompts keep apart, as each step of a long prompt holds other streams up.

--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -39,6 +39,8 @@
     pub held_tokens: u32,
     /// The requests that cannot be continued elsewhere.
     pub fragile: u32,
+    /// The long prompts that are being read.
+    pub long_prompts: u32,
 }
 
 /// A `ServiceUse` is what an instance sent to a service since its start.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -191,6 +191,7 @@
             waiting_tokens: sum.waiting_tokens.saturating_add(load.waiting_tokens),
             held_tokens: sum.held_tokens.saturating_add(load.held_tokens),
             fragile: sum.fragile + load.fragile,
+            long_prompts: sum.long_prompts + load.long_prompts,
         })
     }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -24,6 +24,7 @@
 use crate::prompt::CacheSalt;
 use crate::prompt::CacheUse;
 use crate::prompt::Prompt;
+use crate::upstreams::LONG_PROMPT_TOKENS;
 use crate::upstreams::Upstream;
 use crate::upstreams::Upstreams;
 use crate::weights::NamedWeights;
@@ -231,6 +232,7 @@
         let cost = expected
             + stale
             + extra_ms(&candidate, home, req, options)
+            + pauses_ms(&candidate, req, around)
             + row.health.failing() * millis(FAILING_PENALTY)
             + far(row, around) * millis(OTHER_DOMAIN)
             + jitter(row, around);
@@ -379,6 +381,27 @@
     all.max_by_key(|row| mix(row.hash ^ parts))
 }
 
+/// What a long prompt that is being read counts as slower for a request that
+/// would stream meanwhile: its events come late.
+const BESIDE_LONG_PROMPT: Duration = Duration::from_millis(120);
+
+/// What each request at an engine counts as slower for a long prompt, which would
+/// make its events come late.
+const PAUSED_REQUEST: Duration = Duration::from_millis(20);
+
+/// Returns what a choice costs by the pauses that long prompts make in streams.
+fn pauses_ms(candidate: &Candidate<'_>, req: &PromptRequest<'_>, around: &Surroundings<'_>) -> f64 {
+    let row = candidate.row;
+    let elsewhere = around.peers.load(row.hash, around.now);
+    let present = candidate.held + candidate.fetched;
+    if req.prompt.input_tokens.saturating_sub(present) >= LONG_PROMPT_TOKENS {
+        let requests = row.own.requests + elsewhere.requests;
+        return millis(PAUSED_REQUEST) * f64::from(requests);
+    }
+    let long = row.own.long_prompts + elsewhere.long_prompts;
+    millis(BESIDE_LONG_PROMPT) * f64::from(long)
+}
+
 /// Returns what a choice costs others, in milliseconds.
 fn extra_ms(
     candidate: &Candidate<'_>,
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -66,6 +66,14 @@
 /// The least number of engines that load at once.
 const AT_ONCE_LEAST: usize = 2;
 
+/// The prompt tokens that wait at an engine on the average from which engines
+/// load one by one: they take about a tenth of a second to be read.
+const LARGE_BACKLOG_TOKENS: u64 = 4_000;
+
+/// The time after the naming of weights for which there is no hurry. One by one,
+/// ten engines take about as long again.
+const UNHURRIED: Duration = Duration::from_millis(2_500);
+
 /// The pause before an engine that did not load gets another order.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -102,7 +110,7 @@
         self.paused.retain(|_, until| now < *until);
         let mut loads = Vec::new();
         for named in named {
-            let at_once = at_once(upstreams, &named.model);
+            let at_once = self.at_once(upstreams, peers, named, now);
             let emptying = self.engines.values().filter(|s| **s == Stage::Emptying);
             let room = at_once.saturating_sub(emptying.count());
             for row in self
@@ -125,10 +133,16 @@
 
     /// Returns whether another engine may begin to load.
     #[must_use]
-    pub fn may_load(&self, upstreams: &Upstreams, model: &str, now: Time) -> bool {
+    pub fn may_load(
+        &self,
+        upstreams: &Upstreams,
+        peers: &Peers,
+        named: &NamedWeights,
+        now: Time,
+    ) -> bool {
         let loading = |stage: &&Stage| matches!(stage, Stage::Loading { until } if now < *until);
         let loading = self.engines.values().filter(loading).count();
-        loading < at_once(upstreams, model)
+        loading < self.at_once(upstreams, peers, named, now)
     }
 
     /// Counts an engine as loading until `until`, or until its load has ended.
@@ -153,6 +167,30 @@
         !self.engines.is_empty()
     }
 
+    /// Returns how many engines are emptied, and how many load, at the same time.
+    ///
+    /// Engines that take no requests are missed most when the others have a
+    /// backlog; then they go one by one as long as there is time for that.
+    fn at_once(
+        &self,
+        upstreams: &Upstreams,
+        peers: &Peers,
+        named: &NamedWeights,
+        now: Time,
+    ) -> usize {
+        let serving = upstreams
+            .iter()
+            .filter(|row| row.weights(&named.model).is_some());
+        let most = serving.count().div_ceil(AT_ONCE_PART).max(AT_ONCE_LEAST);
+        let waits = |row: &Upstream| named.behind_for(row.weights(&named.model)?, now);
+        let longest = upstreams.iter().filter_map(waits).max().unwrap_or_default();
+        let backlog = backlog_tokens(upstreams, peers, &named.model, now);
+        if backlog >= LARGE_BACKLOG_TOKENS && longest < UNHURRIED {
+            return most.div_ceil(2);
+        }
+        most
+    }
+
     /// Returns the engines that lack the weights, those with the oldest ones first
     /// and among these those with the least work.
     fn waiting<'a>(
@@ -176,9 +214,17 @@
     }
 }
 
-fn at_once(upstreams: &Upstreams, model: &str) -> usize {
-    let serving = upstreams.iter().filter(|row| row.weights(model).is_some());
-    serving.count().div_ceil(AT_ONCE_PART).max(AT_ONCE_LEAST)
+/// Returns the prompt tokens that wait at an engine on the average.
+fn backlog_tokens(upstreams: &Upstreams, peers: &Peers, model: &str, now: Time) -> u64 {
+    let serving = upstreams.iter().filter(|row| {
+        row.weights(model).is_some() && row.takes_work() && !row.health.is_avoided(now)
+    });
+    let waiting = |row: &Upstream| {
+        let elsewhere = peers.load(row.hash, now).waiting_tokens;
+        u64::from(row.own.waiting_tokens) + u64::from(elsewhere)
+    };
+    let (sum, count) = serving.fold((0, 0), |(sum, count), row| (sum + waiting(row), count + 1));
+    sum / u64::max(count, 1)
 }
 
 fn behind<'a>(
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -60,11 +60,16 @@
     /// The upstream.
     pub upstream: Name,
     work: Work,
+    is_long: bool,
     waiting_tokens: u32,
     held_tokens: u32,
     started: Time,
 }
 
+/// The unread tokens from which a prompt counts as long: while it is read, each
+/// step of its engine takes so long that streams pause noticeably.
+pub const LONG_PROMPT_TOKENS: u64 = 10_000;
+
 /// The `Work` of a request for an upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Work {
@@ -243,11 +248,14 @@
         let held_tokens = u32::try_from(work.held_tokens).unwrap_or(u32::MAX);
         row.own.requests += 1;
         row.own.fragile += u32::from(work.fragile);
+        let is_long = work.waiting_tokens >= LONG_PROMPT_TOKENS;
+        row.own.long_prompts += u32::from(is_long);
         row.own.waiting_tokens = row.own.waiting_tokens.saturating_add(waiting_tokens);
         row.own.held_tokens = row.own.held_tokens.saturating_add(held_tokens);
         Some(Ticket {
             upstream: Name::clone(&row.entry.id),
             work,
+            is_long,
             waiting_tokens,
             held_tokens,
             started: now,
@@ -259,8 +267,9 @@
         let Some(row) = self.rows.get_mut(&ticket.upstream) else {
             return;
         };
-        row.own.waiting_tokens = row.own.waiting_tokens.saturating_sub(ticket.waiting_tokens);
+        end_reading(row, ticket);
         ticket.waiting_tokens = 0;
+        ticket.is_long = false;
         let expected = ticket.work.expected.as_secs_f64();
         if expected > 0.0 {
             let seen = now.since(ticket.started).as_secs_f64() / expected;
@@ -277,7 +286,7 @@
         row.own.requests = row.own.requests.saturating_sub(1);
         let fragile = u32::from(ticket.work.fragile);
         row.own.fragile = row.own.fragile.saturating_sub(fragile);
-        row.own.waiting_tokens = row.own.waiting_tokens.saturating_sub(ticket.waiting_tokens);
+        end_reading(row, ticket);
         row.own.held_tokens = row.own.held_tokens.saturating_sub(ticket.held_tokens);
         if let Some(verdict) = verdict {
             row.health.record(verdict, &self.options, now);
@@ -362,3 +371,9 @@
         .map_or(Duration::ZERO, |until| until.since(now));
     u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
 }
+
+fn end_reading(row: &mut Upstream, ticket: &Ticket) {
+    let own = &mut row.own;
+    own.waiting_tokens = own.waiting_tokens.saturating_sub(ticket.waiting_tokens);
+    own.long_prompts = own.long_prompts.saturating_sub(u32::from(ticket.is_long));
+}
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -171,8 +171,11 @@
         let known = waited >= instance.peers.borrow().interval() * 2;
         let turn = {
             let upstreams = instance.upstreams.borrow();
+            let peers = instance.peers.borrow();
+            let named = instance.named.borrow();
+            let named = named.iter().find(|n| n.model == load.model)?;
             let rollout = instance.rollout.borrow();
-            rollout.may_load(&upstreams, &load.model, now)
+            rollout.may_load(&upstreams, &peers, named, now)
         };
         let left = instance.retries_left(&service);
         let mode = rollout::switch_mode(requests, fragile, left, waited);
