Let a few instances confirm the configuration for all others

Ruled out: taking a beacon's word for how old it is; a beacon may be read after its receiver was suspended. Change: beacons echo the receiver's stamp, so that a peer's confirmation has a bound on its age; three instances ask the store, the others wait for changes or for silence; changes of upstreams, registrations and the tenure gather before they are read.

--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -15,7 +15,7 @@
 pub const MAX_BEACON_BYTES: usize = 1_400;
 
 /// The number of the message's layout; beacons of other layouts are dropped.
-const LAYOUT: u8 = 1;
+const LAYOUT: u8 = 2;
 
 /// A `TeamUse` is what an instance has admitted for a team since its start.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -68,6 +68,16 @@
     pub away_ms: u32,
 }
 
+/// A `ConfigurationNews` is the version that an instance has in force, and the
+/// time since the platform last confirmed it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigurationNews {
+    /// The operators' number of the version.
+    pub version: u64,
+    /// The milliseconds since the last confirmation, if there was one.
+    pub age_ms: Option<u32>,
+}
+
 /// A `Beacon` is what one instance tells all others, several times a second.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Beacon {
@@ -78,6 +88,12 @@
     pub incarnation: u64,
     /// The number of the beacon, growing from the sender's start.
     pub sequence: u64,
+    /// The sender's time at sending, in milliseconds, for the receiver to echo.
+    pub stamp_ms: u64,
+    /// The last stamp that the sender has got from the receiver.
+    pub echo_ms: Option<u64>,
+    /// What the sender knows of the configuration.
+    pub configuration: ConfigurationNews,
     /// The use of limits.
     pub teams: Vec<TeamUse>,
     /// The load of upstreams at which the sender has work.
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -74,6 +74,16 @@
         self.confirmed = self.confirmed.max(Some(at));
     }
 
+    /// Takes another instance's confirmation of the same configuration.
+    ///
+    /// The other instance has got this instance's message of `stamp` when it
+    /// tells an age, so that the confirmation is no older than that age before
+    /// `stamp`, however long its own message took.
+    pub fn confirm_by_peer(&mut self, stamp: Time, age: Duration) {
+        let since_start = stamp.from_start().saturating_sub(age);
+        self.confirm(Time::from_origin(since_start));
+    }
+
     /// Returns the time since the last confirmation.
     #[must_use]
     pub fn age(&self, now: Time) -> Option<Duration> {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -36,7 +36,10 @@
 
 /// The number of peers up to which beacons go out at the full rate; beyond it
 /// the interval grows so that the work of an instance does not.
-const FULL_RATE_PEERS: u32 = 10;
+const FULL_RATE_PEERS: u32 = 30;
+
+/// The instances that confirm the configuration for all others.
+const CONFIRMERS: u32 = 3;
 
 /// A `Registration` is an instance as it stands at the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -53,6 +56,7 @@
     registered: Time,
     incarnation: u64,
     sequence: u64,
+    stamp_ms: u64,
     heard: Option<Time>,
     spent: HashMap<u64, u64>,
     sent: HashMap<u64, RetryCount>,
@@ -116,6 +120,7 @@
                 registered: now,
                 incarnation: 0,
                 sequence: 0,
+                stamp_ms: 0,
                 heard: None,
                 spent: HashMap::new(),
                 sent: HashMap::new(),
@@ -149,6 +154,7 @@
         peer.incarnation = beacon.incarnation;
         peer.sequence = beacon.sequence;
         peer.heard = Some(now);
+        peer.stamp_ms = beacon.stamp_ms;
         peer.loads = beacon.loads.iter().map(|l| (l.upstream, *l)).collect();
         Reports {
             used: use_reports(peer, beacon, known),
@@ -165,9 +171,27 @@
         self.options.interval * scale
     }
 
-    /// Returns the addresses of all other instances.
-    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.values().map(|peer| peer.address)
+    /// Returns the addresses of all other instances, each with the last stamp
+    /// that it sent.
+    pub fn addressees(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Option<u64>)> {
+        self.peers.values().map(move |peer| {
+            let stamp = self.hears(peer, now).then_some(peer.stamp_ms);
+            (peer.address, stamp)
+        })
+    }
+
+    /// Returns whether this instance is one of those that confirm the
+    /// configuration for all others.
+    #[must_use]
+    pub fn is_confirmer(&self, now: Time) -> bool {
+        self.rank(now) < CONFIRMERS
+    }
+
+    /// Returns whether the fleet is so large that work which grows with it has
+    /// to be spread.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.peers.len() > FULL_RATE_PEERS as usize
     }
 
     /// Returns how many instances there are and are heard of.
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -12,6 +12,8 @@
 pub struct Bounds {
     /// The time from a planned stop's signal to the end of the process.
     pub stop: Duration,
+    /// The time after which a leaving upstream gets no new requests.
+    pub leaving: Duration,
     /// The time after which a withdrawn key no longer works.
     pub withdrawal: Duration,
     /// The retries permitted for each request of a service.
@@ -32,6 +34,7 @@
     fn default() -> Self {
         Self {
             stop: Duration::from_secs(8),
+            leaving: Duration::from_secs(2),
             withdrawal: Duration::from_secs(5),
             retry_ratio: 0.2,
             retry_slack: 50.0,
--- a/crates/router/src/fleet/beacons.rs
+++ b/crates/router/src/fleet/beacons.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::beacon::Beacon;
+use limpetsaddle_fleet::beacon::ConfigurationNews;
 use limpetsaddle_fleet::beacon::TeamUse;
 use limpetsaddle_fleet::beacon::name_hash;
 use limpetsaddle_fleet::store_watch::StoreWatch;
@@ -66,6 +68,7 @@
     if !reports.is_new {
         return;
     }
+    take_confirmation(instance, &beacon);
     for report in &reports.used {
         if let Some(team) = instance.team_name(report.team) {
             let mut limits = instance.limits.borrow_mut();
@@ -116,22 +119,22 @@
 }
 
 async fn send(instance: &FleetInstance, socket: &UdpSocket, sequence: u64) {
-    let addresses: Vec<_> = instance.peers.borrow().addresses().collect();
-    if addresses.is_empty() {
+    let now = instance.now();
+    let addressees: Vec<_> = instance.peers.borrow().addressees(now).collect();
+    if addressees.is_empty() {
         return;
     }
-    let datagram = match beacon(instance, sequence).encode() {
-        Ok(datagram) => datagram,
-        Err(error) => {
-            warn!(error:display; "beacon not sent");
-            return;
-        }
-    };
-    let mut datagram = datagram;
-    for address in addresses {
-        let (sent, back) = socket.send_to(datagram, address).await;
-        datagram = back;
-        if let Err(error) = sent {
+    let mut beacon = beacon(instance, sequence);
+    for (address, echo_ms) in addressees {
+        beacon.echo_ms = echo_ms;
+        let datagram = match beacon.encode() {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                warn!(error:display; "beacon not sent");
+                return;
+            }
+        };
+        if let (Err(error), _) = socket.send_to(datagram, address).await {
             // The next beacon repeats everything.
             log::debug!(address:display, error:display; "beacon not sent");
         }
@@ -148,6 +151,11 @@
     });
     let upstreams = instance.upstreams.borrow();
     let mut beacon = Beacon::new(&instance.settings.name, instance.incarnation, sequence);
+    beacon.stamp_ms = now.from_start().as_millis() as u64;
+    beacon.configuration = ConfigurationNews {
+        version: instance.configuration().map_or(0, |c| c.version),
+        age_ms: age_ms(instance),
+    };
     beacon.teams = teams.collect();
     beacon.loads = upstreams.loads();
     beacon.weights = upstreams.weights_news(now);
@@ -158,3 +166,25 @@
     beacon.cached = instance.directory.borrow_mut().take_news();
     beacon
 }
+
+fn age_ms(instance: &FleetInstance) -> Option<u32> {
+    let age = instance.freshness.borrow().age(instance.now())?;
+    u32::try_from(age.as_millis()).ok()
+}
+
+/// Takes another instance's confirmation of the configuration that is in force
+/// here, or notes that there is a newer one.
+fn take_confirmation(instance: &FleetInstance, beacon: &Beacon) {
+    let news = beacon.configuration;
+    let version = instance.configuration().map_or(0, |c| c.version);
+    if news.version > version {
+        instance.newer_configuration.set(true);
+        return;
+    }
+    let confirmed = beacon.echo_ms.zip(news.age_ms);
+    if let Some((stamp, age)) = confirmed.filter(|_| news.version == version) {
+        let stamp = Time::from_origin(Duration::from_millis(stamp));
+        let age = Duration::from_millis(u64::from(age));
+        instance.freshness.borrow_mut().confirm_by_peer(stamp, age);
+    }
+}
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -1,5 +1,6 @@
 //! Following the kinds of objects that the platform's store holds.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
@@ -28,22 +29,39 @@
 use super::store::StoreError;
 use crate::shutdown::Stopping;
 
-/// The wait of a watch on the configuration. It bounds the age of the last
-/// confirmation, for which keys are trusted only a few seconds.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
+/// The wait of a watch whose return confirms the configuration. It bounds the
+/// age of the last confirmation, for which keys are trusted only a few seconds.
+const CONFIRMING_WAIT: Duration = Duration::from_millis(1_000);
 
-/// The wait of a watch on upstreams. A connection that has fallen silent is
-/// noticed when it ends.
-const UPSTREAMS_WAIT: Duration = Duration::from_millis(2_500);
+/// The age of the last confirmation from which an instance asks the store itself
+/// instead of going by others.
+const CONFIRM_AFTER: Duration = Duration::from_millis(2_000);
 
-/// The wait of a watch on named weights.
-const WEIGHTS_WAIT: Duration = Duration::from_millis(3_000);
+/// The wait of a watch on upstreams or weights where missing a change does harm:
+/// a connection that has fallen silent is noticed when it ends.
+const CHECKED_WAIT: Duration = Duration::from_millis(2_500);
 
 /// The wait of a watch on kinds whose age does no harm.
-const QUIET_WAIT: Duration = Duration::from_millis(10_000);
+const QUIET_WAIT: Duration = Duration::from_millis(15_000);
 
-/// The bounds of the pause after a failed call.
-const PAUSE: (u64, u64) = (60, 240);
+/// The pause after a change, in which further changes gather to be read at once.
+const GATHERING: Duration = Duration::from_millis(250);
+
+/// The same for kinds whose age does no harm.
+const QUIET_GATHERING: Duration = Duration::from_millis(2_000);
+
+/// The time that each call gets before it may be given up. A slow store needs
+/// some hundred milliseconds.
+const LEAST_WAIT: Duration = Duration::from_millis(1_300);
+
+/// The time between two looks at whether a watch has to be given up.
+const RECHECK: Duration = Duration::from_millis(250);
+
+/// The instances that follow the tenure closely, to take it over.
+const HEIRS: u32 = 8;
+
+/// The bounds of the pause after a failed call, in milliseconds.
+const PAUSE: (u64, u64) = (100, 400);
 
 /// What this instance takes for the age of weights that were named before it
 /// started: they may have been named long ago.
@@ -52,12 +70,26 @@
 /// The name of the one record of tenure.
 pub const TENURE_NAME: &str = "weights";
 
+/// A `Pace` is how a kind is watched at the moment.
+struct Pace {
+    /// The longest wait of a watch.
+    wait: Duration,
+    /// The pause after a change, in which further changes gather.
+    gathering: Duration,
+}
+
 /// A `Follower` takes the objects of one kind.
 trait Follower {
     /// The kind.
     const KIND: &'static str;
-    /// The longest wait of a watch.
-    const WAIT: Duration;
+
+    /// Returns how the kind is watched.
+    fn pace(&self) -> Pace;
+
+    /// Returns whether the watch has to be given up and begun anew.
+    fn is_urgent(&self) -> bool {
+        false
+    }
 
     /// Takes all objects of the kind.
     fn listed(&self, objects: Vec<Object>);
@@ -72,11 +104,11 @@
 /// Starts the tasks that follow the store.
 pub fn start(instance: &Rc<FleetInstance>, stopping: &Stopping) {
     let shared = || Rc::clone(instance);
-    monoio::spawn(follow(
-        shared(),
-        ConfigurationFollower(shared()),
-        stopping.clone(),
-    ));
+    let configuration = ConfigurationFollower {
+        instance: shared(),
+        is_waiting_for_others: Cell::new(false),
+    };
+    monoio::spawn(follow(shared(), configuration, stopping.clone()));
     monoio::spawn(follow(
         shared(),
         UpstreamFollower(shared()),
@@ -99,10 +131,10 @@
     let mut from = None;
     while !stopping.is_closed() {
         let sent = instance.now();
-        let step = step(&instance, &follower, from);
-        let outcome = until_closed(&stopping, step).await;
-        let Some(outcome) = outcome else {
-            return;
+        let pace = follower.pace();
+        let step = step(&instance, &follower, from, pace.wait);
+        let Some(outcome) = until_urgent(&stopping, &follower, step).await else {
+            continue;
         };
         instance.store.note(outcome.as_ref().err(), instance.now());
         instance.metrics.store_call(outcome.is_ok());
@@ -112,6 +144,9 @@
                 if from.is_some() {
                     follower.confirmed(sent + step.waited);
                 }
+                if step.changed {
+                    stopping.pause(pace.gathering).await;
+                }
             }
             Err(_) => {
                 let span = PAUSE.0 + instance.random.draw() % (PAUSE.1 - PAUSE.0);
@@ -127,12 +162,15 @@
     next: Option<u64>,
     /// The time for which the store has certainly waited before it answered.
     waited: Duration,
+    /// Whether anything had changed.
+    changed: bool,
 }
 
 async fn step<F: Follower>(
     instance: &FleetInstance,
     follower: &F,
     from: Option<u64>,
+    wait: Duration,
 ) -> Result<Step, StoreError> {
     let Some(from) = from else {
         let (objects, at) = instance.store.list(F::KIND).await?;
@@ -140,19 +178,22 @@
         return Ok(Step {
             next: Some(at),
             waited: Duration::ZERO,
+            changed: false,
         });
     };
     let sent = instance.now();
-    match instance.store.watch(F::KIND, from, F::WAIT).await? {
+    match instance.store.watch(F::KIND, from, wait).await? {
         Watched::Changes { changes, at } => {
+            let changed = !changes.is_empty();
             // The store answers a watch without changes when its wait is over.
-            let whole_wait = changes.is_empty() && instance.now().since(sent) >= F::WAIT;
+            let whole_wait = !changed && instance.now().since(sent) >= wait;
             for change in changes {
                 follower.changed(change);
             }
             Ok(Step {
                 next: Some(at),
-                waited: if whole_wait { F::WAIT } else { Duration::ZERO },
+                waited: if whole_wait { wait } else { Duration::ZERO },
+                changed,
             })
         }
         Watched::HistoryGone => {
@@ -160,23 +201,45 @@
             Ok(Step {
                 next: None,
                 waited: Duration::ZERO,
+                changed: false,
             })
         }
     }
 }
 
-async fn until_closed<T>(stopping: &Stopping, work: impl Future<Output = T>) -> Option<T> {
+/// Runs a call, and gives it up when the instance ends or the follower cannot
+/// wait for it any longer.
+async fn until_urgent<F: Follower, T>(
+    stopping: &Stopping,
+    follower: &F,
+    work: impl Future<Output = T>,
+) -> Option<T> {
     let work = std::pin::pin!(work);
-    let closed = std::pin::pin!(stopping.closed());
-    match futures::future::select(work, closed).await {
+    let urgent = std::pin::pin!(async {
+        stopping.pause(LEAST_WAIT).await;
+        while stopping.pause(RECHECK).await && !follower.is_urgent() {}
+    });
+    match futures::future::select(work, urgent).await {
         futures::future::Either::Left((result, _)) => Some(result),
         futures::future::Either::Right(_) => None,
     }
 }
 
-struct ConfigurationFollower(Rc<FleetInstance>);
+struct ConfigurationFollower {
+    instance: Rc<FleetInstance>,
+    is_waiting_for_others: Cell<bool>,
+}
 
 impl ConfigurationFollower {
+    /// Returns whether this instance has to ask the store itself: it does so for
+    /// others, or hears of no confirmation from them.
+    fn confirms(&self) -> bool {
+        let now = self.instance.now();
+        let age = self.instance.freshness.borrow().age(now);
+        let heard = age.is_some_and(|age| age < CONFIRM_AFTER);
+        !heard || self.instance.peers.borrow().is_confirmer(now)
+    }
+
     fn take(&self, object: &Object) {
         if object.name != wire::store::CONFIGURATION_NAME {
             return;
@@ -186,13 +249,13 @@
         };
         match wire::configuration::decode(spec) {
             Ok(configuration) => {
-                let held = self.0.configuration();
+                let held = self.instance.configuration();
                 if held.is_some_and(|held| held.version >= configuration.version) {
                     return;
                 }
                 let version = configuration.version;
                 let revision = object.revision;
-                self.0.configure(configuration);
+                self.instance.configure(configuration);
                 info!(version, revision; "configuration in force");
             }
             Err(error) => {
@@ -205,7 +268,26 @@
 
 impl Follower for ConfigurationFollower {
     const KIND: &'static str = wire::store::CONFIGURATION;
-    const WAIT: Duration = CONFIGURATION_WAIT;
+
+    fn pace(&self) -> Pace {
+        let waits_for_others = !self.confirms();
+        self.is_waiting_for_others.set(waits_for_others);
+        Pace {
+            wait: if waits_for_others {
+                QUIET_WAIT
+            } else {
+                CONFIRMING_WAIT
+            },
+            gathering: Duration::ZERO,
+        }
+    }
+
+    fn is_urgent(&self) -> bool {
+        if self.instance.newer_configuration.take() {
+            return true;
+        }
+        self.is_waiting_for_others.get() && self.confirms()
+    }
 
     fn listed(&self, objects: Vec<Object>) {
         objects.iter().for_each(|object| self.take(object));
@@ -218,7 +300,7 @@
     }
 
     fn confirmed(&self, at: Time) {
-        self.0.freshness.borrow_mut().confirm(at);
+        self.instance.freshness.borrow_mut().confirm(at);
     }
 }
 
@@ -261,7 +343,20 @@
 
 impl Follower for UpstreamFollower {
     const KIND: &'static str = wire::store::UPSTREAMS;
-    const WAIT: Duration = UPSTREAMS_WAIT;
+
+    fn pace(&self) -> Pace {
+        // In a large fleet each change would be read by very many.
+        let large = self.0.peers.borrow().is_large();
+        let leaving = self.0.settings.bounds.leaving;
+        Pace {
+            wait: if large {
+                CHECKED_WAIT * 3
+            } else {
+                CHECKED_WAIT
+            },
+            gathering: if large { leaving / 2 } else { GATHERING },
+        }
+    }
 
     fn listed(&self, objects: Vec<Object>) {
         let now = self.0.now();
@@ -320,7 +415,15 @@
 
 impl Follower for WeightsFollower {
     const KIND: &'static str = wire::store::WEIGHTS;
-    const WAIT: Duration = WEIGHTS_WAIT;
+
+    fn pace(&self) -> Pace {
+        let now = self.0.now();
+        let checked = self.0.peers.borrow().is_confirmer(now);
+        Pace {
+            wait: if checked { CHECKED_WAIT } else { QUIET_WAIT },
+            gathering: Duration::ZERO,
+        }
+    }
 
     fn listed(&self, objects: Vec<Object>) {
         let now = self.0.now().from_start();
@@ -387,7 +490,13 @@
 
 impl Follower for InstanceFollower {
     const KIND: &'static str = wire::store::INSTANCES;
-    const WAIT: Duration = QUIET_WAIT;
+
+    fn pace(&self) -> Pace {
+        Pace {
+            wait: QUIET_WAIT,
+            gathering: QUIET_GATHERING,
+        }
+    }
 
     fn listed(&self, objects: Vec<Object>) {
         self.held.borrow_mut().clear();
@@ -496,7 +605,16 @@
 
 impl Follower for TenureFollower {
     const KIND: &'static str = wire::store::TENURES;
-    const WAIT: Duration = QUIET_WAIT;
+
+    fn pace(&self) -> Pace {
+        // The first in rank take over; the others only follow.
+        let now = self.0.now();
+        let heir = self.0.peers.borrow().rank(now) < HEIRS;
+        Pace {
+            wait: QUIET_WAIT,
+            gathering: if heir { GATHERING } else { QUIET_GATHERING * 2 },
+        }
+    }
 
     fn listed(&self, objects: Vec<Object>) {
         self.0.tenure.borrow_mut().observe(None, self.0.now());
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -72,6 +72,8 @@
     pub upstream_client: Client,
     /// The configuration in force.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Whether another instance has told of a newer configuration.
+    pub newer_configuration: Cell<bool>,
     /// The trust in the configuration.
     pub freshness: RefCell<Freshness>,
     /// The upstreams.
@@ -128,6 +130,7 @@
             store: StoreClient::new(settings.store, now),
             upstream_client: Client::new(client_options),
             configuration: RefCell::new(None),
+            newer_configuration: Cell::new(false),
             freshness: RefCell::new(Freshness::new(FreshnessOptions::for_withdrawal(
                 bounds.withdrawal,
             ))),
