--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -63,8 +63,8 @@
 }
 
 fn event_id(bytes: &[u8]) -> Option<String> {
-    let lines = bytes.split(|b| *b == b'\n');
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    let mut lines = bytes.split(|b| *b == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     let id = std::str::from_utf8(id.trim_ascii()).ok()?;
     Some(id.to_owned())
 }
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -28,7 +28,7 @@
     #[must_use]
     pub fn for_withdrawal(bound: Duration) -> Self {
         let margin = Duration::from_millis(WITHDRAWAL_MARGIN_MS).min(bound / 2);
-        let trust = bound - margin;
+        let trust = bound.saturating_sub(margin);
         Self {
             trust,
             patience: trust * 9 / 10,
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -97,7 +97,7 @@
 pub struct Peers {
     own: Name,
     options: PeerOptions,
-    peers: BTreeMap<Name, Peer>,
+    others: BTreeMap<Name, Peer>,
 }
 
 impl Peers {
@@ -107,7 +107,7 @@
         Self {
             own,
             options,
-            peers: BTreeMap::new(),
+            others: BTreeMap::new(),
         }
     }
 
@@ -126,11 +126,11 @@
                 sent: HashMap::new(),
                 loads: HashMap::new(),
             };
-            let mut peer = self.peers.remove(&registration.name).unwrap_or_else(fresh);
+            let mut peer = self.others.remove(&registration.name).unwrap_or_else(fresh);
             peer.address = registration.address;
             kept.insert(registration.name, peer);
         }
-        self.peers = kept;
+        self.others = kept;
     }
 
     /// Takes a beacon and returns what it adds to the last.
@@ -139,7 +139,7 @@
     /// nothing. What a peer did before it was first heard of is not known to be
     /// recent, and is left out.
     pub fn hear(&mut self, beacon: &Beacon, now: Time) -> Reports {
-        let Some(peer) = self.peers.get_mut(beacon.sender.as_str()) else {
+        let Some(peer) = self.others.get_mut(beacon.sender.as_str()) else {
             return Reports::default();
         };
         let restarted = beacon.incarnation != peer.incarnation;
@@ -166,7 +166,7 @@
     /// Returns the time between two beacons in a fleet of this size.
     #[must_use]
     pub fn interval(&self) -> Duration {
-        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        let peers = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
         let scale = peers.div_ceil(FULL_RATE_PEERS).clamp(1, 10);
         self.options.interval * scale
     }
@@ -174,7 +174,7 @@
     /// Returns the addresses of all other instances, each with the last stamp
     /// that it sent.
     pub fn addressees(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Option<u64>)> {
-        self.peers.values().map(move |peer| {
+        self.others.values().map(move |peer| {
             let stamp = self.hears(peer, now).then_some(peer.stamp_ms);
             (peer.address, stamp)
         })
@@ -191,15 +191,15 @@
     /// to be spread.
     #[must_use]
     pub fn is_large(&self) -> bool {
-        self.peers.len() > FULL_RATE_PEERS as usize
+        self.others.len() > FULL_RATE_PEERS as usize
     }
 
     /// Returns how many instances there are and are heard of.
     #[must_use]
     pub fn attendance(&self, now: Time) -> Attendance {
-        let heard = self.peers.values().filter(|p| self.hears(p, now)).count();
+        let heard = self.others.values().filter(|p| self.hears(p, now)).count();
         Attendance {
-            registered: self.peers.len() + 1,
+            registered: self.others.len() + 1,
             heard: heard + 1,
         }
     }
@@ -207,7 +207,7 @@
     /// Returns the work that all other instances have at an upstream.
     #[must_use]
     pub fn load(&self, upstream: u64, now: Time) -> UpstreamLoad {
-        let heard = self.peers.values().filter(|p| self.hears(p, now));
+        let heard = self.others.values().filter(|p| self.hears(p, now));
         let loads = heard.filter_map(|p| p.loads.get(&upstream));
         loads.fold(UpstreamLoad::default(), |sum, load| UpstreamLoad {
             upstream,
@@ -225,7 +225,7 @@
             let since = peer.heard.unwrap_or(peer.registered);
             now.since(since) >= self.options.forget
         };
-        self.peers
+        self.others
             .iter()
             .filter(move |(_, peer)| silent(peer))
             .map(|(name, _)| name)
@@ -234,7 +234,7 @@
     /// Returns the place of this instance among those that are heard of.
     #[must_use]
     pub fn rank(&self, now: Time) -> u32 {
-        let before = self.peers.iter().filter(|(name, _)| **name < self.own);
+        let before = self.others.iter().filter(|(name, _)| **name < self.own);
         let heard = before.filter(|(_, peer)| self.hears(peer, now)).count();
         u32::try_from(heard).unwrap_or(u32::MAX)
     }
@@ -242,7 +242,7 @@
     /// Returns whether a peer is heard of.
     #[must_use]
     pub fn is_heard(&self, name: &str, now: Time) -> bool {
-        self.peers.get(name).is_some_and(|p| self.hears(p, now))
+        self.others.get(name).is_some_and(|p| self.hears(p, now))
     }
 
     fn hears(&self, peer: &Peer, now: Time) -> bool {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -53,7 +53,7 @@
             base: Duration::from_millis(15),
             old_weights: Duration::from_millis(250),
             old_weights_grace: Duration::from_millis(1_200),
-            old_weights_end: Duration::from_millis(5_000),
+            old_weights_end: Duration::from_secs(5),
         }
     }
 }
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -110,7 +110,7 @@
         self.paused.retain(|_, until| now < *until);
         let mut loads = Vec::new();
         for named in named {
-            let at_once = self.at_once(upstreams, peers, named, now);
+            let at_once = at_once(upstreams, peers, named, now);
             let emptying = self.engines.values().filter(|s| **s == Stage::Emptying);
             let room = at_once.saturating_sub(emptying.count());
             for row in self
@@ -142,7 +142,7 @@
     ) -> bool {
         let loading = |stage: &&Stage| matches!(stage, Stage::Loading { until } if now < *until);
         let loading = self.engines.values().filter(loading).count();
-        loading < self.at_once(upstreams, peers, named, now)
+        loading < at_once(upstreams, peers, named, now)
     }
 
     /// Counts an engine as loading until `until`, or until its load has ended.
@@ -167,30 +167,6 @@
         !self.engines.is_empty()
     }
 
-    /// Returns how many engines are emptied, and how many load, at the same time.
-    ///
-    /// Engines that take no requests are missed most when the others have a
-    /// backlog; then they go one by one as long as there is time for that.
-    fn at_once(
-        &self,
-        upstreams: &Upstreams,
-        peers: &Peers,
-        named: &NamedWeights,
-        now: Time,
-    ) -> usize {
-        let serving = upstreams
-            .iter()
-            .filter(|row| row.weights(&named.model).is_some());
-        let most = serving.count().div_ceil(AT_ONCE_PART).max(AT_ONCE_LEAST);
-        let waits = |row: &Upstream| named.behind_for(row.weights(&named.model)?, now);
-        let longest = upstreams.iter().filter_map(waits).max().unwrap_or_default();
-        let backlog = backlog_tokens(upstreams, peers, &named.model, now);
-        if backlog >= LARGE_BACKLOG_TOKENS && longest < UNHURRIED {
-            return most.div_ceil(2);
-        }
-        most
-    }
-
     /// Returns the engines that lack the weights, those with the oldest ones first
     /// and among these those with the least work.
     fn waiting<'a>(
@@ -214,6 +190,24 @@
     }
 }
 
+/// Returns how many engines are emptied, and how many load, at the same time.
+///
+/// Engines that take no requests are missed most when the others have a
+/// backlog; then they go one by one as long as there is time for that.
+fn at_once(upstreams: &Upstreams, peers: &Peers, named: &NamedWeights, now: Time) -> usize {
+    let serving = upstreams
+        .iter()
+        .filter(|row| row.weights(&named.model).is_some());
+    let most = serving.count().div_ceil(AT_ONCE_PART).max(AT_ONCE_LEAST);
+    let waits = |row: &Upstream| named.behind_for(row.weights(&named.model)?, now);
+    let longest = upstreams.iter().filter_map(waits).max().unwrap_or_default();
+    let backlog = backlog_tokens(upstreams, peers, &named.model, now);
+    if backlog >= LARGE_BACKLOG_TOKENS && longest < UNHURRIED {
+        return most.div_ceil(2);
+    }
+    most
+}
+
 /// Returns the prompt tokens that wait at an engine on the average.
 fn backlog_tokens(upstreams: &Upstreams, peers: &Peers, model: &str, now: Time) -> u64 {
     let serving = upstreams.iter().filter(|row| {
--- a/crates/fleet/src/tenure.rs
+++ b/crates/fleet/src/tenure.rs
@@ -36,7 +36,7 @@
     #[must_use]
     pub fn for_turns(bound: Duration) -> Self {
         Self {
-            duration: Duration::from_millis(1_000),
+            duration: Duration::from_secs(1),
             renewal: Duration::from_millis(350),
             handover: bound + Duration::from_millis(400),
             stagger: Duration::from_millis(60),
@@ -72,7 +72,7 @@
 }
 
 /// A `TenureAnswer` is how a conditional write ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TenureAnswer {
     /// The record is in place at this revision.
     Written(u64),
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -247,7 +247,8 @@
         sizes in prop::collection::vec(1..40_usize, 1..200),
         count in 1..30_usize,
     ) {
-        let stream: String = (0..count).map(|i| format!("id: {i}\ndata: {}\n\n", i * 7)).collect();
+        let events: Vec<String> = (0..count).map(|i| format!("id: {i}\ndata: {}\n\n", i * 7)).collect();
+        let stream = events.concat();
         let mut splitter = EventSplitter::default();
         let mut ids = Vec::new();
         let mut rest = stream.as_bytes();
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -57,6 +57,18 @@
         .unwrap_or_default()
 }
 
+/// Returns a span in whole milliseconds.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// assert_eq!(limpetsaddle_router::clock::millis(Duration::from_secs(2)), 2_000);
+/// ```
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A `Random` draws numbers from a seed that the operating system gave.
 ///
 /// The numbers spread load and delays; keys and identities do not rest on them.
--- a/crates/router/src/fleet/beacons.rs
+++ b/crates/router/src/fleet/beacons.rs
@@ -14,6 +14,7 @@
 use monoio::net::udp::UdpSocket;
 
 use super::instance::FleetInstance;
+use crate::clock::millis;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::shutdown::Stopping;
@@ -151,7 +152,7 @@
     });
     let upstreams = instance.upstreams.borrow();
     let mut beacon = Beacon::new(&instance.settings.name, instance.incarnation, sequence);
-    beacon.stamp_ms = now.from_start().as_millis() as u64;
+    beacon.stamp_ms = millis(now.from_start());
     beacon.configuration = ConfigurationNews {
         version: instance.configuration().map_or(0, |c| c.version),
         age_ms: age_ms(instance),
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -22,6 +22,7 @@
 use super::forward;
 use super::forward::Ended;
 use super::instance::FleetInstance;
+use crate::clock::millis;
 
 /// The time after which an instance that is not ready may be.
 const NOT_READY_WAIT: Duration = Duration::from_millis(300);
@@ -91,7 +92,7 @@
     let now = instance.now();
     let configuration = instance.configuration().map_or(0, |c| c.version);
     let age = instance.freshness.borrow().age(now);
-    let age_ms = age.map_or(u64::MAX, |age| age.as_millis() as u64);
+    let age_ms = age.map_or(u64::MAX, millis);
     let route = accepted.map_or("", |a| &a.route.name);
     let team = accepted.and_then(|a| a.team.as_ref());
     let team = team.map_or("", |team| &team.name);
@@ -99,12 +100,12 @@
         id = id.unwrap_or_default(),
         reason = refusal.reason.code(),
         status = refusal.reason.status(),
-        retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
+        retry_after_ms = millis(refusal.retry_after.unwrap_or_default()),
         route,
         team,
         configuration,
         configuration_age_ms = age_ms,
-        after_ms = now.since(arrived).as_millis() as u64;
+        after_ms = millis(now.since(arrived));
         "request refused"
     );
 }
@@ -165,7 +166,10 @@
         Charge::Requests => 1,
         Charge::Tokens { otherwise } => {
             let prompt = inquiry.prompt.as_ref();
-            prompt.map_or(otherwise, |p| p.charged_tokens())
+            prompt.map_or(
+                otherwise,
+                limpetsaddle_fleet::prompt::Prompt::charged_tokens,
+            )
         }
     }
 }
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -39,6 +39,7 @@
 use super::relay;
 use super::relay::Opened;
 use super::relay::Try;
+use crate::clock::millis;
 
 /// The time after which an upstream may take work again where none does.
 const NO_UPSTREAM_WAIT: Duration = Duration::from_millis(400);
@@ -50,11 +51,11 @@
 const REPEATABLE_TRY_PART: u32 = 2;
 
 /// The shortest time that such a try gets.
-const SHORTEST_TRY: Duration = Duration::from_millis(250);
+const SHORTEST_TRY: Duration = Duration::from_millis(150);
 
 /// The longest silence of an engine beyond the expected time to the first event
 /// before a stream that may be resumed goes elsewhere.
-const FIRST_EVENT_SLACK: Duration = Duration::from_millis(2_000);
+const FIRST_EVENT_SLACK: Duration = Duration::from_secs(2);
 
 /// How a request ended.
 pub enum Ended {
@@ -192,7 +193,7 @@
     };
     match opened {
         None => {
-            let after_ms = instance.now().since(accepted.arrived).as_millis() as u64;
+            let after_ms = millis(instance.now().since(accepted.arrived));
             info!(id, route:display = route.name, sent = forwarding.sent, after_ms; "caller left");
             Ended::Abandoned
         }
@@ -216,7 +217,7 @@
                     return Ok(Opened {
                         claim,
                         placement,
-                        opened,
+                        answer: opened,
                     });
                 }
                 Try::Failed { failure, answer } => (failure, answer),
@@ -237,7 +238,7 @@
                     return Ok(Opened {
                         claim: Claim::none(instance),
                         placement,
-                        opened: relay::Answer::Whole(answer),
+                        answer: relay::Answer::Whole(answer),
                     });
                 }
                 (NextStep::GiveUp(refusal), None) => return Err(refusal),
@@ -342,15 +343,14 @@
         let left = self.accepted.deadline.since(now);
         let limit = self.try_limit(placement, left);
         let try_once = relay::open(self, placement, claim, left);
-        match monoio::time::timeout(limit, try_once).await {
-            Ok(outcome) => (outcome, false),
-            Err(_) => {
-                let silent = Try::Failed {
-                    failure: Failure::Silent,
-                    answer: None,
-                };
-                (silent, limit < left)
-            }
+        if let Ok(outcome) = monoio::time::timeout(limit, try_once).await {
+            (outcome, false)
+        } else {
+            let silent = Try::Failed {
+                failure: Failure::Silent,
+                answer: None,
+            };
+            (silent, limit < left)
         }
     }
 
@@ -395,8 +395,8 @@
             failure = failure.code(),
             weights = placement.weights.unwrap_or_default(),
             sent = self.sent,
-            after_ms = after.as_millis() as u64,
-            expected_ms = placement.expected.as_millis() as u64;
+            after_ms = millis(after),
+            expected_ms = millis(placement.expected);
             "try failed"
         );
     }
@@ -445,5 +445,5 @@
 
 /// Returns the time from `since` until now in milliseconds, for logs.
 pub fn elapsed_ms(instance: &FleetInstance, since: Time) -> u64 {
-    instance.now().since(since).as_millis() as u64
+    millis(instance.now().since(since))
 }
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -108,7 +108,7 @@
     ///
     /// Returns an error when there is no randomness or metrics cannot be set up.
     pub fn new(settings: FleetSettings, draining: Stopping) -> Result<Rc<Self>> {
-        let clock = SuspendClock::default();
+        let clock = SuspendClock;
         let now = clock.now();
         let seed = getrandom::u64()?;
         let bounds = settings.bounds;
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -25,6 +25,7 @@
 use super::forward::Forwarding;
 use super::forward::elapsed_ms;
 use super::forward::whole;
+use crate::clock::millis;
 
 /// The largest answer of a plain service that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -78,7 +79,7 @@
     /// Where the request went.
     pub placement: Placement,
     /// The answer.
-    pub opened: Answer,
+    pub answer: Answer,
 }
 
 /// Sends a request to an upstream and waits until it begins to answer.
@@ -249,7 +250,7 @@
     opened: Opened,
 ) -> Ended {
     let mut opened = opened;
-    let answer = std::mem::replace(&mut opened.opened, Answer::Whole(Response::default()));
+    let answer = std::mem::replace(&mut opened.answer, Answer::Whole(Response::default()));
     match answer {
         Answer::Whole(res) => {
             let status = res.status().as_u16();
@@ -282,9 +283,9 @@
         fetch = placement.cache.as_ref().is_some_and(|c| c.fetch_from.is_some()),
         sent = forwarding.sent(),
         configuration = accepted.configuration.version,
-        expected_ms = placement.expected.as_millis() as u64,
+        expected_ms = millis(placement.expected),
         first_event_ms,
-        took_ms = span.as_millis() as u64;
+        took_ms = millis(span);
         "request answered"
     );
 }
@@ -446,14 +447,14 @@
     let Opened {
         claim,
         placement,
-        opened: answer,
+        answer,
     } = opened;
     match answer {
         Answer::Stream(stream) => {
             let opened = Opened {
                 claim,
                 placement,
-                opened: Answer::Whole(Response::default()),
+                answer: Answer::Whole(Response::default()),
             };
             Ok((opened, *stream))
         }
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -25,6 +25,7 @@
 use super::instance::FleetInstance;
 use super::upstream::UpstreamError;
 use super::upstream::call;
+use crate::clock::millis;
 use crate::shutdown::Stopping;
 
 /// The time between two looks at what there is to do.
@@ -48,7 +49,7 @@
 const AWAY: Duration = Duration::from_millis(400);
 
 /// The longest time for one engine, its running requests included.
-const LONGEST_LOAD: Duration = Duration::from_millis(5_000);
+const LONGEST_LOAD: Duration = Duration::from_secs(5);
 
 /// Follows what has to be loaded until the instance ends.
 pub async fn run(instance: Rc<FleetInstance>, stopping: Stopping) {
@@ -143,7 +144,7 @@
         None => false,
     };
     let now = instance.now();
-    let took_ms = now.since(started).as_millis() as u64;
+    let took_ms = millis(now.since(started));
     let version = load.version;
     info!(upstream:display = load.upstream, version, loaded, took_ms; "load ended");
     let mut rollout = instance.rollout.borrow_mut();
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -18,6 +18,8 @@
 use log::warn;
 use thiserror::Error as ThisError;
 
+use crate::clock::millis;
+
 /// The time that a call which does not wait for changes may take. The store
 /// answers within some hundred milliseconds when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -27,7 +29,7 @@
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// The time of failures from which entries may have lapsed meanwhile.
-const OUTAGE_TIME: Duration = Duration::from_millis(1_000);
+const OUTAGE_TIME: Duration = Duration::from_secs(1);
 
 /// A `StoreError` tells why a call of the store failed.
 #[derive(Debug, ThisError)]
@@ -118,8 +120,8 @@
                 if lasted >= OUTAGE_TIME {
                     self.outage_ended.set(Some(now));
                 }
-                let lasted_ms = lasted.as_millis();
-                info!(dependency = "store", lasted_ms = lasted_ms as u64; "dependency regained");
+                let lasted_ms = millis(lasted);
+                info!(dependency = "store", lasted_ms; "dependency regained");
             }
             (Some(_), Some(_)) | (None, None) => {}
         }
