Take no request in a stop that could not be finished, and try an engine with the weights it tells

A test of new weights got 503: both engines refused the expected version and told the newer one, and none was tried again. Change: requests are taken for 2.8 s after the start of a stop, on kept connections too; an engine that tells its weights is tried with these.

--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -387,7 +387,9 @@
             let mut upstreams = self.instance.upstreams.borrow_mut();
             upstreams.turned_away(upstream, TURNED_AWAY_PAUSE, now);
         }
-        self.tried.push(Name::clone(upstream));
+        if !self.has_other_weights_now(failure, placement) {
+            self.tried.push(Name::clone(upstream));
+        }
         let id = self.accepted.inquiry.id.as_deref().unwrap_or_default();
         let after = self.instance.now().since(self.accepted.arrived);
         info!(
@@ -401,6 +403,19 @@
         );
     }
 
+    /// Returns whether an engine that refused a request for its weights has told
+    /// that it runs others, so that it can be tried with these.
+    fn has_other_weights_now(&self, failure: Failure, placement: &Placement) -> bool {
+        if failure != Failure::Misdirected {
+            return false;
+        }
+        let model = self.prompt().and_then(|p| p.model.as_deref());
+        let upstreams = self.instance.upstreams.borrow();
+        let row = upstreams.get(&placement.upstream);
+        let weights = row.zip(model).and_then(|(row, model)| row.weights(model));
+        weights > placement.weights
+    }
+
     /// Returns the request for an upstream.
     pub fn outbound(&self, placement: &Placement, left: Duration) -> Option<Request> {
         let mut req = self.req.clone();
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -47,6 +47,10 @@
 /// the latest, by what its engine is expected to need.
 const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(600);
 
+/// The time after the start of a planned stop in which requests are taken: what
+/// comes later might not be finished before the process has to end.
+const LAST_TAKEN: Duration = Duration::from_millis(2_800);
+
 /// The time that a connection to an upstream may take to be established. One
 /// lost packet costs a second, and another upstream answers sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -99,6 +103,7 @@
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     team_names: RefCell<HashMap<u64, Name>>,
     running: Cell<u64>,
+    stop_began: Cell<Option<Time>>,
 }
 
 impl FleetInstance {
@@ -151,6 +156,7 @@
             budgets: RefCell::new(HashMap::new()),
             team_names: RefCell::new(HashMap::new()),
             running: Cell::new(0),
+            stop_began: Cell::new(None),
             settings,
         }))
     }
@@ -197,6 +203,17 @@
         self.team_names.borrow().get(&hash).cloned()
     }
 
+    /// Records that a planned stop has begun.
+    pub fn begin_stop(&self) {
+        self.stop_began.set(Some(self.now()));
+    }
+
+    /// Returns the time in which requests are still taken.
+    pub fn left_for_last_requests(&self) -> Duration {
+        let since = self.stop_began.get().map(|at| self.now().since(at));
+        since.map_or(Duration::MAX, |since| LAST_TAKEN.saturating_sub(since))
+    }
+
     /// Returns whether the balancer should send new callers here.
     pub fn wants_callers(&self) -> bool {
         let now = self.now();
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -63,6 +63,7 @@
         monoio::spawn(reload(Rc::clone(&instance), reloads, path));
         signals.next().await;
         info!(running = instance.running(); "stopping");
+        instance.begin_stop();
         drop(drain);
         drain_requests(&instance, no_more).await;
         drop(end);
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -78,6 +78,9 @@
     loop {
         let mut check = std::pin::pin!(monoio::time::sleep(IDLE_CHECK).fuse());
         let mut drain = std::pin::pin!(instance.draining.closed().fuse());
+        if instance.left_for_last_requests().is_zero() {
+            return None;
+        }
         futures::select_biased! {
             ready = ready => return ready.then(|| instance.begin()),
             () = drain => break,
@@ -88,9 +91,10 @@
         }
     }
     // The caller has not been told that this connection ends, so that a stop
-    // waits for one more request.
+    // waits for one more request, but for none that it could not finish.
     let running = instance.begin();
-    let ready = monoio::time::timeout(LAST_REQUEST, ready).await;
+    let limit = LAST_REQUEST.min(instance.left_for_last_requests());
+    let ready = monoio::time::timeout(limit, ready).await;
     ready.unwrap_or(false).then_some(running)
 }
 
