Spend fewer calls of the store in outages and in large fleets

Change: one kind of object finds out when a failed store is back, with growing pauses; registrations and the tenure are read at the lower price; in a large fleet three instances read changes of upstreams at once and tell the others who leaves.

--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -15,7 +15,7 @@
 pub const MAX_BEACON_BYTES: usize = 1_400;
 
 /// The number of the message's layout; beacons of other layouts are dropped.
-const LAYOUT: u8 = 2;
+const LAYOUT: u8 = 3;
 
 /// A `TeamUse` is what an instance has admitted for a team since its start.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -43,6 +43,15 @@
     pub long_prompts: u32,
 }
 
+/// A `LeavingNews` tells that an upstream is leaving.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingNews {
+    /// The hash of the upstream's id.
+    pub upstream: u64,
+    /// The start of the upstream's process, in milliseconds since the epoch.
+    pub born_ms: u64,
+}
+
 /// A `ServiceUse` is what an instance sent to a service since its start.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServiceUse {
@@ -100,6 +109,8 @@
     pub loads: Vec<UpstreamLoad>,
     /// The weights that changed lately.
     pub weights: Vec<WeightsNews>,
+    /// The upstreams that have begun to leave lately.
+    pub leaving: Vec<LeavingNews>,
     /// The use of services.
     pub services: Vec<ServiceUse>,
     /// The start of the KV store, from instances that ask it themselves.
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -7,6 +7,7 @@
 use limpetsaddle_core::units::Time;
 
 use crate::Name;
+use crate::beacon::LeavingNews;
 use crate::beacon::UpstreamLoad;
 use crate::beacon::WeightsNews;
 use crate::beacon::name_hash;
@@ -129,7 +130,7 @@
 /// The bounds of an upstream's slowness, against single odd observations.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 8.0);
 
-/// The time for which the instance that gives orders repeats what it did.
+/// The time for which beacons repeat who leaves and which orders were given.
 const NEWS_TIME: Duration = Duration::from_secs(3);
 
 /// The time that upstreams get to appear again after an outage of the platform.
@@ -140,6 +141,7 @@
 pub struct Upstreams {
     options: HealthOptions,
     rows: BTreeMap<Name, Upstream>,
+    leaving: Vec<(LeavingNews, Time)>,
 }
 
 impl Upstreams {
@@ -149,6 +151,7 @@
         Self {
             options,
             rows: BTreeMap::new(),
+            leaving: Vec::new(),
         }
     }
 
@@ -156,7 +159,10 @@
     ///
     /// A process that started anew knows nothing of before, so that nothing
     /// that was learned of the last one holds.
-    pub fn upsert(&mut self, entry: UpstreamEntry) {
+    pub fn upsert(&mut self, entry: UpstreamEntry, now: Time) {
+        if entry.phase == Phase::Draining {
+            self.leaves(&entry, now);
+        }
         let held = self.rows.get_mut(&entry.id);
         let Some(row) = held.filter(|row| row.entry.born_ms == entry.born_ms) else {
             let row = Upstream {
@@ -182,8 +188,44 @@
     }
 
     /// Removes an upstream that has left.
-    pub fn remove(&mut self, id: &str) {
-        self.rows.remove(id);
+    pub fn remove(&mut self, id: &str, now: Time) {
+        if let Some(row) = self.rows.remove(id) {
+            self.leaves(&row.entry, now);
+        }
+    }
+
+    fn leaves(&mut self, entry: &UpstreamEntry, now: Time) {
+        let news = LeavingNews {
+            upstream: name_hash(&entry.id),
+            born_ms: entry.born_ms,
+        };
+        self.leaving
+            .retain(|(known, at)| *known != news && now.since(*at) < NEWS_TIME);
+        self.leaving.push((news, now));
+    }
+
+    /// Returns the upstreams that other instances should know to be leaving.
+    #[must_use]
+    pub fn leaving_news(&self, now: Time) -> Vec<LeavingNews> {
+        let recent = self
+            .leaving
+            .iter()
+            .filter(|(_, at)| now.since(*at) < NEWS_TIME);
+        recent.map(|(news, _)| *news).collect()
+    }
+
+    /// Takes what another instance tells of an upstream that leaves, and returns
+    /// its id when that was not known.
+    pub fn hear_leaving(&mut self, news: &LeavingNews) -> Option<Name> {
+        let row = self
+            .rows
+            .values_mut()
+            .find(|row| row.hash == news.upstream)?;
+        if row.entry.born_ms != news.born_ms || row.entry.phase == Phase::Draining {
+            return None;
+        }
+        row.entry.phase = Phase::Draining;
+        Some(Name::clone(&row.entry.id))
     }
 
     /// Takes a complete list of the ids that the platform holds.
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -227,12 +227,33 @@
     assert_eq!(fleet.upstreams.get("e1").unwrap().weights(MODEL), Some(2));
 }
 
+#[test]
+fn verify_an_upstream_that_leaves_gets_no_work_wherever_that_is_heard() {
+    let mut first = Fleet::new(vec![engine(1, 1), engine(2, 1)]);
+    let mut second = Fleet::new(vec![engine(1, 1), engine(2, 1)]);
+    first.upstreams.remove("e1", at(100));
+    let news = first.upstreams.leaving_news(at(200));
+    assert_eq!(news.len(), 1);
+    assert_eq!(
+        second.upstreams.hear_leaving(&news[0]).as_deref(),
+        Some("e1")
+    );
+    assert_eq!(second.upstreams.of_service(support::SERVICE).count(), 1);
+    // News of a process that has ended do not concern its successor.
+    let mut reborn = engine(1, 1);
+    reborn.born_ms = 2;
+    second.upstreams.upsert(reborn, at(300));
+    assert_eq!(second.upstreams.hear_leaving(&news[0]), None);
+    assert_eq!(second.upstreams.of_service(support::SERVICE).count(), 2);
+    assert!(first.upstreams.leaving_news(at(9_000)).is_empty());
+}
+
 #[test]
 fn verify_entries_that_lapsed_in_an_outage_have_time_to_return() {
     let mut fleet = Fleet::new(vec![engine(1, 1), engine(2, 1)]);
     fleet.upstreams.missing("e1", at(0));
     fleet.upstreams.missing("e2", at(0));
-    fleet.upstreams.upsert(engine(2, 1));
+    fleet.upstreams.upsert(engine(2, 1), at(10));
     assert!(fleet.upstreams.drop_missing(at(1_900)).is_empty());
     let gone = fleet.upstreams.drop_missing(at(2_300));
     assert_eq!(gone.len(), 1);
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -229,6 +229,6 @@
         .set_away("e1", Duration::from_secs(9), at(0));
     let mut entry = engine(1, 1);
     entry.born_ms = 2;
-    fleet.upstreams.upsert(entry);
+    fleet.upstreams.upsert(entry, at(0));
     assert!(!fleet.upstreams.get("e1").unwrap().is_away(at(1)));
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -95,7 +95,7 @@
     pub fn new(entries: Vec<UpstreamEntry>) -> Self {
         let mut upstreams = Upstreams::new(HealthOptions::default());
         for entry in entries {
-            upstreams.upsert(entry);
+            upstreams.upsert(entry, at(0));
         }
         Self {
             upstreams,
--- a/crates/router/src/fleet/beacons.rs
+++ b/crates/router/src/fleet/beacons.rs
@@ -86,6 +86,11 @@
     for news in &beacon.weights {
         upstreams.news(news, now);
     }
+    for news in &beacon.leaving {
+        if let Some(upstream) = upstreams.hear_leaving(news) {
+            info!(upstream:display, from = beacon.sender.as_str(); "upstream leaves");
+        }
+    }
     let mut directory = instance.directory.borrow_mut();
     for news in &beacon.cached {
         directory.learn(news, now);
@@ -160,6 +165,7 @@
     beacon.teams = teams.collect();
     beacon.loads = upstreams.loads();
     beacon.weights = upstreams.weights_news(now);
+    beacon.leaving = upstreams.leaving_news(now);
     beacon.services = instance.service_uses();
     let rank = instance.peers.borrow().rank(now);
     let store = instance.kv_store.borrow().news(now);
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
+use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Call;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Object;
@@ -50,8 +51,20 @@
 /// The time between two looks at whether a watch has to be given up.
 const RECHECK: Duration = Duration::from_millis(250);
 
-/// The bounds of the pause after a failed call, in milliseconds.
-const PAUSE: (u64, u64) = (100, 400);
+/// The pause after a first failed call, doubled with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause after a failed call. Requests with keys are refused while
+/// the store is away, so that its return has to be noticed soon.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// Returns the pause after so many failed calls in a row, up to half of it drawn
+/// at random so that instances do not return together.
+fn pause(failures: u32, random: u64) -> Duration {
+    let whole = LONGEST_PAUSE.min(FIRST_PAUSE * (1 << failures.min(8)));
+    let part = u32::try_from(random % 512).unwrap_or(0);
+    whole / 2 + whole * part / 1_024
+}
 
 /// A `Pace` is how a kind is watched at the moment.
 struct Pace {
@@ -66,6 +79,13 @@
     /// The kind.
     const KIND: &'static str;
 
+    /// How old answers may be.
+    const AGE: Age = Age::Newest;
+
+    /// Whether this follower finds out when a store that failed is back; the
+    /// others wait for that.
+    const PROBES: bool = false;
+
     /// Returns how the kind is watched.
     fn pace(&self) -> Pace;
 
@@ -106,7 +126,12 @@
 
 async fn follow<F: Follower>(instance: Rc<FleetInstance>, follower: F, stopping: Stopping) {
     let mut from = None;
+    let mut failures = 0;
     while !stopping.is_closed() {
+        if instance.store.is_failing() && !F::PROBES && failures > 0 {
+            stopping.pause(RECHECK).await;
+            continue;
+        }
         let sent = instance.now();
         let pace = follower.pace();
         let step = step(&instance, &follower, from, pace.wait);
@@ -116,10 +141,13 @@
         instance.store.note(outcome.as_ref().err(), instance.now());
         instance.metrics.store_call(outcome.is_ok());
         let Ok(step) = outcome else {
-            let span = PAUSE.0 + instance.random.draw() % (PAUSE.1 - PAUSE.0);
-            stopping.pause(Duration::from_millis(span)).await;
+            failures += 1;
+            stopping
+                .pause(pause(failures, instance.random.draw()))
+                .await;
             continue;
         };
+        failures = 0;
         from = step.next;
         if from.is_some() {
             follower.confirmed(sent + step.waited);
@@ -147,7 +175,7 @@
     wait: Duration,
 ) -> Result<Step, StoreError> {
     let Some(from) = from else {
-        let (objects, at) = instance.store.list(F::KIND).await?;
+        let (objects, at) = instance.store.list(F::KIND, F::AGE).await?;
         follower.listed(objects);
         return Ok(Step {
             next: Some(at),
@@ -156,7 +184,7 @@
         });
     };
     let sent = instance.now();
-    match instance.store.watch(F::KIND, from, wait).await? {
+    match instance.store.watch(F::KIND, from, wait, F::AGE).await? {
         Watched::Changes { changes, at } => {
             let changed = !changes.is_empty();
             // The store answers a watch without changes when its wait is over.
--- a/crates/router/src/fleet/follow/configuration.rs
+++ b/crates/router/src/fleet/follow/configuration.rs
@@ -45,7 +45,7 @@
         let now = self.instance.now();
         let age = self.instance.freshness.borrow().age(now);
         let heard = age.is_some_and(|age| age < CONFIRM_AFTER);
-        !heard || self.instance.peers.borrow().is_confirmer(now)
+        !heard || self.instance.store.is_failing() || self.instance.peers.borrow().is_confirmer(now)
     }
 
     fn take(&self, object: &Object) {
@@ -77,6 +77,8 @@
 impl Follower for ConfigurationFollower {
     const KIND: &'static str = wire::store::CONFIGURATION;
 
+    const PROBES: bool = true;
+
     fn pace(&self) -> Pace {
         let waits_for_others = !self.confirms();
         self.is_waiting_for_others.set(waits_for_others);
--- a/crates/router/src/fleet/follow/instances.rs
+++ b/crates/router/src/fleet/follow/instances.rs
@@ -8,6 +8,7 @@
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::peers::Registration;
 use limpetsaddle_platform_wire as wire;
+use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Call;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Object;
@@ -86,6 +87,9 @@
 impl Follower for InstanceFollower {
     const KIND: &'static str = wire::store::INSTANCES;
 
+    // Writes are conditional, so that an old answer does no harm.
+    const AGE: Age = Age::Seconds;
+
     fn pace(&self) -> Pace {
         Pace {
             wait: QUIET_WAIT,
--- a/crates/router/src/fleet/follow/tenure.rs
+++ b/crates/router/src/fleet/follow/tenure.rs
@@ -4,6 +4,7 @@
 
 use limpetsaddle_fleet::tenure::TenureRecord;
 use limpetsaddle_platform_wire as wire;
+use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Object;
 use log::info;
@@ -55,6 +56,9 @@
 impl Follower for TenureFollower {
     const KIND: &'static str = wire::store::TENURES;
 
+    // Writes are conditional, so that an old answer does no harm.
+    const AGE: Age = Age::Seconds;
+
     fn pace(&self) -> Pace {
         // The first in rank take over; the others only follow.
         let now = self.0.now();
--- a/crates/router/src/fleet/follow/upstreams.rs
+++ b/crates/router/src/fleet/follow/upstreams.rs
@@ -1,6 +1,7 @@
 //! Following the entries of upstreams.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::beacon::name_hash;
@@ -16,8 +17,12 @@
 use super::Follower;
 use super::GATHERING;
 use super::Pace;
+use super::QUIET_WAIT;
 use crate::fleet::instance::FleetInstance;
 
+/// The pause after a change in a large fleet. New upstreams are missed as long.
+const LARGE_GATHERING: Duration = Duration::from_secs(4);
+
 /// An `UpstreamFollower` keeps the table of upstreams.
 pub struct UpstreamFollower(pub Rc<FleetInstance>);
 
@@ -33,6 +38,7 @@
     }
 
     fn take(&self, object: &Object) {
+        let now = self.0.now();
         let revision = object.revision;
         let upstream = object.name.as_str();
         match wire::servers::decode(object) {
@@ -42,14 +48,14 @@
                 let born_ms = entry.born_ms;
                 let service = Name::clone(&entry.service);
                 self.forget_if_new(&entry);
-                self.0.upstreams.borrow_mut().upsert(entry);
+                self.0.upstreams.borrow_mut().upsert(entry, now);
                 info!(
                     upstream, revision, phase, weights, born_ms, service:display;
                     "upstream listed"
                 );
             }
             Err(error) => {
-                self.0.upstreams.borrow_mut().remove(upstream);
+                self.0.upstreams.borrow_mut().remove(upstream, now);
                 warn!(upstream, revision, error:display; "upstream entry not usable");
             }
         }
@@ -60,16 +66,22 @@
     const KIND: &'static str = wire::store::UPSTREAMS;
 
     fn pace(&self) -> Pace {
-        // In a large fleet each change would be read by very many.
-        let large = self.0.peers.borrow().is_large();
-        let leaving = self.0.settings.bounds.leaving;
+        // In a large fleet each change would be read by very many. A few read it
+        // at once and tell the others who leaves.
+        let now = self.0.now();
+        let peers = self.0.peers.borrow();
+        let reads_at_once = !peers.is_large() || peers.is_confirmer(now);
         Pace {
-            wait: if large {
-                CHECKED_WAIT * 3
-            } else {
+            wait: if reads_at_once {
                 CHECKED_WAIT
+            } else {
+                QUIET_WAIT
+            },
+            gathering: if reads_at_once {
+                GATHERING
+            } else {
+                LARGE_GATHERING
             },
-            gathering: if large { leaving / 2 } else { GATHERING },
         }
     }
 
@@ -96,7 +108,7 @@
         if after_outage {
             upstreams.missing(upstream, now);
         } else {
-            upstreams.remove(upstream);
+            upstreams.remove(upstream, now);
         }
         info!(upstream, after_outage; "upstream removed from the list");
     }
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -10,6 +10,7 @@
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
 use limpetsaddle_platform_wire as wire;
+use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Call;
 use limpetsaddle_platform_wire::store::Object;
 use limpetsaddle_platform_wire::store::Watched;
@@ -70,13 +71,14 @@
     }
 
     /// Lists every object of a kind, with the revision that the list shows.
-    pub async fn list(&self, kind: &str) -> Result<(Vec<Object>, u64), StoreError> {
+    pub async fn list(&self, kind: &str, age: Age) -> Result<(Vec<Object>, u64), StoreError> {
         let mut objects: Vec<Object> = Vec::new();
         loop {
             let after = objects.last().map(|object| object.name.clone());
             let call = Call::List {
                 kind,
                 after: after.as_deref(),
+                age,
             };
             let (status, body) = self.call(&call, CALL_TIMEOUT).await?;
             let page = wire::store::page(status, &body)?;
@@ -94,8 +96,14 @@
         kind: &str,
         from: u64,
         wait: Duration,
+        age: Age,
     ) -> Result<Watched, StoreError> {
-        let call = Call::Watch { kind, from, wait };
+        let call = Call::Watch {
+            kind,
+            from,
+            wait,
+            age,
+        };
         let (status, body) = self.call(&call, wait + CALL_TIMEOUT).await?;
         Ok(wire::store::watched(status, &body)?)
     }
@@ -127,6 +135,11 @@
         }
     }
 
+    /// Returns whether the last call failed.
+    pub const fn is_failing(&self) -> bool {
+        self.failing_since.get().is_some()
+    }
+
     /// Returns whether an outage ended less than `span` ago.
     pub fn is_after_outage(&self, span: Duration, now: Time) -> bool {
         self.outage_ended
