--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -74,6 +74,10 @@
 /// ten engines take about as long again.
 const UNHURRIED: Duration = Duration::from_millis(2_500);
 
+/// The time after the naming of weights from which more engines load at once than
+/// is quickest for each: soon they cannot be used any more as they are.
+const URGENT: Duration = Duration::from_millis(3_800);
+
 /// The pause before an engine that did not load gets another order.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -201,6 +205,9 @@
     let most = serving.count().div_ceil(AT_ONCE_PART).max(AT_ONCE_LEAST);
     let waits = |row: &Upstream| named.behind_for(row.weights(&named.model)?, now);
     let longest = upstreams.iter().filter_map(waits).max().unwrap_or_default();
+    if longest >= URGENT {
+        return most * 2;
+    }
     let backlog = backlog_tokens(upstreams, peers, &named.model, now);
     if backlog >= LARGE_BACKLOG_TOKENS && longest < UNHURRIED {
         return most.div_ceil(2);
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -77,6 +77,16 @@
     assert!(rollout.may_load(&fleet.upstreams, &fleet.peers, &named[0], at(3_000)));
 }
 
+#[test]
+fn verify_more_engines_load_at_once_when_the_giver_of_orders_was_lost() {
+    // The holder froze; another instance took over after five seconds.
+    let fleet = Fleet::new((1..=9).map(|i| engine(i, 1)).collect());
+    let named = named(&[(2, 0)]);
+    let mut rollout = Rollout::default();
+    let loads = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(5_000));
+    assert_eq!(loads.len(), 4);
+}
+
 #[test]
 fn verify_an_engine_that_did_not_load_is_tried_again_after_a_pause() {
     let fleet = Fleet::new(vec![engine(1, 1)]);
