--- a/.ci/check_style.py
+++ b/.ci/check_style.py
@@ -50,6 +50,21 @@
         last = (group, match.end())
 
 
+WIRE_NAMES = re.compile(
+    r"x-limpetsaddle-|limpetsaddle/(objects|ready|report|order|kv-|hold-)"
+    r"|kv[-_](events|list|move|fetch|save|from|backup)|gap_target_ms|uncached_tokens",
+    re.I,
+)
+
+
+def check_names(path, text):
+    """The names of the users' platform stand in platform/ and nowhere else."""
+    if path.parts[0] == "platform":
+        return
+    for match in WIRE_NAMES.finditer(text):
+        yield f"name of the platform outside platform/: {match.group(0)}"
+
+
 def check_layout(path, text):
     if "#[cfg(test)]" in text:
         yield "tests live in test files, under tests/"
@@ -72,7 +87,7 @@
         if GENERATED.search(name) or not path.exists():
             continue
         text = path.read_text()
-        problems = [*check_derives(text), *check_imports(text), *check_layout(path, text)]
+        problems = [*check_derives(text), *check_imports(text), *check_layout(path, text), *check_names(path, text)]
         for problem in problems:
             print(f"{name}: {problem}")
         failures += len(problems)
