Choose among several KV stores alike on all instances

Instances then disagreed about who holds what, and each beacon of another store looked like a restart. Change: a prompt's shared parts choose their store by hash; each store is watched by itself. Checked: verify_all_instances_choose_the_same_of_several_stores.

--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -15,7 +15,7 @@
 pub const MAX_BEACON_BYTES: usize = 1_400;
 
 /// The number of the message's layout; beacons of other layouts are dropped.
-const LAYOUT: u8 = 3;
+const LAYOUT: u8 = 4;
 
 /// A `TeamUse` is what an instance has admitted for a team since its start.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -113,8 +113,8 @@
     pub leaving: Vec<LeavingNews>,
     /// The use of services.
     pub services: Vec<ServiceUse>,
-    /// The start of the KV store, from instances that ask it themselves.
-    pub store: Option<StoreNews>,
+    /// The KV stores that are up, from instances that ask them themselves.
+    pub stores: Vec<StoreNews>,
     /// The prompts that engines have read since the last beacon.
     pub cached: Vec<CacheNews>,
 }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use limpetsaddle_core::hash::mix;
 use limpetsaddle_core::hash::stable_hash;
 
 use crate::Name;
@@ -184,6 +185,7 @@
     teams: HashMap<Name, Rc<Team>>,
     keys: HashMap<Name, Rc<Team>>,
     hosts: HashMap<Name, Vec<Rc<Route>>>,
+    kv_stores: Vec<KvStore>,
 }
 
 impl Configuration {
@@ -218,6 +220,9 @@
             by_key.extend(keys.into_iter().map(|key| (key, Rc::clone(&team))));
             by_name.insert(Rc::clone(&team.name), team);
         }
+        let mut kv_stores: Vec<KvStore> =
+            services.iter().filter_map(|s| s.kv_store.clone()).collect();
+        kv_stores.sort_by_key(|store| store.address);
         let named = |s: Service| (Rc::clone(&s.name), Rc::new(s));
         Self {
             version,
@@ -226,6 +231,7 @@
             teams: by_name,
             keys: by_key,
             hosts,
+            kv_stores,
         }
     }
 
@@ -264,11 +270,24 @@
         !self.teams.is_empty()
     }
 
-    /// Returns the KV store, if there is one.
+    /// Returns the KV stores in the order of their addresses.
     #[must_use]
-    pub fn kv_store(&self) -> Option<&KvStore> {
-        self.services.values().find_map(|s| s.kv_store.as_ref())
+    pub fn kv_stores(&self) -> &[KvStore] {
+        &self.kv_stores
     }
+
+    /// Returns the KV store that keeps the parts with a hash, if there is any.
+    #[must_use]
+    pub fn kv_store_for(&self, hash: u64) -> Option<&KvStore> {
+        let draw = |store: &&KvStore| mix(hash ^ store_hash(store.address));
+        self.kv_stores.iter().max_by_key(draw)
+    }
+}
+
+/// Returns the hash under which instances speak of a KV store.
+#[must_use]
+pub fn store_hash(address: SocketAddr) -> u64 {
+    stable_hash(&[b"store", address.to_string().as_bytes()])
 }
 
 /// Returns the hash by which a request is assigned to a share of its route.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -13,9 +13,9 @@
 use limpetsaddle_core::units::Time;
 
 use crate::Name;
-use crate::beacon::name_hash;
 use crate::configuration::Engine;
 use crate::configuration::KvStore;
+use crate::configuration::store_hash;
 use crate::directory::Certainty;
 use crate::directory::Link;
 use crate::directory::PrefixDirectory;
@@ -172,7 +172,7 @@
     pub isolated: Option<&'a str>,
     /// The newest weights of the prompt's model, if any were named.
     pub named: Option<&'a NamedWeights>,
-    /// The KV store, while it is up.
+    /// The KV store of the prompt's shared parts, while it is up.
     pub store: Option<&'a KvStore>,
 }
 
@@ -351,12 +351,6 @@
     )
 }
 
-/// Returns the hash under which the directory knows the KV store.
-#[must_use]
-pub fn store_hash(address: SocketAddr) -> u64 {
-    name_hash(&address.to_string())
-}
-
 /// The shared tokens from which a prompt is saved to the KV store.
 const MIN_SAVE_TOKENS: u64 = 1_000;
 
--- a/crates/fleet/src/store_watch.rs
+++ b/crates/fleet/src/store_watch.rs
@@ -1,28 +1,36 @@
-//! Whether the KV store is up, and whether it has started anew.
+//! Which KV stores are up, and whether they have started anew.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// The time after which a store that nobody has heard of is not used. A fetch
 /// from a dead store holds a request up for some hundred milliseconds.
 const LONGEST_SILENCE: Duration = Duration::from_millis(1_500);
 
-/// The instances that ask the store; the others go by their beacons.
+/// The instances that ask the stores; the others go by their beacons.
 const ASKERS: u32 = 2;
 
-/// A `StoreWatch` is what an instance knows of the KV store.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct StoreWatch {
-    boot: Option<u64>,
-    seen: Option<Time>,
+/// A `StoreNews` is what instances tell each other of a KV store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreNews {
+    /// The hash of the store's address.
+    pub store: u64,
+    /// A number that differs at each start of the store.
+    pub boot: u64,
 }
 
-/// A `StoreNews` is what instances tell each other of the KV store.
-pub type StoreNews = u64;
+/// A `StoreWatch` is what an instance knows of the KV stores.
+#[derive(Clone, Debug, Default)]
+pub struct StoreWatch {
+    stores: BTreeMap<u64, (u64, Time)>,
+}
 
 impl StoreWatch {
-    /// Returns whether an instance of this rank asks the store itself.
+    /// Returns whether an instance of this rank asks the stores itself.
     ///
     /// ```
     /// use limpetsaddle_fleet::store_watch::StoreWatch;
@@ -35,24 +43,31 @@
         rank < ASKERS
     }
 
-    /// Records that the store answered, and returns whether it started anew
-    /// since it was last heard of.
-    pub fn heard(&mut self, boot: u64, now: Time) -> bool {
-        let restarted = self.boot.is_some_and(|held| held != boot);
-        self.boot = Some(boot);
-        self.seen = Some(now);
-        restarted
+    /// Records that a store answered, and returns whether it started anew since
+    /// it was last heard of.
+    pub fn heard(&mut self, news: StoreNews, now: Time) -> bool {
+        let before = self.stores.insert(news.store, (news.boot, now));
+        before.is_some_and(|(boot, _)| boot != news.boot)
     }
 
-    /// Returns whether the store may be used.
+    /// Returns whether a store may be used.
     #[must_use]
-    pub fn is_up(&self, now: Time) -> bool {
-        self.seen.is_some_and(|at| now.since(at) < LONGEST_SILENCE)
+    pub fn is_up(&self, store: u64, now: Time) -> bool {
+        let seen = self.stores.get(&store).map(|(_, at)| now.since(*at));
+        seen.is_some_and(|silence| silence < LONGEST_SILENCE)
     }
 
-    /// Returns what other instances should know, while the store is up.
+    /// Returns what other instances should know of the stores that are up.
     #[must_use]
-    pub fn news(&self, now: Time) -> Option<StoreNews> {
-        self.boot.filter(|_| self.is_up(now))
+    pub fn news(&self, now: Time) -> Vec<StoreNews> {
+        let up = self
+            .stores
+            .iter()
+            .filter(|(store, _)| self.is_up(**store, now));
+        let news = up.map(|(store, (boot, _))| StoreNews {
+            store: *store,
+            boot: *boot,
+        });
+        news.collect()
     }
 }
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -8,6 +8,10 @@
 use limpetsaddle_fleet::beacon::ServiceUse;
 use limpetsaddle_fleet::beacon::TeamUse;
 use limpetsaddle_fleet::beacon::WeightsNews;
+use limpetsaddle_fleet::configuration::CallerLimits;
+use limpetsaddle_fleet::configuration::Configuration;
+use limpetsaddle_fleet::configuration::KvStore;
+use limpetsaddle_fleet::configuration::Service;
 use limpetsaddle_fleet::events::EventSplitter;
 use limpetsaddle_fleet::freshness::Freshness;
 use limpetsaddle_fleet::freshness::FreshnessOptions;
@@ -21,6 +25,8 @@
 use limpetsaddle_fleet::retry_budget::BudgetOptions;
 use limpetsaddle_fleet::retry_budget::RetryBudget;
 use limpetsaddle_fleet::retry_budget::RetryCount;
+use limpetsaddle_fleet::store_watch::StoreNews;
+use limpetsaddle_fleet::store_watch::StoreWatch;
 use proptest::prelude::*;
 use support::Fleet;
 use support::MODEL;
@@ -248,6 +254,47 @@
     assert!(first.upstreams.leaving_news(at(9_000)).is_empty());
 }
 
+#[test]
+fn verify_all_instances_choose_the_same_of_several_stores() {
+    let store = |host: u8| {
+        let store = KvStore {
+            address: ([10, 0, 0, host], 80).into(),
+            memory_tokens: 1,
+            link_mbps: 1.0,
+        };
+        Service {
+            name: format!("s{host}").into(),
+            engine: None,
+            kv_store: Some(store),
+        }
+    };
+    let with = |hosts: &[u8]| {
+        let services = hosts.iter().map(|host| store(*host)).collect();
+        Configuration::new(1, CallerLimits::default(), vec![], services, vec![])
+    };
+    let (one, other) = (with(&[1, 2, 3]), with(&[3, 1, 2]));
+    let mut used = std::collections::BTreeSet::new();
+    for hash in 0..64 {
+        let chosen = one.kv_store_for(hash).unwrap().address;
+        assert_eq!(chosen, other.kv_store_for(hash).unwrap().address);
+        used.insert(chosen);
+    }
+    assert_eq!(used.len(), 3);
+}
+
+#[test]
+fn verify_a_store_that_started_anew_is_noticed_and_a_silent_one_not_used() {
+    let mut watch = StoreWatch::default();
+    let news = |store, boot| StoreNews { store, boot };
+    assert!(!watch.heard(news(1, 7), at(0)));
+    assert!(!watch.heard(news(2, 8), at(0)));
+    assert!(!watch.heard(news(1, 7), at(1_000)));
+    assert!(watch.heard(news(2, 9), at(1_000)));
+    assert!(watch.is_up(1, at(2_000)));
+    assert!(!watch.is_up(1, at(2_600)));
+    assert!(!watch.is_up(3, at(1_000)));
+}
+
 #[test]
 fn verify_entries_that_lapsed_in_an_outage_have_time_to_return() {
     let mut fleet = Fleet::new(vec![engine(1, 1), engine(2, 1)]);
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -6,6 +6,7 @@
 
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::configuration::KvStore;
+use limpetsaddle_fleet::configuration::store_hash;
 use limpetsaddle_fleet::directory::CacheNews;
 use limpetsaddle_fleet::directory::chain;
 use limpetsaddle_fleet::health::Verdict;
@@ -14,7 +15,6 @@
 use limpetsaddle_fleet::placement::PromptRequest;
 use limpetsaddle_fleet::placement::place_plain;
 use limpetsaddle_fleet::placement::place_prompt;
-use limpetsaddle_fleet::placement::store_hash;
 use limpetsaddle_fleet::prompt::CacheSalt;
 use limpetsaddle_fleet::prompt::Prompt;
 use limpetsaddle_fleet::upstreams::Work;
--- a/crates/router/src/fleet/beacons.rs
+++ b/crates/router/src/fleet/beacons.rs
@@ -79,8 +79,8 @@
     for report in &reports.sent {
         instance.sent_elsewhere(report);
     }
-    if let Some(boot) = beacon.store {
-        instance.heard_store(boot);
+    for news in &beacon.stores {
+        instance.heard_store(*news);
     }
     let mut upstreams = instance.upstreams.borrow_mut();
     for news in &beacon.weights {
@@ -168,8 +168,9 @@
     beacon.leaving = upstreams.leaving_news(now);
     beacon.services = instance.service_uses();
     let rank = instance.peers.borrow().rank(now);
-    let store = instance.kv_store.borrow().news(now);
-    beacon.store = store.filter(|_| StoreWatch::asks(rank));
+    if StoreWatch::asks(rank) {
+        beacon.stores = instance.kv_stores.borrow().news(now);
+    }
     beacon.cached = instance.directory.borrow_mut().take_news();
     beacon
 }
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -17,6 +17,7 @@
 use limpetsaddle_fleet::configuration::RouteKind;
 use limpetsaddle_fleet::configuration::Service;
 use limpetsaddle_fleet::configuration::share_draw;
+use limpetsaddle_fleet::configuration::store_hash;
 use limpetsaddle_fleet::directory::CacheNews;
 use limpetsaddle_fleet::health::Verdict;
 use limpetsaddle_fleet::placement;
@@ -127,7 +128,7 @@
         }
         if let Some(store) = cache.save_to {
             let news = CacheNews {
-                holder: placement::store_hash(store),
+                holder: store_hash(store),
                 keys: keys(),
                 new_tokens: u32::try_from(placement.new_tokens).unwrap_or(u32::MAX),
             };
@@ -251,8 +252,21 @@
         self.accepted.inquiry.prompt.as_ref()
     }
 
-    fn store(&self) -> Option<&KvStore> {
-        self.accepted.configuration.kv_store()
+    /// Returns the KV store of the prompt's shared parts, while it is up.
+    fn store(&self, now: Time) -> Option<&KvStore> {
+        let scope = self.isolated().unwrap_or_default();
+        let parts = self.prompt()?.shared_hash(scope);
+        let store = self.accepted.configuration.kv_store_for(parts)?;
+        let stores = self.instance.kv_stores.borrow();
+        stores
+            .is_up(store_hash(store.address), now)
+            .then_some(store)
+    }
+
+    /// Returns the team, where its prompts are kept apart from all others.
+    fn isolated(&self) -> Option<&str> {
+        let team = self.accepted.team.as_ref().filter(|team| team.isolated);
+        team.map(|team| &*team.name)
     }
 
     fn work(&self, placement: &Placement) -> Work {
@@ -289,16 +303,13 @@
             Some((prompt, engine)) => {
                 let named = instance.named.borrow();
                 let model = prompt.model.as_deref().unwrap_or_default();
-                let isolated = self.accepted.team.as_ref().filter(|t| t.isolated);
                 let req = PromptRequest {
                     service: &self.service,
                     engine,
                     prompt,
-                    isolated: isolated.map(|team| &*team.name),
+                    isolated: self.isolated(),
                     named: named.iter().find(|n| &*n.model == model),
-                    store: self
-                        .store()
-                        .filter(|_| instance.kv_store.borrow().is_up(now)),
+                    store: self.store(now),
                 };
                 placement::place_prompt(&req, &instance.placement, &around)
             }
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -22,11 +22,11 @@
 use limpetsaddle_fleet::peers::Peers;
 use limpetsaddle_fleet::peers::SendReport;
 use limpetsaddle_fleet::placement::PlacementOptions;
-use limpetsaddle_fleet::placement::store_hash;
 use limpetsaddle_fleet::retry_budget::BudgetOptions;
 use limpetsaddle_fleet::retry_budget::RetryBudget;
 use limpetsaddle_fleet::rollout::Rollout;
 use limpetsaddle_fleet::settings::FleetSettings;
+use limpetsaddle_fleet::store_watch::StoreNews;
 use limpetsaddle_fleet::store_watch::StoreWatch;
 use limpetsaddle_fleet::tenure::Tenure;
 use limpetsaddle_fleet::tenure::TenureOptions;
@@ -86,8 +86,8 @@
     pub peers: RefCell<Peers>,
     /// Which engines hold which parts of prompts.
     pub directory: RefCell<PrefixDirectory>,
-    /// What is known of the KV store.
-    pub kv_store: RefCell<StoreWatch>,
+    /// What is known of the KV stores.
+    pub kv_stores: RefCell<StoreWatch>,
     /// The limits of teams.
     pub limits: RefCell<Limits>,
     /// The newest weights of each model.
@@ -141,7 +141,7 @@
             ))),
             upstreams: RefCell::new(Upstreams::new(HealthOptions::default())),
             peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default())),
-            kv_store: RefCell::new(StoreWatch::default()),
+            kv_stores: RefCell::new(StoreWatch::default()),
             directory: RefCell::new(PrefixDirectory::default()),
             limits: RefCell::new(Limits::new(bounds.limits)),
             named: RefCell::new(Vec::new()),
@@ -288,17 +288,12 @@
         work(budget, attendance)
     }
 
-    /// Records that the KV store was heard of, here or by another instance.
-    pub fn heard_store(&self, boot: u64) {
+    /// Records that a KV store was heard of, here or by another instance.
+    pub fn heard_store(&self, news: StoreNews) {
         let now = self.now();
-        if !self.kv_store.borrow_mut().heard(boot, now) {
-            return;
-        }
-        let configuration = self.configuration();
-        if let Some(store) = configuration.as_ref().and_then(|c| c.kv_store()) {
-            let hash = store_hash(store.address);
-            self.directory.borrow_mut().forget(hash);
-            info!(store:display = store.address, boot; "KV store started anew");
+        if self.kv_stores.borrow_mut().heard(news, now) {
+            self.directory.borrow_mut().forget(news.store);
+            info!(store = news.store, boot = news.boot; "KV store started anew");
         }
     }
 
--- a/crates/router/src/fleet/kv_store.rs
+++ b/crates/router/src/fleet/kv_store.rs
@@ -1,9 +1,12 @@
-//! Asking the KV store whether it is up.
+//! Asking the KV stores whether they are up.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use limpetsaddle_fleet::configuration::store_hash;
+use limpetsaddle_fleet::store_watch::StoreNews;
 use limpetsaddle_fleet::store_watch::StoreWatch;
 use limpetsaddle_platform_wire as wire;
 use log::debug;
@@ -23,22 +26,31 @@
 /// The pause after a question, and between two looks at whether to ask.
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// Asks the store as long as it falls to this instance.
+/// Asks the stores as long as that falls to this instance.
 pub async fn run(instance: Rc<FleetInstance>, stopping: Stopping) {
-    let mut since = 0;
+    let mut since: HashMap<SocketAddr, u64> = HashMap::new();
     while stopping.pause(PAUSE).await {
         let rank = instance.peers.borrow().rank(instance.now());
         let configuration = instance.configuration();
-        let store = configuration.as_ref().and_then(|c| c.kv_store());
-        let Some(store) = store.filter(|_| StoreWatch::asks(rank)) else {
+        let Some(configuration) = configuration.filter(|_| StoreWatch::asks(rank)) else {
             continue;
         };
-        match ask(&instance, store.address, since).await {
-            Ok(events) => {
-                since = events.next;
-                instance.heard_store(events.boot_epoch);
+        let stores = configuration.kv_stores().iter().map(|store| {
+            let since = since.get(&store.address).copied().unwrap_or_default();
+            let instance = &instance;
+            async move { (store.address, ask(instance, store.address, since).await) }
+        });
+        for (address, answer) in futures::future::join_all(stores).await {
+            match answer {
+                Ok(events) => {
+                    since.insert(address, events.next);
+                    instance.heard_store(StoreNews {
+                        store: store_hash(address),
+                        boot: events.boot_epoch,
+                    });
+                }
+                Err(error) => debug!(address:display, error:display; "a KV store does not answer"),
             }
-            Err(error) => debug!(error:display; "the KV store does not answer"),
         }
     }
 }
