Leave out engines whose address another one has, and do not wait for runs in a hurry

Loads that waited for running requests took up to 4 s when no engine could be used any longer. Ruled out: late orders (the number of accepted orders voids them). Change: a refusal that names another upstream, or a report of another process, ends the row; a refusal for weights is believed even where it names older ones; pauses after refusals grow; in a hurry engines keep their runs and load at once.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -35,23 +35,31 @@
     AfterRuns,
     /// The engine breaks its requests off; streams go on elsewhere.
     CutRuns,
+    /// The engine goes on with its requests on the new weights. What it makes of
+    /// them from then on is of little use, but it takes new requests at once.
+    KeepRuns,
 }
 
 /// Decides what becomes of the running requests of an engine that is to load.
 ///
 /// Requests are broken off only where all of them can go on elsewhere and the
 /// budget covers that. `waited` is the time for which the engine has got no new
-/// requests; `None` means that waiting a little longer is better.
+/// requests; `None` means that waiting a little longer is better. When it is
+/// urgent, an engine that waits for its requests would be missed more than they.
 #[must_use]
 pub fn switch_mode(
     requests: u32,
     fragile: u32,
     retries_left: f64,
     waited: Duration,
+    urgent: bool,
 ) -> Option<SwitchMode> {
     if fragile == 0 && f64::from(requests) <= retries_left {
         return Some(SwitchMode::CutRuns);
     }
+    if urgent {
+        return Some(SwitchMode::KeepRuns);
+    }
     let patient = fragile > 0 && waited < LONGEST_EMPTYING;
     (!patient).then_some(SwitchMode::AfterRuns)
 }
@@ -88,6 +96,17 @@
     paused: BTreeMap<Name, Time>,
 }
 
+/// Returns whether engines without the newest weights cannot be used much longer.
+#[must_use]
+pub fn is_urgent(upstreams: &Upstreams, named: &NamedWeights, now: Time) -> bool {
+    longest_behind(upstreams, named, now) >= URGENT
+}
+
+fn longest_behind(upstreams: &Upstreams, named: &NamedWeights, now: Time) -> Duration {
+    let waits = |row: &Upstream| named.behind_for(row.weights(&named.model)?, now);
+    upstreams.iter().filter_map(waits).max().unwrap_or_default()
+}
+
 /// How far an engine is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
@@ -203,8 +222,7 @@
         .iter()
         .filter(|row| row.weights(&named.model).is_some());
     let most = serving.count().div_ceil(AT_ONCE_PART).max(AT_ONCE_LEAST);
-    let waits = |row: &Upstream| named.behind_for(row.weights(&named.model)?, now);
-    let longest = upstreams.iter().filter_map(waits).max().unwrap_or_default();
+    let longest = longest_behind(upstreams, named, now);
     if longest >= URGENT {
         return most * 2;
     }
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -98,6 +98,7 @@
     /// The observed against the expected time to the first event.
     pub slowness: f64,
     away_until: Option<Time>,
+    refusals: u32,
     announced: Option<Time>,
     missing_since: Option<Time>,
 }
@@ -130,6 +131,13 @@
 /// The bounds of an upstream's slowness, against single odd observations.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 8.0);
 
+/// The first pause in which an upstream that turned a request away gets no other.
+/// An engine that loads weights is back after a few of them.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(120);
+
+/// The doublings of that pause.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// The time for which beacons repeat who leaves and which orders were given.
 const NEWS_TIME: Duration = Duration::from_secs(3);
 
@@ -171,6 +179,7 @@
                 own: UpstreamLoad::default(),
                 slowness: 1.0,
                 away_until: None,
+                refusals: 0,
                 announced: None,
                 missing_since: None,
                 entry,
@@ -310,6 +319,7 @@
             return;
         };
         end_reading(row, ticket);
+        row.refusals = 0;
         ticket.waiting_tokens = 0;
         ticket.is_long = false;
         let expected = ticket.work.expected.as_secs_f64();
@@ -335,6 +345,14 @@
         }
     }
 
+    /// Records that another upstream answers at the address: the one that was
+    /// there has ended, though its entry may stand for a while.
+    pub fn replaced(&mut self, id: &str) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.entry.phase = Phase::Draining;
+        }
+    }
+
     /// Learns an upstream's weights from an answer of its own.
     pub fn saw_weights(&mut self, id: &str, model: &str, version: u64) {
         if let Some(row) = self.rows.get_mut(id) {
@@ -351,12 +369,27 @@
     }
 
     /// Records that an upstream turned a request away.
-    pub fn turned_away(&mut self, id: &str, pause: Duration, now: Time) {
+    ///
+    /// The pause before the next one grows while it goes on.
+    pub fn turned_away(&mut self, id: &str, now: Time) {
         if let Some(row) = self.rows.get_mut(id) {
+            let pause = TURNED_AWAY_PAUSE * (1 << row.refusals.min(MAX_DOUBLINGS));
+            row.refusals += 1;
             row.away_until = row.away_until.max(Some(now + pause));
         }
     }
 
+    /// Takes what an upstream said of its weights when it refused a request for
+    /// others. It may have started anew with older ones.
+    pub fn told_weights(&mut self, id: &str, model: &str, version: u64) {
+        let row = self.rows.get_mut(id);
+        let weights = row.map(|row| row.entry.weights.iter_mut());
+        let held = weights.and_then(|mut all| all.find(|w| &*w.model == model));
+        if let Some(held) = held {
+            held.version = version;
+        }
+    }
+
     /// Takes what another instance tells of weights.
     pub fn news(&mut self, news: &WeightsNews, now: Time) {
         let row = self.rows.values_mut().find(|row| row.hash == news.upstream);
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -221,6 +221,26 @@
     assert_eq!(&*chosen.upstream, "e2");
 }
 
+#[test]
+fn verify_an_engine_whose_address_another_one_has_gets_no_more_requests() {
+    let mut fleet = Fleet::new(vec![engine(1, 1), engine(2, 1)]);
+    fleet.upstreams.replaced("e1");
+    for random in 0..20 {
+        let prompt = prompt(&[("instruction", random * 100), ("question", 400)]);
+        let placement = place(&fleet, &prompt, None, at(10)).unwrap();
+        assert_eq!(&*placement.upstream, "e2");
+    }
+}
+
+#[test]
+fn verify_an_engine_that_restarted_with_older_weights_is_known_by_its_refusal() {
+    let mut fleet = Fleet::new(vec![engine(1, 3)]);
+    fleet.upstreams.saw_weights("e1", MODEL, 2);
+    assert_eq!(fleet.upstreams.get("e1").unwrap().weights(MODEL), Some(3));
+    fleet.upstreams.told_weights("e1", MODEL, 2);
+    assert_eq!(fleet.upstreams.get("e1").unwrap().weights(MODEL), Some(2));
+}
+
 #[test]
 fn verify_a_restarted_engine_holds_nothing_of_before() {
     let mut fleet = Fleet::new(vec![engine(1, 1)]);
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -103,19 +103,25 @@
 }
 
 #[parameterized(
-    idle = { 0, 0, 5.0, 0, Some(SwitchMode::CutRuns) },
-    streams_that_go_on_elsewhere = { 4, 0, 5.0, 0, Some(SwitchMode::CutRuns) },
-    more_streams_than_retries = { 8, 0, 5.0, 0, Some(SwitchMode::AfterRuns) },
-    a_request_that_cannot_go_on_is_waited_for = { 3, 1, 5.0, 300, None },
-    but_not_for_ever = { 3, 1, 5.0, 1_000, Some(SwitchMode::AfterRuns) },
+    idle = { 0, 0, 5.0, 0, false, Some(SwitchMode::CutRuns) },
+    streams_that_go_on_elsewhere = { 4, 0, 5.0, 0, false, Some(SwitchMode::CutRuns) },
+    more_streams_than_retries = { 8, 0, 5.0, 0, false, Some(SwitchMode::AfterRuns) },
+    a_request_that_cannot_go_on_is_waited_for = { 3, 1, 5.0, 300, false, None },
+    but_not_for_ever = { 3, 1, 5.0, 1_000, false, Some(SwitchMode::AfterRuns) },
+    cut_in_a_hurry_too = { 4, 0, 5.0, 0, true, Some(SwitchMode::CutRuns) },
+    no_waiting_in_a_hurry = { 3, 1, 5.0, 100, true, Some(SwitchMode::KeepRuns) },
 )]
 fn verify_running_requests_are_cut_only_where_they_go_on(
     requests: u32,
     fragile: u32,
     retries: f64,
     waited_ms: u64,
+    urgent: bool,
     expected: Option<SwitchMode>,
 ) {
     let waited = Duration::from_millis(waited_ms);
-    assert_eq!(switch_mode(requests, fragile, retries, waited), expected);
+    assert_eq!(
+        switch_mode(requests, fragile, retries, waited, urgent),
+        expected
+    );
 }
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -45,9 +45,6 @@
 /// The time after which an upstream may take work again where none does.
 const NO_UPSTREAM_WAIT: Duration = Duration::from_millis(400);
 
-/// The pause in which an upstream that turned a request away gets no other.
-const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(120);
-
 /// The part of the time left that one try of a request gets that may run again.
 const REPEATABLE_TRY_PART: u32 = 2;
 
@@ -396,7 +393,7 @@
         if failure == Failure::TurnedAway {
             let now = self.instance.now();
             let mut upstreams = self.instance.upstreams.borrow_mut();
-            upstreams.turned_away(upstream, TURNED_AWAY_PAUSE, now);
+            upstreams.turned_away(upstream, now);
         }
         if !self.has_other_weights_now(failure, placement) {
             self.tried.push(Name::clone(upstream));
@@ -424,7 +421,7 @@
         let upstreams = self.instance.upstreams.borrow();
         let row = upstreams.get(&placement.upstream);
         let weights = row.zip(model).and_then(|(row, model)| row.weights(model));
-        weights > placement.weights
+        weights != placement.weights
     }
 
     /// Returns the request for an upstream.
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -102,7 +102,7 @@
         }
     };
     let marks = headers::answer_marks(&res.head.headers);
-    learn_weights(forwarding, placement, &marks);
+    learn_weights(forwarding, placement, res.head.status, &marks);
     if let Some(failure) = turned_away(res.head.status, &marks) {
         return Try::failed(failure);
     }
@@ -120,12 +120,29 @@
     read_whole(forwarding, placement, res, claim).await
 }
 
-fn learn_weights(forwarding: &Forwarding<'_>, placement: &Placement, marks: &AnswerMarks) {
+fn learn_weights(
+    forwarding: &Forwarding<'_>,
+    placement: &Placement,
+    status: StatusCode,
+    marks: &AnswerMarks,
+) {
+    let mut upstreams = forwarding.instance.upstreams.borrow_mut();
+    let other = marks
+        .upstream
+        .as_ref()
+        .filter(|id| **id != placement.upstream);
+    if status == StatusCode::MISDIRECTED_REQUEST && other.is_some() {
+        upstreams.replaced(&placement.upstream);
+        return;
+    }
     let prompt = forwarding.accepted.inquiry.prompt.as_ref();
     let model = prompt.and_then(|p| p.model.as_deref());
     if let Some((model, version)) = model.zip(marks.weights) {
-        let mut upstreams = forwarding.instance.upstreams.borrow_mut();
-        upstreams.saw_weights(&placement.upstream, model, version);
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            upstreams.told_weights(&placement.upstream, model, version);
+        } else {
+            upstreams.saw_weights(&placement.upstream, model, version);
+        }
     }
 }
 
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -170,16 +170,17 @@
         };
         // Other instances have heard of it after an interval or two.
         let known = waited >= instance.peers.borrow().interval() * 2;
-        let turn = {
+        let (turn, urgent) = {
             let upstreams = instance.upstreams.borrow();
             let peers = instance.peers.borrow();
             let named = instance.named.borrow();
             let named = named.iter().find(|n| n.model == load.model)?;
-            let rollout = instance.rollout.borrow();
-            rollout.may_load(&upstreams, &peers, named, now)
+            let loads = instance.rollout.borrow();
+            let urgent = rollout::is_urgent(&upstreams, named, now);
+            (loads.may_load(&upstreams, &peers, named, now), urgent)
         };
         let left = instance.retries_left(&service);
-        let mode = rollout::switch_mode(requests, fragile, left, waited);
+        let mode = rollout::switch_mode(requests, fragile, left, waited, urgent);
         if let Some(mode) = mode.filter(|_| turn && known) {
             let until = now + LONGEST_LOAD;
             instance.rollout.borrow_mut().loading(&load.upstream, until);
@@ -204,6 +205,10 @@
                 return false;
             }
         };
+        if is_successor(instance, load, &report) {
+            instance.upstreams.borrow_mut().replaced(&load.upstream);
+            return false;
+        }
         if take_report(instance, load, &report) {
             return true;
         }
@@ -229,14 +234,24 @@
                 return true;
             }
             Some(OrderAnswer::Conflict) | None => monoio::time::sleep(POLL).await,
-            Some(OrderAnswer::Fenced | OrderAnswer::Unknown | OrderAnswer::Misdirected) => {
+            Some(OrderAnswer::Misdirected) => {
+                instance.upstreams.borrow_mut().replaced(&load.upstream);
                 return false;
             }
+            Some(OrderAnswer::Fenced | OrderAnswer::Unknown) => return false,
         }
     }
     false
 }
 
+/// Returns whether a report comes from another process than the one that is to
+/// load: it started at the same address after that one had ended.
+fn is_successor(instance: &FleetInstance, load: &Load, report: &Report) -> bool {
+    let upstreams = instance.upstreams.borrow();
+    let known = upstreams.get(&load.upstream).map(|row| row.entry.born_ms);
+    known != Some(report.born_ms)
+}
+
 /// Returns whether a report is from before the order that was accepted last.
 fn is_outdated(report: &Report, ordered: Option<(u64, Time)>, now: Time) -> bool {
     ordered.is_some_and(|(orders, at)| {
