Hear of new weights from other instances, and give up calls of a store that was lost

The store had turned instances away in silence, and a watch that was under way stayed silent for the 16 s that it may wait. Change: beacons carry the newest named weights; a watch that was under way when the store was lost is given up.

--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -15,7 +15,7 @@
 pub const MAX_BEACON_BYTES: usize = 1_400;
 
 /// The number of the message's layout; beacons of other layouts are dropped.
-const LAYOUT: u8 = 4;
+const LAYOUT: u8 = 5;
 
 /// A `TeamUse` is what an instance has admitted for a team since its start.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -43,6 +43,15 @@
     pub long_prompts: u32,
 }
 
+/// A `NamedNews` tells of the newest weights that operators named for a model.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NamedNews {
+    /// The hash of the model's name.
+    pub model: u64,
+    /// The version.
+    pub version: u64,
+}
+
 /// A `LeavingNews` tells that an upstream is leaving.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeavingNews {
@@ -109,6 +118,8 @@
     pub loads: Vec<UpstreamLoad>,
     /// The weights that changed lately.
     pub weights: Vec<WeightsNews>,
+    /// The newest weights that operators named.
+    pub named: Vec<NamedNews>,
     /// The upstreams that have begun to leave lately.
     pub leaving: Vec<LeavingNews>,
     /// The use of services.
--- a/crates/router/src/fleet/beacons.rs
+++ b/crates/router/src/fleet/beacons.rs
@@ -6,6 +6,7 @@
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::beacon::Beacon;
 use limpetsaddle_fleet::beacon::ConfigurationNews;
+use limpetsaddle_fleet::beacon::NamedNews;
 use limpetsaddle_fleet::beacon::TeamUse;
 use limpetsaddle_fleet::beacon::name_hash;
 use limpetsaddle_fleet::store_watch::StoreWatch;
@@ -86,6 +87,7 @@
     for news in &beacon.weights {
         upstreams.news(news, now);
     }
+    take_named(instance, &beacon);
     for news in &beacon.leaving {
         if let Some(upstream) = upstreams.hear_leaving(news) {
             info!(upstream:display, from = beacon.sender.as_str(); "upstream leaves");
@@ -165,6 +167,12 @@
     beacon.teams = teams.collect();
     beacon.loads = upstreams.loads();
     beacon.weights = upstreams.weights_news(now);
+    let named = instance.named.borrow();
+    let named = named.iter().map(|named| NamedNews {
+        model: name_hash(&named.model),
+        version: named.newest(),
+    });
+    beacon.named = named.collect();
     beacon.leaving = upstreams.leaving_news(now);
     beacon.services = instance.service_uses();
     let rank = instance.peers.borrow().rank(now);
@@ -180,6 +188,23 @@
     u32::try_from(age.as_millis()).ok()
 }
 
+/// Takes the weights that another instance has heard of: this one's own watch
+/// may have fallen silent.
+fn take_named(instance: &FleetInstance, beacon: &Beacon) {
+    let now = instance.now();
+    for news in &beacon.named {
+        let mut named = instance.named.borrow_mut();
+        let held = named.iter_mut().find(|n| name_hash(&n.model) == news.model);
+        if let Some(held) = held
+            && held.name(news.version, now)
+        {
+            let model = &held.model;
+            let from = beacon.sender.as_str();
+            info!(model:display, version = news.version, from; "weights named");
+        }
+    }
+}
+
 /// Takes another instance's confirmation of the configuration that is in force
 /// here, or notes that there is a newer one.
 fn take_confirmation(instance: &FleetInstance, beacon: &Beacon) {
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -135,7 +135,8 @@
         let sent = instance.now();
         let pace = follower.pace();
         let step = step(&instance, &follower, from, pace.wait);
-        let Some(outcome) = until_urgent(&stopping, &follower, step).await else {
+        let Some(outcome) = until_urgent(&instance, &stopping, &follower, step).await else {
+            failures += u32::from(instance.store.is_failing());
             continue;
         };
         instance.store.note(outcome.as_ref().err(), instance.now());
@@ -209,17 +210,22 @@
     }
 }
 
-/// Runs a call, and gives it up when the instance ends or the follower cannot
-/// wait for it any longer.
+/// Runs a call, and gives it up when the instance ends, the follower cannot wait
+/// for it any longer or the store was lost meanwhile.
 async fn until_urgent<F: Follower, T>(
+    instance: &FleetInstance,
     stopping: &Stopping,
     follower: &F,
     work: impl Future<Output = T>,
 ) -> Option<T> {
     let work = std::pin::pin!(work);
+    let losses = instance.store.losses();
     let urgent = std::pin::pin!(async {
         stopping.pause(LEAST_WAIT).await;
-        while stopping.pause(RECHECK).await && !follower.is_urgent() {}
+        while stopping.pause(RECHECK).await
+            && !follower.is_urgent()
+            && (F::PROBES || instance.store.losses() == losses)
+        {}
     });
     match futures::future::select(work, urgent).await {
         futures::future::Either::Left((result, _)) => Some(result),
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -249,7 +249,8 @@
 fn is_successor(instance: &FleetInstance, load: &Load, report: &Report) -> bool {
     let upstreams = instance.upstreams.borrow();
     let known = upstreams.get(&load.upstream).map(|row| row.entry.born_ms);
-    known != Some(report.born_ms)
+    // A report without a start says nothing of it.
+    report.born_ms != 0 && known != Some(report.born_ms)
 }
 
 /// Returns whether a report is from before the order that was accepted last.
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -36,6 +36,7 @@
     address: SocketAddr,
     failing_since: Cell<Option<Time>>,
     outage_ended: Cell<Option<Time>>,
+    losses: Cell<u64>,
 }
 
 impl StoreClient {
@@ -50,6 +51,7 @@
             address,
             failing_since: Cell::new(Some(now)),
             outage_ended: Cell::new(None),
+            losses: Cell::new(0),
         }
     }
 
@@ -103,6 +105,7 @@
         match (failure, self.failing_since.get()) {
             (Some(error), None) => {
                 self.failing_since.set(Some(now));
+                self.losses.set(self.losses.get() + 1);
                 warn!(dependency = "store", error:display; "dependency lost");
             }
             (None, Some(since)) => {
@@ -118,6 +121,12 @@
         }
     }
 
+    /// Returns how often the store was lost. A call that was under way when that
+    /// happened may never be answered.
+    pub const fn losses(&self) -> u64 {
+        self.losses.get()
+    }
+
     /// Returns whether the last call failed.
     pub const fn is_failing(&self) -> bool {
         self.failing_since.get().is_some()
