--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -24,7 +24,7 @@
     pub retry_window: Duration,
     /// The excess over a team's limit that is permitted.
     pub limits: LimitOptions,
-    /// The time within which two givers of orders count as taking turns.
+    /// The time within which two holders count as taking turns.
     pub order_turns: Duration,
     /// The time after which requests run on newly named weights only.
     pub weights: Duration,
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -211,7 +211,7 @@
 }
 
 #[test]
-fn verify_only_the_giver_of_orders_changes_who_is_away() {
+fn verify_only_the_holder_changes_who_is_away() {
     let mut fleet = Fleet::new(vec![engine(1, 1)]);
     let hash = fleet.upstreams.get("e1").unwrap().hash;
     let news = |away_ms, version, born_ms| WeightsNews {
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -78,7 +78,7 @@
 }
 
 #[test]
-fn verify_more_engines_load_at_once_when_the_giver_of_orders_was_lost() {
+fn verify_more_engines_load_at_once_when_the_holder_was_lost() {
     // The holder froze; another instance took over after five seconds.
     let fleet = Fleet::new((1..=9).map(|i| engine(i, 1)).collect());
     let named = named(&[(2, 0)]);
--- a/crates/fleet/tests/tenure.rs
+++ b/crates/fleet/tests/tenure.rs
@@ -11,7 +11,7 @@
 use limpetsaddle_fleet::tenure::TenureWrite;
 use proptest::prelude::*;
 
-/// The time within which two givers of orders count as taking turns.
+/// The time within which two holders count as taking turns.
 const TURNS: Duration = Duration::from_secs(3);
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
