Share the setup of metrics, and remove what nothing calls

Found in a last reading of the change: the fleet's metrics repeated how the lone daemon's are collected and rendered; Attempts::timed_out, Peers::is_heard and a size of beacons were never used. No behaviour changes.

--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -157,13 +157,6 @@
         Refusal::new(reason).retry_after(after)
     }
 
-    /// Returns the final answer when the time for the request has ended while an
-    /// upstream had it.
-    #[must_use]
-    pub const fn timed_out(&self) -> Refusal {
-        Refusal::new(Reason::UpstreamTimeout)
-    }
-
     const fn refusal(&self, failure: Failure) -> Refusal {
         if !self.may_have_run() {
             return Refusal::new(Reason::TurnedAway).retry_after(TURNED_AWAY_WAIT);
--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -11,9 +11,6 @@
 use crate::directory::CacheNews;
 use crate::store_watch::StoreNews;
 
-/// The size up to which a beacon fits one datagram without fragments, in bytes.
-pub const MAX_BEACON_BYTES: usize = 1_400;
-
 /// The number of the message's layout; beacons of other layouts are dropped.
 const LAYOUT: u8 = 5;
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -239,12 +239,6 @@
         u32::try_from(heard).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether a peer is heard of.
-    #[must_use]
-    pub fn is_heard(&self, name: &str, now: Time) -> bool {
-        self.others.get(name).is_some_and(|p| self.hears(p, now))
-    }
-
     fn hears(&self, peer: &Peer, now: Time) -> bool {
         let limit = self.interval() * self.options.missed;
         peer.heard.is_some_and(|at| now.since(at) < limit)
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -10,10 +10,10 @@
 use opentelemetry::metrics::MeterProvider as _;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Registry;
-use prometheus::TextEncoder;
 
 use crate::errors::MetricsError;
 use crate::logging;
+use crate::metrics;
 
 /// Upper bounds of the buckets for times, in seconds. They lie around the
 /// latencies that the users' routes aim at.
@@ -43,12 +43,7 @@
     ///
     /// Returns [`MetricsError::Exporter`] when the exporter cannot be registered.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = metrics::collector()?;
         let meter = provider.meter("limpetsaddle");
         let times = |name: &'static str| {
             let histogram = meter.f64_histogram(name);
@@ -116,7 +111,6 @@
     ///
     /// Returns [`MetricsError::Encode`] when the samples cannot be encoded.
     pub fn render(&self) -> Result<String, MetricsError> {
-        let families = self.registry.gather();
-        Ok(TextEncoder::new().encode_to_string(&families)?)
+        metrics::render(&self.registry)
     }
 }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -153,12 +153,7 @@
     ///
     /// Returns [`MetricsError::Exporter`] when the exporter cannot be registered.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = collector()?;
         let meter = provider.meter("limpetsaddle");
         Ok(Self {
             events: meter.u64_counter("limpetsaddle_events").build(),
@@ -239,11 +234,34 @@
     ///
     /// Returns [`MetricsError::Encode`] when the samples cannot be encoded.
     pub fn render(&self) -> Result<String, MetricsError> {
-        let families = self.registry.gather();
-        Ok(TextEncoder::new().encode_to_string(&families)?)
+        render(&self.registry)
     }
 }
 
+/// Returns a registry and the provider whose instruments it collects.
+///
+/// # Errors
+///
+/// Returns [`MetricsError::Exporter`] when the exporter cannot be registered.
+pub(crate) fn collector() -> Result<(Registry, SdkMeterProvider), MetricsError> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .without_target_info()
+        .build()?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    Ok((registry, provider))
+}
+
+/// Returns all samples of a registry in the text format of Prometheus.
+///
+/// # Errors
+///
+/// Returns [`MetricsError::Encode`] when the samples cannot be encoded.
+pub(crate) fn render(registry: &Registry) -> Result<String, MetricsError> {
+    Ok(TextEncoder::new().encode_to_string(&registry.gather())?)
+}
+
 fn times(meter: &Meter, name: &'static str) -> Histogram<f64> {
     meter
         .f64_histogram(name)
