Write registrations one at a time, and ask the store less in a large fleet

Change: one task writes the registration, one call at a time, with pauses that double. While the store is away, the three instances that confirm for all ask often; the others ask every 1.5 to 3 s, or at once when a confirmation reaches them. In a large fleet the others read at the lower price, which may be seconds old; a newer configuration that a beacon tells of is read anew. A revision never goes back when an older answer comes.

--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -58,10 +58,15 @@
 /// the store is away, so that its return has to be noticed soon.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
+/// The longest pause after a failed call where other instances tell when the
+/// store is back. It ends before the store counts as settled again, which takes
+/// four seconds.
+const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_secs(3);
+
 /// Returns the pause after so many failed calls in a row, up to half of it drawn
 /// at random so that instances do not return together.
-fn pause(failures: u32, random: u64) -> Duration {
-    let whole = LONGEST_PAUSE.min(FIRST_PAUSE * (1 << failures.min(8)));
+fn pause(longest: Duration, failures: u32, random: u64) -> Duration {
+    let whole = longest.min(FIRST_PAUSE * (1 << failures.min(8)));
     let part = u32::try_from(random % 512).unwrap_or(0);
     whole / 2 + whole * part / 1_024
 }
@@ -72,6 +77,8 @@
     wait: Duration,
     /// The pause after a change, in which further changes gather.
     gathering: Duration,
+    /// How old answers may be.
+    age: Age,
 }
 
 /// A `Follower` takes the objects of one kind.
@@ -79,9 +86,6 @@
     /// The kind.
     const KIND: &'static str;
 
-    /// How old answers may be.
-    const AGE: Age = Age::Newest;
-
     /// Whether this follower finds out when a store that failed is back; the
     /// others wait for that.
     const PROBES: bool = false;
@@ -119,7 +123,7 @@
         WeightsFollower(shared()),
         stopping.clone(),
     ));
-    let instances = InstanceFollower::new(shared());
+    let instances = InstanceFollower::start(shared(), stopping);
     monoio::spawn(follow(shared(), instances, stopping.clone()));
     monoio::spawn(follow(shared(), TenureFollower(shared()), stopping.clone()));
 }
@@ -134,7 +138,7 @@
         }
         let sent = instance.now();
         let pace = follower.pace();
-        let step = step(&instance, &follower, from, pace.wait);
+        let step = step(&instance, &follower, from, &pace);
         let Some(outcome) = until_urgent(&instance, &stopping, &follower, step).await else {
             failures += u32::from(instance.store.is_failing());
             continue;
@@ -143,14 +147,12 @@
         instance.metrics.store_call(outcome.is_ok());
         let Ok(step) = outcome else {
             failures += 1;
-            stopping
-                .pause(pause(failures, instance.random.draw()))
-                .await;
+            wait_for_store(&instance, &stopping, failures).await;
             continue;
         };
         failures = 0;
         from = step.next;
-        if from.is_some() {
+        if from.is_some() && pace.age == Age::Newest {
             follower.confirmed(sent + step.waited);
         }
         if step.changed {
@@ -159,6 +161,28 @@
     }
 }
 
+/// Waits before the next call of a store that did not answer: as long as other
+/// instances make sure that its return is noticed, or until they tell of it.
+async fn wait_for_store(instance: &FleetInstance, stopping: &Stopping, failures: u32) {
+    let is_confirmer = instance.peers.borrow().is_confirmer(instance.now());
+    let longest = if is_confirmer {
+        LONGEST_PAUSE
+    } else {
+        LONGEST_PAUSE_OF_OTHERS
+    };
+    let end = instance.now() + pause(longest, failures, instance.random.draw());
+    // Where others were served already before the call failed, the store is back
+    // for them only.
+    let told_before = instance.is_told_of_store();
+    loop {
+        let left = end.since(instance.now());
+        let told = !told_before && instance.is_told_of_store();
+        if left.is_zero() || told || !stopping.pause(left.min(RECHECK)).await {
+            return;
+        }
+    }
+}
+
 /// A `Step` is the outcome of one call.
 struct Step {
     /// The revision from which to go on, or `None` to list everything again.
@@ -173,10 +197,11 @@
     instance: &FleetInstance,
     follower: &F,
     from: Option<u64>,
-    wait: Duration,
+    pace: &Pace,
 ) -> Result<Step, CallError> {
+    let wait = pace.wait;
     let Some(from) = from else {
-        let (objects, at) = instance.store.list(F::KIND, F::AGE).await?;
+        let (objects, at) = instance.store.list(F::KIND, pace.age).await?;
         follower.listed(objects);
         return Ok(Step {
             next: Some(at),
@@ -185,7 +210,7 @@
         });
     };
     let sent = instance.now();
-    match instance.store.watch(F::KIND, from, wait, F::AGE).await? {
+    match instance.store.watch(F::KIND, from, wait, pace.age).await? {
         Watched::Changes { changes, at } => {
             let changed = !changes.is_empty();
             // The store answers a watch without changes when its wait is over.
@@ -194,7 +219,8 @@
                 follower.changed(change);
             }
             Ok(Step {
-                next: Some(at),
+                // An older answer may come from a part of the store that lags.
+                next: Some(at.max(from)),
                 waited: if whole_wait { wait } else { Duration::ZERO },
                 changed,
             })
--- a/crates/router/src/fleet/follow/configuration.rs
+++ b/crates/router/src/fleet/follow/configuration.rs
@@ -6,6 +6,7 @@
 
 use limpetsaddle_core::units::Time;
 use limpetsaddle_platform_wire as wire;
+use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Object;
 use log::info;
@@ -28,6 +29,7 @@
 pub struct ConfigurationFollower {
     instance: Rc<FleetInstance>,
     is_waiting_for_others: Cell<bool>,
+    lags: Cell<bool>,
 }
 
 impl ConfigurationFollower {
@@ -36,6 +38,7 @@
         Self {
             instance,
             is_waiting_for_others: Cell::new(false),
+            lags: Cell::new(false),
         }
     }
 
@@ -48,6 +51,17 @@
         !heard || self.instance.store.is_failing() || self.instance.peers.borrow().is_confirmer(now)
     }
 
+    /// Returns how old answers may be. In a large fleet others tell of a newer
+    /// configuration, which is then read at once.
+    fn age(&self, waits_for_others: bool) -> Age {
+        let hears_of_it = waits_for_others && !self.lags.get();
+        if hears_of_it && self.instance.peers.borrow().is_large() {
+            Age::Seconds
+        } else {
+            Age::Newest
+        }
+    }
+
     fn take(&self, object: &Object) {
         if object.name != wire::store::CONFIGURATION_NAME {
             return;
@@ -89,11 +103,13 @@
                 CONFIRMING_WAIT
             },
             gathering: Duration::ZERO,
+            age: self.age(waits_for_others),
         }
     }
 
     fn is_urgent(&self) -> bool {
         if self.instance.newer_configuration.take() {
+            self.lags.set(true);
             return true;
         }
         self.is_waiting_for_others.get() && self.confirms()
@@ -112,6 +128,7 @@
     }
 
     fn confirmed(&self, at: Time) {
+        self.lags.set(false);
         self.instance.freshness.borrow_mut().confirm(at);
     }
 }
--- a/crates/router/src/fleet/follow/tenure.rs
+++ b/crates/router/src/fleet/follow/tenure.rs
@@ -56,9 +56,6 @@
 impl Follower for TenureFollower {
     const KIND: &'static str = wire::store::TENURES;
 
-    // Writes are conditional, so that an old answer does no harm.
-    const AGE: Age = Age::Seconds;
-
     fn pace(&self) -> Pace {
         // The first in rank take over; the others only follow.
         let now = self.0.now();
@@ -66,6 +63,8 @@
         Pace {
             wait: QUIET_WAIT,
             gathering: if heir { GATHERING } else { QUIET_GATHERING * 2 },
+            // Writes are conditional, so that an old answer does no harm.
+            age: Age::Seconds,
         }
     }
 
--- a/crates/router/src/fleet/follow/upstreams.rs
+++ b/crates/router/src/fleet/follow/upstreams.rs
@@ -8,6 +8,7 @@
 use limpetsaddle_fleet::upstreams::REAPPEAR_TIME;
 use limpetsaddle_fleet::upstreams::UpstreamEntry;
 use limpetsaddle_platform_wire as wire;
+use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Object;
 use log::info;
@@ -82,6 +83,11 @@
             } else {
                 LARGE_GATHERING
             },
+            age: if reads_at_once {
+                Age::Newest
+            } else {
+                Age::Seconds
+            },
         }
     }
 
--- a/crates/router/src/fleet/follow/weights.rs
+++ b/crates/router/src/fleet/follow/weights.rs
@@ -7,6 +7,7 @@
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::weights::NamedWeights;
 use limpetsaddle_platform_wire as wire;
+use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Object;
 use log::info;
@@ -56,10 +57,17 @@
 
     fn pace(&self) -> Pace {
         let now = self.0.now();
-        let checked = self.0.peers.borrow().is_confirmer(now);
+        let peers = self.0.peers.borrow();
+        let checked = peers.is_confirmer(now);
+        let hears_of_it = peers.is_large() && !checked;
         Pace {
             wait: if checked { CHECKED_WAIT } else { QUIET_WAIT },
             gathering: Duration::ZERO,
+            age: if hears_of_it {
+                Age::Seconds
+            } else {
+                Age::Newest
+            },
         }
     }
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -222,6 +222,15 @@
             && self.freshness.borrow().wants_callers(now)
     }
 
+    /// Returns whether another instance has got an answer of the store since this
+    /// one lost it.
+    pub fn is_told_of_store(&self) -> bool {
+        let lost = self.store.lost_at();
+        let age = self.freshness.borrow().age(self.now());
+        lost.zip(age)
+            .is_some_and(|(lost, age)| age < self.now().since(lost))
+    }
+
     /// Counts the first send of a request to a service.
     pub fn count_request(&self, service: &Name) {
         let now = self.now();
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -127,6 +127,11 @@
         self.losses.get()
     }
 
+    /// Returns when the store was lost, if it does not answer.
+    pub const fn lost_at(&self) -> Option<Time> {
+        self.failing_since.get()
+    }
+
     /// Returns whether the last call failed.
     pub const fn is_failing(&self) -> bool {
         self.failing_since.get().is_some()
