Choose an engine in one walk over what is known of all

Cause: a choice compared each engine with every other one that it could fetch from, a search of the directory each, and asked every beacon for the work at each engine, twice. The holder of the tenure did the same for each engine that it had load.

Change: the directory tells in one walk what each engine holds of a chain; engines that hold parts are ranked once; the work that others have is summed once a decision. Engines that hold as much take turns as sources, as transfers from one engine wait for each other (before, the last one in the order of names was always taken). Upstreams are found by their hash.

Tests: engines_that_hold_as_much_take_turns_as_sources (fails before: one source), one_walk_over_a_chain_finds_what_each_engine_holds (the walk and the single search agree on random reads).

--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -40,6 +40,21 @@
     pub long_prompts: u32,
 }
 
+impl UpstreamLoad {
+    /// Returns the work of two instances at the same upstream.
+    #[must_use]
+    pub const fn plus(self, other: &Self) -> Self {
+        Self {
+            upstream: other.upstream,
+            requests: self.requests + other.requests,
+            waiting_tokens: self.waiting_tokens.saturating_add(other.waiting_tokens),
+            held_tokens: self.held_tokens.saturating_add(other.held_tokens),
+            fragile: self.fragile + other.fragile,
+            long_prompts: self.long_prompts + other.long_prompts,
+        }
+    }
+}
+
 /// A `NamedNews` tells of the newest weights that operators named for a model.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct NamedNews {
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -89,6 +89,15 @@
     used: Time,
 }
 
+/// The `Depths` are how many leading parts of a chain an engine holds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Depths {
+    /// The parts that the engine has probably not dropped yet.
+    pub likely: usize,
+    /// The parts that the engine has hardly dropped.
+    pub sure: usize,
+}
+
 /// A `PrefixDirectory` knows which engines hold which parts.
 #[derive(Debug, Default)]
 pub struct PrefixDirectory {
@@ -139,6 +148,31 @@
         chain.iter().take_while(held).count()
     }
 
+    /// Returns what each engine with `memory` tokens holds of a chain.
+    ///
+    /// One walk over the chain answers for all engines, as a choice compares each
+    /// engine with every other one that it may fetch from.
+    #[must_use]
+    pub fn depths(&self, chain: &[Link], memory: u64, now: Time) -> HashMap<u64, Depths> {
+        let likely = kept_tokens(memory, Certainty::Likely);
+        let sure = kept_tokens(memory, Certainty::Sure);
+        let mut depths: HashMap<u64, Depths> = HashMap::new();
+        for (before, link) in chain.iter().enumerate() {
+            let marks = self.marks.get(&link.key);
+            for mark in marks.into_iter().flatten() {
+                let depth = depths.entry(mark.holder).or_default();
+                let gone_deeper = |depth| if depth == before { depth + 1 } else { depth };
+                if self.is_kept(mark, likely, now) {
+                    depth.likely = gone_deeper(depth.likely);
+                }
+                if self.is_kept(mark, sure, now) {
+                    depth.sure = gone_deeper(depth.sure);
+                }
+            }
+        }
+        depths
+    }
+
     /// Forgets everything about an engine that lost its memory.
     pub fn forget(&mut self, holder: u64) {
         for marks in self.marks.values_mut() {
@@ -155,11 +189,13 @@
     fn holds(&self, holder: u64, key: ChainKey, kept: u64, now: Time) -> bool {
         let marks = self.marks.get(&key);
         let mark = marks.and_then(|marks| marks.iter().find(|m| m.holder == holder));
-        let Some(mark) = mark else {
-            return false;
-        };
-        let position = self.positions.get(&holder).copied().unwrap_or_default();
-        let since = position.saturating_sub(mark.position);
+        mark.is_some_and(|mark| self.is_kept(mark, kept, now))
+    }
+
+    /// Returns whether fewer than `kept` tokens came after a part.
+    fn is_kept(&self, mark: &Mark, kept: u64, now: Time) -> bool {
+        let position = self.positions.get(&mark.holder).copied();
+        let since = position.unwrap_or_default().saturating_sub(mark.position);
         now.since(mark.used) < LONGEST_KEPT && since < kept
     }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -209,14 +209,19 @@
     pub fn load(&self, upstream: u64, now: Time) -> UpstreamLoad {
         let heard = self.others.values().filter(|p| self.hears(p, now));
         let loads = heard.filter_map(|p| p.loads.get(&upstream));
-        loads.fold(UpstreamLoad::default(), |sum, load| UpstreamLoad {
-            upstream,
-            requests: sum.requests + load.requests,
-            waiting_tokens: sum.waiting_tokens.saturating_add(load.waiting_tokens),
-            held_tokens: sum.held_tokens.saturating_add(load.held_tokens),
-            fragile: sum.fragile + load.fragile,
-            long_prompts: sum.long_prompts + load.long_prompts,
-        })
+        loads.fold(UpstreamLoad::default(), UpstreamLoad::plus)
+    }
+
+    /// Returns the work that all other instances have at each upstream.
+    #[must_use]
+    pub fn loads(&self, now: Time) -> HashMap<u64, UpstreamLoad> {
+        let heard = self.others.values().filter(|p| self.hears(p, now));
+        let mut sums: HashMap<u64, UpstreamLoad> = HashMap::new();
+        for load in heard.flat_map(|peer| peer.loads.values()) {
+            let sum = sums.entry(load.upstream).or_default();
+            *sum = sum.plus(load);
+        }
+        sums
     }
 
     /// Returns the registered instances that have been silent for long.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -113,9 +113,11 @@
 #[must_use]
 pub fn place_plain(service: &str, around: &Surroundings<'_>) -> Option<Placement> {
     let candidates = around.candidates(service);
-    let scored = candidates
-        .into_iter()
-        .map(|row| (plain_cost(row, around), row));
+    let loads = around.peers.loads(around.now);
+    let scored = candidates.into_iter().map(|row| {
+        let elsewhere = loads.get(&row.hash).map_or(0, |load| load.requests);
+        (plain_cost(row, elsewhere, around), row)
+    });
     let (_, row) = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(Placement {
         upstream: Name::clone(&row.entry.id),
@@ -129,8 +131,7 @@
     })
 }
 
-fn plain_cost(row: &Upstream, around: &Surroundings<'_>) -> f64 {
-    let elsewhere = around.peers.load(row.hash, around.now).requests;
+fn plain_cost(row: &Upstream, elsewhere: u32, around: &Surroundings<'_>) -> f64 {
     let requests = f64::from(row.own.requests + elsewhere);
     let filled = requests / f64::from(row.entry.slots.max(1));
     filled + row.health.failing() * 4.0 + far(row, around) * 0.05 + jitter(row, around) * 0.1
--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -1,5 +1,7 @@
 //! The choice of an engine for a prompt.
 
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,10 +15,12 @@
 use super::jitter;
 use super::millis;
 use crate::Name;
+use crate::beacon::UpstreamLoad;
 use crate::configuration::Engine;
 use crate::configuration::KvStore;
 use crate::configuration::store_hash;
 use crate::directory::Certainty;
+use crate::directory::Depths;
 use crate::directory::Link;
 use crate::directory::chain;
 use crate::prompt::CacheSalt;
@@ -64,6 +68,8 @@
 /// A `Candidate` is an engine with what it holds of a prompt.
 struct Candidate<'a> {
     row: &'a Upstream,
+    /// The work that other instances have there.
+    elsewhere: UpstreamLoad,
     version: Option<u64>,
     held: u64,
     fetched: u64,
@@ -71,11 +77,104 @@
 }
 
 /// A `SaltedChain` is the shared parts of a prompt as engines with one version of
-/// weights keep them.
-struct SaltedChain {
+/// weights keep them, and where they are.
+struct SaltedChain<'a> {
     version: u64,
     salt: CacheSalt,
     links: Vec<Link>,
+    depths: HashMap<u64, Depths>,
+    /// The engines from which parts may be fetched, those that probably hold most
+    /// first.
+    likely: Vec<Holder<'a>>,
+    /// The same engines, those that surely hold most first.
+    sure: Vec<Holder<'a>>,
+    /// The parts that the KV store holds.
+    in_store: usize,
+}
+
+impl<'a> SaltedChain<'a> {
+    fn new(version: u64, model: &str, req: &PromptRequest<'_>, around: &Surroundings<'a>) -> Self {
+        let salt = CacheSalt::new(model, version, req.isolated);
+        let links = chain(req.prompt, &salt);
+        let memory = req.engine.memory_tokens;
+        let depths = around.directory.depths(&links, memory, around.now);
+        let ranked = |depth: fn(&Depths) -> usize| {
+            let usable = around.upstreams.of_service(req.service);
+            let usable = usable.filter(|row| !row.health.is_avoided(around.now));
+            let holders = usable.filter_map(|row| {
+                let parts = depths.get(&row.hash).map(depth)?;
+                (parts > 0).then_some(Holder { parts, row })
+            });
+            let mut holders: Vec<_> = holders.collect();
+            // Transfers from one engine wait for each other, so that those that
+            // hold as much take turns.
+            holders.sort_by_cached_key(|holder| {
+                let turn = mix(holder.row.hash ^ around.random);
+                (Reverse(holder.parts), turn)
+            });
+            holders
+        };
+        Self {
+            version,
+            salt,
+            likely: ranked(|depths| depths.likely),
+            sure: ranked(|depths| depths.sure),
+            in_store: req.store.map_or(0, |s| store_depth(s, &links, around)),
+            depths,
+            links,
+        }
+    }
+
+    fn tokens(&self, depth: usize) -> u64 {
+        self.links[..depth].iter().map(|link| link.tokens).sum()
+    }
+
+    /// Returns the best source for an engine, and how many parts it holds.
+    ///
+    /// Of equal depth, an engine that surely holds the parts is the quickest
+    /// source, and one that may have dropped them the last.
+    fn source(&self, row: &Upstream, req: &PromptRequest<'_>) -> Option<(usize, Source)> {
+        let engine = |holder: Holder<'_>| {
+            let source = Source::engine(holder.row, req.engine);
+            (holder.parts, source)
+        };
+        let store = req.store.map(|store| {
+            let source = Source {
+                address: store.address,
+                link_mbps: store.link_mbps,
+            };
+            (self.in_store, source)
+        });
+        let likely = nearest(&self.likely, row).map(engine);
+        let sure = nearest(&self.sure, row).map(engine);
+        [likely, store, sure]
+            .into_iter()
+            .flatten()
+            .max_by_key(|(depth, _)| *depth)
+            .filter(|(depth, _)| *depth > 0)
+    }
+}
+
+/// A `Holder` is an engine that holds leading parts of a prompt.
+#[derive(Clone, Copy)]
+struct Holder<'a> {
+    parts: usize,
+    row: &'a Upstream,
+}
+
+/// Returns the one of the other engines that holds most, one in the same failure
+/// domain if there is any among equals.
+fn nearest<'a>(ranked: &[Holder<'a>], row: &Upstream) -> Option<Holder<'a>> {
+    let mut others = ranked.iter().filter(|o| o.row.hash != row.hash);
+    let first = others.next()?;
+    let is_near = |holder: &Holder<'_>| holder.row.entry.domain == row.entry.domain;
+    if is_near(first) {
+        return Some(*first);
+    }
+    let near = others
+        .take_while(|other| other.parts == first.parts)
+        .find(|other| is_near(other));
+    Some(*near.unwrap_or(first))
 }
 
 /// A `Source` is where an engine fetches parts from.
@@ -103,20 +202,22 @@
 ) -> Option<Placement> {
     let model = req.prompt.model.as_deref().unwrap_or_default();
     let home = home(req, around).map(|row| row.hash);
-    let mut chains: Vec<SaltedChain> = Vec::new();
+    let loads = around.peers.loads(around.now);
+    let mut chains: Vec<SaltedChain<'_>> = Vec::new();
     let mut best: Option<(f64, f64, Candidate<'_>)> = None;
     for row in around.candidates(req.service) {
         let version = row.weights(model);
-        let chain = chain_for(version, model, req, &mut chains);
-        let candidate = candidate(row, version, chain, req, around);
-        let expected = expected_ms(&candidate, req, options, around);
+        let chain = chain_for(version, model, req, around, &mut chains);
+        let mut candidate = candidate(row, chain, req);
+        candidate.elsewhere = loads.get(&row.hash).copied().unwrap_or_default();
+        let expected = expected_ms(&candidate, req, options);
         let Some(stale) = staleness(row, expected, req, options, around.now) else {
             continue;
         };
         let cost = expected
             + stale
             + extra_ms(&candidate, home, req, options)
-            + pauses_ms(&candidate, req, around)
+            + pauses_ms(&candidate, req)
             + row.health.failing() * millis(FAILING_PENALTY)
             + far(row, around) * millis(OTHER_DOMAIN)
             + jitter(row, around);
@@ -128,8 +229,8 @@
     let salted = chains
         .into_iter()
         .find(|c| Some(c.version) == chosen.version);
+    let save_to = salted.as_ref().and_then(|chain| save_to(req, chain));
     let (salt, chain) = salted.map_or((None, Vec::new()), |c| (Some(c.salt), c.links));
-    let save_to = save_to(req, &chain, around);
     let tail = req.prompt.input_tokens.saturating_sub(chosen.held);
     Some(Placement {
         upstream: Name::clone(&chosen.row.entry.id),
@@ -148,76 +249,36 @@
 }
 
 /// Returns the shared parts of the prompt under the salt for a version.
-fn chain_for<'c>(
+fn chain_for<'c, 'a>(
     version: Option<u64>,
     model: &str,
     req: &PromptRequest<'_>,
-    chains: &'c mut Vec<SaltedChain>,
-) -> &'c [Link] {
-    let Some(version) = version else {
-        return &[];
-    };
+    around: &Surroundings<'a>,
+    chains: &'c mut Vec<SaltedChain<'a>>,
+) -> Option<&'c SaltedChain<'a>> {
+    let version = version?;
     let known = chains.iter().position(|chain| chain.version == version);
     let at = known.unwrap_or_else(|| {
-        let salt = CacheSalt::new(model, version, req.isolated);
-        chains.push(SaltedChain {
-            version,
-            links: chain(req.prompt, &salt),
-            salt,
-        });
+        chains.push(SaltedChain::new(version, model, req, around));
         chains.len() - 1
     });
-    &chains[at].links
+    chains.get(at)
 }
 
 fn candidate<'a>(
     row: &'a Upstream,
-    version: Option<u64>,
-    chain: &[Link],
+    chain: Option<&SaltedChain<'_>>,
     req: &PromptRequest<'_>,
-    around: &Surroundings<'a>,
 ) -> Candidate<'a> {
-    let memory = req.engine.memory_tokens;
-    let depth = |row: &Upstream, certainty| {
-        let directory = around.directory;
-        directory.depth(row.hash, chain, memory, certainty, around.now)
-    };
-    let tokens = |depth: usize| chain[..depth].iter().map(|link| link.tokens).sum::<u64>();
-    let own = depth(row, Certainty::Likely);
-    let engine = |certainty| {
-        let others = around.upstreams.of_service(req.service);
-        let others =
-            others.filter(|other| other.hash != row.hash && !other.health.is_avoided(around.now));
-        // The nearest of the engines that hold most.
-        others
-            .map(|other| {
-                (
-                    depth(other, certainty),
-                    other.entry.domain == row.entry.domain,
-                    other,
-                )
-            })
-            .max_by_key(|(depth, near, _)| (*depth, *near))
-            .map(|(depth, _, other)| (depth, Source::engine(other, req.engine)))
-    };
-    let store = req.store.map(|store| {
-        let source = Source {
-            address: store.address,
-            link_mbps: store.link_mbps,
-        };
-        (store_depth(store, chain, around), source)
-    });
-    // Of equal depth, an engine that surely holds the parts is the quickest
-    // source, and one that may have dropped them the last.
-    let source = [engine(Certainty::Likely), store, engine(Certainty::Sure)]
-        .into_iter()
-        .flatten()
-        .max_by_key(|(depth, _)| *depth)
-        .filter(|(depth, _)| *depth > 0);
+    let depths = chain.and_then(|chain| chain.depths.get(&row.hash));
+    let own = depths.map_or(0, |depths| depths.likely);
+    let source = chain.and_then(|chain| chain.source(row, req));
+    let tokens = |depth| chain.map_or(0, |chain| chain.tokens(depth));
     let fetched = source.map_or(0, |(depth, _)| tokens(depth).saturating_sub(tokens(own)));
     Candidate {
         row,
-        version,
+        elsewhere: UpstreamLoad::default(),
+        version: chain.map(|chain| chain.version),
         held: tokens(own),
         fetched,
         // An engine may have dropped what it is believed to hold; a source from
@@ -243,14 +304,10 @@
 
 /// Returns whether the parts of a prompt are to be saved: they are many, and
 /// the store does not hold them.
-fn save_to(
-    req: &PromptRequest<'_>,
-    chain: &[Link],
-    around: &Surroundings<'_>,
-) -> Option<SocketAddr> {
+fn save_to(req: &PromptRequest<'_>, chain: &SaltedChain<'_>) -> Option<SocketAddr> {
     let store = req.store?;
     let many = req.prompt.shared_tokens() >= MIN_SAVE_TOKENS;
-    let missing = store_depth(store, chain, around) < chain.len();
+    let missing = chain.in_store < chain.links.len();
     (many && missing).then_some(store.address)
 }
 
@@ -271,9 +328,9 @@
 const PAUSED_REQUEST: Duration = Duration::from_millis(20);
 
 /// Returns what a choice costs by the pauses that long prompts make in streams.
-fn pauses_ms(candidate: &Candidate<'_>, req: &PromptRequest<'_>, around: &Surroundings<'_>) -> f64 {
+fn pauses_ms(candidate: &Candidate<'_>, req: &PromptRequest<'_>) -> f64 {
     let row = candidate.row;
-    let elsewhere = around.peers.load(row.hash, around.now);
+    let elsewhere = &candidate.elsewhere;
     let present = candidate.held + candidate.fetched;
     if req.prompt.input_tokens.saturating_sub(present) >= LONG_PROMPT_TOKENS {
         let requests = row.own.requests + elsewhere.requests;
@@ -339,10 +396,9 @@
     candidate: &Candidate<'_>,
     req: &PromptRequest<'_>,
     options: &PlacementOptions,
-    around: &Surroundings<'_>,
 ) -> f64 {
     let row = candidate.row;
-    let elsewhere = around.peers.load(row.hash, around.now);
+    let elsewhere = &candidate.elsewhere;
     let waiting = u64::from(row.own.waiting_tokens) + u64::from(elsewhere.waiting_tokens);
     let held = u64::from(row.own.held_tokens) + u64::from(elsewhere.held_tokens);
     let present = candidate.held + candidate.fetched;
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -202,9 +202,10 @@
         let idle = |row: &&Upstream| {
             !self.engines.contains_key(&row.entry.id) && !self.paused.contains_key(&row.entry.id)
         };
+        let loads = peers.loads(now);
         let mut waiting: Vec<&Upstream> = behind(upstreams, named).filter(idle).collect();
-        waiting.sort_by_key(|row| {
-            let elsewhere = peers.load(row.hash, now).requests;
+        waiting.sort_by_cached_key(|row| {
+            let elsewhere = loads.get(&row.hash).map_or(0, |load| load.requests);
             let version = row.weights(&named.model).unwrap_or_default();
             let dark = row.health.is_avoided(now);
             (dark, version, row.own.requests + elsewhere)
@@ -238,8 +239,9 @@
     let serving = upstreams.iter().filter(|row| {
         row.weights(model).is_some() && row.takes_work() && !row.health.is_avoided(now)
     });
+    let loads = peers.loads(now);
     let waiting = |row: &Upstream| {
-        let elsewhere = peers.load(row.hash, now).waiting_tokens;
+        let elsewhere = loads.get(&row.hash).map_or(0, |load| load.waiting_tokens);
         u64::from(row.own.waiting_tokens) + u64::from(elsewhere)
     };
     let (sum, count) = serving.fold((0, 0), |(sum, count), row| (sum + waiting(row), count + 1));
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! The table of upstreams: who they are, what they run and how they fare.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -149,16 +150,19 @@
 pub struct Upstreams {
     options: HealthOptions,
     rows: BTreeMap<Name, Upstream>,
+    /// The ids by their hashes, under which beacons speak of upstreams.
+    ids: HashMap<u64, Name>,
     leaving: Vec<(LeavingNews, Time)>,
 }
 
 impl Upstreams {
     /// Returns an empty table.
     #[must_use]
-    pub const fn new(options: HealthOptions) -> Self {
+    pub fn new(options: HealthOptions) -> Self {
         Self {
             options,
             rows: BTreeMap::new(),
+            ids: HashMap::new(),
             leaving: Vec::new(),
         }
     }
@@ -184,6 +188,7 @@
                 missing_since: None,
                 entry,
             };
+            self.ids.insert(row.hash, Name::clone(&row.entry.id));
             self.rows.insert(Name::clone(&row.entry.id), row);
             return;
         };
@@ -198,11 +203,21 @@
 
     /// Removes an upstream that has left.
     pub fn remove(&mut self, id: &str, now: Time) {
-        if let Some(row) = self.rows.remove(id) {
+        if let Some(row) = self.take_row(id) {
             self.leaves(&row.entry, now);
         }
     }
 
+    fn take_row(&mut self, id: &str) -> Option<Upstream> {
+        let row = self.rows.remove(id)?;
+        self.ids.remove(&row.hash);
+        Some(row)
+    }
+
+    fn by_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
+        self.rows.get_mut(self.ids.get(&hash)?)
+    }
+
     fn leaves(&mut self, entry: &UpstreamEntry, now: Time) {
         let news = LeavingNews {
             upstream: name_hash(&entry.id),
@@ -226,10 +241,7 @@
     /// Takes what another instance tells of an upstream that leaves, and returns
     /// its id when that was not known.
     pub fn hear_leaving(&mut self, news: &LeavingNews) -> Option<Name> {
-        let row = self
-            .rows
-            .values_mut()
-            .find(|row| row.hash == news.upstream)?;
+        let row = self.by_hash(news.upstream)?;
         if row.entry.born_ms != news.born_ms || row.entry.phase == Phase::Draining {
             return None;
         }
@@ -242,14 +254,19 @@
     /// After an outage, upstreams that are missing get time to appear again;
     /// otherwise they have left.
     pub fn retain(&mut self, listed: &[Name], after_outage: bool, now: Time) {
-        self.rows.retain(|id, row| {
+        let mut gone = Vec::new();
+        for (id, row) in &mut self.rows {
             if listed.contains(id) {
                 row.missing_since = None;
-                return true;
+            } else if after_outage {
+                row.missing_since.get_or_insert(now);
+            } else {
+                gone.push(Name::clone(id));
             }
-            row.missing_since.get_or_insert(now);
-            after_outage
-        });
+        }
+        for id in &gone {
+            self.take_row(id);
+        }
     }
 
     /// Records that an upstream vanished from the list after an outage, in which
@@ -269,7 +286,7 @@
         let ids = self.rows.iter().filter(|(_, row)| gone(row));
         let ids: Vec<Name> = ids.map(|(id, _)| Name::clone(id)).collect();
         for id in &ids {
-            self.rows.remove(id);
+            self.take_row(id);
         }
         ids
     }
@@ -392,7 +409,7 @@
 
     /// Takes what another instance tells of weights.
     pub fn news(&mut self, news: &WeightsNews, now: Time) {
-        let row = self.rows.values_mut().find(|row| row.hash == news.upstream);
+        let row = self.by_hash(news.upstream);
         let Some(row) = row.filter(|row| row.entry.born_ms == news.born_ms) else {
             return;
         };
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -2,12 +2,15 @@
 
 mod support;
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::configuration::KvStore;
 use limpetsaddle_fleet::configuration::store_hash;
 use limpetsaddle_fleet::directory::CacheNews;
+use limpetsaddle_fleet::directory::Certainty;
+use limpetsaddle_fleet::directory::PrefixDirectory;
 use limpetsaddle_fleet::directory::chain;
 use limpetsaddle_fleet::health::Verdict;
 use limpetsaddle_fleet::placement::Placement;
@@ -19,6 +22,7 @@
 use limpetsaddle_fleet::prompt::Prompt;
 use limpetsaddle_fleet::upstreams::Work;
 use limpetsaddle_fleet::weights::NamedWeights;
+use proptest::prelude::*;
 use support::Fleet;
 use support::MODEL;
 use support::SERVICE;
@@ -252,3 +256,65 @@
     fleet.upstreams.upsert(entry, at(0));
     assert!(!fleet.upstreams.get("e1").unwrap().is_away(at(1)));
 }
+
+/// The load: a part that every engine holds is wanted by engines that lack it,
+/// as many prompts begin with it. Transfers from one engine wait for each other.
+#[test]
+fn verify_engines_that_hold_as_much_take_turns_as_sources() {
+    let mut entries: Vec<_> = (0..20).map(|index| engine(index, 1)).collect();
+    for entry in &mut entries[10..] {
+        entry.domain = "b".into();
+    }
+    let mut fleet = Fleet::new(entries);
+    let wanted = sheet();
+    for index in 0..19 {
+        let holder = hash(&fleet, &format!("e{index}"));
+        hold(&mut fleet, holder, &wanted, 1, at(0));
+    }
+    // Only the last engine, which lacks the parts, has not been tried.
+    fleet.tried = (0..19).map(|index| format!("e{index}").into()).collect();
+    let spec = engine_spec();
+    let req = PromptRequest {
+        service: SERVICE,
+        engine: &spec,
+        prompt: &wanted,
+        isolated: None,
+        named: None,
+        store: None,
+    };
+    let mut sources = HashMap::new();
+    for random in 0..900 {
+        let around = fleet.around(at(10), random);
+        let placement = place_prompt(&req, &PlacementOptions::default(), &around).unwrap();
+        let source = placement.cache.unwrap().fetch_from.unwrap();
+        *sources.entry(source).or_insert(0) += 1;
+    }
+    // The nine in the same failure domain share the transfers alike.
+    assert_eq!(sources.len(), 9);
+    assert!(
+        sources.values().all(|count| (50..200).contains(count)),
+        "{sources:?}"
+    );
+}
+
+proptest! {
+    #[test]
+    fn verify_one_walk_over_a_chain_finds_what_each_engine_holds(
+        reads in prop::collection::vec((0_u64..5, 1_usize..4, 1_000_u32..60_000), 1..60),
+    ) {
+        let parts = [("a", 100), ("b", 200), ("c", 300), ("own", 50)];
+        let links = chain(&prompt(&parts), &CacheSalt::new(MODEL, 1, None));
+        let mut directory = PrefixDirectory::default();
+        for (holder, depth, new_tokens) in reads {
+            let keys = links[..depth].iter().map(|link| link.key).collect();
+            directory.learn(&CacheNews { holder, keys, new_tokens }, at(0));
+        }
+        let depths = directory.depths(&links, 90_000, at(10));
+        for holder in 0..5 {
+            let held = depths.get(&holder).copied().unwrap_or_default();
+            let alone = |certainty| directory.depth(holder, &links, 90_000, certainty, at(10));
+            prop_assert_eq!(held.likely, alone(Certainty::Likely));
+            prop_assert_eq!(held.sure, alone(Certainty::Sure));
+        }
+    }
+}
