Confirm the configuration by plain reads, and trust keys for as long as that allows

A confirmation was the end of a watch without changes. Such an answer may lag by a second, so that 1.2 s of the 5 s in which a withdrawn key has to stop working were kept back, and each confirmation was up to 1 s old when it came.

Ruled out: slow beacons (their age is told and counted).

Change: a task of its own reads the configuration every 0.8 s on the three instances that do so for all, and on any that hears of no confirmation. A plain read shows all that was acknowledged before it was sent, which is the moment that counts. 0.3 s of the bound are kept back. The same task finds out when a lost store is back; watches no longer confirm anything.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -18,10 +18,10 @@
     pub patience: Duration,
 }
 
-/// A part of the withdrawal bound is left for watches that lag and for requests
-/// on their way, in milliseconds. Watches may be silent for a second while the
-/// platform compacts its history.
-const WITHDRAWAL_MARGIN_MS: u64 = 1_200;
+/// The part of the withdrawal bound that is left for clocks that run at other
+/// speeds and for ages in whole milliseconds, in milliseconds. The bound counts
+/// from the sending of a request, which comes before its arrival.
+const WITHDRAWAL_MARGIN_MS: u64 = 300;
 
 impl FreshnessOptions {
     /// Returns options under which a withdrawn key stops working in `bound`.
@@ -54,7 +54,7 @@
     }
 
     /// Records that the platform held nothing newer at `at`: the sending of a
-    /// call that it answered, or the end of the wait that it was asked for.
+    /// read that it answered.
     ///
     /// ```
     /// use std::time::Duration;
@@ -68,7 +68,7 @@
     /// assert!(!freshness.trusts_keys(Time::ZERO));
     /// freshness.confirm(Time::ZERO);
     /// assert!(freshness.trusts_keys(Time::ZERO));
-    /// assert!(!freshness.trusts_keys(Time::ZERO + Duration::from_secs(4)));
+    /// assert!(!freshness.trusts_keys(Time::ZERO + Duration::from_millis(4_700)));
     /// ```
     pub fn confirm(&mut self, at: Time) {
         self.confirmed = self.confirmed.max(Some(at));
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -185,12 +185,13 @@
     let mut freshness = Freshness::new(FreshnessOptions::for_withdrawal(bound));
     assert!(!freshness.trusts_keys(at(0)));
     freshness.confirm(at(1_000));
-    assert!(freshness.trusts_keys(at(4_500)));
-    // A watch may lag by a second, and the request needs time to arrive.
-    assert!(!freshness.trusts_keys(at(4_900)));
+    assert!(freshness.trusts_keys(at(5_600)));
+    // The bound ends at 6,000; ages are told in whole milliseconds and clocks drift.
+    assert!(!freshness.trusts_keys(at(5_750)));
     // An older confirmation changes nothing.
     freshness.confirm(at(500));
-    assert!(freshness.trusts_keys(at(4_500)));
+    assert!(freshness.trusts_keys(at(5_600)));
+    assert!(!freshness.trusts_keys(at(5_750)));
 }
 
 #[test]
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -1,6 +1,7 @@
 //! Following the kinds of objects that the platform's store holds.
 
 mod configuration;
+mod confirmation;
 mod instances;
 mod tenure;
 mod upstreams;
@@ -10,7 +11,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use limpetsaddle_core::units::Time;
 use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Call;
 use limpetsaddle_platform_wire::store::Change;
@@ -56,12 +56,7 @@
 
 /// The longest pause after a failed call. Requests with keys are refused while
 /// the store is away, so that its return has to be noticed soon.
-const LONGEST_PAUSE: Duration = Duration::from_millis(600);
-
-/// The longest pause after a failed call where other instances tell when the
-/// store is back. It ends before the store counts as settled again, which takes
-/// four seconds.
-const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_secs(3);
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// Returns the pause after so many failed calls in a row, up to half of it drawn
 /// at random so that instances do not return together.
@@ -86,10 +81,6 @@
     /// The kind.
     const KIND: &'static str;
 
-    /// Whether this follower finds out when a store that failed is back; the
-    /// others wait for that.
-    const PROBES: bool = false;
-
     /// Returns how the kind is watched.
     fn pace(&self) -> Pace;
 
@@ -103,9 +94,6 @@
 
     /// Takes one change.
     fn changed(&self, change: Change);
-
-    /// Records that nothing newer than what was taken existed at `at`.
-    fn confirmed(&self, _at: Time) {}
 }
 
 /// Starts the tasks that follow the store.
@@ -126,17 +114,18 @@
     let instances = InstanceFollower::start(shared(), stopping);
     monoio::spawn(follow(shared(), instances, stopping.clone()));
     monoio::spawn(follow(shared(), TenureFollower(shared()), stopping.clone()));
+    monoio::spawn(confirmation::confirm(shared(), stopping.clone()));
 }
 
 async fn follow<F: Follower>(instance: Rc<FleetInstance>, follower: F, stopping: Stopping) {
     let mut from = None;
     let mut failures = 0;
     while !stopping.is_closed() {
-        if instance.store.is_failing() && !F::PROBES && failures > 0 {
+        // The task that confirms the configuration finds out when the store is back.
+        if instance.store.is_failing() && failures > 0 {
             stopping.pause(RECHECK).await;
             continue;
         }
-        let sent = instance.now();
         let pace = follower.pace();
         let step = step(&instance, &follower, from, &pace);
         let Some(outcome) = until_urgent(&instance, &stopping, &follower, step).await else {
@@ -147,48 +136,22 @@
         instance.metrics.store_call(outcome.is_ok());
         let Ok(step) = outcome else {
             failures += 1;
-            wait_for_store(&instance, &stopping, failures).await;
+            let wait = pause(LONGEST_PAUSE, failures, instance.random.draw());
+            stopping.pause(wait).await;
             continue;
         };
         failures = 0;
         from = step.next;
-        if from.is_some() && pace.age == Age::Newest {
-            follower.confirmed(sent + step.waited);
-        }
         if step.changed {
             stopping.pause(pace.gathering).await;
         }
     }
 }
 
-/// Waits before the next call of a store that did not answer: as long as other
-/// instances make sure that its return is noticed, or until they tell of it.
-async fn wait_for_store(instance: &FleetInstance, stopping: &Stopping, failures: u32) {
-    let is_confirmer = instance.peers.borrow().is_confirmer(instance.now());
-    let longest = if is_confirmer {
-        LONGEST_PAUSE
-    } else {
-        LONGEST_PAUSE_OF_OTHERS
-    };
-    let end = instance.now() + pause(longest, failures, instance.random.draw());
-    // Where others were served already before the call failed, the store is back
-    // for them only.
-    let told_before = instance.is_told_of_store();
-    loop {
-        let left = end.since(instance.now());
-        let told = !told_before && instance.is_told_of_store();
-        if left.is_zero() || told || !stopping.pause(left.min(RECHECK)).await {
-            return;
-        }
-    }
-}
-
 /// A `Step` is the outcome of one call.
 struct Step {
     /// The revision from which to go on, or `None` to list everything again.
     next: Option<u64>,
-    /// The time for which the store has certainly waited before it answered.
-    waited: Duration,
     /// Whether anything had changed.
     changed: bool,
 }
@@ -199,29 +162,27 @@
     from: Option<u64>,
     pace: &Pace,
 ) -> Result<Step, CallError> {
-    let wait = pace.wait;
     let Some(from) = from else {
         let (objects, at) = instance.store.list(F::KIND, pace.age).await?;
         follower.listed(objects);
         return Ok(Step {
             next: Some(at),
-            waited: Duration::ZERO,
             changed: false,
         });
     };
-    let sent = instance.now();
-    match instance.store.watch(F::KIND, from, wait, pace.age).await? {
+    match instance
+        .store
+        .watch(F::KIND, from, pace.wait, pace.age)
+        .await?
+    {
         Watched::Changes { changes, at } => {
             let changed = !changes.is_empty();
-            // The store answers a watch without changes when its wait is over.
-            let whole_wait = !changed && instance.now().since(sent) >= wait;
             for change in changes {
                 follower.changed(change);
             }
             Ok(Step {
                 // An older answer may come from a part of the store that lags.
                 next: Some(at.max(from)),
-                waited: if whole_wait { wait } else { Duration::ZERO },
                 changed,
             })
         }
@@ -229,7 +190,6 @@
             info!(kind = F::KIND, from; "the store dropped its history; listing again");
             Ok(Step {
                 next: None,
-                waited: Duration::ZERO,
                 changed: false,
             })
         }
@@ -250,7 +210,7 @@
         stopping.pause(LEAST_WAIT).await;
         while stopping.pause(RECHECK).await
             && !follower.is_urgent()
-            && (F::PROBES || instance.store.losses() == losses)
+            && instance.store.losses() == losses
         {}
     });
     match futures::future::select(work, urgent).await {
--- a/crates/router/src/fleet/follow/configuration.rs
+++ b/crates/router/src/fleet/follow/configuration.rs
@@ -1,10 +1,9 @@
-//! Following the configuration, and confirming that there is no newer one.
+//! Following the configuration.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use limpetsaddle_core::units::Time;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Age;
 use limpetsaddle_platform_wire::store::Change;
@@ -17,18 +16,9 @@
 use super::QUIET_WAIT;
 use crate::fleet::instance::FleetInstance;
 
-/// The wait of a watch whose return confirms the configuration. It bounds the
-/// age of the last confirmation, for which keys are trusted only a few seconds.
-const CONFIRMING_WAIT: Duration = Duration::from_secs(1);
-
-/// The age of the last confirmation from which an instance asks the store itself
-/// instead of going by others.
-const CONFIRM_AFTER: Duration = Duration::from_secs(2);
-
 /// A `ConfigurationFollower` puts the operators' configuration in force.
 pub struct ConfigurationFollower {
     instance: Rc<FleetInstance>,
-    is_waiting_for_others: Cell<bool>,
     lags: Cell<bool>,
 }
 
@@ -37,53 +27,32 @@
     pub const fn new(instance: Rc<FleetInstance>) -> Self {
         Self {
             instance,
-            is_waiting_for_others: Cell::new(false),
             lags: Cell::new(false),
         }
     }
+}
 
-    /// Returns whether this instance has to ask the store itself: it does so for
-    /// others, or hears of no confirmation from them.
-    fn confirms(&self) -> bool {
-        let now = self.instance.now();
-        let age = self.instance.freshness.borrow().age(now);
-        let heard = age.is_some_and(|age| age < CONFIRM_AFTER);
-        !heard || self.instance.store.is_failing() || self.instance.peers.borrow().is_confirmer(now)
-    }
-
-    /// Returns how old answers may be. In a large fleet others tell of a newer
-    /// configuration, which is then read at once.
-    fn age(&self, waits_for_others: bool) -> Age {
-        let hears_of_it = waits_for_others && !self.lags.get();
-        if hears_of_it && self.instance.peers.borrow().is_large() {
-            Age::Seconds
-        } else {
-            Age::Newest
-        }
+/// Puts a configuration in force if it is newer than the one that is.
+pub fn take(instance: &FleetInstance, object: &Object) {
+    if object.name != wire::store::CONFIGURATION_NAME {
+        return;
     }
-
-    fn take(&self, object: &Object) {
-        if object.name != wire::store::CONFIGURATION_NAME {
-            return;
-        }
-        let Some(spec) = &object.spec else {
-            return;
-        };
-        match wire::configuration::decode(spec) {
-            Ok(configuration) => {
-                let held = self.instance.configuration();
-                if held.is_some_and(|held| held.version >= configuration.version) {
-                    return;
-                }
-                let version = configuration.version;
-                let revision = object.revision;
-                self.instance.configure(configuration);
-                info!(version, revision; "configuration in force");
-            }
-            Err(error) => {
-                let revision = object.revision;
-                warn!(revision, error:display; "configuration not usable; the last one stays");
+    let Some(spec) = &object.spec else {
+        return;
+    };
+    let revision = object.revision;
+    match wire::configuration::decode(spec) {
+        Ok(configuration) => {
+            let held = instance.configuration();
+            if held.is_some_and(|held| held.version >= configuration.version) {
+                return;
             }
+            let version = configuration.version;
+            instance.configure(configuration);
+            info!(version, revision; "configuration in force");
+        }
+        Err(error) => {
+            warn!(revision, error:display; "configuration not usable; the last one stays");
         }
     }
 }
@@ -91,44 +60,36 @@
 impl Follower for ConfigurationFollower {
     const KIND: &'static str = wire::store::CONFIGURATION;
 
-    const PROBES: bool = true;
-
     fn pace(&self) -> Pace {
-        let waits_for_others = !self.confirms();
-        self.is_waiting_for_others.set(waits_for_others);
+        // In a large fleet others tell of a newer configuration, which is then
+        // read at once.
+        let hears_of_it = self.instance.peers.borrow().is_large() && !self.lags.take();
         Pace {
-            wait: if waits_for_others {
-                QUIET_WAIT
+            wait: QUIET_WAIT,
+            gathering: Duration::ZERO,
+            age: if hears_of_it {
+                Age::Seconds
             } else {
-                CONFIRMING_WAIT
+                Age::Newest
             },
-            gathering: Duration::ZERO,
-            age: self.age(waits_for_others),
         }
     }
 
     fn is_urgent(&self) -> bool {
-        if self.instance.newer_configuration.take() {
-            self.lags.set(true);
-            return true;
-        }
-        self.is_waiting_for_others.get() && self.confirms()
+        let lags = self.instance.newer_configuration.take();
+        self.lags.set(lags);
+        lags
     }
 
     fn listed(&self, objects: Vec<Object>) {
         for object in &objects {
-            self.take(object);
+            take(&self.instance, object);
         }
     }
 
     fn changed(&self, change: Change) {
         if !change.removed {
-            self.take(&change.object);
+            take(&self.instance, &change.object);
         }
     }
-
-    fn confirmed(&self, at: Time) {
-        self.lags.set(false);
-        self.instance.freshness.borrow_mut().confirm(at);
-    }
 }
