Look for what nobody is known to hold in the KV store

Cause: an instance that has just started knows of no cached part, and has parts read again that engines and the KV store hold.

Change: where nobody is known to hold the whole of a prompt that is long enough to be saved, it is fetched from the store.

Test, failing before: what_nobody_is_known_to_hold_is_looked_for_in_the_store.

--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -129,10 +129,13 @@
         self.links[..depth].iter().map(|link| link.tokens).sum()
     }
 
-    /// Returns the best source for an engine, and how many parts it holds.
+    /// Returns the best source for an engine, and how many parts it is known to
+    /// hold.
     ///
     /// Of equal depth, an engine that surely holds the parts is the quickest
-    /// source, and one that may have dropped them the last.
+    /// source, and one that may have dropped them the last. Where nobody is known
+    /// to hold all, the store may hold more than is known: this instance may have
+    /// started a moment ago, or the news may be on their way.
     fn source(&self, row: &Upstream, req: &PromptRequest<'_>) -> Option<(usize, Source)> {
         let engine = |holder: Holder<'_>| {
             let source = Source::engine(holder.row, req.engine);
@@ -147,11 +150,13 @@
         });
         let likely = nearest(&self.likely, row).map(engine);
         let sure = nearest(&self.sure, row).map(engine);
-        [likely, store, sure]
-            .into_iter()
-            .flatten()
-            .max_by_key(|(depth, _)| *depth)
-            .filter(|(depth, _)| *depth > 0)
+        let known = [likely, store, sure].into_iter().flatten();
+        let known = known.max_by_key(|(depth, _)| *depth);
+        let depth = known.map_or(0, |(depth, _)| depth);
+        let may_hold_more = is_saved(req) && self.in_store == depth && depth < self.links.len();
+        store
+            .filter(|_| may_hold_more)
+            .or_else(|| known.filter(|(depth, _)| *depth > 0))
     }
 }
 
@@ -306,9 +311,13 @@
 /// the store does not hold them.
 fn save_to(req: &PromptRequest<'_>, chain: &SaltedChain<'_>) -> Option<SocketAddr> {
     let store = req.store?;
-    let many = req.prompt.shared_tokens() >= MIN_SAVE_TOKENS;
     let missing = chain.in_store < chain.links.len();
-    (many && missing).then_some(store.address)
+    (is_saved(req) && missing).then_some(store.address)
+}
+
+/// Returns whether the shared parts of a prompt are many enough to be saved.
+fn is_saved(req: &PromptRequest<'_>) -> bool {
+    req.prompt.shared_tokens() >= MIN_SAVE_TOKENS
 }
 
 /// Returns the home of the request's shared parts.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -257,6 +257,46 @@
     assert!(!fleet.upstreams.get("e1").unwrap().is_away(at(1)));
 }
 
+fn kv_store() -> KvStore {
+    KvStore {
+        address: ([10, 9, 0, 1], 8080).into(),
+        memory_tokens: 2_000_000,
+        link_mbps: 800_000.0,
+    }
+}
+
+/// The load: an instance that has just started, while the fleet's engines and the
+/// store hold what was read before.
+#[test]
+fn verify_what_nobody_is_known_to_hold_is_looked_for_in_the_store() {
+    let mut fleet = Fleet::new(vec![engine(0, 1), engine(1, 1)]);
+    let store = kv_store();
+    let source = |fleet: &Fleet, prompt: &Prompt| {
+        let placement = place_with(fleet, prompt, None, None, Some(&store), at(10)).unwrap();
+        placement.cache.unwrap().fetch_from
+    };
+    assert_eq!(source(&fleet, &sheet()), Some(store.address));
+    // Short parts are never saved, so that they are not looked for.
+    assert_eq!(
+        source(&fleet, &prompt(&[("short", 200), ("own", 100)])),
+        None
+    );
+    // The first part is known everywhere, the second one nowhere.
+    let first = prompt(&[("instruction", 2_500), ("other", 400)]);
+    for id in ["e0", "e1"] {
+        let holder = hash(&fleet, id);
+        hold(&mut fleet, holder, &first, 1, at(0));
+    }
+    hold(&mut fleet, store_hash(store.address), &first, 1, at(0));
+    assert_eq!(source(&fleet, &sheet()), Some(store.address));
+    // An engine that surely holds all is quicker.
+    let holder = hash(&fleet, "e0");
+    hold(&mut fleet, holder, &sheet(), 1, at(0));
+    fleet.tried = vec!["e0".into()];
+    let engine = fleet.upstreams.get("e0").unwrap().entry.address;
+    assert_eq!(source(&fleet, &sheet()), Some(engine));
+}
+
 /// The load: a part that every engine holds is wanted by engines that lack it,
 /// as many prompts begin with it. Transfers from one engine wait for each other.
 #[test]
