Keep the holder of the tenure from filling its own link

A trial that logged calls shows answers of the store after 250 to 600 ms at the holder alone. A rollout over 140 engines made its beacons 2.7 kB, sent to 84 others 3.3 times a second in one go: 6 Mbit/s of a link of 10, and 0.2 s at a time for which everything else on that link waits.

Ruled out: processor time (a trial without it shows the same waits).

Change: beacons go out in parts of 21 over the interval. Weights are told for 1.2 s instead of 3 s, processes by a hash of six bytes instead of hash and start. Who leaves is told by those who did not hear of it. How many engines may load at once is worked out once a plan, not in each of up to 56 waiting tasks 16 times a second; engines that are slow to carry orders out are asked with growing pauses.

--- a/crates/fleet/src/beacon.rs
+++ b/crates/fleet/src/beacon.rs
@@ -12,7 +12,7 @@
 use crate::store_watch::StoreNews;
 
 /// The number of the message's layout; beacons of other layouts are dropped.
-const LAYOUT: u8 = 5;
+const LAYOUT: u8 = 6;
 
 /// A `TeamUse` is what an instance has admitted for a team since its start.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -66,11 +66,10 @@
 
 /// A `LeavingNews` tells that an upstream is leaving.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
 pub struct LeavingNews {
-    /// The hash of the upstream's id.
-    pub upstream: u64,
-    /// The start of the upstream's process, in milliseconds since the epoch.
-    pub born_ms: u64,
+    /// The upstream's process; see [`process_hash`].
+    pub process: u64,
 }
 
 /// A `ServiceUse` is what an instance sent to a service since its start.
@@ -87,10 +86,8 @@
 /// A `WeightsNews` tells of an upstream's weights.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WeightsNews {
-    /// The hash of the upstream's id.
-    pub upstream: u64,
-    /// The start of the upstream's process, in milliseconds since the epoch.
-    pub born_ms: u64,
+    /// The upstream's process; see [`process_hash`].
+    pub process: u64,
     /// The version of the weights.
     pub version: u64,
     /// The milliseconds for which the upstream is to get no requests, as it
@@ -207,3 +204,14 @@
 pub fn name_hash(name: &str) -> u64 {
     stable_hash(&[b"name", name.as_bytes()])
 }
+
+/// The bits that a process's hash is cut off by: 42 are left, six bytes in a
+/// beacon, so that among 4,700 upstreams hardly two are ever alike.
+const PROCESS_HASH_CUT: u32 = 22;
+
+/// Returns the hash under which beacons speak of one process of an upstream,
+/// which started at `born_ms` since the epoch.
+#[must_use]
+pub fn process_hash(id: &str, born_ms: u64) -> u64 {
+    stable_hash(&[b"process", id.as_bytes(), &born_ms.to_le_bytes()]) >> PROCESS_HASH_CUT
+}
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -94,6 +94,8 @@
 pub struct Rollout {
     engines: BTreeMap<Name, Stage>,
     paused: BTreeMap<Name, Time>,
+    /// How many engines may load at once by model, as of the last plan.
+    at_once: BTreeMap<Name, usize>,
 }
 
 /// Returns whether engines without the newest weights cannot be used much longer.
@@ -134,6 +136,7 @@
         let mut loads = Vec::new();
         for named in named {
             let at_once = at_once(upstreams, peers, named, now);
+            self.at_once.insert(Name::clone(&named.model), at_once);
             let emptying = self.engines.values().filter(|s| **s == Stage::Emptying);
             let room = at_once.saturating_sub(emptying.count());
             for row in self
@@ -154,18 +157,14 @@
         loads
     }
 
-    /// Returns whether another engine may begin to load.
+    /// Returns whether another engine of a model may begin to load, by the backlog
+    /// at the last plan.
     #[must_use]
-    pub fn may_load(
-        &self,
-        upstreams: &Upstreams,
-        peers: &Peers,
-        named: &NamedWeights,
-        now: Time,
-    ) -> bool {
+    pub fn may_load(&self, model: &str, now: Time) -> bool {
         let loading = |stage: &&Stage| matches!(stage, Stage::Loading { until } if now < *until);
         let loading = self.engines.values().filter(loading).count();
-        loading < at_once(upstreams, peers, named, now)
+        let at_once = self.at_once.get(model).copied();
+        loading < at_once.unwrap_or(AT_ONCE_LEAST)
     }
 
     /// Counts an engine as loading until `until`, or until its load has ended.
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -12,6 +12,7 @@
 use crate::beacon::UpstreamLoad;
 use crate::beacon::WeightsNews;
 use crate::beacon::name_hash;
+use crate::beacon::process_hash;
 use crate::health::Health;
 use crate::health::HealthOptions;
 use crate::health::Verdict;
@@ -139,9 +140,14 @@
 /// The doublings of that pause.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// The time for which beacons repeat who leaves and which orders were given.
+/// The time for which beacons repeat who leaves.
 const NEWS_TIME: Duration = Duration::from_secs(3);
 
+/// The time for which beacons repeat which weights were loaded: four beacons of a
+/// large fleet. Engines tell it too, and a rollout over many engines would fill
+/// the holder's link.
+const WEIGHTS_NEWS_TIME: Duration = Duration::from_millis(1_200);
+
 /// The time that upstreams get to appear again after an outage of the platform.
 pub const REAPPEAR_TIME: Duration = Duration::from_millis(2_200);
 
@@ -150,7 +156,7 @@
 pub struct Upstreams {
     options: HealthOptions,
     rows: BTreeMap<Name, Upstream>,
-    /// The ids by their hashes, under which beacons speak of upstreams.
+    /// The ids by the hashes under which beacons speak of processes.
     ids: HashMap<u64, Name>,
     leaving: Vec<(LeavingNews, Time)>,
 }
@@ -177,6 +183,8 @@
         }
         let held = self.rows.get_mut(&entry.id);
         let Some(row) = held.filter(|row| row.entry.born_ms == entry.born_ms) else {
+            // The process that was known under this id has ended.
+            self.take_row(&entry.id);
             let row = Upstream {
                 hash: name_hash(&entry.id),
                 health: Health::default(),
@@ -188,7 +196,8 @@
                 missing_since: None,
                 entry,
             };
-            self.ids.insert(row.hash, Name::clone(&row.entry.id));
+            self.ids
+                .insert(process(&row.entry), Name::clone(&row.entry.id));
             self.rows.insert(Name::clone(&row.entry.id), row);
             return;
         };
@@ -203,25 +212,32 @@
 
     /// Removes an upstream that has left.
     pub fn remove(&mut self, id: &str, now: Time) {
-        if let Some(row) = self.take_row(id) {
-            self.leaves(&row.entry, now);
+        let entry = self.rows.get(id).map(|row| row.entry.clone());
+        if let Some(entry) = entry {
+            self.leaves(&entry, now);
         }
+        self.take_row(id);
     }
 
     fn take_row(&mut self, id: &str) -> Option<Upstream> {
         let row = self.rows.remove(id)?;
-        self.ids.remove(&row.hash);
+        self.ids.remove(&process(&row.entry));
         Some(row)
     }
 
-    fn by_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
-        self.rows.get_mut(self.ids.get(&hash)?)
+    fn by_process(&mut self, process: u64) -> Option<&mut Upstream> {
+        self.rows.get_mut(self.ids.get(&process)?)
     }
 
+    /// Tells others that an upstream leaves, unless they told it.
     fn leaves(&mut self, entry: &UpstreamEntry, now: Time) {
+        let held = self.rows.get(&entry.id).map(|row| &row.entry);
+        let same = held.filter(|held| held.born_ms == entry.born_ms);
+        if same.is_some_and(|held| held.phase == Phase::Draining) {
+            return;
+        }
         let news = LeavingNews {
-            upstream: name_hash(&entry.id),
-            born_ms: entry.born_ms,
+            process: process(entry),
         };
         self.leaving
             .retain(|(known, at)| *known != news && now.since(*at) < NEWS_TIME);
@@ -241,8 +257,8 @@
     /// Takes what another instance tells of an upstream that leaves, and returns
     /// its id when that was not known.
     pub fn hear_leaving(&mut self, news: &LeavingNews) -> Option<Name> {
-        let row = self.by_hash(news.upstream)?;
-        if row.entry.born_ms != news.born_ms || row.entry.phase == Phase::Draining {
+        let row = self.by_process(news.process)?;
+        if row.entry.phase == Phase::Draining {
             return None;
         }
         row.entry.phase = Phase::Draining;
@@ -409,8 +425,7 @@
 
     /// Takes what another instance tells of weights.
     pub fn news(&mut self, news: &WeightsNews, now: Time) {
-        let row = self.by_hash(news.upstream);
-        let Some(row) = row.filter(|row| row.entry.born_ms == news.born_ms) else {
+        let Some(row) = self.by_process(news.process) else {
             return;
         };
         if let Some(model) = row.entry.weights.first().map(|w| Name::clone(&w.model)) {
@@ -423,11 +438,13 @@
     /// Returns what other instances should know of weights.
     #[must_use]
     pub fn weights_news(&self, now: Time) -> Vec<WeightsNews> {
-        let recent = |row: &&Upstream| row.announced.is_some_and(|at| now.since(at) < NEWS_TIME);
+        let recent = |row: &&Upstream| {
+            row.announced
+                .is_some_and(|at| now.since(at) < WEIGHTS_NEWS_TIME)
+        };
         let news = |row: &Upstream| {
             row.entry.weights.first().map(|w| WeightsNews {
-                upstream: row.hash,
-                born_ms: row.entry.born_ms,
+                process: process(&row.entry),
                 version: w.version,
                 away_ms: away_ms(row, now),
             })
@@ -447,6 +464,10 @@
     }
 }
 
+fn process(entry: &UpstreamEntry) -> u64 {
+    process_hash(&entry.id, entry.born_ms)
+}
+
 /// Weights of one process never go back, so that the highest version seen holds.
 fn learn(row: &mut Upstream, model: &str, version: u64) {
     let held = row.entry.weights.iter_mut().find(|w| &*w.model == model);
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -8,6 +8,7 @@
 use limpetsaddle_fleet::beacon::ServiceUse;
 use limpetsaddle_fleet::beacon::TeamUse;
 use limpetsaddle_fleet::beacon::WeightsNews;
+use limpetsaddle_fleet::beacon::process_hash;
 use limpetsaddle_fleet::configuration::CallerLimits;
 use limpetsaddle_fleet::configuration::Configuration;
 use limpetsaddle_fleet::configuration::KvStore;
@@ -27,6 +28,8 @@
 use limpetsaddle_fleet::retry_budget::RetryCount;
 use limpetsaddle_fleet::store_watch::StoreNews;
 use limpetsaddle_fleet::store_watch::StoreWatch;
+use limpetsaddle_fleet::upstreams::Phase;
+use limpetsaddle_fleet::upstreams::UpstreamEntry;
 use proptest::prelude::*;
 use support::Fleet;
 use support::MODEL;
@@ -214,10 +217,8 @@
 #[test]
 fn verify_only_the_holder_changes_who_is_away() {
     let mut fleet = Fleet::new(vec![engine(1, 1)]);
-    let hash = fleet.upstreams.get("e1").unwrap().hash;
     let news = |away_ms, version, born_ms| WeightsNews {
-        upstream: hash,
-        born_ms,
+        process: process_hash("e1", born_ms),
         version,
         away_ms,
     };
@@ -335,3 +336,49 @@
         prop_assert_eq!(ids, (0..count).collect::<Vec<_>>());
     }
 }
+
+#[test]
+fn verify_who_leaves_is_told_by_those_who_did_not_hear_of_it() {
+    let mut reader = Fleet::new(vec![engine(1, 1)]).upstreams;
+    let mut hearer = Fleet::new(vec![engine(1, 1)]).upstreams;
+    let draining = UpstreamEntry {
+        phase: Phase::Draining,
+        ..engine(1, 1)
+    };
+    reader.upsert(draining.clone(), at(100));
+    let news = reader.leaving_news(at(200));
+    assert_eq!(news.len(), 1);
+    assert!(hearer.hear_leaving(&news[0]).is_some());
+    hearer.upsert(draining, at(400));
+    hearer.remove("e1", at(500));
+    assert!(hearer.leaving_news(at(600)).is_empty());
+}
+
+/// The load: 140 engines load in two seconds, and one instance on a link of
+/// 10 Mbit/s tells 84 others of each.
+#[test]
+fn verify_a_rollout_over_many_engines_leaves_half_of_a_narrow_link() {
+    let started = |index| UpstreamEntry {
+        born_ms: 1_786_016_594_000,
+        ..engine(index, 1)
+    };
+    let mut fleet = Fleet::new((0..140).map(started).collect());
+    let mut most = 0;
+    for index in 0..140_u64 {
+        let now = at(index * 14);
+        // 28 are emptied while as many load.
+        for ahead in index..index + 56 {
+            let id = format!("e{ahead}");
+            fleet
+                .upstreams
+                .set_away(&id, Duration::from_millis(400), now);
+        }
+        let id = format!("e{index}");
+        fleet.upstreams.saw_weights(&id, MODEL, 2);
+        let mut beacon = Beacon::new("front-cutting-floor-11", 1, 1);
+        beacon.weights = fleet.upstreams.weights_news(now);
+        most = most.max(beacon.encode().unwrap().len());
+    }
+    let bytes_a_second = most * 84 * 10 / 3;
+    assert!(bytes_a_second <= 10_000_000 / 8 / 2, "{bytes_a_second}");
+}
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -47,14 +47,14 @@
     let first = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(0));
     assert_eq!(first.len(), 2);
     for load in &first {
-        assert!(rollout.may_load(&fleet.upstreams, &fleet.peers, &named[0], at(0)));
+        assert!(rollout.may_load(MODEL, at(0)));
         rollout.loading(&load.upstream, at(340));
     }
-    assert!(!rollout.may_load(&fleet.upstreams, &fleet.peers, &named[0], at(0)));
+    assert!(!rollout.may_load(MODEL, at(0)));
     // Two more are emptied meanwhile, and begin when the first have loaded.
     let second = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(100));
     assert_eq!(second.len(), 2);
-    assert!(rollout.may_load(&fleet.upstreams, &fleet.peers, &named[0], at(350)));
+    assert!(rollout.may_load(MODEL, at(350)));
 }
 
 #[test]
@@ -74,7 +74,7 @@
     assert_eq!(first.len(), 1);
     let in_a_hurry = rollout.plan(&fleet.upstreams, &fleet.peers, &named, at(3_000));
     assert_eq!(in_a_hurry.len(), 1);
-    assert!(rollout.may_load(&fleet.upstreams, &fleet.peers, &named[0], at(3_000)));
+    assert!(rollout.may_load(MODEL, at(3_000)));
 }
 
 #[test]
--- a/crates/router/src/fleet/beacons.rs
+++ b/crates/router/src/fleet/beacons.rs
@@ -1,5 +1,6 @@
 //! Beacons to and from the other instances.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,9 @@
 /// The largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
+/// The number of beacons that are sent at once.
+const AT_ONCE: usize = 21;
+
 /// The pause after an error of the socket, so that a lasting one costs little.
 const ERROR_PAUSE: Duration = Duration::from_millis(100);
 
@@ -103,13 +107,11 @@
     let mut sequence = 0;
     let mut heard = 0;
     loop {
-        let interval = instance.peers.borrow().interval();
-        if !stopping.pause(interval).await {
-            return;
-        }
         sequence += 1;
         heard = attend(&instance, heard);
-        send(&instance, &socket, sequence).await;
+        if !send(&instance, &socket, &stopping, sequence).await {
+            return;
+        }
     }
 }
 
@@ -126,26 +128,45 @@
     attendance.heard
 }
 
-async fn send(instance: &FleetInstance, socket: &UdpSocket, sequence: u64) {
-    let now = instance.now();
-    let addressees: Vec<_> = instance.peers.borrow().addressees(now).collect();
+/// Sends one beacon to all others, spread over the interval between two, and
+/// returns whether to go on.
+///
+/// The datagrams of a large fleet are as many bytes as a narrow link carries in a
+/// tenth of a second, for which answers to callers would wait.
+async fn send(
+    instance: &FleetInstance,
+    socket: &UdpSocket,
+    stopping: &Stopping,
+    sequence: u64,
+) -> bool {
+    let interval = instance.peers.borrow().interval();
+    // The stamps are taken here, as the age in the beacon counts from here too.
+    let addressees: Vec<_> = instance.peers.borrow().addressees(instance.now()).collect();
     if addressees.is_empty() {
-        return;
+        return stopping.pause(interval).await;
     }
     let mut beacon = beacon(instance, sequence);
-    for (address, echo_ms) in addressees {
-        beacon.echo_ms = echo_ms;
-        let datagram = match beacon.encode() {
-            Ok(datagram) => datagram,
-            Err(error) => {
-                warn!(error:display; "beacon not sent");
-                return;
+    let parts = addressees.chunks(AT_ONCE);
+    let pause = interval / u32::try_from(parts.len()).unwrap_or(u32::MAX);
+    for part in parts {
+        for (address, echo_ms) in part {
+            beacon.echo_ms = *echo_ms;
+            match beacon.encode() {
+                Ok(datagram) => send_to(socket, *address, datagram).await,
+                Err(error) => warn!(error:display; "beacon not sent"),
             }
-        };
-        if let (Err(error), _) = socket.send_to(datagram, address).await {
-            // The next beacon repeats everything.
-            log::debug!(address:display, error:display; "beacon not sent");
         }
+        if !stopping.pause(pause).await {
+            return false;
+        }
+    }
+    true
+}
+
+async fn send_to(socket: &UdpSocket, address: SocketAddr, datagram: Vec<u8>) {
+    if let (Err(error), _) = socket.send_to(datagram, address).await {
+        // The next beacon repeats everything.
+        log::debug!(address:display, error:display; "beacon not sent");
     }
 }
 
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -41,6 +41,10 @@
 /// The time between two looks at an engine that is being emptied or is loading.
 const POLL: Duration = Duration::from_millis(60);
 
+/// The longest time between two looks at an engine that is loading. An engine that
+/// carries orders out late is asked by one instance, which has many to ask.
+const LONGEST_POLL: Duration = Duration::from_millis(360);
+
 /// The age that a report may have.
 const REPORT_AGE: Duration = Duration::from_millis(250);
 
@@ -172,12 +176,11 @@
         let known = waited >= instance.peers.borrow().interval() * 2;
         let (turn, urgent) = {
             let upstreams = instance.upstreams.borrow();
-            let peers = instance.peers.borrow();
             let named = instance.named.borrow();
             let named = named.iter().find(|n| n.model == load.model)?;
-            let loads = instance.rollout.borrow();
             let urgent = rollout::is_urgent(&upstreams, named, now);
-            (loads.may_load(&upstreams, &peers, named, now), urgent)
+            let turn = instance.rollout.borrow().may_load(&load.model, now);
+            (turn, urgent)
         };
         let left = instance.retries_left(&service);
         let mode = rollout::switch_mode(requests, fragile, left, waited, urgent);
@@ -197,6 +200,7 @@
 async fn order_load(instance: &FleetInstance, load: &Load, mode: SwitchMode) -> bool {
     let started = instance.now();
     let mut ordered = None;
+    let mut poll = POLL;
     while instance.now().since(started) < LONGEST_LOAD {
         let report = match report(instance, load).await {
             Ok(report) => report,
@@ -217,7 +221,8 @@
                 .upstreams
                 .borrow_mut()
                 .set_away(&load.upstream, AWAY, instance.now());
-            monoio::time::sleep(POLL).await;
+            monoio::time::sleep(poll).await;
+            poll = LONGEST_POLL.min(poll * 2);
             continue;
         }
         let Some(fencing) = order_time(instance) else {
@@ -227,6 +232,7 @@
             Some(OrderAnswer::Accepted) => {
                 ordered = Some((report.orders, instance.now()));
                 accepted(instance, load, mode);
+                poll = POLL;
                 monoio::time::sleep(LOAD_TIME).await;
             }
             Some(OrderAnswer::InPlace) => {
