List anew after a pause when the history is gone again, and log what a try met

A trial that logged them: while the store drops its history, lists that may be old return a revision that the history lacks, so that the watch after them fails at once and everything is listed again, 4,300 times for each kind in ten seconds.

Change: a second time in a row is preceded by a pause that doubles, and asks for the newest list. A step of a watch is an enum.

"try failed" lines tell in `cause` what was seen. An answer's origin, the claim and the placement, is a type of its own, so that no stand-in answer is needed while a stream is resumed.

--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -58,6 +58,10 @@
 /// the store is away, so that its return has to be noticed soon.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// The longest pause before everything is listed once more when the history is
+/// gone again.
+const LONGEST_GONE_PAUSE: Duration = Duration::from_secs(2);
+
 /// Returns the pause after so many failed calls in a row, up to half of it drawn
 /// at random so that instances do not return together.
 fn pause(longest: Duration, failures: u32, random: u64) -> Duration {
@@ -120,13 +124,17 @@
 async fn follow<F: Follower>(instance: Rc<FleetInstance>, follower: F, stopping: Stopping) {
     let mut from = None;
     let mut failures = 0;
+    let mut gone = 0;
     while !stopping.is_closed() {
         // The task that confirms the configuration finds out when the store is back.
         if instance.store.is_failing() && failures > 0 {
             stopping.pause(RECHECK).await;
             continue;
         }
-        let pace = follower.pace();
+        let mut pace = follower.pace();
+        if gone > 1 {
+            pace.age = Age::Newest;
+        }
         let step = step(&instance, &follower, from, &pace);
         let Some(outcome) = until_urgent(&instance, &stopping, &follower, step).await else {
             failures += u32::from(instance.store.is_failing());
@@ -141,19 +149,36 @@
             continue;
         };
         failures = 0;
-        from = step.next;
-        if step.changed {
-            stopping.pause(pace.gathering).await;
+        match step {
+            Step::Listed { at } => from = Some(at),
+            Step::Watched { at, changed } => {
+                from = Some(at);
+                gone = 0;
+                if changed {
+                    stopping.pause(pace.gathering).await;
+                }
+            }
+            Step::HistoryGone => {
+                from = None;
+                gone += 1;
+                // A part of the store that lags lists what its history lacks.
+                if gone > 1 {
+                    let wait = pause(LONGEST_GONE_PAUSE, gone, instance.random.draw());
+                    stopping.pause(wait).await;
+                }
+            }
         }
     }
 }
 
 /// A `Step` is the outcome of one call.
-struct Step {
-    /// The revision from which to go on, or `None` to list everything again.
-    next: Option<u64>,
-    /// Whether anything had changed.
-    changed: bool,
+enum Step {
+    /// All objects were listed, as of a revision.
+    Listed { at: u64 },
+    /// A watch ended, with everything up to a revision.
+    Watched { at: u64, changed: bool },
+    /// The store dropped its history; everything has to be listed again.
+    HistoryGone,
 }
 
 async fn step<F: Follower>(
@@ -165,10 +190,7 @@
     let Some(from) = from else {
         let (objects, at) = instance.store.list(F::KIND, pace.age).await?;
         follower.listed(objects);
-        return Ok(Step {
-            next: Some(at),
-            changed: false,
-        });
+        return Ok(Step::Listed { at });
     };
     match instance
         .store
@@ -180,18 +202,13 @@
             for change in changes {
                 follower.changed(change);
             }
-            Ok(Step {
-                // An older answer may come from a part of the store that lags.
-                next: Some(at.max(from)),
-                changed,
-            })
+            // An older answer may come from a part of the store that lags.
+            let at = at.max(from);
+            Ok(Step::Watched { at, changed })
         }
         Watched::HistoryGone => {
             info!(kind = F::KIND, from; "the store dropped its history; listing again");
-            Ok(Step {
-                next: None,
-                changed: false,
-            })
+            Ok(Step::HistoryGone)
         }
     }
 }
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -39,6 +39,7 @@
 use super::instance::FleetInstance;
 use super::relay;
 use super::relay::Opened;
+use super::relay::Origin;
 use super::relay::Try;
 use crate::clock::millis;
 
@@ -210,19 +211,20 @@
             let placement = self.place()?;
             let mut claim = Claim::new(self.instance, &placement, self.work(&placement));
             let (outcome, limited) = self.try_at(&placement, &mut claim).await;
-            let (failure, answer) = match outcome {
-                Try::Opened(opened) => {
-                    return Ok(Opened {
-                        claim,
-                        placement,
-                        answer: opened,
-                    });
+            let (failure, cause, answer) = match outcome {
+                Try::Opened(answer) => {
+                    let origin = Origin { claim, placement };
+                    return Ok(Opened { origin, answer });
                 }
-                Try::Failed { failure, answer } => (failure, answer),
+                Try::Failed {
+                    failure,
+                    cause,
+                    answer,
+                } => (failure, cause, answer),
             };
             claim.verdict = self.verdict(failure, &placement, limited);
             drop(claim);
-            self.note_failure(failure, &placement);
+            self.note_failure(failure, &cause, &placement);
             let service = Name::clone(&self.service);
             let instance = self.instance;
             let now = instance.now();
@@ -233,9 +235,9 @@
                 (NextStep::Retry, _) => instance.metrics.retried(failure),
                 // An upstream's own failure is the answer where nothing else is.
                 (NextStep::GiveUp(_), Some(answer)) => {
+                    let claim = Claim::none(instance);
                     return Ok(Opened {
-                        claim: Claim::none(instance),
-                        placement,
+                        origin: Origin { claim, placement },
                         answer: relay::Answer::Whole(answer),
                     });
                 }
@@ -356,6 +358,7 @@
         } else {
             let silent = Try::Failed {
                 failure: Failure::Silent,
+                cause: format!("no answer within {} ms", limit.as_millis()),
                 answer: None,
             };
             (silent, limit < left)
@@ -388,7 +391,7 @@
         failure.verdict()
     }
 
-    fn note_failure(&mut self, failure: Failure, placement: &Placement) {
+    fn note_failure(&mut self, failure: Failure, cause: &str, placement: &Placement) {
         let upstream = &placement.upstream;
         if failure == Failure::TurnedAway {
             let now = self.instance.now();
@@ -403,6 +406,7 @@
         info!(
             id, upstream:display,
             failure = failure.code(),
+            cause,
             weights = placement.weights.unwrap_or_default(),
             sent = self.sent,
             after_ms = millis(after),
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -42,6 +42,8 @@
     Failed {
         /// How it failed.
         failure: Failure,
+        /// What was seen of it, for the log; empty where the failure says all.
+        cause: String,
         /// The upstream's own answer, where it reported the failure itself.
         answer: Option<Response<Bytes>>,
     },
@@ -51,6 +53,15 @@
     const fn failed(failure: Failure) -> Self {
         Self::Failed {
             failure,
+            cause: String::new(),
+            answer: None,
+        }
+    }
+
+    fn caused(failure: Failure, error: &limpetsaddle_http::Error) -> Self {
+        Self::Failed {
+            failure,
+            cause: error.to_string(),
             answer: None,
         }
     }
@@ -72,12 +83,18 @@
     ended: bool,
 }
 
-/// An `Opened` is an answer with the claim on the upstream that gives it.
-pub struct Opened {
+/// An `Origin` is the upstream that an answer comes from.
+pub struct Origin {
     /// The claim on the upstream.
     pub claim: Claim,
     /// Where the request went.
     pub placement: Placement,
+}
+
+/// An `Opened` is an answer that has begun.
+pub struct Opened {
+    /// Where it comes from.
+    pub origin: Origin,
     /// The answer.
     pub answer: Answer,
 }
@@ -95,11 +112,8 @@
     let client = &forwarding.instance.upstream_client;
     let res = match client.send(placement.address, req).await {
         Ok(res) => res,
-        Err(error) if error.not_sent() => return Try::failed(Failure::Unreachable),
-        Err(error) => {
-            log::debug!(error:display; "no answer");
-            return Try::failed(Failure::Broke);
-        }
+        Err(error) if error.not_sent() => return Try::caused(Failure::Unreachable, &error),
+        Err(error) => return Try::caused(Failure::Broke, &error),
     };
     let marks = headers::answer_marks(&res.head.headers);
     learn_weights(forwarding, placement, res.head.status, &marks);
@@ -167,8 +181,9 @@
     claim: &mut Claim,
 ) -> Try {
     let (head, read) = split(res);
-    let Ok(body) = read.collect(MAX_ANSWER_BYTES).await else {
-        return Try::failed(Failure::Broke);
+    let body = match read.collect(MAX_ANSWER_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return Try::caused(Failure::Broke, &error),
     };
     claim.first_event(placement);
     let status = head.status;
@@ -185,6 +200,7 @@
     if forwarding.accepted.route.kind.may_repeat() && status.is_server_error() {
         return Try::Failed {
             failure: Failure::Errored,
+            cause: status.to_string(),
             answer: Some(answer),
         };
     }
@@ -222,9 +238,8 @@
         splitter: EventSplitter::default(),
         ended: false,
     };
-    match stream.fill().await {
-        Ok(()) => {}
-        Err(_) => return Try::failed(Failure::Broke),
+    if let Err(error) = stream.fill().await {
+        return Try::caused(Failure::Broke, &error);
     }
     claim.first_event(placement);
     Try::Opened(Answer::Stream(Box::new(stream)))
@@ -266,16 +281,15 @@
     conn: &mut Connection,
     opened: Opened,
 ) -> Ended {
-    let mut opened = opened;
-    let answer = std::mem::replace(&mut opened.answer, Answer::Whole(Response::default()));
+    let Opened { origin, answer } = opened;
     match answer {
         Answer::Whole(res) => {
             let status = res.status().as_u16();
             let open = conn.respond(res).await.is_ok();
-            log_end(forwarding, &opened.placement, status, open, 0);
+            log_end(forwarding, &origin.placement, status, open, 0);
             Ended::Answered { open }
         }
-        Answer::Stream(stream) => relay_stream(forwarding, conn, opened, *stream).await,
+        Answer::Stream(stream) => relay_stream(forwarding, conn, origin, *stream).await,
     }
 }
 
@@ -310,7 +324,7 @@
 async fn relay_stream(
     forwarding: &mut Forwarding<'_>,
     conn: &mut Connection,
-    mut opened: Opened,
+    mut origin: Origin,
     mut stream: Stream,
 ) -> Ended {
     let first_event_ms = elapsed_ms(forwarding.instance, forwarding.accepted.arrived);
@@ -319,7 +333,7 @@
     let head = std::mem::take(&mut stream.head);
     let status = head.status().as_u16();
     if conn.start(head).await.is_err() {
-        log_end(forwarding, &opened.placement, status, false, first_event_ms);
+        log_end(forwarding, &origin.placement, status, false, first_event_ms);
         return Ended::Abandoned;
     }
     loop {
@@ -334,22 +348,22 @@
         };
         match end {
             CopyEnd::Complete => {
-                opened.claim.verdict = Some(Verdict::Answered);
+                origin.claim.verdict = Some(Verdict::Answered);
                 let open = conn.finish().await.is_ok();
-                log_end(forwarding, &opened.placement, status, open, first_event_ms);
+                log_end(forwarding, &origin.placement, status, open, first_event_ms);
                 return Ended::Answered { open };
             }
             CopyEnd::CallerLeft | CopyEnd::OutOfTime => {
-                log_end(forwarding, &opened.placement, status, false, first_event_ms);
+                log_end(forwarding, &origin.placement, status, false, first_event_ms);
                 return Ended::Abandoned;
             }
             CopyEnd::Broke(failure) => {
                 // The connection closes first, so that the engine stops.
                 drop(stream);
-                opened.claim.verdict = failure.verdict();
-                match resume(forwarding, conn, failure, opened).await {
+                origin.claim.verdict = failure.verdict();
+                match resume(forwarding, conn, failure, origin).await {
                     Some((next, next_stream)) => {
-                        opened = next;
+                        origin = next;
                         stream = next_stream;
                     }
                     None => return Ended::Abandoned,
@@ -412,10 +426,10 @@
     forwarding: &mut Forwarding<'_>,
     conn: &mut Connection,
     failure: Failure,
-    opened: Opened,
-) -> Option<(Opened, Stream)> {
-    forwarding.give_up_on(&opened.placement);
-    drop(opened);
+    origin: Origin,
+) -> Option<(Origin, Stream)> {
+    forwarding.give_up_on(&origin.placement);
+    drop(origin);
     let instance = forwarding.instance;
     let service = forwarding.service.clone();
     let step = forwarding
@@ -450,7 +464,7 @@
 async fn reopen(
     forwarding: &mut Forwarding<'_>,
     conn: &mut Connection,
-) -> Result<(Opened, Stream), Refusal> {
+) -> Result<(Origin, Stream), Refusal> {
     let opened = {
         let open = std::pin::pin!(forwarding.open());
         let closed = std::pin::pin!(conn.closed());
@@ -461,20 +475,8 @@
             }
         }
     };
-    let Opened {
-        claim,
-        placement,
-        answer,
-    } = opened;
-    match answer {
-        Answer::Stream(stream) => {
-            let opened = Opened {
-                claim,
-                placement,
-                answer: Answer::Whole(Response::default()),
-            };
-            Ok((opened, *stream))
-        }
+    match opened.answer {
+        Answer::Stream(stream) => Ok((opened.origin, *stream)),
         Answer::Whole(_) => Err(Refusal::new(Reason::UpstreamFailed)),
     }
 }
