Leave out a failure domain that cannot be reached after three tries

Ruled out: telling other instances, as one that is cut off itself would have all of them avoid what they reach.

Change: three different upstreams of a domain that cannot be reached, with no answer from there in between, take the whole domain out for 0.5 s, then for up to 2 s; also as a source of cached prompts.

Tests, the first failing before (17 tries instead of 3): a_domain_that_ cannot_be_reached_is_left_out_after_a_few_tries, single_crashes_do_not_take_ their_domain_out.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod placement;
 pub mod prompt;
+pub mod reach;
 pub mod refusal;
 pub mod retry_budget;
 pub mod rollout;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -102,7 +102,8 @@
     fn candidates(&self, service: &str) -> Vec<&'a Upstream> {
         let untried = |row: &&Upstream| !self.tried.contains(&row.entry.id);
         let all: Vec<_> = self.upstreams.of_service(service).filter(untried).collect();
-        let good = |row: &&&Upstream| !row.health.is_avoided(self.now) && !row.is_away(self.now);
+        let good =
+            |row: &&&Upstream| !self.upstreams.is_avoided(row, self.now) && !row.is_away(self.now);
         let best: Vec<_> = all.iter().filter(good).copied().collect();
         if best.is_empty() { all } else { best }
     }
--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -100,7 +100,7 @@
         let depths = around.directory.depths(&links, memory, around.now);
         let ranked = |depth: fn(&Depths) -> usize| {
             let usable = around.upstreams.of_service(req.service);
-            let usable = usable.filter(|row| !row.health.is_avoided(around.now));
+            let usable = usable.filter(|row| !around.upstreams.is_avoided(row, around.now));
             let holders = usable.filter_map(|row| {
                 let parts = depths.get(&row.hash).map(depth)?;
                 (parts > 0).then_some(Holder { parts, row })
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -206,7 +206,7 @@
         waiting.sort_by_cached_key(|row| {
             let elsewhere = loads.get(&row.hash).map_or(0, |load| load.requests);
             let version = row.weights(&named.model).unwrap_or_default();
-            let dark = row.health.is_avoided(now);
+            let dark = upstreams.is_avoided(row, now);
             (dark, version, row.own.requests + elsewhere)
         });
         waiting
@@ -236,7 +236,7 @@
 /// Returns the prompt tokens that wait at an engine on the average.
 fn backlog_tokens(upstreams: &Upstreams, peers: &Peers, model: &str, now: Time) -> u64 {
     let serving = upstreams.iter().filter(|row| {
-        row.weights(model).is_some() && row.takes_work() && !row.health.is_avoided(now)
+        row.weights(model).is_some() && row.takes_work() && !upstreams.is_avoided(row, now)
     });
     let loads = peers.loads(now);
     let waiting = |row: &Upstream| {
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -16,6 +16,7 @@
 use crate::health::Health;
 use crate::health::HealthOptions;
 use crate::health::Verdict;
+use crate::reach::Reach;
 
 /// A `Phase` is what an upstream says of its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -159,6 +160,7 @@
     /// The ids by the hashes under which beacons speak of processes.
     ids: HashMap<u64, Name>,
     leaving: Vec<(LeavingNews, Time)>,
+    reach: Reach,
 }
 
 impl Upstreams {
@@ -170,6 +172,7 @@
             rows: BTreeMap::new(),
             ids: HashMap::new(),
             leaving: Vec::new(),
+            reach: Reach::default(),
         }
     }
 
@@ -325,6 +328,13 @@
             .filter(move |row| &*row.entry.service == service && row.takes_work())
     }
 
+    /// Returns whether an upstream gets no requests while others remain: requests
+    /// failed there lately, or its whole failure domain cannot be reached.
+    #[must_use]
+    pub fn is_avoided(&self, row: &Upstream, now: Time) -> bool {
+        row.health.is_avoided(now) || self.reach.is_avoided(&row.entry.domain, now)
+    }
+
     /// Counts a request as sent to an upstream.
     pub fn start(&mut self, id: &str, work: Work, now: Time) -> Option<Ticket> {
         let row = self.rows.get_mut(id)?;
@@ -352,6 +362,7 @@
             return;
         };
         end_reading(row, ticket);
+        self.reach.reached(&row.entry.domain);
         row.refusals = 0;
         ticket.waiting_tokens = 0;
         ticket.is_long = false;
@@ -376,6 +387,9 @@
         if let Some(verdict) = verdict {
             row.health.record(verdict, &self.options, now);
         }
+        if verdict == Some(Verdict::Unreachable) {
+            self.reach.failed(&row.entry.domain, row.hash, now);
+        }
     }
 
     /// Records that another upstream answers at the address: the one that was
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -265,6 +265,69 @@
     }
 }
 
+/// The load: a cut between failure domains, beyond which every upstream would
+/// cost a request the time of an attempt to connect.
+#[test]
+fn verify_a_domain_that_cannot_be_reached_is_left_out_after_a_few_tries() {
+    let mut entries: Vec<_> = (0..20).map(|index| engine(index, 1)).collect();
+    for entry in &mut entries[2..] {
+        entry.domain = "b".into();
+    }
+    let mut fleet = Fleet::new(entries);
+    let beyond = |placement: &Placement| !["e0", "e1"].contains(&&*placement.upstream);
+    let mut failed = 0;
+    for request in 0..100 {
+        // Different prompts have different homes.
+        let sheet = format!("sheet-{request}");
+        let wanted = prompt(&[(&sheet, 3_800), ("own", 400)]);
+        let now = at(request * 4);
+        let placement = place(&fleet, &wanted, None, now).unwrap();
+        let id = &placement.upstream;
+        let mut ticket = fleet.upstreams.start(id, Work::default(), now).unwrap();
+        if beyond(&placement) {
+            failed += 1;
+            fleet
+                .upstreams
+                .finish(&ticket, Some(Verdict::Unreachable), now);
+        } else {
+            fleet.upstreams.first_event(&mut ticket, now);
+            fleet
+                .upstreams
+                .finish(&ticket, Some(Verdict::Answered), now);
+        }
+    }
+    assert_eq!(failed, 3);
+    // The cut has healed: one answer is enough, and one failure after it is no cut.
+    let now = at(1_000);
+    let row = fleet.upstreams.get("e9").unwrap();
+    assert!(!fleet.upstreams.is_avoided(row, now));
+    let mut ticket = fleet.upstreams.start("e9", Work::default(), now).unwrap();
+    fleet.upstreams.first_event(&mut ticket, now);
+    fleet
+        .upstreams
+        .finish(&ticket, Some(Verdict::Unreachable), now);
+    let other = fleet.upstreams.get("e10").unwrap();
+    assert!(!fleet.upstreams.is_avoided(other, now));
+}
+
+#[test]
+fn verify_single_crashes_do_not_take_their_domain_out() {
+    let mut fleet = Fleet::new((0..10).map(|index| engine(index, 1)).collect());
+    for round in 0..20_u64 {
+        let now = at(round * 50);
+        let (dead, alive) = (format!("e{}", round % 3), format!("e{}", 3 + round % 7));
+        for (id, verdict) in [(dead, Verdict::Unreachable), (alive, Verdict::Answered)] {
+            let mut ticket = fleet.upstreams.start(&id, Work::default(), now).unwrap();
+            if verdict == Verdict::Answered {
+                fleet.upstreams.first_event(&mut ticket, now);
+            }
+            fleet.upstreams.finish(&ticket, Some(verdict), now);
+        }
+        let other = fleet.upstreams.get("e9").unwrap();
+        assert!(!fleet.upstreams.is_avoided(other, now));
+    }
+}
+
 /// The load: an instance that has just started, while the fleet's engines and the
 /// store hold what was read before.
 #[test]
