--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -213,8 +213,8 @@
     for row in around.candidates(req.service) {
         let version = row.weights(model);
         let chain = chain_for(version, model, req, around, &mut chains);
-        let mut candidate = candidate(row, chain, req);
-        candidate.elsewhere = loads.get(&row.hash).copied().unwrap_or_default();
+        let elsewhere = loads.get(&row.hash).copied().unwrap_or_default();
+        let candidate = candidate(row, elsewhere, chain, req);
         let expected = expected_ms(&candidate, req, options);
         let Some(stale) = staleness(row, expected, req, options, around.now) else {
             continue;
@@ -272,6 +272,7 @@
 
 fn candidate<'a>(
     row: &'a Upstream,
+    elsewhere: UpstreamLoad,
     chain: Option<&SaltedChain<'_>>,
     req: &PromptRequest<'_>,
 ) -> Candidate<'a> {
@@ -282,7 +283,7 @@
     let fetched = source.map_or(0, |(depth, _)| tokens(depth).saturating_sub(tokens(own)));
     Candidate {
         row,
-        elsewhere: UpstreamLoad::default(),
+        elsewhere,
         version: chain.map(|chain| chain.version),
         held: tokens(own),
         fetched,
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -142,7 +142,7 @@
 const MAX_DOUBLINGS: u32 = 3;
 
 /// The time for which beacons repeat who leaves.
-const NEWS_TIME: Duration = Duration::from_secs(3);
+const LEAVING_NEWS_TIME: Duration = Duration::from_secs(3);
 
 /// The time for which beacons repeat which weights were loaded: four beacons of a
 /// large fleet. Engines tell it too, and a rollout over many engines would fill
@@ -243,7 +243,7 @@
             process: process(entry),
         };
         self.leaving
-            .retain(|(known, at)| *known != news && now.since(*at) < NEWS_TIME);
+            .retain(|(known, at)| *known != news && now.since(*at) < LEAVING_NEWS_TIME);
         self.leaving.push((news, now));
     }
 
@@ -253,7 +253,7 @@
         let recent = self
             .leaving
             .iter()
-            .filter(|(_, at)| now.since(*at) < NEWS_TIME);
+            .filter(|(_, at)| now.since(*at) < LEAVING_NEWS_TIME);
         recent.map(|(news, _)| *news).collect()
     }
 
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -149,11 +149,7 @@
 #[test]
 fn verify_parts_that_no_engine_holds_come_from_the_store() {
     let mut fleet = Fleet::new((1..=3).map(|i| engine(i, 1)).collect());
-    let store = KvStore {
-        address: ([10, 9, 9, 9], 80).into(),
-        memory_tokens: 700_000,
-        link_mbps: 170_000.0,
-    };
+    let store = kv_store();
     let first = place_with(&fleet, &sheet(), None, None, Some(&store), at(0)).unwrap();
     assert_eq!(first.cache.unwrap().save_to, Some(store.address));
     hold(&mut fleet, store_hash(store.address), &sheet(), 1, at(0));
