Let one piece of code serve where the fleet's daemon repeated the lone one

- running.rs counts requests in progress and waits for their end in a stop; both daemons had both.
- StoreClient::put is the conditional write that registrations and the tenure each encoded; note_store_call is what two loops did after a call.
- Removing an upstream cloned its entry to look up what it held; who leaves is told where the phase is known.
- The pace of a watch on upstreams decides once instead of three times.

--- a/.ci/weaken.py
+++ b/.ci/weaken.py
@@ -85,8 +85,8 @@
      "futures::future::Either::Right(_) => return CopyEnd::CallerLeft,",
      "futures::future::Either::Right(_) => continue,",
      "platform-wire", "serving", "work_ends_when_the_caller"),
-    ("a stop cuts what runs", "crates/router/src/fleet/run.rs",
-     "instance.running() > 0", "instance.running() > 9_999",
+    ("a stop cuts what runs", "crates/router/src/running.rs",
+     "count.get() > 0", "count.get() > 9_999",
      "platform-wire", "fleet", "planned_stop_cuts_no"),
     ("a daemon sends again what may have run", FLEET + "attempt.rs",
      "let repeatable = self.runs == 0 || self.kind.may_repeat();\n"
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -181,11 +181,12 @@
     /// A process that started anew knows nothing of before, so that nothing
     /// that was learned of the last one holds.
     pub fn upsert(&mut self, entry: UpstreamEntry, now: Time) {
-        if entry.phase == Phase::Draining {
-            self.leaves(&entry, now);
-        }
+        let leaves = entry.phase == Phase::Draining;
         let held = self.rows.get_mut(&entry.id);
         let Some(row) = held.filter(|row| row.entry.born_ms == entry.born_ms) else {
+            if leaves {
+                self.tell_leaving(process(&entry), now);
+            }
             // The process that was known under this id has ended.
             self.take_row(&entry.id);
             let row = Upstream {
@@ -204,6 +205,7 @@
             self.rows.insert(Name::clone(&row.entry.id), row);
             return;
         };
+        let is_news = leaves && row.entry.phase != Phase::Draining;
         let known = std::mem::take(&mut row.entry.weights);
         row.entry = entry;
         row.missing_since = None;
@@ -211,15 +213,20 @@
         for weights in known {
             learn(row, &weights.model, weights.version);
         }
+        if is_news {
+            let process = process(&row.entry);
+            self.tell_leaving(process, now);
+        }
     }
 
     /// Removes an upstream that has left.
     pub fn remove(&mut self, id: &str, now: Time) {
-        let entry = self.rows.get(id).map(|row| row.entry.clone());
-        if let Some(entry) = entry {
-            self.leaves(&entry, now);
+        // Who drains has been told of before.
+        if let Some(row) = self.take_row(id)
+            && row.entry.phase != Phase::Draining
+        {
+            self.tell_leaving(process(&row.entry), now);
         }
-        self.take_row(id);
     }
 
     fn take_row(&mut self, id: &str) -> Option<Upstream> {
@@ -232,16 +239,9 @@
         self.rows.get_mut(self.ids.get(&process)?)
     }
 
-    /// Tells others that an upstream leaves, unless they told it.
-    fn leaves(&mut self, entry: &UpstreamEntry, now: Time) {
-        let held = self.rows.get(&entry.id).map(|row| &row.entry);
-        let same = held.filter(|held| held.born_ms == entry.born_ms);
-        if same.is_some_and(|held| held.phase == Phase::Draining) {
-            return;
-        }
-        let news = LeavingNews {
-            process: process(entry),
-        };
+    /// Has others told that a process leaves.
+    fn tell_leaving(&mut self, process: u64, now: Time) {
+        let news = LeavingNews { process };
         self.leaving
             .retain(|(known, at)| *known != news && now.since(*at) < LEAVING_NEWS_TIME);
         self.leaving.push((news, now));
--- a/crates/router/src/controllers/ticks.rs
+++ b/crates/router/src/controllers/ticks.rs
@@ -58,7 +58,7 @@
     metrics.set(Level::LiveUpstreams, board.upstreams.live() as u64);
     metrics.set(Level::OwnedSlots, board.ledger.slots_owned() as u64);
     metrics.set(Level::Queued, board.queue.len() as u64);
-    metrics.set(Level::Running, instance.running());
+    metrics.set(Level::Running, instance.running().get());
 }
 
 /// Returns a span in whole milliseconds.
--- a/crates/router/src/fleet/answers.rs
+++ b/crates/router/src/fleet/answers.rs
@@ -8,12 +8,14 @@
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_platform_wire as wire;
 
+use crate::answers::document;
+
 /// Returns the answer that refuses the request with the caller's `id`.
 pub fn refusal(refusal: &Refusal, id: Option<&str>) -> Response<Bytes> {
     let code = refusal.reason.code();
-    let mut res = document(format!("{{\"error\":\"{code}\"}}").into());
     let status = StatusCode::from_u16(refusal.reason.status());
-    *res.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut res = document(status, format!("{{\"error\":\"{code}\"}}").into());
     if let Some(after) = refusal.retry_after {
         let seconds = format!("{:.2}", after.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
@@ -25,11 +27,3 @@
     }
     res
 }
-
-/// Returns an answer that holds a JSON document.
-pub fn document(body: Bytes) -> Response<Bytes> {
-    let mut res = Response::new(body);
-    let json = HeaderValue::from_static("application/json");
-    res.headers_mut().insert(header::CONTENT_TYPE, json);
-    res
-}
--- a/crates/router/src/fleet/follow.rs
+++ b/crates/router/src/fleet/follow.rs
@@ -12,12 +12,10 @@
 use std::time::Duration;
 
 use limpetsaddle_platform_wire::store::Age;
-use limpetsaddle_platform_wire::store::Call;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Object;
 use limpetsaddle_platform_wire::store::Watched;
 use log::info;
-use serde_json::value::RawValue;
 
 use self::configuration::ConfigurationFollower;
 use self::instances::InstanceFollower;
@@ -140,8 +138,7 @@
             failures += u32::from(instance.store.is_failing());
             continue;
         };
-        instance.store.note(outcome.as_ref().err(), instance.now());
-        instance.metrics.store_call(outcome.is_ok());
+        instance.note_store_call(&outcome);
         let Ok(step) = outcome else {
             failures += 1;
             let wait = pause(LONGEST_PAUSE, failures, instance.random.draw());
@@ -235,21 +232,3 @@
         futures::future::Either::Right(_) => None,
     }
 }
-
-/// Returns the call that creates an object, or replaces the one at `revision`.
-pub fn conditional<'a>(
-    kind: &'a str,
-    name: &'a str,
-    revision: Option<u64>,
-    spec: &'a RawValue,
-) -> Call<'a> {
-    match revision {
-        None => Call::Create { kind, name, spec },
-        Some(revision) => Call::Replace {
-            kind,
-            name,
-            revision,
-            spec,
-        },
-    }
-}
--- a/crates/router/src/fleet/follow/confirmation.rs
+++ b/crates/router/src/fleet/follow/confirmation.rs
@@ -41,8 +41,7 @@
             continue;
         }
         let outcome = read(&instance).await;
-        instance.store.note(outcome.as_ref().err(), instance.now());
-        instance.metrics.store_call(outcome.is_ok());
+        instance.note_store_call(&outcome);
         if outcome.is_ok() {
             failures = 0;
             stopping.pause(CONFIRM_EVERY).await;
--- a/crates/router/src/fleet/follow/instances.rs
+++ b/crates/router/src/fleet/follow/instances.rs
@@ -24,9 +24,7 @@
 use super::QUIET_GATHERING;
 use super::QUIET_WAIT;
 use super::RECHECK;
-use super::conditional;
 use super::pause;
-use crate::fleet::call::CallError;
 use crate::fleet::instance::FleetInstance;
 use crate::shutdown::Stopping;
 
@@ -166,14 +164,8 @@
         address: beacon_address(instance),
     };
     let name = &instance.settings.name;
-    let outcome = match serde_json::value::to_raw_value(&record) {
-        Ok(spec) => {
-            let call = conditional(wire::store::INSTANCES, name, revision, &spec);
-            instance.store.write(&call).await
-        }
-        Err(error) => Err(CallError::Wire(error.into())),
-    };
-    match outcome {
+    let kind = wire::store::INSTANCES;
+    match instance.store.put(kind, name, revision, &record).await {
         Ok(Written::Done(object)) => {
             info!(name:display, revision = object.revision; "registered");
             true
--- a/crates/router/src/fleet/follow/upstreams.rs
+++ b/crates/router/src/fleet/follow/upstreams.rs
@@ -72,22 +72,17 @@
         let now = self.0.now();
         let peers = self.0.peers.borrow();
         let reads_at_once = !peers.is_large() || peers.is_confirmer(now);
+        if reads_at_once {
+            return Pace {
+                wait: CHECKED_WAIT,
+                gathering: GATHERING,
+                age: Age::Newest,
+            };
+        }
         Pace {
-            wait: if reads_at_once {
-                CHECKED_WAIT
-            } else {
-                QUIET_WAIT
-            },
-            gathering: if reads_at_once {
-                GATHERING
-            } else {
-                LARGE_GATHERING
-            },
-            age: if reads_at_once {
-                Age::Newest
-            } else {
-                Age::Seconds
-            },
+            wait: QUIET_WAIT,
+            gathering: LARGE_GATHERING,
+            age: Age::Seconds,
         }
     }
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -36,11 +36,13 @@
 use limpetsaddle_http::ClientOptions;
 use log::info;
 
+use super::call::CallError;
 use super::metrics::Metrics;
 use super::store::StoreClient;
 use crate::clock::Random;
 use crate::clock::SuspendClock;
 use crate::errors::Result;
+use crate::running::RunningCount;
 use crate::shutdown::Stopping;
 
 /// The time before the bound for old weights by which a request has to begin at
@@ -102,7 +104,7 @@
     pub draining: Stopping,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     team_names: RefCell<HashMap<u64, Name>>,
-    running: Cell<u64>,
+    running: RunningCount,
     stop_began: Cell<Option<Time>>,
 }
 
@@ -155,7 +157,7 @@
             draining,
             budgets: RefCell::new(HashMap::new()),
             team_names: RefCell::new(HashMap::new()),
-            running: Cell::new(0),
+            running: RunningCount::default(),
             stop_began: Cell::new(None),
             settings,
         }))
@@ -222,6 +224,12 @@
             && self.freshness.borrow().wants_callers(now)
     }
 
+    /// Records the outcome of a call of the store.
+    pub fn note_store_call<T>(&self, outcome: &std::result::Result<T, CallError>) {
+        self.store.note(outcome.as_ref().err(), self.now());
+        self.metrics.store_call(outcome.is_ok());
+    }
+
     /// Returns whether another instance has got an answer of the store since this
     /// one lost it.
     pub fn is_told_of_store(&self) -> bool {
@@ -307,22 +315,7 @@
     }
 
     /// Returns the number of requests in progress.
-    pub const fn running(&self) -> u64 {
-        self.running.get()
-    }
-
-    /// Counts a request as in progress until the returned guard is dropped.
-    pub fn begin(self: &Rc<Self>) -> Running {
-        self.running.set(self.running.get() + 1);
-        Running(Rc::clone(self))
-    }
-}
-
-/// A `Running` counts a request as in progress for as long as it lives.
-pub struct Running(Rc<FleetInstance>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
+    pub const fn running(&self) -> &RunningCount {
+        &self.running
     }
 }
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -22,7 +22,6 @@
 use super::call::CallError;
 use super::call::call;
 use super::follow::TENURE_NAME;
-use super::follow::conditional;
 use super::follow::read_tenure;
 use super::instance::FleetInstance;
 use crate::clock::millis;
@@ -104,14 +103,11 @@
 }
 
 async fn write_tenure(instance: Rc<FleetInstance>, write: TenureWrite) {
-    let outcome = match serde_json::value::to_raw_value(&write.record) {
-        Ok(spec) => {
-            let kind = wire::store::TENURES;
-            let call = conditional(kind, TENURE_NAME, write.expected, &spec);
-            instance.store.write(&call).await
-        }
-        Err(error) => Err(wire::Error::from(error).into()),
-    };
+    let kind = wire::store::TENURES;
+    let written = instance
+        .store
+        .put(kind, TENURE_NAME, write.expected, &write.record);
+    let outcome = written.await;
     let now = instance.now();
     let fencing = write.record.fencing;
     let released = write.record.released;
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -25,6 +25,8 @@
 use crate::errors::Result;
 use crate::run::block_on;
 use crate::run::listen;
+use crate::running::DrainTimes;
+use crate::running::drain;
 use crate::shutdown::Reloads;
 use crate::shutdown::Signals;
 use crate::shutdown::Stopping;
@@ -38,9 +40,6 @@
 /// that arrive later than three seconds after the signal could not be finished.
 const LAME_DUCK: Duration = Duration::from_millis(2_100);
 
-/// The time between two looks at the requests in progress during a stop.
-const DRAIN_POLL: Duration = Duration::from_millis(50);
-
 /// The time before the end of the permitted stop at which the process ends.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
 
@@ -55,19 +54,24 @@
     block_on(async move {
         let mut signals = Signals::install()?;
         let reloads = Reloads::install()?;
-        let (drain, draining) = channel();
+        let (stopper, draining) = channel();
         let (end, ending) = channel();
         let (no_more, closed) = oneshot::channel();
         let instance = FleetInstance::new(settings, draining)?;
         start(&instance, &ending, closed)?;
         monoio::spawn(reload(Rc::clone(&instance), reloads, path));
         signals.next().await;
-        info!(running = instance.running(); "stopping");
+        info!(running = instance.running().get(); "stopping");
         instance.begin_stop();
-        drop(drain);
-        drain_requests(&instance, no_more).await;
+        drop(stopper);
+        let times = DrainTimes {
+            lame_duck: LAME_DUCK,
+            last_request: serve::LAST_REQUEST,
+            longest: instance.settings.bounds.stop.saturating_sub(STOP_MARGIN),
+        };
+        drain(instance.running(), times, || instance.now(), no_more).await;
         drop(end);
-        info!(running = instance.running(); "stopped");
+        info!(running = instance.running().get(); "stopped");
         Ok(())
     })
 }
@@ -143,20 +147,3 @@
         }
     }
 }
-
-/// Waits until every request in progress has ended, or the longest time has passed.
-async fn drain_requests(instance: &Rc<FleetInstance>, no_more: oneshot::Sender<()>) {
-    let started = instance.now();
-    let longest = instance.settings.bounds.stop.saturating_sub(STOP_MARGIN);
-    monoio::time::sleep(LAME_DUCK.min(longest)).await;
-    drop(no_more);
-    // Connections that were accepted last may be about to send a request.
-    monoio::time::sleep(serve::LAST_REQUEST).await;
-    while instance.running() > 0 {
-        if instance.now().since(started) >= longest {
-            warn!(running = instance.running(); "the longest time for a stop has passed");
-            return;
-        }
-        monoio::time::sleep(DRAIN_POLL).await;
-    }
-}
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -16,7 +16,7 @@
 use super::answers;
 use super::exchange;
 use super::instance::FleetInstance;
-use super::instance::Running;
+use crate::running::Running;
 
 /// The time that an open connection gets for one more request once the
 /// instance takes no new connections.
@@ -82,7 +82,7 @@
             return None;
         }
         futures::select_biased! {
-            ready = ready => return ready.then(|| instance.begin()),
+            ready = ready => return ready.then(|| instance.running().begin()),
             () = drain => break,
             () = check => {}
         }
@@ -92,7 +92,7 @@
     }
     // The caller has not been told that this connection ends, so that a stop
     // waits for one more request, but for none that it could not finish.
-    let running = instance.begin();
+    let running = instance.running().begin();
     let limit = LAST_REQUEST.min(instance.left_for_last_requests());
     let ready = monoio::time::timeout(limit, ready).await;
     ready.unwrap_or(false).then_some(running)
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -17,6 +17,7 @@
 use limpetsaddle_platform_wire::store::Written;
 use log::info;
 use log::warn;
+use serde::Serialize;
 
 use super::call;
 use super::call::CallError;
@@ -93,6 +94,27 @@
         Ok(wire::store::watched(status, &body)?)
     }
 
+    /// Creates an object, or replaces the one at `revision`.
+    pub async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        revision: Option<u64>,
+        content: &impl Serialize,
+    ) -> Result<Written, CallError> {
+        let spec = &serde_json::value::to_raw_value(content).map_err(wire::Error::from)?;
+        let call = match revision {
+            None => Call::Create { kind, name, spec },
+            Some(revision) => Call::Replace {
+                kind,
+                name,
+                revision,
+                spec,
+            },
+        };
+        self.write(&call).await
+    }
+
     /// Makes a call that writes.
     pub async fn write(&self, call: &Call<'_>) -> Result<Written, CallError> {
         let (status, body) = self.call(call, CALL_TIMEOUT).await?;
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -27,6 +27,7 @@
 use crate::errors::Result;
 use crate::metrics::Event;
 use crate::metrics::Metrics;
+use crate::running::RunningCount;
 use crate::settings::Settings;
 use crate::shutdown::Stopping;
 
@@ -57,7 +58,7 @@
     pub status_revision: Cell<Revision>,
     incarnation: Incarnation,
     requests: Cell<u64>,
-    running: Cell<u64>,
+    running: RunningCount,
     contact: Cell<Time>,
     peers_asked: Cell<bool>,
 }
@@ -100,7 +101,7 @@
             incarnation,
             status_revision: Cell::new(Revision::ABSENT),
             requests: Cell::new(0),
-            running: Cell::new(0),
+            running: RunningCount::default(),
             contact: Cell::new(Time::ZERO),
             peers_asked: Cell::new(false),
         }))
@@ -166,14 +167,8 @@
 
     /// Returns the number of requests in progress.
     #[must_use]
-    pub fn running(&self) -> u64 {
-        self.running.get()
-    }
-
-    /// Counts a request as in progress until the returned guard is dropped.
-    pub fn begin(self: &Rc<Self>) -> Running {
-        self.running.set(self.running.get() + 1);
-        Running(Rc::clone(self))
+    pub const fn running(&self) -> &RunningCount {
+        &self.running
     }
 
     /// Gives places to queued requests for as long as there are any.
@@ -191,12 +186,3 @@
         }
     }
 }
-
-/// A `Running` counts a request as in progress for as long as it lives.
-pub struct Running(Rc<Instance>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-    }
-}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod run;
+pub mod running;
 pub mod serve;
 pub mod settings;
 pub mod shutdown;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -32,6 +32,8 @@
 use crate::instance::Instance;
 use crate::metrics::Event;
 use crate::peers;
+use crate::running::DrainTimes;
+use crate::running::drain;
 use crate::serve;
 use crate::settings::Settings;
 use crate::shutdown::Signals;
@@ -42,9 +44,6 @@
 /// served, as the balancer learns of the stop with a delay.
 const LAME_DUCK: Duration = Duration::from_secs(2);
 
-/// The time between two looks at the requests in progress during a stop.
-const DRAIN_POLL: Duration = Duration::from_millis(50);
-
 /// The time that the last writes to the platform get during a stop.
 const FAREWELL: Duration = Duration::from_secs(2);
 
@@ -106,21 +105,26 @@
     settings: Settings,
     stop: impl Future<Output = H>,
 ) -> Result<()> {
-    let (drain, draining) = channel();
+    let (stopper, draining) = channel();
     let (end, ending) = channel();
     let (no_more, closed) = oneshot::channel();
     let instance = Instance::new(settings, draining)?;
     start(&instance, &ending, closed)?;
     let hurry = stop.await;
-    info!(running = instance.running(); "stopping");
-    drop(drain);
+    info!(running = instance.running().get(); "stopping");
+    drop(stopper);
     leave(&instance);
-    let drained = drain_requests(&instance, no_more);
+    let times = DrainTimes {
+        lame_duck: LAME_DUCK,
+        last_request: serve::LAST_REQUEST,
+        longest: instance.settings.drain,
+    };
+    let drained = drain(instance.running(), times, || instance.now(), no_more);
     let mut drained = std::pin::pin!(drained.fuse());
     let mut hurry = std::pin::pin!(hurry.hurry().fuse());
     futures::select_biased! {
         () = drained => {}
-        () = hurry => warn!(running = instance.running(); "stopping at once"),
+        () = hurry => warn!(running = instance.running().get(); "stopping at once"),
     }
     let farewell = async {
         slots::release(&instance).await;
@@ -211,19 +215,3 @@
         monoio::spawn(exchange::exchange_with(Rc::clone(instance), address));
     }
 }
-
-/// Waits until every request in progress has ended, or the longest time has passed.
-async fn drain_requests(instance: &Rc<Instance>, no_more: oneshot::Sender<()>) {
-    let started = instance.now();
-    monoio::time::sleep(LAME_DUCK.min(instance.settings.drain)).await;
-    drop(no_more);
-    // Connections that were accepted last may be about to send a request.
-    monoio::time::sleep(serve::LAST_REQUEST).await;
-    while instance.running() > 0 {
-        if instance.now().since(started) >= instance.settings.drain {
-            warn!(running = instance.running(); "the longest time for a stop has passed");
-            return;
-        }
-        monoio::time::sleep(DRAIN_POLL).await;
-    }
-}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -27,8 +27,8 @@
 use crate::answers;
 use crate::completion::Endpoint;
 use crate::instance::Instance;
-use crate::instance::Running;
 use crate::metrics::Event;
+use crate::running::Running;
 
 pub use self::admission::send as send_grant;
 pub use self::exchange::Caller;
@@ -71,12 +71,12 @@
     let mut ready = std::pin::pin!(conn.ready().fuse());
     let mut drain = std::pin::pin!(instance.draining.closed().fuse());
     futures::select_biased! {
-        ready = ready => return ready.then(|| instance.begin()),
+        ready = ready => return ready.then(|| instance.running().begin()),
         () = drain => {}
     }
     // The caller has not been told that this connection ends, so that a stop
     // waits for one more request.
-    let running = instance.begin();
+    let running = instance.running().begin();
     let ready = monoio::time::timeout(LAST_REQUEST, ready).await;
     ready.unwrap_or(false).then_some(running)
 }
--- a/crates/router/src/serve/claimed.rs
+++ b/crates/router/src/serve/claimed.rs
@@ -32,7 +32,7 @@
 use super::services::ServiceCall;
 use super::services::finish;
 use crate::instance::Instance;
-use crate::instance::Running;
+use crate::running::Running;
 
 /// The longest answer that is read for a claimed request, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -70,7 +70,7 @@
         Claimed::Finished(finish) => (finish, None),
     };
     if let Some(settlement) = finish.settlement {
-        let running = instance.begin();
+        let running = instance.running().begin();
         monoio::spawn(settle(Rc::clone(&instance), settlement, running));
     }
     match (finish.verdict, answer) {
