Load weights at the pace that ended loads show

Cause: the order giver assumed that a load takes 340 ms, one deployment's figure. Where it takes 1.2 s, loads were started on top of each other, slowed each other down, and 14 to 18 of 18 engines were away at once; requests went to engines that still loaded. Change: LoadPace learns the time of an undisturbed load and the number of loads from which they slow each other down; a load counts until the engine reports it; engines drain shortly before a place becomes free; whether there is time is judged engine by engine, oldest weights first, against the operators' bound. A load takes the engine to the version that is newest when the order is sent. A new order giver begins with the engines that others have reported as away.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod kv_store_monitor;
 pub mod lease;
 pub mod limits;
+pub mod load_pace;
 pub mod peers;
 pub mod placement;
 pub mod prompt;
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -1,16 +1,19 @@
 //! The order in which engines load new weights.
 //!
 //! An engine rejects requests while it loads, and more than a few concurrent loads slow
-//! each other down. The engines with the oldest weights load first, among these the
-//! least loaded ones.
+//! each other down. The number of concurrent loads follows the pace that ended loads show.
+//! The engines with the oldest weights load first, among these the least loaded ones.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
 
 use crate::Name;
+use crate::load_pace::LoadPace;
 use crate::peers::Peers;
 use crate::upstreams::Upstream;
 use crate::upstreams::Upstreams;
@@ -70,9 +73,12 @@
 /// elsewhere.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(900);
 
-/// One in this many engines of a service may load at the same time.
+/// One in this many engines of a model may load at the same time.
 const CONCURRENT_LOADS_DIVISOR: usize = 5;
 
+/// One in this many engines of a model loads at the same time before loads have ended.
+const FIRST_LOADS_DIVISOR: usize = 10;
+
 /// The minimum number of concurrent loads, unless a backlog slows loads down.
 const MIN_CONCURRENT_LOADS: usize = 2;
 
@@ -80,39 +86,51 @@
 /// once: its prefill takes about a tenth of a second.
 const LARGE_BACKLOG_TOKENS: u64 = 4_000;
 
-/// The time after a new target version in which loads may be slowed down for a backlog.
-/// One by one, ten engines take about as long again.
-const UNHURRIED_PERIOD: Duration = Duration::from_millis(2_500);
+/// The least slack, as a part of the time that loads are expected to take, with which they
+/// are slowed down for a backlog.
+const BACKLOG_SLACK: f64 = 0.25;
 
-/// The time after a new target version from which twice as many engines load at once,
-/// although that slows each load down: engines with old weights soon become unusable.
-const URGENT_AFTER: Duration = Duration::from_millis(3_800);
+/// The number of heartbeat intervals after which other instances send an engine no requests.
+pub const INFORMED_INTERVALS: u32 = 2;
 
 /// The pause after a failed load of an engine.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
+/// The time after its end for which a load counts in the concurrency of others.
+const SPAN_RETENTION: Duration = Duration::from_secs(30);
+
+/// The rollout's bounds in time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RolloutOptions {
+    /// The time after a new target version from which engines with old weights get no
+    /// requests.
+    pub max_weights_age: Duration,
+}
+
+impl Default for RolloutOptions {
+    fn default() -> Self {
+        Self {
+            max_weights_age: Duration::from_secs(6),
+        }
+    }
+}
+
 /// The engines that are draining or loading.
 #[derive(Debug, Default)]
 pub struct Rollout {
+    options: RolloutOptions,
     engines: BTreeMap<Name, Stage>,
     paused: BTreeMap<Name, Time>,
-    /// The number of concurrent loads by model, as of the last plan.
-    max_concurrent: BTreeMap<Name, usize>,
-}
-
-/// Returns whether engines with old weights will soon become unusable.
-#[must_use]
-pub fn is_urgent(upstreams: &Upstreams, target: &TargetWeights, now: Time) -> bool {
-    longest_outdated(upstreams, target, now) >= URGENT_AFTER
+    plans: BTreeMap<Name, Plan>,
+    paces: BTreeMap<Name, LoadPace>,
+    spans: VecDeque<LoadSpan>,
 }
 
-fn longest_outdated(upstreams: &Upstreams, target: &TargetWeights, now: Time) -> Duration {
-    let outdated_time = |row: &Upstream| target.outdated_for(row.weights(&target.model)?, now);
-    upstreams
-        .iter()
-        .filter_map(outdated_time)
-        .max()
-        .unwrap_or_default()
+/// The bounds on a model's loads, as of the last plan.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    concurrent: usize,
+    is_urgent: bool,
 }
 
 /// The progress of an engine.
@@ -122,7 +140,39 @@
     Loading { until: Time },
 }
 
+/// The time in which an engine has loaded weights.
+#[derive(Clone, Debug)]
+struct LoadSpan {
+    upstream: Name,
+    start: Time,
+    /// The expected end while the load runs, and then the observed one.
+    end: Time,
+    is_running: bool,
+}
+
+/// The way in which a load ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LoadEnd {
+    /// The engine has the weights; `since` is the moment of the report that first showed
+    /// them, if its delay counts into the load's time.
+    Loaded {
+        /// The moment of that report.
+        since: Option<Time>,
+    },
+    /// The engine doesn't have the weights.
+    Failed,
+}
+
 impl Rollout {
+    /// Returns a rollout without loads.
+    #[must_use]
+    pub fn new(options: RolloutOptions) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
     /// Returns whether any engine has older weights than the target.
     #[must_use]
     pub fn is_needed(upstreams: &Upstreams, targets: &[TargetWeights]) -> bool {
@@ -131,8 +181,8 @@
             .any(|n| outdated(upstreams, n).next().is_some())
     }
 
-    /// Returns the engines that start to drain now, so that one is always ready when
-    /// another one has loaded.
+    /// Returns the engines that start to drain now, so that they are ready when others have
+    /// loaded.
     pub fn plan(
         &mut self,
         upstreams: &Upstreams,
@@ -140,14 +190,24 @@
         targets: &[TargetWeights],
         now: Time,
     ) -> Vec<WeightsLoad> {
+        let drain_time = peers.heartbeat_interval() * INFORMED_INTERVALS;
         self.paused.retain(|_, until| now < *until);
+        self.spans
+            .retain(|span| span.is_running || now.since(span.end) < SPAN_RETENTION);
         let mut loads = Vec::new();
         for target in targets {
-            let max_concurrent = max_concurrent(upstreams, peers, target, now);
-            self.max_concurrent
-                .insert(Name::clone(&target.model), max_concurrent);
-            let draining = self.engines.values().filter(|s| **s == Stage::Draining);
-            let free = max_concurrent.saturating_sub(draining.count());
+            let plan = self.plan_model(upstreams, peers, target, now);
+            self.plans.insert(Name::clone(&target.model), plan);
+            // Draining takes a while, so engines begin before the running loads end.
+            let occupied = |s: &&Stage| match s {
+                Stage::Draining => true,
+                Stage::Loading { until } => now + drain_time < *until,
+            };
+            let occupied = self.engines.values().filter(occupied).count();
+            let pace = self.pace(&target.model);
+            let free = pace
+                .with_unreported(plan.concurrent)
+                .saturating_sub(occupied);
             for row in self
                 .pending(upstreams, peers, target, now)
                 .into_iter()
@@ -166,30 +226,192 @@
         loads
     }
 
-    /// Returns whether another engine may start to load a model, by the backlog at the last
-    /// plan.
+    /// Returns the bounds on a model's loads.
+    ///
+    /// During a backlog, missing engines hurt most, so fewer load at once while the expected
+    /// time leaves room for that. If the time is short, more engines than usual load at once
+    /// until loads are known to slow each other down.
+    fn plan_model(
+        &self,
+        upstreams: &Upstreams,
+        peers: &Peers,
+        target: &TargetWeights,
+        now: Time,
+    ) -> Plan {
+        let serving = upstreams
+            .iter()
+            .filter(|row| row.weights(&target.model).is_some())
+            .count();
+        let max = serving
+            .div_ceil(CONCURRENT_LOADS_DIVISOR)
+            .max(MIN_CONCURRENT_LOADS);
+        let start = serving
+            .div_ceil(FIRST_LOADS_DIVISOR)
+            .max(MIN_CONCURRENT_LOADS);
+        let pace = self.pace(&target.model);
+        let concurrent = pace.concurrent(start, max);
+        let slack = self.slack(upstreams, target, concurrent, now);
+        if slack.is_some_and(|slack| slack < 0.0) {
+            return Plan {
+                concurrent: if pace.knows_knee() {
+                    concurrent
+                } else {
+                    max * 2
+                },
+                is_urgent: true,
+            };
+        }
+        let is_early = slack.is_some_and(|slack| slack > BACKLOG_SLACK);
+        let is_slow = is_early
+            && backlog_tokens(upstreams, peers, &target.model, now) >= LARGE_BACKLOG_TOKENS;
+        Plan {
+            concurrent: if is_slow {
+                concurrent.div_ceil(2)
+            } else {
+                concurrent
+            },
+            is_urgent: false,
+        }
+    }
+
+    /// Returns the least time that is left after an engine's expected load and before its old
+    /// weights become unusable, as a part of the expected time; `None` if all have the
+    /// newest weights.
+    fn slack(
+        &self,
+        upstreams: &Upstreams,
+        target: &TargetWeights,
+        concurrent: usize,
+        now: Time,
+    ) -> Option<f64> {
+        let outdated_time = |row: &Upstream| target.outdated_for(row.weights(&target.model)?, now);
+        let mut ages: Vec<Duration> = outdated(upstreams, target)
+            .filter_map(outdated_time)
+            .collect();
+        // The oldest weights are replaced first.
+        ages.sort_by_key(|age| Reverse(*age));
+        let pace = self.pace(&target.model);
+        let slacks = ages.iter().enumerate().map(|(index, age)| {
+            let needed = pace.expected_total(index + 1, concurrent).as_secs_f64();
+            let left = self.options.max_weights_age.as_secs_f64() - age.as_secs_f64();
+            (left - needed) / needed.max(f64::EPSILON)
+        });
+        slacks.min_by(f64::total_cmp)
+    }
+
+    /// Returns whether engines with old weights are expected to become unusable before all
+    /// have loaded, by the last plan.
+    #[must_use]
+    pub fn is_urgent(&self, model: &str) -> bool {
+        self.plans.get(model).is_some_and(|plan| plan.is_urgent)
+    }
+
+    /// Returns whether another engine may start to load a model, by the last plan.
+    ///
+    /// A load counts until it is reported to have ended, so that loads which take longer
+    /// than expected don't add up.
     #[must_use]
-    pub fn may_load(&self, model: &str, now: Time) -> bool {
-        let loading = |stage: &&Stage| matches!(stage, Stage::Loading { until } if now < *until);
+    pub fn may_load(&self, model: &str) -> bool {
+        let loading = |stage: &&Stage| matches!(stage, Stage::Loading { .. });
         let loading = self.engines.values().filter(loading).count();
-        let max_concurrent = self.max_concurrent.get(model).copied();
-        loading < max_concurrent.unwrap_or(MIN_CONCURRENT_LOADS)
+        let concurrent = self.plans.get(model).map(|plan| plan.concurrent);
+        let concurrent = concurrent.unwrap_or(MIN_CONCURRENT_LOADS);
+        loading < self.pace(model).with_unreported(concurrent)
     }
 
-    /// Marks an engine as loading until the given time or [`Rollout::finish_load`].
+    /// Returns the pace of a model's loads.
+    #[must_use]
+    pub fn pace(&self, model: &str) -> LoadPace {
+        self.paces.get(model).copied().unwrap_or_default()
+    }
+
+    /// Marks an engine as loading until [`Rollout::finish_load`], which is expected at
+    /// `until`.
     pub fn mark_loading(&mut self, upstream: &str, until: Time) {
         if let Some(stage) = self.engines.get_mut(upstream) {
             *stage = Stage::Loading { until };
         }
+        let span = self
+            .spans
+            .iter_mut()
+            .find(|s| s.is_running && &*s.upstream == upstream);
+        if let Some(span) = span {
+            span.end = until;
+        }
     }
 
-    /// Records that a load has ended; `loaded` states whether it succeeded.
-    pub fn finish_load(&mut self, upstream: &str, loaded: bool, now: Time) {
-        if let Some((id, _)) = self.engines.remove_entry(upstream)
-            && !loaded
-        {
-            self.paused.insert(id, now + RETRY_PAUSE);
+    /// Records that an engine has accepted an order at `now`, and returns the time that its
+    /// load is expected to take, or `None` before loads have ended.
+    pub fn start_load(&mut self, load: &WeightsLoad, now: Time) -> Option<Duration> {
+        let is_loading = |span: &&LoadSpan| span.is_running && now < span.end;
+        let concurrent = self.spans.iter().filter(is_loading).count() + 1;
+        self.spans
+            .retain(|s| !s.is_running || s.upstream != load.upstream);
+        let expected = self.pace(&load.model).expected(concurrent);
+        self.spans.push_back(LoadSpan {
+            upstream: Name::clone(&load.upstream),
+            start: now,
+            end: now + expected.unwrap_or(self.options.max_weights_age),
+            is_running: true,
+        });
+        expected
+    }
+
+    /// Records the time after which a report showed an order that was accepted.
+    pub fn record_report_delay(&mut self, model: &Name, delay: Duration) {
+        let pace = self.paces.entry(Name::clone(model)).or_default();
+        pace.record_report_delay(delay);
+    }
+
+    /// Records that a load has ended.
+    pub fn finish_load(&mut self, load: &WeightsLoad, end: LoadEnd, now: Time) {
+        let was_planned = self.engines.remove(&load.upstream).is_some();
+        match end {
+            LoadEnd::Failed => {
+                self.spans
+                    .retain(|s| !s.is_running || s.upstream != load.upstream);
+                if was_planned {
+                    let until = now + RETRY_PAUSE;
+                    self.paused.insert(Name::clone(&load.upstream), until);
+                }
+            }
+            LoadEnd::Loaded { since } => self.end_span(load, since),
+        }
+    }
+
+    /// Ends the span of a load and learns from it.
+    fn end_span(&mut self, load: &WeightsLoad, since: Option<Time>) {
+        let running = |s: &LoadSpan| s.is_running && s.upstream == load.upstream;
+        let Some(at) = self.spans.iter().position(running) else {
+            return;
+        };
+        let Some(reported) = since else {
+            self.spans.remove(at);
+            return;
+        };
+        let pace = self.pace(&load.model);
+        let delay = pace.report_delay().unwrap_or_default();
+        let start = self.spans[at].start;
+        let end = start + reported.since(start).saturating_sub(delay);
+        self.spans[at].end = end;
+        self.spans[at].is_running = false;
+        let took = end.since(start);
+        if took.is_zero() {
+            return;
         }
+        let concurrent = self.mean_concurrency(start, end);
+        let pace = self.paces.entry(Name::clone(&load.model)).or_default();
+        pace.record_load(took, concurrent);
+    }
+
+    /// Returns the average number of loads that ran in a time.
+    fn mean_concurrency(&self, start: Time, end: Time) -> f64 {
+        let overlap = |span: &LoadSpan| {
+            let from = span.start.max(start);
+            span.end.min(end).since(from).as_secs_f64()
+        };
+        let sum: f64 = self.spans.iter().map(overlap).sum();
+        sum / end.since(start).as_secs_f64()
     }
 
     /// Returns whether any engine is draining or loading.
@@ -198,8 +420,9 @@
         !self.engines.is_empty()
     }
 
-    /// Returns the engines with old weights that may start to drain, the oldest weights first
-    /// and among equals the least loaded engine.
+    /// Returns the engines with old weights that may start to drain: first those that another
+    /// instance has drained or ordered to load, then the oldest weights, and among equals the
+    /// least loaded engine.
     fn pending<'a>(
         &self,
         upstreams: &'a Upstreams,
@@ -216,40 +439,13 @@
             let remote = loads.get(&row.hash).map_or(0, |load| load.requests);
             let version = row.weights(&target.model).unwrap_or_default();
             let avoided = upstreams.is_avoided(row, now);
-            (avoided, version, row.local_load.requests + remote)
+            let requests = row.local_load.requests + remote;
+            (avoided, !row.is_away(now), version, requests)
         });
         pending
     }
 }
 
-/// Returns the number of engines that may drain, and that may load, at the same time.
-///
-/// During a backlog, missing engines hurt most; as long as there is time, fewer load at
-/// once then.
-fn max_concurrent(
-    upstreams: &Upstreams,
-    peers: &Peers,
-    target: &TargetWeights,
-    now: Time,
-) -> usize {
-    let serving = upstreams
-        .iter()
-        .filter(|row| row.weights(&target.model).is_some());
-    let max_loads = serving
-        .count()
-        .div_ceil(CONCURRENT_LOADS_DIVISOR)
-        .max(MIN_CONCURRENT_LOADS);
-    let longest_time = longest_outdated(upstreams, target, now);
-    if longest_time >= URGENT_AFTER {
-        return max_loads * 2;
-    }
-    let backlog = backlog_tokens(upstreams, peers, &target.model, now);
-    if backlog >= LARGE_BACKLOG_TOKENS && longest_time < UNHURRIED_PERIOD {
-        return max_loads.div_ceil(2);
-    }
-    max_loads
-}
-
 /// Returns the average number of waiting prompt tokens per engine.
 fn backlog_tokens(upstreams: &Upstreams, peers: &Peers, model: &str, now: Time) -> u64 {
     let serving = upstreams.iter().filter(|row| {
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -102,6 +102,7 @@
     /// The moving average of the ratio of observed to expected time to the first event.
     pub slowness: f64,
     paused_until: Option<Time>,
+    away_until: Option<Time>,
     rejections: u32,
     paused_at: Option<Time>,
     missing_since: Option<Time>,
@@ -122,6 +123,13 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether another instance has reported that the upstream loads weights or is
+    /// about to.
+    #[must_use]
+    pub fn is_away(&self, now: Time) -> bool {
+        self.away_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether the upstream accepts new requests; its health does not matter.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
@@ -196,6 +204,7 @@
                 local_load: UpstreamLoad::default(),
                 slowness: 1.0,
                 paused_until: None,
+                away_until: None,
                 rejections: 0,
                 paused_at: None,
                 missing_since: None,
@@ -454,6 +463,7 @@
         }
         let pause = Duration::from_millis(u64::from(update.away_ms));
         row.paused_until = (!pause.is_zero()).then_some(now + pause);
+        row.away_until = row.paused_until;
     }
 
     /// Returns the recent changes of weights for heartbeats.
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use limpetsaddle_fleet::rollout::LoadEnd;
 use limpetsaddle_fleet::rollout::Rollout;
 use limpetsaddle_fleet::rollout::SwitchMode;
 use limpetsaddle_fleet::rollout::switch_mode;
@@ -50,14 +51,22 @@
     let first = rollout.plan(&fleet.upstreams, &fleet.peers, &targets, at(0));
     assert_eq!(first.len(), 2);
     for load in &first {
-        assert!(rollout.may_load(MODEL, at(0)));
+        assert!(rollout.may_load(MODEL));
         rollout.mark_loading(&load.upstream, at(340));
     }
-    assert!(!rollout.may_load(MODEL, at(0)));
-    // Two more drain meanwhile, and load when the first two have loaded.
-    let second = rollout.plan(&fleet.upstreams, &fleet.peers, &targets, at(100));
+    assert!(!rollout.may_load(MODEL));
+    // Two more drain shortly before the first two are expected to have loaded, and load once
+    // these have.
+    let early = rollout.plan(&fleet.upstreams, &fleet.peers, &targets, at(100));
+    assert!(early.is_empty());
+    let second = rollout.plan(&fleet.upstreams, &fleet.peers, &targets, at(150));
     assert_eq!(second.len(), 2);
-    assert!(rollout.may_load(MODEL, at(350)));
+    assert!(!rollout.may_load(MODEL));
+    for load in &first {
+        let end = LoadEnd::Loaded { since: None };
+        rollout.finish_load(load, end, at(350));
+    }
+    assert!(rollout.may_load(MODEL));
 }
 
 #[test]
@@ -77,7 +86,7 @@
     assert_eq!(first.len(), 1);
     let urgent = rollout.plan(&fleet.upstreams, &fleet.peers, &targets, at(3_000));
     assert_eq!(urgent.len(), 1);
-    assert!(rollout.may_load(MODEL, at(3_000)));
+    assert!(rollout.may_load(MODEL));
 }
 
 #[test]
@@ -98,7 +107,7 @@
     let load = rollout
         .plan(&fleet.upstreams, &fleet.peers, &targets, at(0))
         .remove(0);
-    rollout.finish_load(&load.upstream, false, at(100));
+    rollout.finish_load(&load, LoadEnd::Failed, at(100));
     let soon = rollout.plan(&fleet.upstreams, &fleet.peers, &targets, at(200));
     assert!(soon.is_empty());
     let later = rollout.plan(&fleet.upstreams, &fleet.peers, &targets, at(600));
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -20,7 +20,6 @@
 use limpetsaddle_fleet::lease::LeaseOptions;
 use limpetsaddle_fleet::lease::OrderLease;
 use limpetsaddle_fleet::limits::Limits;
-use limpetsaddle_fleet::limits::PeerCounts;
 use limpetsaddle_fleet::limits::TeamLimit;
 use limpetsaddle_fleet::peers::PeerOptions;
 use limpetsaddle_fleet::peers::Peers;
@@ -29,6 +28,7 @@
 use limpetsaddle_fleet::retry_budget::RetryBudget;
 use limpetsaddle_fleet::retry_budget::RetryBudgetOptions;
 use limpetsaddle_fleet::rollout::Rollout;
+use limpetsaddle_fleet::rollout::RolloutOptions;
 use limpetsaddle_fleet::settings::FleetSettings;
 use limpetsaddle_fleet::upstreams::Upstreams;
 use limpetsaddle_fleet::weights::TargetWeights;
@@ -147,7 +147,9 @@
                 LeaseOptions::for_handover(bounds.order_handover),
                 now,
             )),
-            rollout: RefCell::new(Rollout::default()),
+            rollout: RefCell::new(Rollout::new(RolloutOptions {
+                max_weights_age: placement.old_weights_max_age,
+            })),
             placement,
             draining,
             budgets: RefCell::new(HashMap::new()),
@@ -191,7 +193,7 @@
     /// count from the beginning.
     fn create_budgets(&self, configuration: &Configuration) {
         for service in configuration.services() {
-            self.with_budget(&service.name, |_, _| ());
+            self.with_budget(&service.name, |_| ());
         }
     }
 
@@ -240,20 +242,22 @@
     /// Counts the first attempt of a request to a service.
     pub fn count_request(&self, service: &Name) {
         let now = self.now();
-        self.with_budget(service, |budget, _| budget.record_request(now));
+        self.with_budget(service, |budget| budget.record_request(now));
     }
 
     /// Withdraws a retry from a service's budget, and returns whether one was
     /// available.
     pub fn withdraw_retry(&self, service: &Name) -> bool {
         let now = self.now();
-        self.with_budget(service, |budget, counts| budget.try_withdraw(counts, now))
+        let counts = self.peers.borrow().peer_counts(now);
+        self.with_budget(service, |budget| budget.try_withdraw(counts, now))
     }
 
     /// Returns the number of retries available at a service.
     pub fn available_retries(&self, service: &Name) -> f64 {
         let now = self.now();
-        self.with_budget(service, |budget, counts| budget.remaining(counts, now))
+        let counts = self.peers.borrow().peer_counts(now);
+        self.with_budget(service, |budget| budget.remaining(counts, now))
     }
 
     /// Counts the requests that a peer has sent to a service.
@@ -268,7 +272,7 @@
         // A service that is not configured here gets no retries either.
         if let Some(service) = service {
             let now = self.now();
-            self.with_budget(&service, |budget, _| budget.record(report.count, now));
+            self.with_budget(&service, |budget| budget.record(report.count, now));
         }
     }
 
@@ -284,12 +288,7 @@
         usage.collect()
     }
 
-    fn with_budget<T>(
-        &self,
-        service: &Name,
-        operation: impl FnOnce(&mut RetryBudget, PeerCounts) -> T,
-    ) -> T {
-        let counts = self.peers.borrow().peer_counts(self.now());
+    fn with_budget<T>(&self, service: &Name, operation: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let bounds = &self.settings.bounds;
         let options = RetryBudgetOptions {
             ratio: bounds.retry_ratio,
@@ -300,7 +299,7 @@
         let budget = budgets
             .entry(Name::clone(service))
             .or_insert_with(|| RetryBudget::new(options));
-        operation(budget, counts)
+        operation(budget)
     }
 
     /// Records a sign of life of a KV store, observed here or by a peer.
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -8,6 +8,7 @@
 use limpetsaddle_fleet::lease::LeaseWrite;
 use limpetsaddle_fleet::lease::LeaseWriteResult;
 use limpetsaddle_fleet::rollout;
+use limpetsaddle_fleet::rollout::LoadEnd;
 use limpetsaddle_fleet::rollout::Rollout;
 use limpetsaddle_fleet::rollout::SwitchMode;
 use limpetsaddle_fleet::rollout::WeightsLoad;
@@ -33,10 +34,6 @@
 /// The timeout for reports and orders.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The time that an engine takes to load weights, from the users' engine data
-/// sheets.
-const LOAD_TIME: Duration = Duration::from_millis(340);
-
 /// The time between two polls of an engine that is draining or loading.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -44,15 +41,16 @@
 /// instance polls all engines, including those that execute orders late.
 const MAX_POLL_INTERVAL: Duration = Duration::from_millis(360);
 
-/// The longest delay with which a report reflects the engine's state.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(250);
+/// The time after which a report that doesn't show an accepted order proves that
+/// the engine has lost it.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 
 /// The time for which other instances avoid an engine that is draining,
 /// renewed with each poll.
 const REQUEST_PAUSE: Duration = Duration::from_millis(400);
 
-/// The longest time for one engine, including its running requests.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// The shortest timeout for one engine, including its running requests.
+const MIN_LOAD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Loads the target weights until the instance stops.
 pub async fn run(instance: Rc<FleetInstance>, stopping: Stopping) {
@@ -138,18 +136,31 @@
 }
 
 /// Drains one engine and orders it to load weights.
-async fn load_weights(instance: Rc<FleetInstance>, load: WeightsLoad) {
+async fn load_weights(instance: Rc<FleetInstance>, mut load: WeightsLoad) {
     let started = instance.now();
-    let loaded = match drain(&instance, &load).await {
-        Some(mode) => order_load(&instance, &load, mode).await,
-        None => false,
+    let end = match drain(&instance, &load).await {
+        Some(mode) => order_load(&instance, &mut load, mode).await,
+        None => LoadEnd::Failed,
     };
     let now = instance.now();
     let took_ms = millis(now.since(started));
     let version = load.version;
-    info!(upstream:display = load.upstream, version, loaded, took_ms; "weights load ended");
+    let loaded = end != LoadEnd::Failed;
     let mut rollout = instance.rollout.borrow_mut();
-    rollout.finish_load(&load.upstream, loaded, now);
+    rollout.finish_load(&load, end, now);
+    let pace = rollout.pace(&load.model);
+    let expected_ms = millis(pace.expected(1).unwrap_or_default());
+    info!(
+        upstream:display = load.upstream, version, loaded, took_ms, expected_ms,
+        may_load = rollout.may_load(&load.model);
+        "weights load ended"
+    );
+}
+
+/// Returns the timeout for one engine, including its running requests.
+fn load_timeout(instance: &FleetInstance) -> Duration {
+    let bound = instance.settings.bounds.max_weights_age;
+    bound.max(MIN_LOAD_TIMEOUT)
 }
 
 /// Keeps new requests away from an engine until its load can begin, and returns
@@ -169,79 +180,97 @@
             let fragile = row.local_load.fragile + peers_load.fragile;
             (requests, fragile, row.entry.service.clone())
         };
-        // Heartbeats have reached the peers after one or two intervals.
-        let peers_informed = waited >= instance.peers.borrow().heartbeat_interval() * 2;
+        let interval = instance.peers.borrow().heartbeat_interval();
+        let peers_informed = waited >= interval * rollout::INFORMED_INTERVALS;
         let (may_load, urgent) = {
-            let upstreams = instance.upstreams.borrow();
-            let targets = instance.target_weights.borrow();
-            let target = targets.iter().find(|t| t.model == load.model)?;
-            let urgent = rollout::is_urgent(&upstreams, target, now);
-            let may_load = instance.rollout.borrow().may_load(&load.model, now);
-            (may_load, urgent)
+            let rollout = instance.rollout.borrow();
+            let may_load = rollout.may_load(&load.model);
+            (may_load, rollout.is_urgent(&load.model))
         };
         let retries = instance.available_retries(&service);
         let mode = rollout::switch_mode(requests, fragile, retries, waited, urgent);
         if let Some(mode) = mode.filter(|_| may_load && peers_informed) {
-            let until = now + LOAD_TIMEOUT;
+            let until = now + load_timeout(instance);
             instance
                 .rollout
                 .borrow_mut()
                 .mark_loading(&load.upstream, until);
             return Some(mode);
         }
-        if waited > LOAD_TIMEOUT {
+        if waited > load_timeout(instance) {
             return None;
         }
         monoio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-/// Orders a load, waits for it and returns whether the engine has the weights.
-async fn order_load(instance: &FleetInstance, load: &WeightsLoad, mode: SwitchMode) -> bool {
+/// An order that an engine has accepted.
+struct AcceptedOrder {
+    /// The number of orders that the engine had accepted before.
+    orders_before: u64,
+    at: Time,
+    /// Whether the load began at once, as no running requests had to end first.
+    starts_at_once: bool,
+}
+
+/// Orders a load, waits until the engine reports the weights and returns how the
+/// load ended.
+async fn order_load(instance: &FleetInstance, load: &mut WeightsLoad, mode: SwitchMode) -> LoadEnd {
     let started = instance.now();
-    let mut ordered = None;
+    let mut accepted: Option<AcceptedOrder> = None;
     let mut poll = POLL_INTERVAL;
-    while instance.now().since(started) < LOAD_TIMEOUT {
+    while instance.now().since(started) < load_timeout(instance) {
         let report = match fetch_report(instance, load).await {
             Ok(report) => report,
             Err(error) => {
                 warn!(upstream:display = load.upstream, error:display; "cannot get the engine's report");
-                return false;
+                return LoadEnd::Failed;
             }
         };
+        let now = instance.now();
         if is_successor(instance, load, &report) {
             instance
                 .upstreams
                 .borrow_mut()
                 .mark_replaced(&load.upstream);
-            return false;
+            return LoadEnd::Failed;
+        }
+        if let Some(order) = &accepted {
+            observe_report_delay(instance, load, &report, order);
         }
         if has_loaded(instance, load, &report) {
-            return true;
+            let mut upstreams = instance.upstreams.borrow_mut();
+            upstreams.pause_requests(&load.upstream, Duration::ZERO, now);
+            let measured = accepted.filter(|order| order.starts_at_once);
+            return LoadEnd::Loaded {
+                since: measured.map(|_| now),
+            };
         }
-        if report.is_busy || is_outdated(&report, ordered, instance.now()) {
-            instance.upstreams.borrow_mut().pause_requests(
-                &load.upstream,
-                REQUEST_PAUSE,
-                instance.now(),
-            );
+        if report.is_busy || is_outdated(&report, accepted.as_ref(), now) {
+            extend_load(instance, load, now);
             monoio::time::sleep(poll).await;
             poll = MAX_POLL_INTERVAL.min(poll * 2);
             continue;
         }
         let Some(fencing) = order_fencing(instance) else {
-            return false;
+            return LoadEnd::Failed;
         };
+        load.version = newest_version(instance, load);
         match send_order(instance, load, &report, mode, fencing).await {
             Some(OrderResult::Accepted) => {
-                ordered = Some((report.accepted_orders, instance.now()));
-                on_accepted(instance, load, mode);
+                let at = instance.now();
+                accepted = Some(AcceptedOrder {
+                    orders_before: report.accepted_orders,
+                    at,
+                    starts_at_once: starts_at_once(instance, load, mode),
+                });
+                let wait = on_accepted(instance, load, mode);
                 poll = POLL_INTERVAL;
-                monoio::time::sleep(LOAD_TIME).await;
+                monoio::time::sleep(wait).await;
             }
             Some(OrderResult::AlreadyLoaded) => {
                 record_weights(instance, load, load.version);
-                return true;
+                return LoadEnd::Loaded { since: None };
             }
             Some(OrderResult::Conflict) | None => monoio::time::sleep(POLL_INTERVAL).await,
             Some(OrderResult::Misdirected) => {
@@ -249,12 +278,60 @@
                     .upstreams
                     .borrow_mut()
                     .mark_replaced(&load.upstream);
-                return false;
+                return LoadEnd::Failed;
             }
-            Some(OrderResult::Fenced | OrderResult::UnknownWeights) => return false,
+            Some(OrderResult::Fenced | OrderResult::UnknownWeights) => return LoadEnd::Failed,
         }
     }
-    false
+    LoadEnd::Failed
+}
+
+/// Keeps requests away from an engine that still loads, and counts it as loading
+/// until the next report.
+fn extend_load(instance: &FleetInstance, load: &WeightsLoad, now: Time) {
+    let mut upstreams = instance.upstreams.borrow_mut();
+    upstreams.pause_requests(&load.upstream, REQUEST_PAUSE, now);
+    let mut rollout = instance.rollout.borrow_mut();
+    rollout.mark_loading(&load.upstream, now + REQUEST_PAUSE);
+}
+
+/// Returns the newest target version, which may have changed while the engine
+/// drained.
+fn newest_version(instance: &FleetInstance, load: &WeightsLoad) -> u64 {
+    let targets = instance.target_weights.borrow();
+    let target = targets.iter().find(|t| t.model == load.model);
+    target.map_or(load.version, |target| load.version.max(target.newest()))
+}
+
+/// Returns whether a load begins as soon as its order is accepted.
+fn starts_at_once(instance: &FleetInstance, load: &WeightsLoad, mode: SwitchMode) -> bool {
+    if mode != SwitchMode::AfterRuns {
+        return true;
+    }
+    let upstreams = instance.upstreams.borrow();
+    let Some(row) = upstreams.get(&load.upstream) else {
+        return false;
+    };
+    let remote = instance
+        .peers
+        .borrow()
+        .remote_load(row.hash, instance.now());
+    row.local_load.requests + remote.requests == 0
+}
+
+/// Learns the delay of reports from the first one that shows the order.
+fn observe_report_delay(
+    instance: &FleetInstance,
+    load: &WeightsLoad,
+    report: &Report,
+    order: &AcceptedOrder,
+) {
+    let mut rollout = instance.rollout.borrow_mut();
+    let is_first = rollout.pace(&load.model).report_delay().is_none();
+    if is_first && report.accepted_orders > order.orders_before {
+        let delay = instance.now().since(order.at);
+        rollout.record_report_delay(&load.model, delay);
+    }
 }
 
 /// Returns whether a report comes from a process that has replaced the engine at
@@ -267,23 +344,34 @@
 }
 
 /// Returns whether a report may be older than the last accepted order.
-fn is_outdated(report: &Report, ordered: Option<(u64, Time)>, now: Time) -> bool {
-    ordered.is_some_and(|(orders, at)| {
-        report.accepted_orders <= orders && now.since(at) < LOAD_TIME + MAX_REPORT_AGE
+fn is_outdated(report: &Report, accepted: Option<&AcceptedOrder>, now: Time) -> bool {
+    accepted.is_some_and(|order| {
+        report.accepted_orders <= order.orders_before && now.since(order.at) < MAX_REPORT_AGE
     })
 }
 
-/// Lets the next engine begin at the expected end of this load.
-fn on_accepted(instance: &FleetInstance, load: &WeightsLoad, mode: SwitchMode) {
+/// Records that a load has begun, and returns the time until its next report is
+/// worth reading.
+///
+/// The engine gets requests again at the expected end.
+fn on_accepted(instance: &FleetInstance, load: &WeightsLoad, mode: SwitchMode) -> Duration {
+    let now = instance.now();
+    let mut rollout = instance.rollout.borrow_mut();
+    let expected = rollout.start_load(load, now);
+    let delay = rollout.pace(&load.model).report_delay();
     if mode == SwitchMode::AfterRuns {
-        return;
+        return POLL_INTERVAL;
     }
-    let now = instance.now();
     let mut upstreams = instance.upstreams.borrow_mut();
-    upstreams.pause_requests(&load.upstream, LOAD_TIME, now);
     upstreams.observe_weights(&load.upstream, &load.model, load.version);
-    let mut rollout = instance.rollout.borrow_mut();
-    rollout.mark_loading(&load.upstream, now + LOAD_TIME);
+    let Some((expected, delay)) = expected.zip(delay) else {
+        upstreams.pause_requests(&load.upstream, REQUEST_PAUSE, now);
+        return POLL_INTERVAL;
+    };
+    upstreams.pause_requests(&load.upstream, expected, now);
+    let reported = expected + delay;
+    rollout.mark_loading(&load.upstream, now + reported);
+    reported
 }
 
 fn record_weights(instance: &FleetInstance, load: &WeightsLoad, version: u64) {
