Read a heartbeat in time that doesn't grow with the fleet

Change: the threshold for removal grows with the keys in use; sums and the number of live peers follow each heartbeat, with a recount only if a peer may have timed out; the retry budget is touched only for new counts; a heartbeat is encoded once a round, the recipient's echo is appended (layout 7).

--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -36,7 +36,7 @@
 const MODEL: &str = "m";
 
 /// The fleet sizes: engines and other instances.
-const SIZES: [(u8, u32); 4] = [(12, 8), (35, 21), (70, 42), (140, 84)];
+const SIZES: [(u8, u32); 5] = [(12, 8), (35, 21), (70, 42), (140, 84), (160, 294)];
 
 /// The placements per series.
 const ROUNDS: u32 = 200;
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -40,8 +40,8 @@
 /// The time after which an unused part no longer counts as cached.
 const MAX_UNUSED_TIME: Duration = Duration::from_secs(30);
 
-/// The number of keys above which unused ones are removed.
-const PRUNE_THRESHOLD: usize = 8_192;
+/// The least number of keys above which unused ones are removed.
+const MIN_PRUNE_THRESHOLD: usize = 8_192;
 
 /// The hash of a part of a prompt together with all parts before it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -99,11 +99,25 @@
 }
 
 /// The known holders of cached parts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PrefixDirectory {
     entries: HashMap<ChainKey, Vec<HolderEntry>>,
     positions: HashMap<u64, u64>,
     updates: Vec<CacheUpdate>,
+    /// The number of keys above which unused ones are removed; it grows with the number of
+    /// used ones, so that the cost of an update doesn't.
+    prune_threshold: usize,
+}
+
+impl Default for PrefixDirectory {
+    fn default() -> Self {
+        Self {
+            entries: HashMap::new(),
+            positions: HashMap::new(),
+            updates: Vec::new(),
+            prune_threshold: MIN_PRUNE_THRESHOLD,
+        }
+    }
 }
 
 impl PrefixDirectory {
@@ -124,11 +138,14 @@
         };
         for key in &update.keys {
             let entries = self.entries.entry(*key).or_default();
-            entries.retain(|m| m.holder != update.holder);
-            entries.push(entry);
+            match entries.iter_mut().find(|m| m.holder == update.holder) {
+                Some(known) => *known = entry,
+                None => entries.push(entry),
+            }
         }
-        if self.entries.len() > PRUNE_THRESHOLD {
+        if self.entries.len() > self.prune_threshold {
             self.remove_unused(now);
+            self.prune_threshold = (self.entries.len() * 2).max(MIN_PRUNE_THRESHOLD);
         }
     }
 
@@ -181,6 +198,18 @@
         self.positions.remove(&holder);
     }
 
+    /// Returns the number of keys with known holders.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no cached part is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Takes the updates that no heartbeat has carried yet.
     pub fn take_updates(&mut self) -> Vec<CacheUpdate> {
         std::mem::take(&mut self.updates)
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -12,7 +12,7 @@
 use crate::kv_store_monitor::KvStoreStatus;
 
 /// The version of the message's layout; heartbeats with another layout are dropped.
-const LAYOUT: u8 = 6;
+const LAYOUT: u8 = 7;
 
 /// The units that an instance has admitted for a team.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -53,6 +53,19 @@
             long_prompts: self.long_prompts + other.long_prompts,
         }
     }
+
+    /// Subtracts a load that was added before.
+    #[must_use]
+    pub const fn minus(self, other: &Self) -> Self {
+        Self {
+            upstream: other.upstream,
+            requests: self.requests.saturating_sub(other.requests),
+            waiting_tokens: self.waiting_tokens.saturating_sub(other.waiting_tokens),
+            held_tokens: self.held_tokens.saturating_sub(other.held_tokens),
+            fragile: self.fragile.saturating_sub(other.fragile),
+            long_prompts: self.long_prompts.saturating_sub(other.long_prompts),
+        }
+    }
 }
 
 /// The newest target weights of a model.
@@ -116,8 +129,6 @@
     pub sequence: u64,
     /// The sender's clock at sending, in milliseconds; the receiver echoes it.
     pub stamp_ms: u64,
-    /// The last `stamp_ms` that the sender has received from the receiver.
-    pub echo_ms: Option<u64>,
     /// The sender's configuration.
     pub configuration: ConfigurationStatus,
     /// The use of team limits.
@@ -165,7 +176,8 @@
         }
     }
 
-    /// Encodes the heartbeat as a datagram.
+    /// Encodes the heartbeat without its recipient's part, which
+    /// [`EncodedHeartbeat::for_recipient`] adds.
     ///
     /// # Errors
     ///
@@ -174,27 +186,46 @@
     /// ```
     /// use limpetsaddle_fleet::heartbeat::Heartbeat;
     ///
-    /// let heartbeat = Heartbeat::new("a-1", 7, 1);
-    /// let bytes = heartbeat.encode()?;
-    /// assert_eq!(Heartbeat::decode(&bytes)?.sender, "a-1");
+    /// let encoded = Heartbeat::new("a-1", 7, 1).encode()?;
+    /// let datagram = encoded.for_recipient(Some(5))?;
+    /// let (heartbeat, echo_ms) = Heartbeat::decode(&datagram)?;
+    /// assert_eq!((heartbeat.sender.as_str(), echo_ms), ("a-1", Some(5)));
     /// # Ok::<(), limpetsaddle_fleet::heartbeat::HeartbeatError>(())
     /// ```
-    pub fn encode(&self) -> Result<Vec<u8>, HeartbeatError> {
-        Ok(postcard::to_stdvec(self)?)
+    pub fn encode(&self) -> Result<EncodedHeartbeat, HeartbeatError> {
+        Ok(EncodedHeartbeat(postcard::to_stdvec(self)?))
     }
 
-    /// Decodes a heartbeat from a datagram.
+    /// Decodes a heartbeat from a datagram, and the receiver's own stamp that it echoes.
     ///
     /// # Errors
     ///
     /// Returns [`HeartbeatError`] if the bytes are not a heartbeat of this layout.
-    pub fn decode(bytes: &[u8]) -> Result<Self, HeartbeatError> {
+    pub fn decode(bytes: &[u8]) -> Result<(Self, Option<u64>), HeartbeatError> {
         if let Some(&layout) = bytes.first()
             && layout != LAYOUT
         {
             return Err(HeartbeatError::UnsupportedLayout { layout });
         }
-        Ok(postcard::from_bytes(bytes)?)
+        let (heartbeat, rest) = postcard::take_from_bytes(bytes)?;
+        Ok((heartbeat, postcard::from_bytes(rest)?))
+    }
+}
+
+/// The part of an encoded heartbeat that all recipients share.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EncodedHeartbeat(Vec<u8>);
+
+impl EncodedHeartbeat {
+    /// Returns the datagram for one recipient.
+    ///
+    /// `echo_ms` is the last `stamp_ms` that was received from the recipient.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HeartbeatError::Malformed`] if the stamp cannot be encoded.
+    pub fn for_recipient(&self, echo_ms: Option<u64>) -> Result<Vec<u8>, HeartbeatError> {
+        Ok(postcard::to_extend(&echo_ms, self.0.clone())?)
     }
 }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other instances of the fleet, as their heartbeats report them.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -60,7 +61,35 @@
     last_heartbeat: Option<Time>,
     admitted: HashMap<u64, u64>,
     request_counts: HashMap<u64, RequestCounts>,
-    upstream_loads: HashMap<u64, UpstreamLoad>,
+    upstream_loads: Vec<UpstreamLoad>,
+    /// Whether the peer is part of [`Peers::live`].
+    is_counted: bool,
+}
+
+/// The sums over the live peers, kept up to date with each heartbeat.
+#[derive(Debug, Default)]
+struct LiveSums {
+    count: usize,
+    loads: HashMap<u64, UpstreamLoad>,
+    /// A bound below which no counted peer's last heartbeat is.
+    oldest_heartbeat: Option<Time>,
+}
+
+impl LiveSums {
+    fn add(&mut self, loads: &[UpstreamLoad]) {
+        for load in loads {
+            let sum = self.loads.entry(load.upstream).or_default();
+            *sum = sum.plus(load);
+        }
+    }
+
+    fn subtract(&mut self, loads: &[UpstreamLoad]) {
+        for load in loads {
+            if let Some(sum) = self.loads.get_mut(&load.upstream) {
+                *sum = sum.minus(load);
+            }
+        }
+    }
 }
 
 /// The units that a peer has admitted for a team since its last heartbeat.
@@ -98,16 +127,18 @@
     own_name: Name,
     options: PeerOptions,
     others: BTreeMap<Name, Peer>,
+    live: LiveSums,
 }
 
 impl Peers {
     /// Returns a table without peers for the instance `own_name`.
     #[must_use]
-    pub const fn new(own_name: Name, options: PeerOptions) -> Self {
+    pub fn new(own_name: Name, options: PeerOptions) -> Self {
         Self {
             own_name,
             options,
             others: BTreeMap::new(),
+            live: LiveSums::default(),
         }
     }
 
@@ -124,7 +155,8 @@
                 last_heartbeat: None,
                 admitted: HashMap::new(),
                 request_counts: HashMap::new(),
-                upstream_loads: HashMap::new(),
+                upstream_loads: Vec::new(),
+                is_counted: false,
             };
             let mut peer = self
                 .others
@@ -134,6 +166,58 @@
             kept.insert(registration.name, peer);
         }
         self.others = kept;
+        // The timeout depends on the number of peers.
+        self.live = LiveSums::default();
+        for peer in self.others.values_mut() {
+            peer.is_counted = false;
+        }
+        let live: Vec<Name> = self
+            .others
+            .iter()
+            .filter(|(_, peer)| self.is_live(peer, now))
+            .map(|(name, _)| Name::clone(name))
+            .collect();
+        for name in live {
+            self.count(&name);
+        }
+    }
+
+    /// Adds a peer to the sums over live peers.
+    fn count(&mut self, name: &str) {
+        let Some(peer) = self.others.get_mut(name) else {
+            return;
+        };
+        peer.is_counted = true;
+        self.live.count += 1;
+        self.live.add(&peer.upstream_loads);
+        let oldest = self.live.oldest_heartbeat.or(peer.last_heartbeat);
+        self.live.oldest_heartbeat = oldest.min(peer.last_heartbeat);
+    }
+
+    /// Removes the peers that have timed out from the sums over live peers.
+    ///
+    /// Sums are exact without this, but take a pass over all peers once one has timed out.
+    pub fn expire(&mut self, now: Time) {
+        let timeout = self.timeout();
+        let mut oldest = None;
+        for peer in self.others.values_mut().filter(|peer| peer.is_counted) {
+            let last = peer.last_heartbeat;
+            if last.is_some_and(|at| now.since(at) < timeout) {
+                oldest = oldest.or(last).min(last);
+                continue;
+            }
+            peer.is_counted = false;
+            self.live.count -= 1;
+            self.live.subtract(&peer.upstream_loads);
+        }
+        self.live.oldest_heartbeat = oldest;
+        self.live.loads.retain(|_, sum| sum.requests > 0);
+    }
+
+    /// Returns whether every peer in the sums is certainly still live.
+    fn sums_are_current(&self, now: Time) -> bool {
+        let oldest = self.live.oldest_heartbeat;
+        oldest.is_none_or(|at| now.since(at) < self.timeout())
     }
 
     /// Records a heartbeat and returns the differences to the previous one.
@@ -157,7 +241,15 @@
         peer.sequence = heartbeat.sequence;
         peer.last_heartbeat = Some(now);
         peer.stamp_ms = heartbeat.stamp_ms;
-        peer.upstream_loads = heartbeat.loads.iter().map(|l| (l.upstream, *l)).collect();
+        if peer.is_counted {
+            self.live.subtract(&peer.upstream_loads);
+        } else {
+            peer.is_counted = true;
+            self.live.count += 1;
+        }
+        peer.upstream_loads.clone_from(&heartbeat.loads);
+        self.live.add(&peer.upstream_loads);
+        self.live.oldest_heartbeat.get_or_insert(now);
         HeartbeatDelta {
             teams: team_deltas(peer, heartbeat, was_known),
             services: service_deltas(peer, heartbeat, was_known),
@@ -198,11 +290,11 @@
     /// Returns the numbers of registered and live instances, including this one.
     #[must_use]
     pub fn peer_counts(&self, now: Time) -> PeerCounts {
-        let live = self
-            .others
-            .values()
-            .filter(|p| self.is_live(p, now))
-            .count();
+        let live = if self.sums_are_current(now) {
+            self.live.count
+        } else {
+            self.live_peers(now).count()
+        };
         PeerCounts {
             registered: self.others.len() + 1,
             live: live + 1,
@@ -212,21 +304,26 @@
     /// Returns the load that all live peers have at an upstream.
     #[must_use]
     pub fn remote_load(&self, upstream: u64, now: Time) -> UpstreamLoad {
-        let live = self.others.values().filter(|p| self.is_live(p, now));
-        let loads = live.filter_map(|p| p.upstream_loads.get(&upstream));
-        loads.fold(UpstreamLoad::default(), UpstreamLoad::plus)
+        let loads = self.remote_loads(now);
+        loads.get(&upstream).copied().unwrap_or_default()
     }
 
     /// Returns the load that all live peers have at each upstream.
     #[must_use]
-    pub fn remote_loads(&self, now: Time) -> HashMap<u64, UpstreamLoad> {
-        let live = self.others.values().filter(|p| self.is_live(p, now));
-        let mut sums: HashMap<u64, UpstreamLoad> = HashMap::new();
-        for load in live.flat_map(|peer| peer.upstream_loads.values()) {
-            let sum = sums.entry(load.upstream).or_default();
-            *sum = sum.plus(load);
+    pub fn remote_loads(&self, now: Time) -> Cow<'_, HashMap<u64, UpstreamLoad>> {
+        if self.sums_are_current(now) {
+            return Cow::Borrowed(&self.live.loads);
         }
-        sums
+        let mut sums = LiveSums::default();
+        for peer in self.live_peers(now) {
+            sums.add(&peer.upstream_loads);
+        }
+        Cow::Owned(sums.loads)
+    }
+
+    fn live_peers(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        let is_live = move |peer: &&Peer| self.is_live(peer, now);
+        self.others.values().filter(is_live)
     }
 
     /// Returns the registered instances that have not sent a heartbeat for the removal
@@ -253,9 +350,15 @@
         u32::try_from(live).unwrap_or(u32::MAX)
     }
 
+    /// Returns the time without a heartbeat after which a peer is no longer live.
+    fn timeout(&self) -> Duration {
+        self.heartbeat_interval() * self.options.max_missed
+    }
+
     fn is_live(&self, peer: &Peer, now: Time) -> bool {
-        let limit = self.heartbeat_interval() * self.options.max_missed;
-        peer.last_heartbeat.is_some_and(|at| now.since(at) < limit)
+        let timeout = self.timeout();
+        peer.last_heartbeat
+            .is_some_and(|at| now.since(at) < timeout)
     }
 }
 
@@ -292,6 +395,9 @@
         } else {
             total
         });
+        if previous == total {
+            continue;
+        }
         deltas.push(ServiceUsageDelta {
             service: service.service,
             count: RequestCounts {
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -106,7 +106,14 @@
 #[test]
 fn verify_a_heartbeat_round_trips_and_other_datagrams_are_rejected() {
     let sent = heartbeat(3, 9);
-    assert_eq!(Heartbeat::decode(&sent.encode().unwrap()).unwrap(), sent);
+    let encoded = sent.encode().unwrap();
+    for echo_ms in [None, Some(0), Some(1_786_016_594_000)] {
+        let datagram = encoded.for_recipient(echo_ms).unwrap();
+        assert_eq!(
+            Heartbeat::decode(&datagram).unwrap(),
+            (sent.clone(), echo_ms)
+        );
+    }
     assert!(Heartbeat::decode(b"\x09anything").is_err());
     assert!(Heartbeat::decode(b"").is_err());
 }
@@ -395,7 +402,8 @@
         fleet.upstreams.observe_weights(&id, MODEL, 2);
         let mut heartbeat = Heartbeat::new("front-cutting-floor-11", 1, 1);
         heartbeat.weights = fleet.upstreams.weights_updates(now);
-        max_bytes = max_bytes.max(heartbeat.encode().unwrap().len());
+        let datagram = heartbeat.encode().unwrap().for_recipient(Some(1)).unwrap();
+        max_bytes = max_bytes.max(datagram.len());
     }
     let bytes_per_second = max_bytes * 84 * 10 / 3;
     assert!(bytes_per_second <= 10_000_000 / 8 / 2, "{bytes_per_second}");
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -66,8 +66,8 @@
 }
 
 fn handle_datagram(instance: &FleetInstance, datagram: &[u8]) {
-    let heartbeat = match Heartbeat::decode(datagram) {
-        Ok(heartbeat) => heartbeat,
+    let (heartbeat, echo_ms) = match Heartbeat::decode(datagram) {
+        Ok(decoded) => decoded,
         Err(error) => {
             warn!(error:display; "dropping invalid heartbeat");
             return;
@@ -81,7 +81,7 @@
     if !delta.is_new {
         return;
     }
-    apply_confirmation(instance, &heartbeat);
+    apply_confirmation(instance, &heartbeat, echo_ms);
     for usage in &delta.teams {
         if let Some(team) = instance.team_name(usage.team) {
             let mut limits = instance.limits.borrow_mut();
@@ -125,7 +125,11 @@
 /// Adapts the limits to the number of live instances, and returns that number.
 fn update_peer_counts(instance: &FleetInstance, previous: usize) -> usize {
     let now = instance.now();
-    let counts = instance.peers.borrow().peer_counts(now);
+    let counts = {
+        let mut peers = instance.peers.borrow_mut();
+        peers.expire(now);
+        peers.peer_counts(now)
+    };
     instance.limits.borrow_mut().set_peer_counts(counts, now);
     if counts.live != previous {
         let registered = counts.registered;
@@ -156,13 +160,18 @@
     if recipients.is_empty() {
         return stopping.pause(interval).await;
     }
-    let mut heartbeat = build_heartbeat(instance, sequence);
+    let encoded = match build_heartbeat(instance, sequence).encode() {
+        Ok(encoded) => encoded,
+        Err(error) => {
+            warn!(error:display; "cannot encode heartbeat");
+            return stopping.pause(interval).await;
+        }
+    };
     let bursts = recipients.chunks(BURST_SIZE);
     let pause = interval / u32::try_from(bursts.len()).unwrap_or(u32::MAX);
     for burst in bursts {
         for (address, echo_ms) in burst {
-            heartbeat.echo_ms = *echo_ms;
-            match heartbeat.encode() {
+            match encoded.for_recipient(*echo_ms) {
                 Ok(datagram) => send_to(socket, *address, datagram).await,
                 Err(error) => warn!(error:display; "cannot encode heartbeat"),
             }
@@ -226,6 +235,9 @@
     let now = instance.now();
     for report in &heartbeat.named {
         let mut targets = instance.target_weights.borrow_mut();
+        if targets.iter().all(|t| t.newest() >= report.version) {
+            continue;
+        }
         let known = targets
             .iter_mut()
             .find(|t| name_hash(&t.model) == report.model);
@@ -241,14 +253,14 @@
 
 /// Applies a peer's confirmation of the current configuration, or records that
 /// a newer one exists.
-fn apply_confirmation(instance: &FleetInstance, heartbeat: &Heartbeat) {
+fn apply_confirmation(instance: &FleetInstance, heartbeat: &Heartbeat, echo_ms: Option<u64>) {
     let report = heartbeat.configuration;
     let version = instance.configuration().map_or(0, |c| c.version);
     if report.version > version {
         instance.newer_configuration.set(true);
         return;
     }
-    let confirmed = heartbeat.echo_ms.zip(report.age_ms);
+    let confirmed = echo_ms.zip(report.age_ms);
     if let Some((stamp, age)) = confirmed.filter(|_| report.version == version) {
         let stamp = Time::from_origin(Duration::from_millis(stamp));
         let age = Duration::from_millis(u64::from(age));
