Make fewer calls of the store and polls while all instances start

Cause, from a log of all calls of one instance of 295: before it knows its peers, every instance takes itself for the first one, reads the configuration every 0.8 s, watches upstreams at the full price with a call per change, and polls each KV store, which turns most polls away. Later each instance read the configuration itself every 2.07 s, as confirmations that come with heartbeats a second apart are older than the 2 s that were accepted. Change: an instance does work for the fleet only once it knows a live peer or has been alone for 3.5 s, and reads at the low price until then; the accepted age of a peer's confirmation follows the heartbeat interval, below three quarters of the time in which callers are accepted. The holder of the lease informs others of engines that are about to load by notices, at once instead of with heartbeats a second apart: a drain of 2 s becomes 0.3 s on large fleets.

--- a/crates/fleet/examples/heartbeat_cost.rs
+++ b/crates/fleet/examples/heartbeat_cost.rs
@@ -48,7 +48,7 @@
         name: Name::from(name(index)),
         address: ([10, 1, 0, 1], 9000).into(),
     };
-    let mut peers = Peers::new("own".into(), PeerOptions::default());
+    let mut peers = Peers::new("own".into(), PeerOptions::default(), Time::ZERO);
     peers.set_registrations((0..instances).map(registration).collect(), Time::ZERO);
     let mut directory = PrefixDirectory::default();
     let mut spent = Duration::ZERO;
--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -127,7 +127,7 @@
         name: Name::from(name(index)),
         address: ([10, 1, 0, 1], 9000).into(),
     };
-    let mut peers = Peers::new("own".into(), PeerOptions::default());
+    let mut peers = Peers::new("own".into(), PeerOptions::default(), Time::ZERO);
     peers.set_registrations((0..instances).map(registration).collect(), now);
     for index in 0..instances {
         let mut heartbeat = Heartbeat::new(&name(index), 1, 1);
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -89,6 +89,13 @@
         self.confirmed_at.map(|at| now.since(at))
     }
 
+    /// Returns the age up to which the confirmations of peers are relied on, at most `wanted`:
+    /// the remaining time permits some reads before the balancer is told to send no callers.
+    #[must_use]
+    pub fn max_peer_age(&self, wanted: Duration) -> Duration {
+        wanted.min(self.options.ready_timeout * 3 / 4)
+    }
+
     /// Returns whether known keys may still be trusted.
     #[must_use]
     pub fn trusts_keys(&self, now: Time) -> bool {
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -212,6 +212,76 @@
     }
 }
 
+/// The version of the layout of notices. It differs from that of heartbeats, which arrive at
+/// the same port.
+const NOTICE_LAYOUT: u8 = 128;
+
+/// The message by which the holder of the lease informs all others about engines that are
+/// about to load weights, as heartbeats are rare in a large fleet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WeightsNotice {
+    layout: u8,
+    /// The sender's name.
+    pub sender: String,
+    /// The engines and their weights.
+    pub weights: Vec<WeightsUpdate>,
+}
+
+impl WeightsNotice {
+    /// Returns a notice of the instance `sender`.
+    #[must_use]
+    pub fn new(sender: &str, weights: Vec<WeightsUpdate>) -> Self {
+        Self {
+            layout: NOTICE_LAYOUT,
+            sender: sender.to_owned(),
+            weights,
+        }
+    }
+
+    /// Encodes the notice as a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HeartbeatError::Malformed`] if the notice cannot be encoded.
+    ///
+    /// ```
+    /// use limpetsaddle_fleet::heartbeat::Datagram;
+    /// use limpetsaddle_fleet::heartbeat::WeightsNotice;
+    ///
+    /// let notice = WeightsNotice::new("a-1", Vec::new());
+    /// let datagram = notice.encode()?;
+    /// assert_eq!(Datagram::decode(&datagram)?, Datagram::Notice(notice));
+    /// # Ok::<(), limpetsaddle_fleet::heartbeat::HeartbeatError>(())
+    /// ```
+    pub fn encode(&self) -> Result<Vec<u8>, HeartbeatError> {
+        Ok(postcard::to_stdvec(self)?)
+    }
+}
+
+/// A message from another instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Datagram {
+    /// A heartbeat, and the receiver's own stamp that it echoes.
+    Heartbeat(Box<Heartbeat>, Option<u64>),
+    /// A notice.
+    Notice(WeightsNotice),
+}
+
+impl Datagram {
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HeartbeatError`] if the bytes are no message of a known layout.
+    pub fn decode(bytes: &[u8]) -> Result<Self, HeartbeatError> {
+        if bytes.first() == Some(&NOTICE_LAYOUT) {
+            return Ok(Self::Notice(postcard::from_bytes(bytes)?));
+        }
+        let (heartbeat, echo_ms) = Heartbeat::decode(bytes)?;
+        Ok(Self::Heartbeat(Box::new(heartbeat), echo_ms))
+    }
+}
+
 /// The part of an encoded heartbeat that all recipients share.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EncodedHeartbeat(Vec<u8>);
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -42,6 +42,20 @@
 /// The number of instances that poll the configuration and confirm it to all others.
 const CONFIRMERS: u32 = 3;
 
+/// The time after the start until which an instance without peers may be one of a fleet
+/// whose instances have all just started.
+const SETTLE_TIME: Duration = Duration::from_millis(3_500);
+
+/// The time between two confirmations of the configuration by a confirmer.
+pub const CONFIRM_INTERVAL: Duration = Duration::from_millis(800);
+
+/// The margin for late heartbeats in the age of a confirmation.
+const CONFIRMATION_SLACK: Duration = Duration::from_secs(1);
+
+/// The longest time in which notices reach the instances that they are sent to, the time
+/// for sending them included.
+const NOTICE_TIME: Duration = Duration::from_millis(300);
+
 /// An instance's registration at the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Registration {
@@ -126,17 +140,19 @@
 pub struct Peers {
     own_name: Name,
     options: PeerOptions,
+    started: Time,
     others: BTreeMap<Name, Peer>,
     live: LiveSums,
 }
 
 impl Peers {
-    /// Returns a table without peers for the instance `own_name`.
+    /// Returns a table without peers for the instance `own_name`, which starts at `now`.
     #[must_use]
-    pub fn new(own_name: Name, options: PeerOptions) -> Self {
+    pub fn new(own_name: Name, options: PeerOptions, now: Time) -> Self {
         Self {
             own_name,
             options,
+            started: now,
             others: BTreeMap::new(),
             live: LiveSums::default(),
         }
@@ -265,6 +281,12 @@
         self.options.heartbeat_interval * scale
     }
 
+    /// Returns whether an instance is registered.
+    #[must_use]
+    pub fn is_registered(&self, name: &str) -> bool {
+        self.others.contains_key(name)
+    }
+
     /// Returns the addresses of all other instances, each with the last time stamp received
     /// from it in milliseconds, if it is live.
     pub fn heartbeat_targets(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Option<u64>)> {
@@ -274,10 +296,30 @@
         })
     }
 
+    /// Returns the time after which other instances know that an engine gets no requests.
+    #[must_use]
+    pub fn informed_time(&self) -> Duration {
+        (self.heartbeat_interval() * 2).min(NOTICE_TIME)
+    }
+
     /// Returns whether this instance polls the configuration to confirm it to all others.
     #[must_use]
     pub fn is_confirmer(&self, now: Time) -> bool {
-        self.rank(now) < CONFIRMERS
+        self.is_settled(now) && self.rank(now) < CONFIRMERS
+    }
+
+    /// Returns whether this instance knows its place in the fleet. Until then it does no
+    /// work on behalf of the fleet, which all instances would do at the same time.
+    #[must_use]
+    pub fn is_settled(&self, now: Time) -> bool {
+        self.live.count > 0 || now.since(self.started) >= SETTLE_TIME
+    }
+
+    /// Returns the age up to which the peers' confirmations of the configuration are relied
+    /// on: that of a confirmer's last read, its heartbeat's and the stamp's that it echoes.
+    #[must_use]
+    pub fn max_confirmation_age(&self) -> Duration {
+        CONFIRM_INTERVAL + self.heartbeat_interval() * 2 + CONFIRMATION_SLACK
     }
 
     /// Returns whether the fleet is so large that work which grows with its size must be
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -90,9 +90,6 @@
 /// are slowed down for a backlog.
 const BACKLOG_SLACK: f64 = 0.25;
 
-/// The number of heartbeat intervals after which other instances send an engine no requests.
-pub const INFORMED_INTERVALS: u32 = 2;
-
 /// The pause after a failed load of an engine.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -190,7 +187,7 @@
         targets: &[TargetWeights],
         now: Time,
     ) -> Vec<WeightsLoad> {
-        let drain_time = peers.heartbeat_interval() * INFORMED_INTERVALS;
+        let drain_time = peers.informed_time();
         self.paused.retain(|_, until| now < *until);
         self.spans
             .retain(|span| span.is_running || now.since(span.end) < SPAN_RETENTION);
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -469,10 +469,13 @@
     /// Returns the recent changes of weights for heartbeats.
     #[must_use]
     pub fn weights_updates(&self, now: Time) -> Vec<WeightsUpdate> {
-        let recent = |row: &&Upstream| {
-            row.paused_at
-                .is_some_and(|at| now.since(at) < WEIGHTS_REPEAT_TIME)
-        };
+        self.weights_updates_within(WEIGHTS_REPEAT_TIME, now)
+    }
+
+    /// Returns the changes of weights within `span`, for notices.
+    #[must_use]
+    pub fn weights_updates_within(&self, span: Duration, now: Time) -> Vec<WeightsUpdate> {
+        let recent = |row: &&Upstream| row.paused_at.is_some_and(|at| now.since(at) < span);
         let update = |row: &Upstream| {
             row.entry.weights.first().map(|w| WeightsUpdate {
                 process: process_of(&row.entry),
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -14,9 +14,11 @@
 use limpetsaddle_fleet::health::Health;
 use limpetsaddle_fleet::health::HealthOptions;
 use limpetsaddle_fleet::health::RequestOutcome;
+use limpetsaddle_fleet::heartbeat::Datagram;
 use limpetsaddle_fleet::heartbeat::Heartbeat;
 use limpetsaddle_fleet::heartbeat::ServiceUsage;
 use limpetsaddle_fleet::heartbeat::TeamUsage;
+use limpetsaddle_fleet::heartbeat::WeightsNotice;
 use limpetsaddle_fleet::heartbeat::WeightsUpdate;
 use limpetsaddle_fleet::heartbeat::process_hash;
 use limpetsaddle_fleet::kv_store_monitor::KvStoreMonitor;
@@ -35,12 +37,13 @@
 use support::MODEL;
 use support::at;
 use support::engine;
+use yare::parameterized;
 
 fn peers(names: &[&str]) -> Peers {
-    let mut peers = Peers::new("own".into(), PeerOptions::default());
-    let all = names.iter().enumerate().map(|(i, name)| Registration {
+    let mut peers = Peers::new("own".into(), PeerOptions::default(), at(0));
+    let all = names.iter().zip(1..).map(|(name, port)| Registration {
         name: (*name).into(),
-        address: ([10, 0, 0, u8::try_from(i).unwrap()], 7600).into(),
+        address: ([10, 0, 0, 1], port).into(),
     });
     peers.set_registrations(all.collect(), at(0));
     peers
@@ -103,6 +106,53 @@
     assert_eq!(peers.expired(at(31_000)).count(), 2);
 }
 
+/// All instances of a fleet that starts believe to be the first one until they know others.
+#[test]
+fn verify_only_settled_instances_work_for_the_fleet() {
+    let mut starting = peers(&["own", "a"]);
+    assert!(!starting.is_confirmer(at(1_000)));
+    starting.record_heartbeat(&heartbeat(1, 0), at(1_100));
+    assert!(starting.is_confirmer(at(1_100)));
+    // One that stays alone does its own work.
+    let alone = peers(&["own"]);
+    assert!(alone.is_confirmer(at(4_000)));
+}
+
+/// Heartbeats of a large fleet are rare, so confirmations that arrive with them are older.
+#[parameterized(
+    small = { 8, 2_000 },
+    grown = { 88, 2_400 },
+    large = { 295, 3_800 },
+)]
+fn verify_confirmations_by_peers_are_relied_on_for_some_heartbeats(instances: u16, age_ms: u64) {
+    let names: Vec<String> = (0..instances).map(|i| format!("i{i}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let peers = peers(&names);
+    assert_eq!(peers.max_confirmation_age(), Duration::from_millis(age_ms));
+    // The bound on withdrawn keys leaves time for reads of the own.
+    let freshness = Freshness::new(FreshnessOptions::for_withdrawal(Duration::from_secs(5)));
+    let relied_on = freshness.max_peer_age(peers.max_confirmation_age());
+    assert!(relied_on <= Duration::from_millis(3_200), "{relied_on:?}");
+}
+
+#[test]
+fn verify_a_notice_keeps_requests_away_from_an_engine() {
+    let mut holder = Fleet::new(vec![engine(1, 1), engine(2, 1)]).upstreams;
+    let mut other = Fleet::new(vec![engine(1, 1), engine(2, 1)]).upstreams;
+    holder.pause_requests("e1", Duration::from_millis(400), at(100));
+    let updates = holder.weights_updates_within(Duration::from_millis(240), at(150));
+    let datagram = WeightsNotice::new("a", updates).encode().unwrap();
+    let Datagram::Notice(notice) = Datagram::decode(&datagram).unwrap() else {
+        panic!("decoded as a heartbeat");
+    };
+    for update in &notice.weights {
+        other.apply_weights(update, at(160));
+    }
+    assert!(other.get("e1").unwrap().is_paused(at(500)));
+    assert!(!other.get("e1").unwrap().is_paused(at(520)));
+    assert!(!other.get("e2").unwrap().is_paused(at(200)));
+}
+
 #[test]
 fn verify_a_heartbeat_round_trips_and_other_datagrams_are_rejected() {
     let sent = heartbeat(3, 9);
--- a/crates/fleet/tests/load_pace.rs
+++ b/crates/fleet/tests/load_pace.rs
@@ -34,7 +34,7 @@
 
 /// A load at an engine.
 struct Load {
-    load: WeightsLoad,
+    order: WeightsLoad,
     planned: Time,
     started: Option<Time>,
     /// The completed part.
@@ -81,7 +81,7 @@
         let targets = vec![target.clone()];
         for load in rollout.plan(&fleet.upstreams, &fleet.peers, &targets, now) {
             loads.push(Load {
-                load,
+                order: load,
                 planned: now,
                 started: None,
                 done: 0.0,
@@ -120,9 +120,9 @@
         if now.since(load.planned) < DRAIN || !rollout.may_load(MODEL) {
             continue;
         }
-        let expected = rollout.start_load(&load.load, now);
-        let until = now + expected.map_or(Duration::from_secs(60), |e| e + REPORT_DELAY);
-        rollout.mark_loading(&load.load.upstream, until);
+        let expected = rollout.start_load(&load.order, now);
+        let until = now + expected.map_or(Duration::from_mins(1), |e| e + REPORT_DELAY);
+        rollout.mark_loading(&load.order.upstream, until);
         load.started = Some(now);
         load.requests_return = expected.map(|expected| now + expected);
     }
@@ -146,7 +146,7 @@
     for load in loads.iter() {
         let first = rollout.pace(MODEL).report_delay().is_none();
         if first && load.started.is_some_and(|at| now >= at + REPORT_DELAY) {
-            rollout.record_report_delay(&load.load.model, REPORT_DELAY);
+            rollout.record_report_delay(&load.order.model, REPORT_DELAY);
         }
     }
     let reported = |l: &Load| l.ended.is_some_and(|at| now >= at + REPORT_DELAY);
@@ -156,16 +156,23 @@
                 .requests_return
                 .is_some_and(|at| now >= at + REPORT_DELAY)
         {
-            rollout.mark_loading(&load.load.upstream, now + Duration::from_millis(400));
+            rollout.mark_loading(
+                &load.order.upstream,
+                now + Duration::from_millis(400),
+            );
         }
         if !reported(load) {
             return true;
         }
-        let id = &load.load.upstream;
+        let id = &load.order.upstream;
         fleet
             .upstreams
-            .observe_weights(id, MODEL, load.load.version);
-        rollout.finish_load(&load.load, LoadEnd::Loaded { since: Some(now) }, now);
+            .observe_weights(id, MODEL, load.order.version);
+        rollout.finish_load(
+            &load.order,
+            LoadEnd::Loaded { since: Some(now) },
+            now,
+        );
         false
     });
 }
@@ -192,7 +199,7 @@
         bound: Duration::from_millis(bound_ms),
     };
     let versions = [2_000, 6_800, 11_600, 20_500, 24_500];
-    let outcome = run(&site, &versions, Duration::from_secs(60));
+    let outcome = run(&site, &versions, Duration::from_mins(1));
     // Loads beyond the knee take capacity and gain nothing.
     let bound = (knee * 1.7).ceil().max(2.0);
     let most = f64::from(u32::try_from(outcome.most_loading).unwrap());
--- a/crates/fleet/tests/peer_sums.rs
+++ b/crates/fleet/tests/peer_sums.rs
@@ -67,7 +67,7 @@
     fn verify_sums_over_live_peers_equal_a_recount(
         steps in prop::collection::vec((0..300_u64, step()), 1..60),
     ) {
-        let mut peers = Peers::new("own".into(), PeerOptions::default());
+        let mut peers = Peers::new("own".into(), PeerOptions::default(), at(0));
         register(&mut peers, &[0, 1, 2, 3, 4, 5], at(0));
         let mut registered: Vec<u8> = (0..6).collect();
         let mut last: HashMap<u8, (u64, Vec<(u64, u32)>)> = HashMap::new();
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -99,7 +99,7 @@
         }
         Self {
             upstreams,
-            peers: Peers::new(Rc::from("own"), PeerOptions::default()),
+            peers: Peers::new(Rc::from("own"), PeerOptions::default(), at(0)),
             directory: PrefixDirectory::default(),
             attempted: Vec::new(),
         }
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -6,9 +6,11 @@
 
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::heartbeat::ConfigurationStatus;
+use limpetsaddle_fleet::heartbeat::Datagram;
 use limpetsaddle_fleet::heartbeat::Heartbeat;
 use limpetsaddle_fleet::heartbeat::TargetWeightsUpdate;
 use limpetsaddle_fleet::heartbeat::TeamUsage;
+use limpetsaddle_fleet::heartbeat::WeightsNotice;
 use limpetsaddle_fleet::heartbeat::name_hash;
 use limpetsaddle_fleet::kv_store_monitor::KvStoreMonitor;
 use log::info;
@@ -26,6 +28,9 @@
 /// The number of heartbeats that are sent in one burst.
 const BURST_SIZE: usize = 21;
 
+/// The time between two notices.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(120);
+
 /// The pause after a socket error, so that a persistent error causes no busy
 /// loop.
 const ERROR_PAUSE: Duration = Duration::from_millis(100);
@@ -42,6 +47,11 @@
     let socket = socket.map_err(|source| Error::Listen { address, source })?;
     let socket = Rc::new(socket);
     monoio::spawn(receive(Rc::clone(instance), Rc::clone(&socket)));
+    monoio::spawn(send_notices(
+        Rc::clone(instance),
+        Rc::clone(&socket),
+        stopping.clone(),
+    ));
     monoio::spawn(send_periodically(
         Rc::clone(instance),
         socket,
@@ -66,22 +76,33 @@
 }
 
 fn handle_datagram(instance: &FleetInstance, datagram: &[u8]) {
-    let (heartbeat, echo_ms) = match Heartbeat::decode(datagram) {
-        Ok(decoded) => decoded,
-        Err(error) => {
-            warn!(error:display; "dropping invalid heartbeat");
-            return;
+    match Datagram::decode(datagram) {
+        Ok(Datagram::Heartbeat(heartbeat, echo_ms)) => {
+            handle_heartbeat(instance, &heartbeat, echo_ms);
         }
-    };
+        Ok(Datagram::Notice(notice)) => handle_notice(instance, &notice),
+        Err(error) => warn!(error:display; "dropping invalid datagram"),
+    }
+}
+
+fn handle_notice(instance: &FleetInstance, notice: &WeightsNotice) {
+    if !instance.peers.borrow().is_registered(&notice.sender) {
+        return;
+    }
     let now = instance.now();
-    let delta = instance
-        .peers
-        .borrow_mut()
-        .record_heartbeat(&heartbeat, now);
+    let mut upstreams = instance.upstreams.borrow_mut();
+    for update in &notice.weights {
+        upstreams.apply_weights(update, now);
+    }
+}
+
+fn handle_heartbeat(instance: &FleetInstance, heartbeat: &Heartbeat, echo_ms: Option<u64>) {
+    let now = instance.now();
+    let delta = instance.peers.borrow_mut().record_heartbeat(heartbeat, now);
     if !delta.is_new {
         return;
     }
-    apply_confirmation(instance, &heartbeat, echo_ms);
+    apply_confirmation(instance, heartbeat, echo_ms);
     for usage in &delta.teams {
         if let Some(team) = instance.team_name(usage.team) {
             let mut limits = instance.limits.borrow_mut();
@@ -98,7 +119,7 @@
     for report in &heartbeat.weights {
         upstreams.apply_weights(report, now);
     }
-    apply_target_weights(instance, &heartbeat);
+    apply_target_weights(instance, heartbeat);
     for report in &heartbeat.leaving {
         if let Some(upstream) = upstreams.apply_leaving(report) {
             info!(upstream:display, from = heartbeat.sender.as_str(); "upstream draining");
@@ -183,10 +204,41 @@
     true
 }
 
+/// Sends notices of engines that are about to load weights while this instance
+/// orders that, if heartbeats would be late.
+async fn send_notices(instance: Rc<FleetInstance>, socket: Rc<UdpSocket>, stopping: Stopping) {
+    while stopping.pause(NOTICE_INTERVAL).await {
+        let now = instance.now();
+        let interval = instance.peers.borrow().heartbeat_interval();
+        if !instance.rollout.borrow().is_active() || interval <= NOTICE_INTERVAL {
+            continue;
+        }
+        let weights = instance
+            .upstreams
+            .borrow()
+            .weights_updates_within(NOTICE_INTERVAL * 2, now);
+        if weights.is_empty() {
+            continue;
+        }
+        let notice = WeightsNotice::new(&instance.settings.name, weights);
+        let datagram = match notice.encode() {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                warn!(error:display; "cannot encode notice");
+                continue;
+            }
+        };
+        let recipients: Vec<_> = instance.peers.borrow().heartbeat_targets(now).collect();
+        for (address, _) in recipients {
+            send_to(&socket, address, datagram.clone()).await;
+        }
+    }
+}
+
 async fn send_to(socket: &UdpSocket, address: SocketAddr, datagram: Vec<u8>) {
     if let (Err(error), _) = socket.send_to(datagram, address).await {
         // The next heartbeat repeats everything.
-        log::debug!(address:display, error:display; "cannot send heartbeat");
+        log::debug!(address:display, error:display; "cannot send datagram");
     }
 }
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -137,7 +137,7 @@
                 bounds.withdrawal,
             ))),
             upstreams: RefCell::new(Upstreams::new(HealthOptions::default())),
-            peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default())),
+            peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default(), now)),
             kv_stores: RefCell::new(KvStoreMonitor::default()),
             directory: RefCell::new(PrefixDirectory::default()),
             limits: RefCell::new(Limits::new(bounds.limits)),
--- a/crates/router/src/fleet/kv_store.rs
+++ b/crates/router/src/fleet/kv_store.rs
@@ -31,9 +31,8 @@
 pub async fn run(instance: Rc<FleetInstance>, stopping: Stopping) {
     let mut since: HashMap<SocketAddr, u64> = HashMap::new();
     while stopping.pause(POLL_PAUSE).await {
-        let rank = instance.peers.borrow().rank(instance.now());
         let configuration = instance.configuration();
-        let Some(configuration) = configuration.filter(|_| KvStoreMonitor::is_prober(rank)) else {
+        let Some(configuration) = configuration.filter(|_| is_prober(&instance)) else {
             continue;
         };
         let stores = configuration.kv_stores().iter().map(|store| {
@@ -56,6 +55,12 @@
     }
 }
 
+fn is_prober(instance: &FleetInstance) -> bool {
+    let now = instance.now();
+    let peers = instance.peers.borrow();
+    peers.is_settled(now) && KvStoreMonitor::is_prober(peers.rank(now))
+}
+
 async fn poll(
     instance: &FleetInstance,
     address: SocketAddr,
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -180,8 +180,7 @@
             let fragile = row.local_load.fragile + peers_load.fragile;
             (requests, fragile, row.entry.service.clone())
         };
-        let interval = instance.peers.borrow().heartbeat_interval();
-        let peers_informed = waited >= interval * rollout::INFORMED_INTERVALS;
+        let peers_informed = waited >= instance.peers.borrow().informed_time();
         let (may_load, urgent) = {
             let rollout = instance.rollout.borrow();
             let may_load = rollout.may_load(&load.model);
--- a/crates/router/src/fleet/watch.rs
+++ b/crates/router/src/fleet/watch.rs
@@ -40,6 +40,9 @@
 /// once.
 const DEBOUNCE: Duration = Duration::from_millis(250);
 
+/// The pause after a change before the instance knows its peers.
+const UNSETTLED_DEBOUNCE: Duration = Duration::from_secs(1);
+
 /// The pause after a change of kinds that may be read late.
 const LONG_DEBOUNCE: Duration = Duration::from_secs(2);
 
@@ -122,6 +125,12 @@
             continue;
         }
         let mut options = watcher.watch_options();
+        if !instance.peers.borrow().is_settled(instance.now()) {
+            // All instances may have started at the same time.
+            options.consistency = Consistency::Stale;
+            options.debounce = options.debounce.max(UNSETTLED_DEBOUNCE);
+            options.wait = options.wait.min(SHORT_WATCH_WAIT);
+        }
         if compactions > 1 {
             options.consistency = Consistency::Linearizable;
         }
--- a/crates/router/src/fleet/watch/confirmation.rs
+++ b/crates/router/src/fleet/watch/confirmation.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use limpetsaddle_fleet::peers::CONFIRM_INTERVAL;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Consistency;
 
@@ -14,13 +15,9 @@
 use crate::fleet::instance::FleetInstance;
 use crate::shutdown::Stopping;
 
-/// The time between two confirmations. Keys are trusted for a few seconds after
-/// the last one, and an outage of the store may begin at any moment.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(800);
-
-/// The age of the last confirmation from which an instance reads the store
-/// itself instead of relying on its peers.
-const MAX_PEER_CONFIRMATION_AGE: Duration = Duration::from_secs(2);
+/// The time between two confirmations of an instance that doesn't know its peers
+/// yet.
+const UNSETTLED_CONFIRM_INTERVAL: Duration = Duration::from_millis(1_800);
 
 /// The longest backoff after a failed call on instances that learn of the
 /// store's recovery from their peers. It is shorter than the four seconds after
@@ -44,7 +41,7 @@
         instance.record_store_call(&result);
         if result.is_ok() {
             failures = 0;
-            stopping.pause(CONFIRM_INTERVAL).await;
+            stopping.pause(confirm_interval(&instance)).await;
         } else {
             failures += 1;
             wait_for_store(&instance, &stopping, failures).await;
@@ -52,11 +49,21 @@
     }
 }
 
+fn confirm_interval(instance: &FleetInstance) -> Duration {
+    if instance.peers.borrow().is_settled(instance.now()) {
+        CONFIRM_INTERVAL
+    } else {
+        UNSETTLED_CONFIRM_INTERVAL
+    }
+}
+
 fn reads_store_itself(instance: &FleetInstance) -> bool {
     let now = instance.now();
-    let age = instance.freshness.borrow().age(now);
-    let is_recent = age.is_some_and(|age| age < MAX_PEER_CONFIRMATION_AGE);
-    !is_recent || instance.store.is_failing() || instance.peers.borrow().is_confirmer(now)
+    let peers = instance.peers.borrow();
+    let freshness = instance.freshness.borrow();
+    let max_age = freshness.max_peer_age(peers.max_confirmation_age());
+    let is_recent = freshness.age(now).is_some_and(|age| age < max_age);
+    !is_recent || instance.store.is_failing() || peers.is_confirmer(now)
 }
 
 /// Reads the configuration, and records that it was the newest one when the call
