Follow a store that returns from an older copy

Revisions are given out again, so a remembered revision says nothing; the lease, registrations and configuration of the last seconds are gone. Change: the era in the store's responses is read in platform/ and compared first; a rise starts all lists anew, a response of an ended era counts for nothing. The lease is acquired again at once only by an instance whose lease was valid at that moment, with a fencing number above all that heartbeats tell; records carry their era, as a delayed write may apply in another history; orders need the highest known number. Entries of upstreams that are older than a known one, by their number, are ignored; peers without a registration are kept while they are live. An instance confirms no configuration older than one that a peer has applied, so a withdrawn key stays withdrawn until the operator has written again. Heartbeats carry era and fencing number (layout 8). A warning at each rise, a counter limpetsaddle_store_restores. Ruled out: revisions alone ordered by arrival; a lease kept over the rise (the model test finds two holders); the age of this instance instead of the first sight of the era (the model test again); renewing an own record with a lower number (likewise).

--- a/.ci/weaken.py
+++ b/.ci/weaken.py
@@ -50,6 +50,21 @@
     ("the next holder skips the handover time", FLEET + "lease.rs",
      "handover: bound + Duration::from_millis(400)", "handover: Duration::ZERO",
      "fleet", "lease", "no_two_instances_order_within"),
+    ("the next fencing number comes from the store alone", FLEET + "lease.rs",
+     "        if waits || self.defers_to_others(has_orders, rank, now.since(free_at), now) {\n"
+     "            return None;\n        }\n        Some(self.record(self.max_fencing + 1, renewals, false))",
+     "        if waits || self.defers_to_others(has_orders, rank, now.since(free_at), now) {\n"
+     "            return None;\n        }\n"
+     "        let stored = self.observed.as_ref().map_or(0, |o| o.record.fencing);\n"
+     "        Some(self.record(stored + 1, renewals, false))",
+     "fleet", "lease", "no_two_instances_order_within"),
+    ("a rise of the store's era is ignored", FLEET + "store_era.rs",
+     "if era > known {", "if era.0 > known.0 + 9 {",
+     "platform-wire", "restore", "revision_that_is_given_out_again"),
+    ("lost registrations are not written again", ROUTER + "watch/instances.rs",
+     "self.registrations.replace(Some(HashMap::new()));",
+     "self.registrations.borrow_mut().get_or_insert_default();",
+     "platform-wire", "restore", "registrations_and_the_lease"),
     ("weights share cached prompts", FLEET + "prompt.rs",
      'format!("{model}/{weights}/shared")', 'format!("{model}/{}/shared", weights.min(0))',
      "fleet", "placement", "parts_of_other_weights"),
--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -114,6 +114,7 @@
         phase: Phase::Ready,
         slots: 16,
         born_ms: 1,
+        sequence: 0,
         weights: vec![Weights {
             model: MODEL.into(),
             version: 1,
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -10,9 +10,10 @@
 
 use crate::directory::CacheUpdate;
 use crate::kv_store_monitor::KvStoreStatus;
+use crate::store_era::StoreEra;
 
 /// The version of the message's layout; heartbeats with another layout are dropped.
-const LAYOUT: u8 = 7;
+const LAYOUT: u8 = 8;
 
 /// The units that an instance has admitted for a team.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -129,6 +130,10 @@
     pub sequence: u64,
     /// The sender's clock at sending, in milliseconds; the receiver echoes it.
     pub stamp_ms: u64,
+    /// The era of the store that the sender knows, if any.
+    pub store_era: Option<StoreEra>,
+    /// The highest fencing number of the lease for orders that the sender knows.
+    pub fencing: u64,
     /// The sender's configuration.
     pub configuration: ConfigurationStatus,
     /// The use of team limits.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -4,6 +4,10 @@
 //! there are orders to give, renews it meanwhile and then releases it. Engines don't
 //! check fencing numbers, so another instance waits until no order of the previous
 //! holder can still be in flight.
+//!
+//! A store that returns from an older copy has lost the record or holds an older one. Only
+//! an instance whose lease was valid at that moment acquires it again at once, with a
+//! higher fencing number; the others wait as after a holder that has failed.
 
 use std::time::Duration;
 
@@ -14,6 +18,7 @@
 use serde_with::serde_as;
 
 use crate::Name;
+use crate::store_era::StoreEra;
 
 /// The times of a lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +63,9 @@
     pub duration: Duration,
     /// Whether the holder has given its last order.
     pub released: bool,
+    /// The era of the store in which the record was written.
+    #[serde(default)]
+    pub era: StoreEra,
 }
 
 /// A conditional write of the record.
@@ -91,6 +99,15 @@
 struct Pending {
     write: LeaseWrite,
     sent: Time,
+    era: Option<StoreEra>,
+}
+
+/// A return of the store from an older copy.
+#[derive(Clone, Copy, Debug)]
+struct Restored {
+    at: Time,
+    /// The end of this instance's lease, if it held it at that moment.
+    held_until: Option<Time>,
 }
 
 /// The lease as this instance observes it.
@@ -105,6 +122,9 @@
     held_until: Option<Time>,
     has_orders_since: Option<Time>,
     next_attempt: Time,
+    era: Option<StoreEra>,
+    restored: Option<Restored>,
+    max_fencing: u64,
 }
 
 /// The rank from which the delay no longer grows.
@@ -127,9 +147,48 @@
             held_until: None,
             has_orders_since: None,
             next_attempt: now,
+            era: None,
+            restored: None,
+            max_fencing: 0,
         }
     }
 
+    /// Observes the store's era, and returns whether it has risen. If so, the record has to be
+    /// read again and this instance's lease is lost.
+    pub fn observe_era(&mut self, era: StoreEra, now: Time) -> bool {
+        let previous = self.era;
+        self.era = previous.max(Some(era));
+        if previous.is_none() && era > StoreEra::default() {
+            // The record may just have been lost.
+            self.restored = Some(Restored {
+                at: now,
+                held_until: None,
+            });
+        }
+        if previous.is_none_or(|previous| previous >= era) {
+            return false;
+        }
+        self.restored = Some(Restored {
+            at: now,
+            held_until: self.active_fencing(now).map(|(_, until)| until),
+        });
+        self.observed = None;
+        self.is_read = false;
+        self.held_until = None;
+        true
+    }
+
+    /// Observes a fencing number that another instance knows of.
+    pub fn observe_fencing(&mut self, fencing: u64) {
+        self.max_fencing = self.max_fencing.max(fencing);
+    }
+
+    /// Returns the highest fencing number that is known.
+    #[must_use]
+    pub const fn max_fencing(&self) -> u64 {
+        self.max_fencing
+    }
+
     /// Observes the platform's record and its revision, or that there is no record.
     pub fn observe(&mut self, current: Option<(u64, LeaseRecord)>, now: Time) {
         self.is_read = true;
@@ -146,6 +205,7 @@
         if record.holder != self.own_name {
             self.held_until = None;
         }
+        self.observe_fencing(record.fencing);
         self.observed = Some(Observed {
             revision,
             record,
@@ -159,8 +219,11 @@
     pub fn active_fencing(&self, now: Time) -> Option<(u64, Time)> {
         let until = self.held_until.filter(|until| now < *until)?;
         let observed = self.observed.as_ref()?;
-        let is_own = observed.record.holder == self.own_name && !observed.record.released;
-        is_own.then_some((observed.record.fencing, until))
+        let record = &observed.record;
+        let is_own = record.holder == self.own_name && !record.released;
+        // A delayed write may have brought an older record back.
+        let is_newest = record.fencing == self.max_fencing;
+        (is_own && is_newest).then_some((record.fencing, until))
     }
 
     /// Returns the last observed holder.
@@ -188,6 +251,7 @@
         self.pending = Some(Pending {
             write: write.clone(),
             sent: now,
+            era: self.era,
         });
         Some(write)
     }
@@ -198,6 +262,10 @@
             return;
         };
         match result {
+            // The record may be lost, or have replaced one that this instance has not seen.
+            LeaseWriteResult::Written(_) if pending.era != self.era => {
+                self.next_attempt = now + RETRY_DELAY;
+            }
             LeaseWriteResult::Written(revision) => {
                 let record = pending.write.record;
                 let held_until = (!record.released).then(|| pending.sent + record.duration);
@@ -214,9 +282,17 @@
     }
 
     fn next_record(&mut self, has_orders: bool, rank: u32, now: Time) -> Option<LeaseRecord> {
+        let is_lost = match &self.observed {
+            Some(observed) => observed.record.era != self.era.unwrap_or_default(),
+            None => true,
+        };
+        if let Some(restored) = self.restored.filter(|_| is_lost) {
+            return self.record_after_restore(restored, has_orders, rank, now);
+        }
         let Some(observed) = self.observed.clone() else {
             let waits = self.defers_to_others(has_orders, rank, now.since(self.started), now);
-            return (has_orders && !waits).then(|| self.record(1, 0, false));
+            let fencing = self.max_fencing + 1;
+            return (has_orders && !waits).then(|| self.record(fencing, 0, false));
         };
         let last = &observed.record;
         let renewals = last.renewals + 1;
@@ -232,7 +308,29 @@
         if now < free_at || self.defers_to_others(has_orders, rank, now.since(free_at), now) {
             return None;
         }
-        Some(self.record(last.fencing + 1, renewals, false))
+        Some(self.record(self.max_fencing + 1, renewals, false))
+    }
+
+    /// Returns the record that acquires the lease after the store has returned from an older
+    /// copy, whose record proves nothing about the last holder.
+    fn record_after_restore(
+        &mut self,
+        restored: Restored,
+        has_orders: bool,
+        rank: u32,
+        now: Time,
+    ) -> Option<LeaseRecord> {
+        let observed = self.observed.as_ref();
+        let since = observed.map_or(restored.at, |o| o.since.max(restored.at));
+        let last_duration = observed.map_or(Duration::ZERO, |o| o.record.duration);
+        let renewals = observed.map_or(0, |o| o.record.renewals + 1);
+        let free_at = since + last_duration.max(self.options.duration) + self.options.handover;
+        let resumes = restored.held_until.is_some_and(|until| now < until);
+        let waits = now < free_at && !resumes;
+        if waits || self.defers_to_others(has_orders, rank, now.since(free_at), now) {
+            return None;
+        }
+        Some(self.record(self.max_fencing + 1, renewals, false))
     }
 
     fn renewal_or_release(
@@ -252,7 +350,12 @@
         (last.released || !is_fresh).then(|| {
             // After a restart, an instance does not remember its own lease.
             let remembers_lease = self.held_until.is_some() || last.released;
-            let fencing = last.fencing + u64::from(!remembers_lease);
+            let is_newest = last.fencing == self.max_fencing;
+            let fencing = if remembers_lease && is_newest {
+                last.fencing
+            } else {
+                self.max_fencing + 1
+            };
             self.record(fencing, renewals, false)
         })
     }
@@ -281,6 +384,7 @@
             renewals,
             duration: self.options.duration,
             released,
+            era: self.era.unwrap_or_default(),
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod settings;
+pub mod store_era;
 pub mod upstreams;
 pub mod weights;
 
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -32,9 +32,12 @@
     }
 }
 
-/// The fraction of the permitted excess that a team may use in a burst. The rest covers
-/// requests that other instances have admitted but not reported yet.
-const BURST_EXCESS_FRACTION: f64 = 0.55;
+/// The fraction of the permitted excess that a team may use in a burst.
+const BURST_EXCESS_FRACTION: f64 = 0.3;
+
+/// The fraction of the permitted excess that a team may use in every window. What remains
+/// covers requests that other instances have admitted but not reported yet.
+const SUSTAINED_EXCESS_FRACTION: f64 = 0.25;
 
 /// The fraction of the permitted excess with which all instances together start, as a
 /// team may have used up its limit before a restart of all instances.
@@ -50,6 +53,12 @@
     fn capacity(&self, limit: &TeamLimit) -> f64 {
         units(limit.burst) + self.excess(limit) * BURST_EXCESS_FRACTION
     }
+
+    /// Returns the units that are refilled per second.
+    fn refill_rate(&self, limit: &TeamLimit) -> f64 {
+        let window = self.window.as_secs_f64().max(1.0);
+        units(limit.rate) + self.excess(limit) * SUSTAINED_EXCESS_FRACTION / window
+    }
 }
 
 /// The rate and burst of a team.
@@ -172,7 +181,7 @@
         let max_level = self.options.capacity(&bucket.limit) * self.peer_counts.live_fraction();
         let missing = units(cost).min(max_level) - bucket.level;
         if missing > 0.0 {
-            let rate = units(bucket.limit.rate) * self.peer_counts.live_fraction();
+            let rate = self.options.refill_rate(&bucket.limit) * self.peer_counts.live_fraction();
             let wait = Duration::try_from_secs_f64(missing / rate).unwrap_or(MAX_RETRY_AFTER);
             return Err(wait.min(MAX_RETRY_AFTER));
         }
@@ -225,8 +234,8 @@
     let fraction = peer_counts.live_fraction();
     let elapsed = now.since(bucket.refilled).as_secs_f64();
     bucket.refilled = now;
-    let filled = bucket.level + units(bucket.limit.rate) * fraction * elapsed;
     let limit = &bucket.limit;
+    let filled = bucket.level + options.refill_rate(limit) * fraction * elapsed;
     // A deeply overdrawn bucket recovers in bounded time.
     let floor = -(units(limit.rate) * 2.0 + options.capacity(limit));
     let max_level = options.capacity(limit) * fraction;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -159,7 +159,10 @@
     }
 
     /// Replaces the set of registered instances.
+    ///
+    /// A live peer is kept though its registration is missing: the store may have lost it.
     pub fn set_registrations(&mut self, all: Vec<Registration>, now: Time) {
+        let timeout = self.timeout();
         let mut kept = BTreeMap::new();
         for registration in all.into_iter().filter(|r| r.name != self.own_name) {
             let new_peer = || Peer {
@@ -181,7 +184,13 @@
             peer.address = registration.address;
             kept.insert(registration.name, peer);
         }
-        self.others = kept;
+        let missing = std::mem::replace(&mut self.others, kept);
+        let is_live = |peer: &Peer| {
+            peer.last_heartbeat
+                .is_some_and(|at| now.since(at) < timeout)
+        };
+        self.others
+            .extend(missing.into_iter().filter(|(_, peer)| is_live(peer)));
         // The timeout depends on the number of peers.
         self.live = LiveSums::default();
         for peer in self.others.values_mut() {
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -53,6 +53,8 @@
     pub slots: u32,
     /// The start of its process, in milliseconds since the Unix epoch.
     pub born_ms: u64,
+    /// The number of the entry among those of its process; 0 if it states none.
+    pub sequence: u64,
     /// The weights that it has loaded.
     pub weights: Vec<Weights>,
 }
@@ -158,6 +160,10 @@
 /// engines a longer time would saturate the holder's link.
 const WEIGHTS_REPEAT_TIME: Duration = Duration::from_millis(1_200);
 
+/// The time for which removed entries are remembered; copies of the store are some seconds
+/// old.
+const REMOVED_MEMORY_TIME: Duration = Duration::from_secs(30);
+
 /// The time after an outage of the platform in which missing upstreams may register again.
 pub const REAPPEAR_TIMEOUT: Duration = Duration::from_millis(2_200);
 
@@ -169,6 +175,8 @@
     /// The ids by the process hashes in heartbeats.
     ids: HashMap<u64, Name>,
     leaving: Vec<(LeavingUpdate, Time)>,
+    /// The last entry's number of each process whose entry was removed.
+    removed: HashMap<u64, (u64, Time)>,
     reachability: DomainReachability,
 }
 
@@ -181,6 +189,7 @@
             rows: BTreeMap::new(),
             ids: HashMap::new(),
             leaving: Vec::new(),
+            removed: HashMap::new(),
             reachability: DomainReachability::default(),
         }
     }
@@ -188,8 +197,12 @@
     /// Inserts or updates an upstream from its own entry.
     ///
     /// A restarted process has lost its state, so everything observed of the previous
-    /// process is discarded.
+    /// process is discarded. An entry that is older than a known one, as the store may
+    /// return from an older copy, is ignored.
     pub fn upsert(&mut self, entry: UpstreamEntry, now: Time) {
+        if self.was_removed(&entry, now) {
+            return;
+        }
         let is_draining = entry.phase == Phase::Draining;
         let existing = self.rows.get_mut(&entry.id);
         let Some(row) = existing.filter(|row| row.entry.born_ms == entry.born_ms) else {
@@ -215,10 +228,13 @@
             self.rows.insert(Name::clone(&row.entry.id), row);
             return;
         };
+        row.missing_since = None;
+        if entry.sequence < row.entry.sequence {
+            return;
+        }
         let starts_draining = is_draining && row.entry.phase != Phase::Draining;
         let earlier = std::mem::take(&mut row.entry.weights);
         row.entry = entry;
-        row.missing_since = None;
         // Versions observed in responses may be newer than the entry.
         for weights in earlier {
             raise_version(row, &weights.model, weights.version);
@@ -231,14 +247,34 @@
 
     /// Removes an upstream whose entry was removed.
     pub fn remove(&mut self, id: &str, now: Time) {
+        let Some(row) = self.remove_row(id) else {
+            return;
+        };
+        self.remember_removed(&row.entry, now);
         // A draining upstream was announced before.
-        if let Some(row) = self.remove_row(id)
-            && row.entry.phase != Phase::Draining
-        {
+        if row.entry.phase != Phase::Draining {
             self.announce_leaving(process_of(&row.entry), now);
         }
     }
 
+    /// Returns whether an entry is one that was removed before, or an older one.
+    fn was_removed(&self, entry: &UpstreamEntry, now: Time) -> bool {
+        let removed = self.removed.get(&process_of(entry));
+        removed.is_some_and(|(sequence, at)| {
+            entry.sequence <= *sequence && now.since(*at) < REMOVED_MEMORY_TIME
+        })
+    }
+
+    fn remember_removed(&mut self, entry: &UpstreamEntry, now: Time) {
+        self.removed
+            .retain(|_, (_, at)| now.since(*at) < REMOVED_MEMORY_TIME);
+        // Entries without a number can't be told from newer ones.
+        if entry.sequence > 0 {
+            let removed = (entry.sequence, now);
+            self.removed.insert(process_of(entry), removed);
+        }
+    }
+
     fn remove_row(&mut self, id: &str) -> Option<Upstream> {
         let row = self.rows.remove(id)?;
         self.ids.remove(&process_of(&row.entry));
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -168,6 +168,23 @@
     }
 }
 
+/// Operators permit an excess in every window, so callers of a team that is slightly over its
+/// rate all the time are served.
+#[test]
+fn verify_a_team_slightly_over_its_rate_is_never_refused() {
+    let mut flood = Flood::new(8);
+    for now in 0..60_000_u64 {
+        flood.report(now, |_, _| true);
+        // 12% over the rate, from the time at which a bucket is full.
+        if now >= 10_000 && now % 250 == 0 {
+            let index = usize::try_from(now / 250 % 8).unwrap();
+            flood.request(now, index, 8_400);
+        }
+    }
+    assert_eq!(flood.admitted.len(), 200);
+    assert!(max_in_any_window(&flood.admitted) <= MAX_PERMITTED);
+}
+
 #[test]
 fn verify_a_request_larger_than_the_burst_is_admitted_when_the_bucket_is_full() {
     let mut limits = limits(1, 1, at(0));
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -41,6 +41,7 @@
         phase: Phase::Ready,
         slots: 64,
         born_ms: 1,
+        sequence: 0,
         weights: vec![Weights {
             model: MODEL.into(),
             version,
--- a/crates/router/src/fleet/call.rs
+++ b/crates/router/src/fleet/call.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Response;
 use http::StatusCode;
+use http::response::Parts;
+use limpetsaddle_fleet::store_era::StoreEra;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::Request;
 use limpetsaddle_platform_wire as wire;
@@ -26,6 +29,10 @@
     /// The call timed out; it may have taken effect.
     #[error("no response within {} ms", .0.as_millis())]
     Timeout(Duration),
+    /// The response is from before the store returned from an older copy; the call
+    /// may have no effect any more.
+    #[error("the response is of store era {}, which has ended", .0.0)]
+    OutdatedEra(StoreEra),
 }
 
 /// Sends a request and returns the status and body of the response.
@@ -39,11 +46,26 @@
     req: Request,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
+    let (head, body) = call_with_head(client, address, req, timeout).await?;
+    Ok((head.status, body))
+}
+
+/// Sends a request and returns the head and body of the response.
+///
+/// # Errors
+///
+/// Fails when no complete response is received within `timeout`.
+pub async fn call_with_head(
+    client: &Client,
+    address: SocketAddr,
+    req: Request,
+    timeout: Duration,
+) -> Result<(Parts, Bytes), CallError> {
     let exchange = async {
-        let res = client.send(address, req).await?;
-        let status = res.head.status;
+        let mut res = client.send(address, req).await?;
+        let head = std::mem::replace(&mut res.head, Response::new(()).into_parts().0);
         let body = res.collect(MAX_RESPONSE_BYTES).await?;
-        Ok((status, body))
+        Ok((head, body))
     };
     match monoio::time::timeout(timeout, exchange).await {
         Ok(result) => result,
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -102,6 +102,12 @@
     if !delta.is_new {
         return;
     }
+    if let Some(era) = heartbeat.store_era {
+        instance.store.observe_era(era);
+    }
+    let mut lease = instance.lease.borrow_mut();
+    lease.observe_fencing(heartbeat.fencing);
+    drop(lease);
     apply_confirmation(instance, heartbeat, echo_ms);
     for usage in &delta.teams {
         if let Some(team) = instance.team_name(usage.team) {
@@ -253,6 +259,8 @@
     let upstreams = instance.upstreams.borrow();
     let mut heartbeat = Heartbeat::new(&instance.settings.name, instance.incarnation, sequence);
     heartbeat.stamp_ms = millis(now.since_origin());
+    heartbeat.store_era = instance.store.era();
+    heartbeat.fencing = instance.lease.borrow().max_fencing();
     heartbeat.configuration = ConfigurationStatus {
         version: instance.configuration().map_or(0, |c| c.version),
         age_ms: configuration_age_ms(instance),
@@ -310,6 +318,8 @@
     let version = instance.configuration().map_or(0, |c| c.version);
     if report.version > version {
         instance.newer_configuration.set(true);
+        let reported = instance.reported_configuration.get().max(report.version);
+        instance.reported_configuration.set(reported);
         return;
     }
     let confirmed = echo_ms.zip(report.age_ms);
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -77,6 +77,8 @@
     pub configuration: RefCell<Option<Rc<Configuration>>>,
     /// Whether a peer has reported a newer configuration.
     pub newer_configuration: Cell<bool>,
+    /// The newest configuration version that a peer has reported.
+    pub reported_configuration: Cell<u64>,
     /// The age of the configuration, on which the trust in keys depends.
     pub freshness: RefCell<Freshness>,
     pub upstreams: RefCell<Upstreams>,
@@ -133,6 +135,7 @@
             upstream_client: Client::new(client_options),
             configuration: RefCell::new(None),
             newer_configuration: Cell::new(false),
+            reported_configuration: Cell::new(0),
             freshness: RefCell::new(Freshness::new(FreshnessOptions::for_withdrawal(
                 bounds.withdrawal,
             ))),
@@ -223,6 +226,16 @@
             && self.freshness.borrow().accepts_callers(now)
     }
 
+    /// Passes the store's era to the lease.
+    pub fn observe_lease_era(&self) {
+        let Some(era) = self.store.era() else {
+            return;
+        };
+        if self.lease.borrow_mut().observe_era(era, self.now()) {
+            self.metrics.record_store_restore();
+        }
+    }
+
     /// Records the result of a call to the store.
     pub fn record_store_call<T>(&self, result: &std::result::Result<T, CallError>) {
         self.store.record(result.as_ref().err(), self.now());
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -31,6 +31,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     store_calls: Counter<u64>,
+    store_restores: Counter<u64>,
     orders: Counter<u64>,
     first_event: Histogram<f64>,
     response_time: Histogram<f64>,
@@ -59,6 +60,7 @@
             refusals: meter.u64_counter("limpetsaddle_refusals").build(),
             retries: meter.u64_counter("limpetsaddle_retries").build(),
             store_calls: meter.u64_counter("limpetsaddle_store_calls").build(),
+            store_restores: meter.u64_counter("limpetsaddle_store_restores").build(),
             orders: meter.u64_counter("limpetsaddle_orders").build(),
             first_event: times("limpetsaddle_first_event_seconds"),
             response_time: times("limpetsaddle_answer_seconds"),
@@ -101,6 +103,11 @@
         self.store_calls.add(1, &[succeeded]);
     }
 
+    /// Counts a return of the store from an older copy.
+    pub fn record_store_restore(&self) {
+        self.store_restores.add(1, &[]);
+    }
+
     /// Counts an order by its result.
     pub fn record_order(&self, result: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", result)]);
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -68,6 +68,7 @@
     // A stopping instance leaves new orders to its peers.
     let needed = !instance.draining.is_closed() && is_needed(instance);
     let rank = instance.peers.borrow().rank(now);
+    instance.observe_lease_era();
     let write = instance.lease.borrow_mut().due_write(needed, rank, now);
     if let Some(write) = write {
         monoio::spawn(write_lease(Rc::clone(instance), write));
@@ -110,6 +111,7 @@
     let now = instance.now();
     let fencing = write.record.fencing;
     let released = write.record.released;
+    instance.observe_lease_era();
     let mut lease = instance.lease.borrow_mut();
     match result {
         Ok(WriteResult::Applied(object)) => {
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -7,6 +7,9 @@
 use bytes::Bytes;
 use http::StatusCode;
 use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::store_era::EraChange;
+use limpetsaddle_fleet::store_era::KnownEra;
+use limpetsaddle_fleet::store_era::StoreEra;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
 use limpetsaddle_platform_wire as wire;
@@ -21,6 +24,7 @@
 
 use super::call;
 use super::call::CallError;
+use crate::clock::SuspendClock;
 use crate::clock::millis;
 
 /// The time that a call may take beyond its wait for changes. A slow store
@@ -38,6 +42,8 @@
     failing_since: Cell<Option<Time>>,
     outage_ended: Cell<Option<Time>>,
     outages: Cell<u64>,
+    era: Cell<KnownEra>,
+    clock: SuspendClock,
 }
 
 impl StoreClient {
@@ -53,9 +59,32 @@
             failing_since: Cell::new(Some(now)),
             outage_ended: Cell::new(None),
             outages: Cell::new(0),
+            era: Cell::new(KnownEra::default()),
+            clock: SuspendClock,
         }
     }
 
+    /// Returns the highest era of the store that was seen, if any.
+    pub const fn era(&self) -> Option<StoreEra> {
+        self.era.get().get()
+    }
+
+    /// Records an era that a response or a peer states.
+    ///
+    /// Entries that are missing in an older copy are written again as after an
+    /// outage.
+    pub fn observe_era(&self, era: StoreEra) -> EraChange {
+        let mut known = self.era.get();
+        let change = known.observe(era);
+        self.era.set(known);
+        if let EraChange::Risen { previous } = change {
+            self.outage_ended.set(Some(self.clock.now()));
+            let previous = previous.0;
+            warn!(era = era.0, previous; "store has returned from an older copy; reading everything again");
+        }
+        change
+    }
+
     /// Lists all objects of a kind, and returns them with the revision of the
     /// list.
     pub async fn list(
@@ -64,6 +93,7 @@
         consistency: Consistency,
     ) -> Result<(Vec<Object>, u64), CallError> {
         let mut objects: Vec<Object> = Vec::new();
+        let mut era = self.era();
         loop {
             let after = objects.last().map(|object| object.name.clone());
             let call = StoreCall::List {
@@ -73,6 +103,14 @@
             };
             let (status, body) = self.call(&call, CALL_TIMEOUT).await?;
             let page = wire::store::decode_page(status, &body)?;
+            if self.era() != era {
+                // Pages of different eras don't belong together.
+                era = self.era();
+                if !objects.is_empty() {
+                    objects.clear();
+                    continue;
+                }
+            }
             let is_last = page.objects.is_empty() || !page.has_more;
             objects.extend(page.objects);
             if is_last {
@@ -177,6 +215,12 @@
         call: &StoreCall<'_>,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        call::call(&self.client, self.address, call.to_http()?, timeout).await
+        let req = call.to_http()?;
+        let (head, body) = call::call_with_head(&self.client, self.address, req, timeout).await?;
+        let era = wire::store::decode_era(&head.headers)?;
+        if self.observe_era(era) == EraChange::Outdated {
+            return Err(CallError::OutdatedEra(era));
+        }
+        Ok((head.status, body))
     }
 }
--- a/crates/router/src/fleet/watch.rs
+++ b/crates/router/src/fleet/watch.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use limpetsaddle_fleet::store_era::StoreEra;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Consistency;
 use limpetsaddle_platform_wire::store::Object;
@@ -115,7 +116,7 @@
 }
 
 async fn watch<F: Watcher>(instance: Rc<FleetInstance>, watcher: F, stopping: Stopping) {
-    let mut since = None;
+    let mut since: Option<Position> = None;
     let mut failures = 0;
     let mut compactions = 0;
     while !stopping.is_closed() {
@@ -131,6 +132,8 @@
             options.debounce = options.debounce.max(UNSETTLED_DEBOUNCE);
             options.wait = options.wait.min(SHORT_WATCH_WAIT);
         }
+        // Revisions of an earlier era say nothing about this one.
+        since = since.filter(|position| position.era == instance.store.era());
         if compactions > 1 {
             options.consistency = Consistency::Linearizable;
         }
@@ -139,6 +142,10 @@
             failures += u32::from(instance.store.is_failing());
             continue;
         };
+        if matches!(result, Err(CallError::OutdatedEra(_))) {
+            stopping.pause(RECHECK_INTERVAL).await;
+            continue;
+        }
         instance.record_store_call(&result);
         let Ok(progress) = result else {
             failures += 1;
@@ -148,9 +155,9 @@
         };
         failures = 0;
         match progress {
-            Progress::Listed { revision } => since = Some(revision),
-            Progress::Watched { revision, changed } => {
-                since = Some(revision);
+            Progress::Listed { position } => since = Some(position),
+            Progress::Watched { position, changed } => {
+                since = Some(position);
                 compactions = 0;
                 if changed {
                     stopping.pause(options.debounce).await;
@@ -170,12 +177,19 @@
     }
 }
 
+/// A revision of the store in one of its eras.
+#[derive(Clone, Copy)]
+struct Position {
+    era: Option<StoreEra>,
+    revision: u64,
+}
+
 /// The result of one list or watch call.
 enum Progress {
-    /// All objects were listed as of `revision`.
-    Listed { revision: u64 },
-    /// A watch returned all changes up to `revision`.
-    Watched { revision: u64, changed: bool },
+    /// All objects were listed as of `position`.
+    Listed { position: Position },
+    /// A watch returned all changes up to `position`.
+    Watched { position: Position, changed: bool },
     /// The store compacted its history; all objects have to be listed again.
     HistoryCompacted,
 }
@@ -183,19 +197,28 @@
 async fn list_or_watch<F: Watcher>(
     instance: &FleetInstance,
     watcher: &F,
-    since: Option<u64>,
+    since: Option<Position>,
     options: &WatchOptions,
 ) -> Result<Progress, CallError> {
     let Some(since) = since else {
         let (objects, revision) = instance.store.list(F::KIND, options.consistency).await?;
+        let era = instance.store.era();
         watcher.replace_all(objects);
-        return Ok(Progress::Listed { revision });
+        return Ok(Progress::Listed {
+            position: Position { era, revision },
+        });
     };
+    let era = since.era;
+    let since = since.revision;
     match instance
         .store
         .watch(F::KIND, since, options.wait, options.consistency)
         .await?
     {
+        // The watch began in an era that has ended.
+        WatchResult::Changes { .. } if instance.store.era() != era => {
+            Ok(Progress::HistoryCompacted)
+        }
         WatchResult::Changes { changes, revision } => {
             let changed = !changes.is_empty();
             for change in changes {
@@ -203,7 +226,8 @@
             }
             // A lagging store node may return an older revision.
             let revision = revision.max(since);
-            Ok(Progress::Watched { revision, changed })
+            let position = Position { era, revision };
+            Ok(Progress::Watched { position, changed })
         }
         WatchResult::HistoryCompacted => {
             info!(kind = F::KIND, since; "store compacted its history; listing all objects again");
@@ -222,11 +246,14 @@
 ) -> Option<T> {
     let call = std::pin::pin!(call);
     let outages = instance.store.outages();
+    let era = instance.store.era();
+    let has_ended = || era.is_some() && instance.store.era() != era;
     let cancelled = std::pin::pin!(async {
         stopping.pause(MIN_CALL_TIME).await;
         while stopping.pause(RECHECK_INTERVAL).await
             && !watcher.must_restart()
             && instance.store.outages() == outages
+            && !has_ended()
         {}
     });
     match futures::future::select(call, cancelled).await {
--- a/crates/router/src/fleet/watch/confirmation.rs
+++ b/crates/router/src/fleet/watch/confirmation.rs
@@ -6,6 +6,7 @@
 use limpetsaddle_fleet::peers::CONFIRM_INTERVAL;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Consistency;
+use log::warn;
 
 use super::MAX_BACKOFF;
 use super::RECHECK_INTERVAL;
@@ -75,6 +76,13 @@
     for object in &objects {
         configuration::apply(instance, object);
     }
+    let version = instance.configuration().map_or(0, |c| c.version);
+    let reported = instance.reported_configuration.get();
+    if version < reported {
+        // A store that has returned from an older copy confirms nothing.
+        warn!(version, reported; "store holds an older configuration than a peer has applied");
+        return Ok(());
+    }
     instance.freshness.borrow_mut().confirm(sent);
     Ok(())
 }
--- a/crates/router/src/fleet/watch/lease.rs
+++ b/crates/router/src/fleet/watch/lease.rs
@@ -34,6 +34,7 @@
         match decode_lease(object) {
             Ok(record) => {
                 let now = self.0.now();
+                self.0.observe_lease_era();
                 let mut lease = self.0.lease.borrow_mut();
                 if lease.holder() != Some(&record.holder) {
                     let holder = &record.holder;
@@ -77,6 +78,7 @@
     }
 
     fn replace_all(&self, objects: Vec<Object>) {
+        self.0.observe_lease_era();
         self.0.lease.borrow_mut().observe(None, self.0.now());
         for object in &objects {
             self.apply(object);
