Compare few engines for a prompt where heartbeats are rare; shorter hashes in them

Hashes of eight bytes made up a third of the heartbeats, which are most of the 2.4 GB between failure domains. Change: the more requests are placed between two heartbeats, the fewer engines are compared: a random sample (160 engines, 640 requests a second: 4), the preferred engine and one that caches most. Up to one request per engine and interval, as on all small sites, all engines are compared as before. Hashes in heartbeats are shortened to 42 bits (layout 9).

--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -82,6 +82,7 @@
         isolated_team: None,
         target_weights: None,
         store: None,
+        rate: 0.0,
     };
     let options = PlacementOptions::default();
     let mut least = Duration::MAX;
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::heartbeat::shorten;
 use crate::prompt::CacheSalt;
 use crate::prompt::Prompt;
 
@@ -64,7 +65,7 @@
     let part = |part: &crate::prompt::Part| {
         preceding = stable_hash(&[&preceding.to_le_bytes(), part.id.as_bytes()]);
         ChainedPart {
-            key: ChainKey(preceding),
+            key: ChainKey(shorten(preceding)),
             tokens: part.tokens,
         }
     };
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -13,7 +13,7 @@
 use crate::store_era::StoreEra;
 
 /// The version of the message's layout; heartbeats with another layout are dropped.
-const LAYOUT: u8 = 8;
+const LAYOUT: u8 = 9;
 
 /// The units that an instance has admitted for a team.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -307,16 +307,26 @@
 /// Returns the hash of a name in heartbeats.
 #[must_use]
 pub fn name_hash(name: &str) -> u64 {
-    stable_hash(&[b"name", name.as_bytes()])
+    shorten(stable_hash(&[b"name", name.as_bytes()]))
 }
 
-/// The number of bits by which the hash is shortened: the remaining 42 take six bytes in
+/// The number of bits by which hashes are shortened: the remaining 42 take six bytes in
 /// a heartbeat, and a collision among 4,700 upstreams is improbable.
-const PROCESS_HASH_SHIFT: u32 = 22;
+const HASH_SHIFT: u32 = 22;
+
+/// Shortens a hash for heartbeats.
+#[must_use]
+pub const fn shorten(hash: u64) -> u64 {
+    hash >> HASH_SHIFT
+}
 
 /// Returns the hash in heartbeats of an upstream's process that started at `born_ms`, in
 /// milliseconds since the Unix epoch.
 #[must_use]
 pub fn process_hash(id: &str, born_ms: u64) -> u64 {
-    stable_hash(&[b"process", id.as_bytes(), &born_ms.to_le_bytes()]) >> PROCESS_HASH_SHIFT
+    shorten(stable_hash(&[
+        b"process",
+        id.as_bytes(),
+        &born_ms.to_le_bytes(),
+    ]))
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,6 +7,7 @@
 //! rendezvous hashing, so that requests with the same prefix meet there.
 
 mod prompts;
+mod sample;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 
 pub use self::prompts::PromptRequest;
 pub use self::prompts::place_prompt;
+pub use self::sample::sample_size;
 
 /// The cost model by which engines are compared.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -14,6 +14,8 @@
 use super::crosses_domains;
 use super::jitter;
 use super::millis;
+use super::sample::sample;
+use super::sample::sample_size;
 use crate::Name;
 use crate::configuration::Engine;
 use crate::configuration::KvStore;
@@ -54,6 +56,8 @@
     pub target_weights: Option<&'a TargetWeights>,
     /// The KV store for the prompt's shared parts, while it is up.
     pub store: Option<&'a KvStore>,
+    /// The requests that all instances place per second at the service.
+    pub rate: f64,
 }
 
 /// The weight of prefilling a part at another engine than the preferred one: other
@@ -210,7 +214,7 @@
     let loads = cx.peers.remote_loads(cx.now);
     let mut chains: Vec<SaltedChain<'_>> = Vec::new();
     let mut best: Option<(f64, f64, Candidate<'_>)> = None;
-    for row in cx.candidates(req.service) {
+    for row in compared(req, preferred, &mut chains, cx) {
         let version = row.weights(model);
         let chain = chain_for(version, model, req, cx, &mut chains);
         let remote = loads.get(&row.hash).copied().unwrap_or_default();
@@ -253,6 +257,29 @@
     })
 }
 
+/// Returns the engines that are compared: all or a sample, and beside it the preferred
+/// engine, at which requests with the same shared parts meet, and one that caches most.
+fn compared<'a>(
+    req: &PromptRequest<'_>,
+    preferred: Option<u64>,
+    chains: &mut Vec<SaltedChain<'a>>,
+    cx: &PlacementContext<'a>,
+) -> Vec<&'a Upstream> {
+    let rows = cx.candidates(req.service);
+    let report_age = cx.peers.heartbeat_interval();
+    let size = sample_size(rows.len(), req.rate, report_age);
+    if rows.len() <= size {
+        return rows;
+    }
+    let model = req.prompt.model.as_deref().unwrap_or_default();
+    let newest = rows.iter().filter_map(|row| row.weights(model)).max();
+    let chain = chain_for(newest, model, req, cx, chains);
+    let holder = chain.and_then(|chain| chain.sure.first());
+    let holder = holder.map(|holder| holder.row.hash);
+    let keep = |row: &Upstream| Some(row.hash) == preferred || Some(row.hash) == holder;
+    sample(rows, size, cx.random, keep)
+}
+
 /// Returns the shared parts of the prompt under the salt for a version.
 fn chain_for<'c, 'a>(
     version: Option<u64>,
--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -106,6 +106,14 @@
         allowed * USABLE_FRACTION - to_f64(sum.retries) - to_f64(unreported as u64)
     }
 
+    /// Returns the requests per second that all instances have made in the window.
+    #[must_use]
+    pub fn request_rate(&self, now: Time) -> f64 {
+        let recent = |slot: &&Slot| now.since(slot.start) < self.options.window;
+        let requests = self.slots.iter().filter(recent).map(|s| s.counts.requests);
+        to_f64(requests.sum()) / self.options.window.as_secs_f64().max(f64::EPSILON)
+    }
+
     /// Withdraws one retry; returns `false` if none is left.
     pub fn try_withdraw(&mut self, peer_counts: PeerCounts, now: Time) -> bool {
         if self.remaining(peer_counts, now) < 1.0 {
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -57,6 +57,7 @@
         isolated_team,
         target_weights,
         store,
+        rate: 0.0,
     };
     let options = PlacementOptions::default();
     place_prompt(&req, &options, &fleet.cx(now, 7))
@@ -406,6 +407,7 @@
         isolated_team: None,
         target_weights: None,
         store: None,
+        rate: 0.0,
     };
     let mut sources = HashMap::new();
     for random in 0..900 {
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -324,6 +324,7 @@
                     isolated_team: self.isolated_team(),
                     target_weights: targets.iter().find(|t| &*t.model == model),
                     store: self.kv_store(now),
+                    rate: instance.request_rate(&self.service),
                 };
                 placement::place_prompt(&req, &instance.placement, &context)
             }
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -273,6 +273,12 @@
         self.with_budget(service, |budget| budget.remaining(counts, now))
     }
 
+    /// Returns the requests per second that all instances send to a service.
+    pub fn request_rate(&self, service: &Name) -> f64 {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.request_rate(now))
+    }
+
     /// Counts the requests that a peer has sent to a service.
     pub fn record_peer_requests(&self, report: &ServiceUsageDelta) {
         let service = {
