Bound the time of a load by the reports around its end

The first load, seen early, was the measure. Change: the last report without the weights bounds the time from below, the first one with them from above; only the lower bound can count as slowed down, and only the upper one shortens the undisturbed time. Never fewer loads at once than before any has ended. The test of late polls fails with the upper bound alone.

--- a/.ci/weaken.py
+++ b/.ci/weaken.py
@@ -79,6 +79,14 @@
      "let expected = self.pace(&load.model).expected(concurrent);",
      "let expected = Some(Duration::from_millis(340)).filter(|_| concurrent > 0);",
      "fleet", "load_pace", "keeps_the_pace"),
+    ("late polls count as slow loads", FLEET + "load_pace.rs",
+     "let excess = took.min.saturating_sub(undisturbed);\n"
+     "        let is_measurable = excess >= MIN_EXCESS && concurrent > 1.0;\n"
+     "        let ratio = took.min",
+     "let excess = took.max.saturating_sub(undisturbed);\n"
+     "        let is_measurable = excess >= MIN_EXCESS && concurrent > 1.0;\n"
+     "        let ratio = took.max",
+     "fleet", "load_pace", "late_polls"),
     ("draining upstreams get requests", FLEET + "upstreams.rs",
      "self.entry.phase == Phase::Ready\n", "matches!(self.entry.phase, Phase::Ready | Phase::Draining)\n",
      "fleet", "fleet", "leaving_upstream_gets_no_requests"),
--- a/crates/fleet/src/load_pace.rs
+++ b/crates/fleet/src/load_pace.rs
@@ -13,8 +13,9 @@
 /// The ratio to an undisturbed load from which a load counts as slowed down.
 const SLOWED_RATIO: f64 = 1.25;
 
-/// The precision of measured load times, as reports are polled.
-const PRECISION: Duration = Duration::from_millis(100);
+/// The least excess over an undisturbed load with which a load counts as slowed down; the
+/// delay of reports varies by less.
+const MIN_EXCESS: Duration = Duration::from_millis(100);
 
 /// The weight of a slowed load in the estimated number of loads that don't slow each other.
 const KNEE_SMOOTHING: f64 = 0.3;
@@ -38,15 +39,20 @@
 /// use std::time::Duration;
 ///
 /// use limpetsaddle_fleet::load_pace::LoadPace;
+/// use limpetsaddle_fleet::load_pace::LoadTime;
 ///
 /// let mut pace = LoadPace::default();
 /// assert_eq!(pace.concurrent(2, 4), 2);
-/// pace.record_load(Duration::from_millis(1_200), 2.0);
-/// pace.record_load(Duration::from_millis(1_200), 2.0);
+/// let exactly = |ms| LoadTime {
+///     min: Duration::from_millis(ms),
+///     max: Duration::from_millis(ms),
+/// };
+/// pace.record_load(exactly(1_200), 2.0);
+/// pace.record_load(exactly(1_200), 2.0);
 /// assert_eq!(pace.concurrent(2, 4), 4);
 /// // Four loads at once take as long as three and one after the other.
 /// for _ in 0..16 {
-///     pace.record_load(Duration::from_millis(1_600), 4.0);
+///     pace.record_load(exactly(1_600), 4.0);
 /// }
 /// assert_eq!(pace.concurrent(2, 4), 3);
 /// ```
@@ -62,6 +68,15 @@
     report_delay: Option<Duration>,
 }
 
+/// The bounds on the time that a load took, as its end was only seen by polls.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LoadTime {
+    /// The time until the last poll before its end.
+    pub min: Duration,
+    /// The time until the first poll after its end.
+    pub max: Duration,
+}
+
 /// An ended load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Sample {
@@ -74,12 +89,15 @@
 impl LoadPace {
     /// Records that a load took `took`, while `concurrent` loads ran in the mean, itself
     /// included.
-    pub fn record_load(&mut self, took: Duration, concurrent: f64) {
-        let undisturbed = self.undisturbed.map_or(took, |known| known.min(took));
+    pub fn record_load(&mut self, took: LoadTime, concurrent: f64) {
+        let undisturbed = self
+            .undisturbed
+            .map_or(took.max, |known| known.min(took.max));
         self.undisturbed = Some(undisturbed);
-        let excess = took.saturating_sub(undisturbed);
-        let is_measurable = excess >= PRECISION && concurrent > 1.0;
-        let ratio = took.as_secs_f64() / undisturbed.as_secs_f64().max(f64::EPSILON);
+        // Polls that come late prove nothing.
+        let excess = took.min.saturating_sub(undisturbed);
+        let is_measurable = excess >= MIN_EXCESS && concurrent > 1.0;
+        let ratio = took.min.as_secs_f64() / undisturbed.as_secs_f64().max(f64::EPSILON);
         self.recent[self.next_sample] = Sample {
             ratio: if is_measurable { ratio } else { 1.0 },
             concurrent,
@@ -124,15 +142,15 @@
         self.report_delay
     }
 
-    /// Returns the number of loads to run at once: `start` before loads have ended, and never
-    /// more than `max`.
+    /// Returns the number of loads to run at once: `start` before loads have ended, then at
+    /// least `start` and never more than `max`.
     #[must_use]
     pub fn concurrent(&self, start: usize, max: usize) -> usize {
         let learnt = match self.knee {
             Some(knee) => to_count(knee),
             None => start.saturating_add(self.unslowed),
         };
-        learnt.clamp(1, max.max(1))
+        learnt.max(start).min(max)
     }
 
     /// Returns the number of loads that have not been reported to have ended while `concurrent`
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -14,6 +14,7 @@
 
 use crate::Name;
 use crate::load_pace::LoadPace;
+use crate::load_pace::LoadTime;
 use crate::peers::Peers;
 use crate::upstreams::Upstream;
 use crate::upstreams::Upstreams;
@@ -147,14 +148,22 @@
     is_running: bool,
 }
 
+/// The reports between which a load ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SeenEnd {
+    /// The moment of the last report without the weights, or of the order.
+    pub after: Time,
+    /// The moment of the first report with the weights.
+    pub by: Time,
+}
+
 /// The way in which a load ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LoadEnd {
-    /// The engine has the weights; `since` is the moment of the report that first showed
-    /// them, if its delay counts into the load's time.
+    /// The engine has the weights.
     Loaded {
-        /// The moment of that report.
-        since: Option<Time>,
+        /// The reports around the end, if the load began as soon as it was ordered.
+        seen: Option<SeenEnd>,
     },
     /// The engine doesn't have the weights.
     Failed,
@@ -372,28 +381,32 @@
                     self.paused.insert(Name::clone(&load.upstream), until);
                 }
             }
-            LoadEnd::Loaded { since } => self.end_span(load, since),
+            LoadEnd::Loaded { seen } => self.end_span(load, seen),
         }
     }
 
     /// Ends the span of a load and learns from it.
-    fn end_span(&mut self, load: &WeightsLoad, since: Option<Time>) {
+    fn end_span(&mut self, load: &WeightsLoad, seen: Option<SeenEnd>) {
         let running = |s: &LoadSpan| s.is_running && s.upstream == load.upstream;
         let Some(at) = self.spans.iter().position(running) else {
             return;
         };
-        let Some(reported) = since else {
+        let Some(seen) = seen else {
             self.spans.remove(at);
             return;
         };
         let pace = self.pace(&load.model);
         let delay = pace.report_delay().unwrap_or_default();
         let start = self.spans[at].start;
-        let end = start + reported.since(start).saturating_sub(delay);
+        let until = |at: Time| at.since(start).saturating_sub(delay);
+        let took = LoadTime {
+            min: until(seen.after),
+            max: until(seen.by),
+        };
+        let end = start + took.max;
         self.spans[at].end = end;
         self.spans[at].is_running = false;
-        let took = end.since(start);
-        if took.is_zero() {
+        if took.max.is_zero() {
             return;
         }
         let concurrent = self.mean_concurrency(start, end);
--- a/crates/fleet/tests/load_pace.rs
+++ b/crates/fleet/tests/load_pace.rs
@@ -6,9 +6,11 @@
 
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::load_pace::LoadPace;
+use limpetsaddle_fleet::load_pace::LoadTime;
 use limpetsaddle_fleet::rollout::LoadEnd;
 use limpetsaddle_fleet::rollout::Rollout;
 use limpetsaddle_fleet::rollout::RolloutOptions;
+use limpetsaddle_fleet::rollout::SeenEnd;
 use limpetsaddle_fleet::rollout::WeightsLoad;
 use limpetsaddle_fleet::weights::TargetWeights;
 use support::Fleet;
@@ -30,6 +32,8 @@
     knee: f64,
     /// The time after which old weights may not be used.
     bound: Duration,
+    /// The time between two polls of an engine.
+    poll: Duration,
 }
 
 /// A load at an engine.
@@ -99,7 +103,7 @@
         let hits = loads.iter().filter(loading).filter(returned).count();
         outcome.hits += share(hits, site.engines);
         outcome.away += share(loads.len(), site.engines);
-        finish(&mut loads, &mut rollout, &mut fleet, now);
+        finish(site, &mut loads, &mut rollout, &mut fleet, now);
         for row in fleet.upstreams.iter() {
             let version = row.weights(MODEL).unwrap();
             let outdated = target.outdated_for(version, now).unwrap_or_default();
@@ -142,14 +146,18 @@
 }
 
 /// Ends the loads that the engines report, some time after their end.
-fn finish(loads: &mut Vec<Load>, rollout: &mut Rollout, fleet: &mut Fleet, now: Time) {
+fn finish(site: &Site, loads: &mut Vec<Load>, rollout: &mut Rollout, fleet: &mut Fleet, now: Time) {
     for load in loads.iter() {
         let first = rollout.pace(MODEL).report_delay().is_none();
         if first && load.started.is_some_and(|at| now >= at + REPORT_DELAY) {
             rollout.record_report_delay(&load.order.model, REPORT_DELAY);
         }
     }
-    let reported = |l: &Load| l.ended.is_some_and(|at| now >= at + REPORT_DELAY);
+    let polled = |l: &Load| {
+        let since = l.started.map_or(Duration::ZERO, |at| now.since(at));
+        since.as_millis() % site.poll.as_millis() < STEP.as_millis()
+    };
+    let reported = |l: &Load| l.ended.is_some_and(|at| now >= at + REPORT_DELAY) && polled(l);
     loads.retain(|load| {
         if load.ended.is_none()
             && load
@@ -165,7 +173,13 @@
         fleet
             .upstreams
             .observe_weights(id, MODEL, load.order.version);
-        rollout.finish_load(&load.order, LoadEnd::Loaded { since: Some(now) }, now);
+        let started = load.started.unwrap_or(now);
+        let before = now.since(started).saturating_sub(site.poll);
+        let seen = SeenEnd {
+            after: started + before,
+            by: now,
+        };
+        rollout.finish_load(&load.order, LoadEnd::Loaded { seen: Some(seen) }, now);
         false
     });
 }
@@ -190,6 +204,7 @@
         load: Duration::from_millis(load_ms),
         knee,
         bound: Duration::from_millis(bound_ms),
+        poll: STEP,
     };
     let versions = [2_000, 6_800, 11_600, 20_500, 24_500];
     let outcome = run(&site, &versions, Duration::from_mins(1));
@@ -205,14 +220,61 @@
     assert!(outcome.hits < 0.02, "{} of the time exposed", outcome.hits);
 }
 
+/// A slow instance reads reports late, which must not count as slow loads.
+#[parameterized(
+    sixth_of_a_second = { 160 },
+    third_of_a_second = { 360 },
+    longer_than_a_load = { 700 },
+)]
+fn verify_a_rollout_keeps_its_pace_though_reports_are_read_late(poll_ms: u64) {
+    let site = Site {
+        engines: 140,
+        load: Duration::from_millis(320),
+        knee: 28.0,
+        bound: Duration::from_secs(8),
+        poll: Duration::from_millis(poll_ms),
+    };
+    let versions = [2_000, 5_200, 8_400, 19_300, 23_300];
+    let outcome = run(&site, &versions, Duration::from_secs(40));
+    let longest = outcome.longest_outdated;
+    assert!(longest < site.bound, "outdated for {longest:?}");
+    assert!(
+        outcome.most_loading >= 14,
+        "{} at once",
+        outcome.most_loading
+    );
+}
+
+fn exactly(ms: u64) -> LoadTime {
+    let time = Duration::from_millis(ms);
+    LoadTime {
+        min: time,
+        max: time,
+    }
+}
+
+/// Loads that end in time are polled late at random, by a slow instance on a narrow link.
+#[test]
+fn verify_late_polls_dont_count_as_slow_loads() {
+    let mut pace = LoadPace::default();
+    for late_ms in [0, 60, 180, 360].into_iter().cycle().take(200) {
+        let took = LoadTime {
+            min: Duration::from_millis(260),
+            max: Duration::from_millis(320 + late_ms),
+        };
+        pace.record_load(took, 28.0);
+    }
+    assert_eq!(pace.concurrent(2, 28), 28);
+}
+
 #[test]
 fn verify_the_expected_time_follows_longer_loads() {
     let mut pace = LoadPace::default();
     assert_eq!(pace.expected(1), None);
-    pace.record_load(Duration::from_millis(300), 1.0);
+    pace.record_load(exactly(300), 1.0);
     assert_eq!(pace.expected(1), Some(Duration::from_millis(300)));
     for _ in 0..100 {
-        pace.record_load(Duration::from_millis(350), 1.0);
+        pace.record_load(exactly(350), 1.0);
     }
     let expected = pace.expected(1).unwrap();
     assert!(expected > Duration::from_millis(340), "{expected:?}");
@@ -223,7 +285,7 @@
     let mut pace = LoadPace::default();
     for index in 0..60 {
         let took = if index % 9 == 0 { 3_000 } else { 320 };
-        pace.record_load(Duration::from_millis(took), 8.0);
+        pace.record_load(exactly(took), 8.0);
     }
     assert!(pace.concurrent(2, 8) >= 4, "{pace:?}");
 }
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -63,7 +63,7 @@
     assert_eq!(second.len(), 2);
     assert!(!rollout.may_load(MODEL));
     for load in &first {
-        let end = LoadEnd::Loaded { since: None };
+        let end = LoadEnd::Loaded { seen: None };
         rollout.finish_load(load, end, at(350));
     }
     assert!(rollout.may_load(MODEL));
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -10,6 +10,7 @@
 use limpetsaddle_fleet::rollout;
 use limpetsaddle_fleet::rollout::LoadEnd;
 use limpetsaddle_fleet::rollout::Rollout;
+use limpetsaddle_fleet::rollout::SeenEnd;
 use limpetsaddle_fleet::rollout::SwitchMode;
 use limpetsaddle_fleet::rollout::WeightsLoad;
 use limpetsaddle_platform_wire as wire;
@@ -212,6 +213,8 @@
     at: Time,
     /// Whether the load began at once, as no running requests had to end first.
     starts_at_once: bool,
+    /// The moment of the last report without the weights.
+    last_without: Time,
 }
 
 /// Orders a load, waits until the engine reports the weights and returns how the
@@ -243,9 +246,14 @@
             let mut upstreams = instance.upstreams.borrow_mut();
             upstreams.pause_requests(&load.upstream, Duration::ZERO, now);
             let measured = accepted.filter(|order| order.starts_at_once);
-            return LoadEnd::Loaded {
-                since: measured.map(|_| now),
-            };
+            let seen = measured.map(|order| SeenEnd {
+                after: order.last_without,
+                by: now,
+            });
+            return LoadEnd::Loaded { seen };
+        }
+        if let Some(order) = &mut accepted {
+            order.last_without = now;
         }
         if report.is_busy || is_outdated(&report, accepted.as_ref(), now) {
             extend_load(instance, load, now);
@@ -264,6 +272,7 @@
                     orders_before: report.accepted_orders,
                     at,
                     starts_at_once: starts_at_once(instance, load, mode),
+                    last_without: at,
                 });
                 let wait = on_accepted(instance, load, mode);
                 poll = POLL_INTERVAL;
@@ -271,7 +280,7 @@
             }
             Some(OrderResult::AlreadyLoaded) => {
                 record_weights(instance, load, load.version);
-                return LoadEnd::Loaded { since: None };
+                return LoadEnd::Loaded { seen: None };
             }
             Some(OrderResult::Conflict) | None => monoio::time::sleep(POLL_INTERVAL).await,
             Some(OrderResult::Misdirected) => {
