Log and count the cause of each response that ends early

Cause: the log of an incomplete response named neither what ended it nor how long engine, caller, configuration and stop lay back, and closes of idle connections left no trace; three hypotheses about lost answers could not be told apart. Change: `response cut off` with cause and times, `idle connection closed`, a counter by cause for each; no change of logic. Negative numbers are logged as numbers.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -18,6 +18,7 @@
 mod run;
 mod serve;
 mod store;
+mod unfinished;
 mod watch;
 
 pub use self::run::run;
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -75,6 +75,8 @@
     pub upstream_client: Client,
     /// The configuration in force.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
+    /// The time at which the configuration in force was applied.
+    pub configured_at: Cell<Option<Time>>,
     /// Whether a peer has reported a newer configuration.
     pub newer_configuration: Cell<bool>,
     /// The newest configuration version that a peer has reported.
@@ -134,6 +136,7 @@
             store: StoreClient::new(settings.store, now),
             upstream_client: Client::new(client_options),
             configuration: RefCell::new(None),
+            configured_at: Cell::new(None),
             newer_configuration: Cell::new(false),
             reported_configuration: Cell::new(0),
             freshness: RefCell::new(Freshness::new(FreshnessOptions::for_withdrawal(
@@ -190,6 +193,7 @@
         self.limits.borrow_mut().configure(&limits, self.now());
         self.create_budgets(&configuration);
         self.configuration.replace(Some(Rc::new(configuration)));
+        self.configured_at.set(Some(self.now()));
     }
 
     /// Creates the retry budget of every service, so that the requests of peers
@@ -210,6 +214,11 @@
         self.stop_began.set(Some(self.now()));
     }
 
+    /// Returns the beginning of the planned stop, if it has begun.
+    pub const fn stop_began(&self) -> Option<Time> {
+        self.stop_began.get()
+    }
+
     /// Returns the remaining time in which requests are accepted.
     pub fn remaining_accept_time(&self) -> Duration {
         let since = self.stop_began.get().map(|at| self.now().since(at));
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -11,6 +11,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Registry;
 
+use super::unfinished::CutOffCause;
+use super::unfinished::IdleCloseCause;
 use crate::errors::MetricsError;
 use crate::logging;
 use crate::metrics;
@@ -28,6 +30,8 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     responses: Counter<u64>,
+    cut_offs: Counter<u64>,
+    idle_closes: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
     store_calls: Counter<u64>,
@@ -57,6 +61,8 @@
         Ok(Self {
             requests: meter.u64_counter("limpetsaddle_requests").build(),
             responses: meter.u64_counter("limpetsaddle_answers").build(),
+            cut_offs: meter.u64_counter("limpetsaddle_cut_off_answers").build(),
+            idle_closes: meter.u64_counter("limpetsaddle_idle_closes").build(),
             refusals: meter.u64_counter("limpetsaddle_refusals").build(),
             retries: meter.u64_counter("limpetsaddle_retries").build(),
             store_calls: meter.u64_counter("limpetsaddle_store_calls").build(),
@@ -81,6 +87,18 @@
         self.response_time.record(span.as_secs_f64(), &[]);
     }
 
+    /// Counts a response that ended before it was complete, by its cause.
+    pub fn record_cut_off(&self, cause: CutOffCause) {
+        self.cut_offs
+            .add(1, &[KeyValue::new("cause", cause.code())]);
+    }
+
+    /// Counts a connection that was closed between two requests, by the cause.
+    pub fn record_idle_close(&self, cause: IdleCloseCause) {
+        self.idle_closes
+            .add(1, &[KeyValue::new("cause", cause.code())]);
+    }
+
     /// Records the time from a request's arrival to its first event.
     pub fn record_first_event(&self, span: Duration) {
         self.first_event.record(span.as_secs_f64(), &[]);
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use http::StatusCode;
 use http::response::Parts;
+use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::attempt::Failure;
 use limpetsaddle_fleet::attempt::NextStep;
 use limpetsaddle_fleet::configuration::RouteKind;
@@ -25,6 +26,9 @@
 use super::forward::InFlightGuard;
 use super::forward::buffered_response;
 use super::forward::elapsed_ms;
+use super::instance::FleetInstance;
+use super::unfinished::CutOffCause;
+use super::unfinished::record_cut_off;
 use crate::clock::millis;
 
 /// The largest response of a plain service that is read, in bytes.
@@ -79,6 +83,8 @@
     res: limpetsaddle_http::Response,
     splitter: EventSplitter,
     ended: bool,
+    /// The time of the upstream's last byte.
+    last_byte_at: Time,
 }
 
 /// The upstream that a response comes from.
@@ -125,7 +131,7 @@
         return AttemptOutcome::failed(Failure::InvalidResponse);
     }
     if status.is_success() && streams {
-        return open_stream(placement, res, in_flight).await;
+        return open_stream(forwarder, placement, res, in_flight).await;
     }
     read_buffered(forwarder, placement, res, in_flight).await
 }
@@ -221,6 +227,7 @@
 
 /// Reads a stream up to its first event.
 async fn open_stream(
+    forwarder: &Forwarder<'_>,
     placement: &Placement,
     res: limpetsaddle_http::Response,
     in_flight: &mut InFlightGuard,
@@ -233,8 +240,9 @@
         res,
         splitter: EventSplitter::default(),
         ended: false,
+        last_byte_at: forwarder.instance.now(),
     };
-    if let Err(error) = stream.fill().await {
+    if let Err(error) = stream.fill(forwarder.instance).await {
         return AttemptOutcome::caused(Failure::ConnectionLost, &error);
     }
     in_flight.record_first_event(placement);
@@ -243,16 +251,19 @@
 
 impl Stream {
     /// Reads the next bytes, or records the end of the stream.
-    async fn fill(&mut self) -> limpetsaddle_http::Result<()> {
+    async fn fill(&mut self, instance: &FleetInstance) -> limpetsaddle_http::Result<()> {
         match self.res.next().await? {
-            Some(bytes) => self.splitter.push(&bytes),
+            Some(bytes) => {
+                self.last_byte_at = instance.now();
+                self.splitter.push(&bytes);
+            }
             None => self.ended = true,
         }
         Ok(())
     }
 
     /// Returns the next event, or `None` at the end of the stream.
-    async fn next(&mut self) -> Result<Option<RawEvent>, Failure> {
+    async fn next(&mut self, instance: &FleetInstance) -> Result<Option<RawEvent>, Failure> {
         loop {
             if let Some(event) = self.splitter.next() {
                 return Ok(Some(event));
@@ -266,7 +277,7 @@
                     Err(Failure::ConnectionLost)
                 };
             }
-            match monoio::time::timeout(STREAM_IDLE_TIMEOUT, self.fill()).await {
+            match monoio::time::timeout(STREAM_IDLE_TIMEOUT, self.fill(instance)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return Err(Failure::ConnectionLost),
                 Err(_) => return Err(Failure::TimedOut),
@@ -285,7 +296,13 @@
     match response {
         UpstreamResponse::Buffered(res) => {
             let status = res.status().as_u16();
-            let reusable = conn.respond(res).await.is_ok();
+            let received_at = forwarder.instance.now();
+            let written = conn.respond(res).await;
+            if let Err(error) = &written {
+                let cause = CutOffCause::of_write(error);
+                cut_off(forwarder, &origin.placement, cause, received_at);
+            }
+            let reusable = written.is_ok();
             log_end(forwarder, &origin.placement, status, reusable, 0);
             ForwardOutcome::Responded { reusable }
         }
@@ -321,6 +338,18 @@
     );
 }
 
+fn cut_off(
+    forwarder: &Forwarder<'_>,
+    placement: &Placement,
+    cause: CutOffCause,
+    upstream_byte_at: Time,
+) {
+    let Forwarder {
+        instance, accepted, ..
+    } = forwarder;
+    record_cut_off(instance, accepted, placement, cause, upstream_byte_at);
+}
+
 async fn relay_stream(
     forwarder: &mut Forwarder<'_>,
     conn: &mut Connection,
@@ -332,7 +361,9 @@
     forwarder.instance.metrics.record_first_event(first);
     let head = std::mem::take(&mut stream.head);
     let status = head.status().as_u16();
-    if conn.start(head).await.is_err() {
+    if let Err(error) = conn.start(head).await {
+        let cause = CutOffCause::of_write(&error);
+        cut_off(forwarder, &origin.placement, cause, stream.last_byte_at);
         log_end(forwarder, &origin.placement, status, false, first_event_ms);
         return ForwardOutcome::Aborted;
     }
@@ -341,12 +372,17 @@
         let copied = copy_events(forwarder, conn, &mut stream);
         let end = match monoio::time::timeout(remaining, copied).await {
             Ok(end) => end,
-            Err(_) => CopyEnd::DeadlineExceeded,
+            Err(_) => CopyEnd::CutOff(CutOffCause::DeadlineExceeded),
         };
         match end {
             CopyEnd::Complete => {
                 origin.in_flight.outcome = Some(RequestOutcome::Responded);
-                let reusable = conn.finish().await.is_ok();
+                let finished = conn.finish().await;
+                if let Err(error) = &finished {
+                    let cause = CutOffCause::of_write(error);
+                    cut_off(forwarder, &origin.placement, cause, stream.last_byte_at);
+                }
+                let reusable = finished.is_ok();
                 log_end(
                     forwarder,
                     &origin.placement,
@@ -356,22 +392,26 @@
                 );
                 return ForwardOutcome::Responded { reusable };
             }
-            CopyEnd::CallerDisconnected | CopyEnd::DeadlineExceeded => {
+            CopyEnd::CutOff(cause) => {
+                cut_off(forwarder, &origin.placement, cause, stream.last_byte_at);
                 log_end(forwarder, &origin.placement, status, false, first_event_ms);
                 return ForwardOutcome::Aborted;
             }
             CopyEnd::Failed(failure) => {
                 // Closes the connection before the stream is resumed, so that
                 // the engine stops the run.
+                let last_byte_at = stream.last_byte_at;
                 drop(stream);
                 origin.in_flight.outcome = failure.outcome();
-                match resume(forwarder, conn, failure, origin).await {
-                    Some((next, next_stream)) => {
-                        origin = next;
-                        stream = next_stream;
-                    }
-                    None => return ForwardOutcome::Aborted,
-                }
+                let failed = origin.placement.clone();
+                let resumed = resume(forwarder, conn, failure, origin).await;
+                let Some((next, next_stream)) = resumed else {
+                    let cause = CutOffCause::Upstream(failure);
+                    cut_off(forwarder, &failed, cause, last_byte_at);
+                    return ForwardOutcome::Aborted;
+                };
+                origin = next;
+                stream = next_stream;
             }
         }
     }
@@ -380,8 +420,7 @@
 /// The reason why the copying of events to the caller ended.
 enum CopyEnd {
     Complete,
-    CallerDisconnected,
-    DeadlineExceeded,
+    CutOff(CutOffCause),
     Failed(Failure),
 }
 
@@ -392,11 +431,13 @@
 ) -> CopyEnd {
     loop {
         let next = {
-            let next = std::pin::pin!(stream.next());
+            let next = std::pin::pin!(stream.next(forwarder.instance));
             let closed = std::pin::pin!(conn.closed());
             match futures::future::select(next, closed).await {
                 futures::future::Either::Left((next, _)) => next,
-                futures::future::Either::Right(_) => return CopyEnd::CallerDisconnected,
+                futures::future::Either::Right(_) => {
+                    return CopyEnd::CutOff(CutOffCause::CallerClosed);
+                }
             }
         };
         let event = match next {
@@ -407,8 +448,8 @@
         if is_duplicate(event.id.as_deref(), forwarder.last_event.as_deref()) {
             continue;
         }
-        if conn.send(event.bytes.into()).await.is_err() {
-            return CopyEnd::CallerDisconnected;
+        if let Err(error) = conn.send(event.bytes.into()).await {
+            return CopyEnd::CutOff(CutOffCause::of_write(&error));
         }
         if event.id.is_some() {
             forwarder.last_event = event.id;
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -16,6 +16,8 @@
 use super::exchange;
 use super::instance::FleetInstance;
 use super::responses;
+use super::unfinished::IdleCloseCause;
+use super::unfinished::record_idle_close;
 use crate::running::Running;
 
 /// The time that an open connection gets for one more request once the
@@ -80,6 +82,7 @@
         let mut check = std::pin::pin!(monoio::time::sleep(IDLE_CHECK_INTERVAL).fuse());
         let mut drain = std::pin::pin!(instance.draining.closed().fuse());
         if instance.remaining_accept_time().is_zero() {
+            record_idle_close(instance, IdleCloseCause::Stop, since, Duration::ZERO);
             return None;
         }
         futures::select_biased! {
@@ -87,7 +90,9 @@
             () = drain => break,
             () = check => {}
         }
-        if instance.now().since(since) > limits(instance).idle_timeout {
+        let limit = limits(instance).idle_timeout;
+        if instance.now().since(since) > limit {
+            record_idle_close(instance, IdleCloseCause::IdleLimit, since, limit);
             return None;
         }
     }
@@ -96,6 +101,9 @@
     let running = instance.running().begin();
     let timeout = LAST_REQUEST_TIMEOUT.min(instance.remaining_accept_time());
     let ready = monoio::time::timeout(timeout, ready).await;
+    if ready.is_err() {
+        record_idle_close(instance, IdleCloseCause::Stop, since, timeout);
+    }
     ready.unwrap_or(false).then_some(running)
 }
 
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -161,7 +161,8 @@
         key: Key<'kvs>,
         value: Value<'kvs>,
     ) -> std::result::Result<(), KvError> {
-        let number = value.to_u64().map(|number| json!(number));
+        let unsigned = value.to_u64().map(|number| json!(number));
+        let number = unsigned.or(value.to_i64().map(|number| json!(number)));
         let flag = value.to_bool().map(|flag| json!(flag));
         let value = number.or(flag).unwrap_or_else(|| json!(value.to_string()));
         self.0.insert(key.to_string(), value);
