End no answer because its engine is silent

Callers saw: a stream of a route that may not be resumed was cut after 1.2 s without an event, with neither an end nor an error; a resumable one too, once no attempt, budget or engine was left; a repeatable request got 502 or 504 after half of its time though its service would have answered. Cause: a limit on silence ended an attempt before it was known that another could take its place. Class: giving up what may still come with nothing better at hand. Change: silence ends no attempt. After the patience of its kind (`fleet::patience`) another upstream is tried beside the silent one, if the route, the attempts, the retry budget and admission permit it; the first response counts. Without another upstream the silent one is waited for until the deadline. The patience with a stream comes from the pause after which its callers would leave.

--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -151,6 +151,21 @@
         NextStep::GiveUp(self.refusal(failure))
     }
 
+    /// Records that an upstream is silent, and returns whether another one may run the
+    /// request beside it.
+    ///
+    /// `budget` withdraws one retry from the instance's budget; it is called only when
+    /// everything else permits the other run.
+    pub fn record_silence(&mut self, now: Time, budget: impl FnOnce() -> bool) -> bool {
+        let left = self.runs + 1 < self.max_runs && self.rejections < MAX_REJECTIONS;
+        let in_time = now + MIN_TIME_LEFT < self.deadline;
+        let permitted = self.kind.may_repeat() && left && in_time && budget();
+        if permitted {
+            self.runs += 1;
+        }
+        permitted
+    }
+
     /// Returns the refusal of a request for which no upstream is left; it carries `reason`
     /// and `after` only if the request has not run.
     #[must_use]
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -59,6 +59,8 @@
     pub timeout: Duration,
     /// The latency that counts as on time.
     pub target_latency: Duration,
+    /// The pause between two events after which callers abandon a stream.
+    pub caller_patience: Duration,
     /// The maximum number of upstreams that may run a request.
     pub max_attempts: u32,
     /// The priority; 0 is the most urgent.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lease;
 pub mod limits;
 pub mod load_pace;
+pub mod patience;
 pub mod peers;
 pub mod placement;
 pub mod prompt;
--- a/crates/fleet/tests/attempts.rs
+++ b/crates/fleet/tests/attempts.rs
@@ -94,3 +94,40 @@
     let step = attempts.record_failure(Failure::Rejected, at(0), || false);
     assert!(matches!(step, NextStep::GiveUp(r) if r.reason.status() == 503));
 }
+
+#[parameterized(
+    idempotent = { IDEMPOTENT, 2, 0, true },
+    resumable_stream = { RESUMABLE_STREAM, 2, 0, true },
+    non_idempotent = { NON_IDEMPOTENT, 2, 0, false },
+    other_stream = { NON_RESUMABLE_STREAM, 2, 0, false },
+    one_attempt = { IDEMPOTENT, 1, 0, false },
+    near_the_deadline = { IDEMPOTENT, 2, 4_990, false },
+)]
+fn verify_silence_lets_another_upstream_run_only_what_may_run_again(
+    kind: RouteKind,
+    max_runs: u32,
+    now: u64,
+    permitted: bool,
+) {
+    let mut attempts = Attempts::new(kind, max_runs, at(5_000));
+    assert_eq!(attempts.record_silence(at(now), || true), permitted);
+    assert_eq!(attempts.may_have_run(), permitted);
+    assert!(!attempts.record_silence(at(now), || true));
+}
+
+#[test]
+fn verify_silence_beyond_the_budget_changes_nothing() {
+    let mut attempts = Attempts::new(IDEMPOTENT, 2, at(5_000));
+    assert!(!attempts.record_silence(at(0), || false));
+    assert!(!attempts.may_have_run());
+    let step = attempts.record_failure(Failure::ConnectionLost, at(1), || true);
+    assert_eq!(step, NextStep::Retry);
+}
+
+#[test]
+fn verify_a_run_beside_a_silent_one_counts_as_a_run() {
+    let mut attempts = Attempts::new(IDEMPOTENT, 2, at(5_000));
+    assert!(attempts.record_silence(at(0), || true));
+    let step = attempts.record_failure(Failure::ConnectionLost, at(1), || true);
+    assert!(matches!(step, NextStep::GiveUp(r) if r.reason == Reason::UpstreamFailed));
+}
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -4,6 +4,7 @@
 //! watching the platform's store, exchanging heartbeats with the other
 //! instances, rolling out weights, and serving callers.
 
+mod attempts;
 mod call;
 mod exchange;
 mod forward;
@@ -14,6 +15,7 @@
 mod monitoring;
 mod relay;
 mod responses;
+mod resume;
 mod rollout;
 mod run;
 mod serve;
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -1,5 +1,7 @@
 //! Forwarding of a request to upstreams until one responds.
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,10 +13,7 @@
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::admission;
 use limpetsaddle_fleet::attempt::Attempts;
-use limpetsaddle_fleet::attempt::Failure;
-use limpetsaddle_fleet::attempt::NextStep;
 use limpetsaddle_fleet::configuration::KvStore;
-use limpetsaddle_fleet::configuration::RouteKind;
 use limpetsaddle_fleet::configuration::Service;
 use limpetsaddle_fleet::configuration::share_hash;
 use limpetsaddle_fleet::configuration::store_hash;
@@ -38,25 +37,11 @@
 use super::exchange::AcceptedRequest;
 use super::instance::FleetInstance;
 use super::relay;
-use super::relay::AttemptOutcome;
-use super::relay::Origin;
-use super::relay::PendingResponse;
 use crate::clock::millis;
 
 /// The time after which a caller may retry when no upstream accepts requests.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// The divisor of the remaining time that gives the timeout of one attempt of an
-/// idempotent request.
-const ATTEMPT_TIMEOUT_DIVISOR: u32 = 2;
-
-/// The shortest timeout of one attempt of an idempotent request.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// The time beyond the expected time to the first event after which a resumable
-/// stream is sent to another engine.
-const FIRST_EVENT_SLACK: Duration = Duration::from_secs(2);
-
 /// The outcome of a request.
 pub enum ForwardOutcome {
     /// The caller has the response of an upstream.
@@ -85,7 +70,11 @@
 }
 
 impl InFlightGuard {
-    fn new(instance: &Rc<FleetInstance>, placement: &Placement, request_load: RequestLoad) -> Self {
+    pub fn new(
+        instance: &Rc<FleetInstance>,
+        placement: &Placement,
+        request_load: RequestLoad,
+    ) -> Self {
         let now = instance.now();
         let mut upstreams = instance.upstreams.borrow_mut();
         Self {
@@ -96,7 +85,7 @@
     }
 
     /// Returns a guard that counts nothing, for a response that was read whole.
-    fn none(instance: &Rc<FleetInstance>) -> Self {
+    pub fn none(instance: &Rc<FleetInstance>) -> Self {
         Self {
             instance: Rc::clone(instance),
             ticket: None,
@@ -155,12 +144,14 @@
     pub accepted: &'a AcceptedRequest,
     /// The service that was drawn from the route's shares.
     pub service: Name,
-    /// The attempts so far.
-    pub attempts: Attempts,
     /// The id of the last event that the caller has received.
-    pub last_event: Option<String>,
-    attempted: Vec<Name>,
-    sent: u32,
+    pub last_event: RefCell<Option<String>>,
+    /// The attempts so far.
+    pub attempts: Cell<Attempts>,
+    /// The upstreams that were attempted.
+    pub attempted: RefCell<Vec<Name>>,
+    /// The number of attempts so far.
+    pub sent: Cell<u32>,
 }
 
 /// Forwards a request and relays the response to the caller.
@@ -172,15 +163,19 @@
 ) -> ForwardOutcome {
     let id = accepted.fields.id.as_deref().unwrap_or_default();
     let route = &accepted.route;
-    let mut forwarder = Forwarder {
+    let forwarder = Forwarder {
         instance,
         req,
         accepted,
         service: Name::clone(route.service(share_hash(id))),
-        attempts: Attempts::new(route.kind, route.max_attempts, accepted.deadline),
-        last_event: None,
-        attempted: Vec::new(),
-        sent: 0,
+        attempts: Cell::new(Attempts::new(
+            route.kind,
+            route.max_attempts,
+            accepted.deadline,
+        )),
+        last_event: RefCell::default(),
+        attempted: RefCell::default(),
+        sent: Cell::new(0),
     };
     let pending = {
         let send = std::pin::pin!(forwarder.send().fuse());
@@ -193,74 +188,20 @@
     match pending {
         None => {
             let after_ms = millis(instance.now().since(accepted.arrived));
-            info!(id, route:display = route.name, sent = forwarder.sent, after_ms; "caller disconnected");
+            info!(id, route:display = route.name, sent = forwarder.sent(), after_ms; "caller disconnected");
             ForwardOutcome::Aborted
         }
-        Some(Ok(pending)) => relay::relay(&mut forwarder, conn, pending).await,
+        Some(Ok(pending)) => relay::relay(&forwarder, conn, pending).await,
         Some(Err(refusal)) => ForwardOutcome::Refused {
             refusal,
-            may_have_run: forwarder.attempts.may_have_run(),
+            may_have_run: forwarder.attempts.get().may_have_run(),
         },
     }
 }
 
 impl Forwarder<'_> {
-    /// Sends the request to upstreams until one responds.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal when no upstream responds and none may be attempted
-    /// any more.
-    pub async fn send(&mut self) -> Result<PendingResponse, Refusal> {
-        loop {
-            let placement = self.place()?;
-            let mut in_flight =
-                InFlightGuard::new(self.instance, &placement, self.request_load(&placement));
-            let (outcome, timed_out_early) = self.attempt(&placement, &mut in_flight).await;
-            let (failure, cause, response) = match outcome {
-                AttemptOutcome::Responded(response) => {
-                    let origin = Origin {
-                        in_flight,
-                        placement,
-                    };
-                    return Ok(PendingResponse { origin, response });
-                }
-                AttemptOutcome::Failed {
-                    failure,
-                    cause,
-                    response,
-                } => (failure, cause, response),
-            };
-            in_flight.outcome = self.health_outcome(failure, &placement, timed_out_early);
-            drop(in_flight);
-            self.record_failure(failure, &cause, &placement);
-            let service = Name::clone(&self.service);
-            let instance = self.instance;
-            let now = instance.now();
-            let step = self
-                .attempts
-                .record_failure(failure, now, || instance.withdraw_retry(&service));
-            match (step, response) {
-                (NextStep::Retry, _) => instance.metrics.record_retry(failure),
-                // After the last attempt, the upstream's error response is
-                // relayed.
-                (NextStep::GiveUp(_), Some(response)) => {
-                    let in_flight = InFlightGuard::none(instance);
-                    return Ok(PendingResponse {
-                        origin: Origin {
-                            in_flight,
-                            placement,
-                        },
-                        response: relay::UpstreamResponse::Buffered(response),
-                    });
-                }
-                (NextStep::GiveUp(refusal), None) => return Err(refusal),
-            }
-        }
-    }
-
     /// Returns the prompt that the request declares.
-    fn prompt(&self) -> Option<&Prompt> {
+    pub fn prompt(&self) -> Option<&Prompt> {
         self.accepted.fields.prompt.as_ref()
     }
 
@@ -281,7 +222,7 @@
         team.map(|team| &*team.name)
     }
 
-    fn request_load(&self, placement: &Placement) -> RequestLoad {
+    pub fn request_load(&self, placement: &Placement) -> RequestLoad {
         let prompt = self.prompt();
         RequestLoad {
             waiting_tokens: placement.prompt_tokens,
@@ -291,25 +232,27 @@
         }
     }
 
-    fn place(&self) -> Result<Placement, Refusal> {
+    pub fn place(&self) -> Result<Placement, Refusal> {
         let instance = self.instance;
         let now = instance.now();
         let remaining = self.accepted.deadline.since(now);
         if remaining.is_zero() {
             return Err(self
                 .attempts
+                .get()
                 .give_up(Reason::DeadlineExceeded, Duration::ZERO));
         }
         let service = self.accepted.configuration.service(&self.service);
         let upstreams = instance.upstreams.borrow();
         let peers = instance.peers.borrow();
         let directory = instance.directory.borrow();
+        let attempted = self.attempted.borrow();
         let context = PlacementContext {
             upstreams: &upstreams,
             peers: &peers,
             directory: &directory,
             domain: &instance.settings.domain,
-            attempted: &self.attempted,
+            attempted: &attempted,
             now,
             random: instance.random.draw(),
         };
@@ -332,6 +275,7 @@
         };
         let refusal = || {
             self.attempts
+                .get()
                 .give_up(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER)
         };
         let placement = placement.ok_or_else(refusal)?;
@@ -345,7 +289,7 @@
         service: Option<&Service>,
         remaining: Duration,
     ) -> Result<(), Refusal> {
-        if self.attempts.may_have_run() {
+        if self.attempts.get().may_have_run() {
             return Ok(());
         }
         if service.is_some_and(|s| s.engine.is_some()) {
@@ -364,101 +308,6 @@
         admission::admit_plain(requests, row.entry.slots)
     }
 
-    /// Attempts the request at one upstream. The second value is true if the
-    /// attempt timed out before the request's deadline.
-    async fn attempt(
-        &mut self,
-        placement: &Placement,
-        in_flight: &mut InFlightGuard,
-    ) -> (AttemptOutcome, bool) {
-        if self.sent == 0 {
-            self.instance.count_request(&self.service);
-        }
-        self.sent += 1;
-        let now = self.instance.now();
-        let remaining = self.accepted.deadline.since(now);
-        let timeout = self.attempt_timeout(placement, remaining);
-        let attempt = relay::send_attempt(self, placement, in_flight, remaining);
-        if let Ok(outcome) = monoio::time::timeout(timeout, attempt).await {
-            (outcome, false)
-        } else {
-            let timed_out = AttemptOutcome::Failed {
-                failure: Failure::TimedOut,
-                cause: format!("no response within {} ms", timeout.as_millis()),
-                response: None,
-            };
-            (timed_out, timeout < remaining)
-        }
-    }
-
-    /// Returns the timeout of one attempt, which leaves time for another one if
-    /// the request may run again.
-    fn attempt_timeout(&self, placement: &Placement, remaining: Duration) -> Duration {
-        match self.accepted.route.kind {
-            RouteKind::NonIdempotent | RouteKind::Stream { resumable: false } => remaining,
-            RouteKind::Idempotent => {
-                let timeout = remaining / ATTEMPT_TIMEOUT_DIVISOR;
-                timeout.max(MIN_ATTEMPT_TIMEOUT).min(remaining)
-            }
-            RouteKind::Stream { resumable: true } => {
-                (placement.expected_latency * 2 + FIRST_EVENT_SLACK).min(remaining)
-            }
-        }
-    }
-
-    /// Returns the outcome for the upstream's health. A timeout is ignored if the
-    /// request's own deadline was too short.
-    fn health_outcome(
-        &self,
-        failure: Failure,
-        placement: &Placement,
-        timed_out_early: bool,
-    ) -> Option<RequestOutcome> {
-        let waited = self.instance.now().since(self.accepted.arrived);
-        let expected = placement.expected_latency * 2 + FIRST_EVENT_SLACK / 2;
-        if failure == Failure::TimedOut && !timed_out_early && waited < expected {
-            return None;
-        }
-        failure.outcome()
-    }
-
-    fn record_failure(&mut self, failure: Failure, cause: &str, placement: &Placement) {
-        let upstream = &placement.upstream;
-        if failure == Failure::Rejected {
-            let now = self.instance.now();
-            let mut upstreams = self.instance.upstreams.borrow_mut();
-            upstreams.record_rejection(upstream, now);
-        }
-        if !self.has_changed_weights(failure, placement) {
-            self.attempted.push(Name::clone(upstream));
-        }
-        let id = self.accepted.fields.id.as_deref().unwrap_or_default();
-        let after = self.instance.now().since(self.accepted.arrived);
-        info!(
-            id, upstream:display,
-            failure = failure.code(),
-            cause,
-            weights = placement.weights.unwrap_or_default(),
-            sent = self.sent,
-            after_ms = millis(after),
-            expected_ms = millis(placement.expected_latency);
-            "attempt failed"
-        );
-    }
-
-    /// Returns whether an engine has rejected the request because it now has
-    /// other weights, with which it can be attempted again.
-    fn has_changed_weights(&self, failure: Failure, placement: &Placement) -> bool {
-        if failure != Failure::Misdirected {
-            return false;
-        }
-        let model = self.prompt().and_then(|p| p.model.as_deref());
-        let upstreams = self.instance.upstreams.borrow();
-        let row = upstreams.get(&placement.upstream);
-        let weights = row.zip(model).and_then(|(row, model)| row.weights(model));
-        weights != placement.weights
-    }
-
     /// Returns the request for an upstream, or `None` if a header field cannot be
     /// encoded.
     pub fn upstream_request(&self, placement: &Placement, remaining: Duration) -> Option<Request> {
@@ -466,6 +315,7 @@
         req.headers_mut().remove(header::EXPECT);
         let team = self.accepted.team.as_ref();
         let priority = team.and_then(|team| team.priority);
+        let last_event = self.last_event.borrow();
         let fields = UpstreamFields {
             upstream: &placement.upstream,
             remaining,
@@ -473,7 +323,7 @@
             priority: priority.unwrap_or(self.accepted.route.priority),
             weights: placement.weights,
             cache: placement.cache.as_ref(),
-            last_event: self.last_event.as_deref(),
+            last_event: last_event.as_deref(),
         };
         match headers::set_upstream_fields(req.headers_mut(), &fields) {
             Ok(()) => Some(req),
@@ -485,13 +335,14 @@
     }
 
     /// Excludes an upstream whose stream failed from further attempts.
-    pub fn exclude(&mut self, placement: &Placement) {
-        self.attempted.push(Name::clone(&placement.upstream));
+    pub fn exclude(&self, placement: &Placement) {
+        let mut attempted = self.attempted.borrow_mut();
+        attempted.push(Name::clone(&placement.upstream));
     }
 
     /// Returns the number of attempts so far.
     pub const fn sent(&self) -> u32 {
-        self.sent
+        self.sent.get()
     }
 }
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -21,6 +21,7 @@
 use limpetsaddle_fleet::lease::OrderLease;
 use limpetsaddle_fleet::limits::Limits;
 use limpetsaddle_fleet::limits::TeamLimit;
+use limpetsaddle_fleet::patience::PatienceOptions;
 use limpetsaddle_fleet::peers::PeerOptions;
 use limpetsaddle_fleet::peers::Peers;
 use limpetsaddle_fleet::peers::ServiceUsageDelta;
@@ -99,6 +100,8 @@
     /// The engines that are loading weights.
     pub rollout: RefCell<Rollout>,
     pub placement: PlacementOptions,
+    /// The patience with silent upstreams.
+    pub patience: PatienceOptions,
     /// Closes when the instance accepts no more connections.
     pub draining: Stopping,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
@@ -157,6 +160,7 @@
                 max_weights_age: placement.old_weights_max_age,
             })),
             placement,
+            patience: PatienceOptions::default(),
             draining,
             budgets: RefCell::new(HashMap::new()),
             team_names: RefCell::new(HashMap::new()),
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -3,19 +3,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt as _;
 use http::Response;
 use http::StatusCode;
 use http::response::Parts;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::attempt::Failure;
-use limpetsaddle_fleet::attempt::NextStep;
 use limpetsaddle_fleet::configuration::RouteKind;
 use limpetsaddle_fleet::events::EventSplitter;
 use limpetsaddle_fleet::events::RawEvent;
 use limpetsaddle_fleet::health::RequestOutcome;
 use limpetsaddle_fleet::placement::Placement;
-use limpetsaddle_fleet::refusal::Reason;
-use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_http::Connection;
 use limpetsaddle_platform_wire::headers;
 use limpetsaddle_platform_wire::headers::ResponseFields;
@@ -27,6 +25,7 @@
 use super::forward::buffered_response;
 use super::forward::elapsed_ms;
 use super::instance::FleetInstance;
+use super::resume;
 use super::unfinished::CutOffCause;
 use super::unfinished::record_cut_off;
 use crate::clock::millis;
@@ -34,10 +33,6 @@
 /// The largest response of a plain service that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
-/// The idle time after which a resumable stream is resumed at another engine.
-/// Callers time out after two seconds at the earliest.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// The outcome of one attempt at an upstream.
 pub enum AttemptOutcome {
     /// The upstream has sent the whole response, or the first event of a stream.
@@ -84,7 +79,19 @@
     splitter: EventSplitter,
     ended: bool,
     /// The time of the upstream's last byte.
-    last_byte_at: Time,
+    pub last_byte_at: Time,
+    /// The pause after which the upstream counts as silent, if another one may continue
+    /// the stream.
+    patience: Option<Duration>,
+    /// Whether the upstream is silent and nothing replaces it.
+    pub is_awaited: bool,
+}
+
+/// The reason why a stream has no next event.
+enum NoEvent {
+    Failed(Failure),
+    /// The upstream has sent nothing for the stream's patience.
+    Silent,
 }
 
 /// The upstream that a response comes from.
@@ -105,7 +112,6 @@
 pub async fn send_attempt(
     forwarder: &Forwarder<'_>,
     placement: &Placement,
-    in_flight: &mut InFlightGuard,
     remaining: Duration,
 ) -> AttemptOutcome {
     let Some(req) = forwarder.upstream_request(placement, remaining) else {
@@ -131,9 +137,9 @@
         return AttemptOutcome::failed(Failure::InvalidResponse);
     }
     if status.is_success() && streams {
-        return open_stream(forwarder, placement, res, in_flight).await;
+        return open_stream(forwarder, res).await;
     }
-    read_buffered(forwarder, placement, res, in_flight).await
+    read_buffered(forwarder, res).await
 }
 
 fn record_weights(
@@ -178,20 +184,16 @@
 
 async fn read_buffered(
     forwarder: &Forwarder<'_>,
-    placement: &Placement,
     res: limpetsaddle_http::Response,
-    in_flight: &mut InFlightGuard,
 ) -> AttemptOutcome {
     let (head, res) = split(res);
     let body = match res.collect(MAX_RESPONSE_BYTES).await {
         Ok(body) => body,
         Err(error) => return AttemptOutcome::caused(Failure::ConnectionLost, &error),
     };
-    in_flight.record_first_event(placement);
     let status = head.status;
     let response = buffered_response(head, body);
     if status.is_success() {
-        in_flight.outcome = Some(RequestOutcome::Responded);
         return AttemptOutcome::Responded(UpstreamResponse::Buffered(response));
     }
     // To the caller, these statuses mean that the request has not run, which
@@ -206,7 +208,6 @@
             response: Some(response),
         };
     }
-    in_flight.outcome = Some(RequestOutcome::UpstreamError);
     AttemptOutcome::Responded(UpstreamResponse::Buffered(response))
 }
 
@@ -228,9 +229,7 @@
 /// Reads a stream up to its first event.
 async fn open_stream(
     forwarder: &Forwarder<'_>,
-    placement: &Placement,
     res: limpetsaddle_http::Response,
-    in_flight: &mut InFlightGuard,
 ) -> AttemptOutcome {
     let (head, res) = split(res);
     let mut head = Response::from_parts(head, ());
@@ -241,20 +240,25 @@
         splitter: EventSplitter::default(),
         ended: false,
         last_byte_at: forwarder.instance.now(),
+        patience: forwarder
+            .instance
+            .patience
+            .until_event(&forwarder.accepted.route),
+        is_awaited: false,
     };
     if let Err(error) = stream.fill(forwarder.instance).await {
         return AttemptOutcome::caused(Failure::ConnectionLost, &error);
     }
-    in_flight.record_first_event(placement);
     AttemptOutcome::Responded(UpstreamResponse::Stream(Box::new(stream)))
 }
 
 impl Stream {
     /// Reads the next bytes, or records the end of the stream.
-    async fn fill(&mut self, instance: &FleetInstance) -> limpetsaddle_http::Result<()> {
+    pub async fn fill(&mut self, instance: &FleetInstance) -> limpetsaddle_http::Result<()> {
         match self.res.next().await? {
             Some(bytes) => {
                 self.last_byte_at = instance.now();
+                self.is_awaited = false;
                 self.splitter.push(&bytes);
             }
             None => self.ended = true,
@@ -263,7 +267,7 @@
     }
 
     /// Returns the next event, or `None` at the end of the stream.
-    async fn next(&mut self, instance: &FleetInstance) -> Result<Option<RawEvent>, Failure> {
+    async fn next(&mut self, instance: &FleetInstance) -> Result<Option<RawEvent>, NoEvent> {
         loop {
             if let Some(event) = self.splitter.next() {
                 return Ok(Some(event));
@@ -274,13 +278,18 @@
                 return if complete {
                     Ok(None)
                 } else {
-                    Err(Failure::ConnectionLost)
+                    Err(NoEvent::Failed(Failure::ConnectionLost))
                 };
             }
-            match monoio::time::timeout(STREAM_IDLE_TIMEOUT, self.fill(instance)).await {
+            let patience = self.patience.filter(|_| !self.is_awaited);
+            let filled = match patience {
+                Some(patience) => monoio::time::timeout(patience, self.fill(instance)).await,
+                None => Ok(self.fill(instance).await),
+            };
+            match filled {
                 Ok(Ok(())) => {}
-                Ok(Err(_)) => return Err(Failure::ConnectionLost),
-                Err(_) => return Err(Failure::TimedOut),
+                Ok(Err(_)) => return Err(NoEvent::Failed(Failure::ConnectionLost)),
+                Err(_) => return Err(NoEvent::Silent),
             }
         }
     }
@@ -288,7 +297,7 @@
 
 /// Writes a response to the caller.
 pub async fn relay(
-    forwarder: &mut Forwarder<'_>,
+    forwarder: &Forwarder<'_>,
     conn: &mut Connection,
     pending: PendingResponse,
 ) -> ForwardOutcome {
@@ -351,7 +360,7 @@
 }
 
 async fn relay_stream(
-    forwarder: &mut Forwarder<'_>,
+    forwarder: &Forwarder<'_>,
     conn: &mut Connection,
     mut origin: Origin,
     mut stream: Stream,
@@ -397,6 +406,25 @@
                 log_end(forwarder, &origin.placement, status, false, first_event_ms);
                 return ForwardOutcome::Aborted;
             }
+            CopyEnd::Silent => {
+                let Some(placement) = forwarder.place_beside(&origin.placement) else {
+                    stream.is_awaited = true;
+                    continue;
+                };
+                let silent = origin.placement.clone();
+                let last_byte_at = stream.last_byte_at;
+                let replaced = resume::replace_silent(forwarder, conn, (origin, stream), placement);
+                match replaced.boxed_local().await {
+                    Ok((next, next_stream)) => {
+                        origin = next;
+                        stream = next_stream;
+                    }
+                    Err(cause) => {
+                        cut_off(forwarder, &silent, cause, last_byte_at);
+                        return ForwardOutcome::Aborted;
+                    }
+                }
+            }
             CopyEnd::Failed(failure) => {
                 // Closes the connection before the stream is resumed, so that
                 // the engine stops the run.
@@ -404,7 +432,8 @@
                 drop(stream);
                 origin.in_flight.outcome = failure.outcome();
                 let failed = origin.placement.clone();
-                let resumed = resume(forwarder, conn, failure, origin).await;
+                let resumed = resume::resume(forwarder, conn, failure, origin);
+                let resumed = resumed.boxed_local().await;
                 let Some((next, next_stream)) = resumed else {
                     let cause = CutOffCause::Upstream(failure);
                     cut_off(forwarder, &failed, cause, last_byte_at);
@@ -422,10 +451,12 @@
     Complete,
     CutOff(CutOffCause),
     Failed(Failure),
+    /// The upstream has become silent.
+    Silent,
 }
 
 async fn copy_events(
-    forwarder: &mut Forwarder<'_>,
+    forwarder: &Forwarder<'_>,
     conn: &mut Connection,
     stream: &mut Stream,
 ) -> CopyEnd {
@@ -443,16 +474,20 @@
         let event = match next {
             Ok(Some(event)) => event,
             Ok(None) => return CopyEnd::Complete,
-            Err(failure) => return CopyEnd::Failed(failure),
+            Err(NoEvent::Failed(failure)) => return CopyEnd::Failed(failure),
+            Err(NoEvent::Silent) => return CopyEnd::Silent,
         };
-        if is_duplicate(event.id.as_deref(), forwarder.last_event.as_deref()) {
+        if is_duplicate(
+            event.id.as_deref(),
+            forwarder.last_event.borrow().as_deref(),
+        ) {
             continue;
         }
         if let Err(error) = conn.send(event.bytes.into()).await {
             return CopyEnd::CutOff(CutOffCause::of_write(&error));
         }
         if event.id.is_some() {
-            forwarder.last_event = event.id;
+            forwarder.last_event.replace(event.id);
         }
     }
 }
@@ -465,60 +500,3 @@
         _ => false,
     }
 }
-
-/// Resumes a failed stream at another upstream, if that is permitted.
-async fn resume(
-    forwarder: &mut Forwarder<'_>,
-    conn: &mut Connection,
-    failure: Failure,
-    origin: Origin,
-) -> Option<(Origin, Stream)> {
-    forwarder.exclude(&origin.placement);
-    drop(origin);
-    let instance = forwarder.instance;
-    let service = forwarder.service.clone();
-    let step = forwarder
-        .attempts
-        .record_failure(failure, instance.now(), || {
-            instance.withdraw_retry(&service)
-        });
-    let refusal = match step {
-        NextStep::Retry => {
-            instance.metrics.record_retry(failure);
-            match reopen(forwarder, conn).await {
-                Ok(next) => return Some(next),
-                Err(refusal) => refusal,
-            }
-        }
-        NextStep::GiveUp(refusal) => refusal,
-    };
-    let id = forwarder.accepted.fields.id.as_deref().unwrap_or_default();
-    let after_ms = elapsed_ms(instance, forwarder.accepted.arrived);
-    let last_event = forwarder.last_event.as_deref().unwrap_or_default();
-    info!(
-        id, failure = failure.code(), last_event, after_ms,
-        reason = refusal.reason.code();
-        "stream aborted"
-    );
-    None
-}
-
-async fn reopen(
-    forwarder: &mut Forwarder<'_>,
-    conn: &mut Connection,
-) -> Result<(Origin, Stream), Refusal> {
-    let pending = {
-        let send = std::pin::pin!(forwarder.send());
-        let closed = std::pin::pin!(conn.closed());
-        match futures::future::select(send, closed).await {
-            futures::future::Either::Left((pending, _)) => pending?,
-            futures::future::Either::Right(_) => {
-                return Err(Refusal::new(Reason::UpstreamFailed));
-            }
-        }
-    };
-    match pending.response {
-        UpstreamResponse::Stream(stream) => Ok((pending.origin, *stream)),
-        UpstreamResponse::Buffered(_) => Err(Refusal::new(Reason::UpstreamFailed)),
-    }
-}
