Time out a write when no byte is accepted, not when a message takes long

Callers saw: a response cut off after 10 s though they read it steadily; a request with a long body lost, answered 504 at its deadline, when the upstream began to read it 1.5 s late. Cause: write limits counted from the first to the last byte of a message. Change: `BufferedStream::write` limits the time without progress; requests to upstreams use the client's ordinary limit and are bounded by their deadline.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -35,7 +35,7 @@
 pub struct ClientOptions {
     /// The time limit for establishing the connection.
     pub connect_timeout: Duration,
-    /// The time limit for writing the request.
+    /// The longest time in which the server accepts no byte of the request.
     pub write_timeout: Duration,
     /// The time limit from the end of the request to the end of the response head.
     pub head_timeout: Duration,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -45,7 +45,7 @@
     pub body_timeout: Duration,
     /// The time limit for receiving the first byte of a request.
     pub idle_timeout: Duration,
-    /// The time limit for writing one piece of a response.
+    /// The longest time in which the caller accepts no byte of a response.
     pub write_timeout: Duration,
 }
 
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -109,15 +109,18 @@
         }
     }
 
-    /// Writes all of `bytes` within `limit`.
-    pub async fn write(&mut self, bytes: Bytes, limit: Duration) -> Result<()> {
-        with_timeout(limit, Phase::Write, async {
-            self.write_all(bytes).await.map_err(|source| Error::Io {
-                phase: Phase::Write,
-                source,
+    /// Writes all of `bytes`; fails when the peer accepts none of them for `limit`.
+    pub async fn write(&mut self, mut bytes: Bytes, limit: Duration) -> Result<()> {
+        while !bytes.is_empty() {
+            bytes = with_timeout(limit, Phase::Write, async {
+                self.write_some(bytes).await.map_err(|source| Error::Io {
+                    phase: Phase::Write,
+                    source,
+                })
             })
-        })
-        .await
+            .await?;
+        }
+        Ok(())
     }
 
     /// Shuts down the write side and discards input for up to `limit`, because closing with
@@ -134,18 +137,16 @@
         let _ = monoio::time::timeout(limit, drain).await;
     }
 
-    async fn write_all(&mut self, mut rest: Bytes) -> io::Result<()> {
-        while !rest.is_empty() {
-            let (result, buf) = self.stream.write(rest).await;
-            let n = result?;
-            if n == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
-            }
-            self.written += n as u64;
-            rest = buf;
-            rest.advance(n);
+    /// Writes the first bytes of `bytes` and returns the rest.
+    async fn write_some(&mut self, bytes: Bytes) -> io::Result<Bytes> {
+        let (result, mut rest) = self.stream.write(bytes).await;
+        let n = result?;
+        if n == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
         }
-        Ok(())
+        self.written += n as u64;
+        rest.advance(n);
+        Ok(rest)
     }
 
     fn skip_empty_lines(&mut self) {
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -3,10 +3,12 @@
 mod serving;
 mod support;
 
+use std::io::Read as _;
 use std::io::Write as _;
 use std::net::Shutdown;
 use std::sync::mpsc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Response;
@@ -361,6 +363,35 @@
     assert!(error.is_timeout(), "{error:?}");
 }
 
+#[test]
+fn verify_a_caller_that_reads_slowly_gets_the_whole_response() {
+    const BODY_BYTES: usize = 24 * 1024 * 1024;
+    let options = ServerOptions {
+        write_timeout: Duration::from_millis(250),
+        ..options()
+    };
+    let server = Server::start(options, |mut connection: Connection| async move {
+        connection.next_request().await.unwrap();
+        let res = Response::new(Bytes::from(vec![b'a'; BODY_BYTES]));
+        // The caller sees how much has arrived.
+        let _ = connection.respond(res).await;
+    });
+    let mut stream = server.connect();
+    let request = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).unwrap();
+    let begun = Instant::now();
+    let mut buf = vec![0; 512 * 1024];
+    let mut received = 0;
+    while let Ok(n) = stream.read(&mut buf)
+        && n > 0
+    {
+        received += n;
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(received > BODY_BYTES, "{received} bytes");
+    assert!(begun.elapsed() > Duration::from_millis(500));
+}
+
 #[test]
 fn verify_a_panic_closes_only_its_own_connection() {
     let server = Server::start(options(), |mut connection: Connection| async move {
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -58,9 +58,6 @@
 /// which another upstream can respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The timeout for writing a request to an upstream.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// The state of one instance of a fleet.
 pub struct FleetInstance {
     pub settings: FleetSettings,
@@ -128,7 +125,6 @@
         };
         let client_options = ClientOptions {
             connect_timeout: CONNECT_TIMEOUT,
-            write_timeout: WRITE_TIMEOUT,
             ..ClientOptions::default()
         };
         Ok(Rc::new(Self {
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -32,7 +32,7 @@
 /// take several seconds over narrow links.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The longest time for writing one piece of a response.
+/// The longest time in which a caller accepts no byte of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Serves the requests of one connection, one after the other.
