Close no idle connection under a request that has arrived

Callers saw: a connection closed without an answer to a request that they had sent in time: all at once after a change that lowers the idle limit, and on each instance that was suspended or slow around the end of the limit. Cause: the idle limit in force was applied to connections that became idle under a longer one, which their callers still go by; and the timer of the limit fires before the runtime has looked at the sockets. Class: an end that is decided without looking at what has arrived. Change: the longest limit since the connection became idle holds; before a close the runtime looks at the socket once more, again after a look that took long.

--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -1,5 +1,6 @@
 //! Serving of callers' connections.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +29,13 @@
 /// change.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time in which the runtime reports bytes that have already arrived.
+const LAST_LOOK_TIME: Duration = Duration::from_millis(1);
+
+/// The longest last look after which a connection can be closed: in a longer one, the
+/// instance was too slow to read what arrived meanwhile.
+const MAX_LAST_LOOK_TIME: Duration = Duration::from_millis(20);
+
 /// The longest time from the end of a head to the end of the body. Large bodies
 /// take several seconds over narrow links.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -75,36 +83,60 @@
 
 /// Waits for the first byte of a request, from which on it counts as in
 /// progress, or returns `None` when the connection is to be closed.
+///
+/// The idle limit is the longest one that was in force while the connection was idle: the
+/// caller may not know of a lower one yet.
 async fn wait_for_request(instance: &Rc<FleetInstance>, conn: &mut Connection) -> Option<Running> {
     let since = instance.now();
+    let mut limit = limits(instance).idle_timeout;
     let mut ready = std::pin::pin!(conn.ready().fuse());
-    loop {
+    while !instance.draining.is_closed() {
         let mut check = std::pin::pin!(monoio::time::sleep(IDLE_CHECK_INTERVAL).fuse());
         let mut drain = std::pin::pin!(instance.draining.closed().fuse());
-        if instance.remaining_accept_time().is_zero() {
-            record_idle_close(instance, IdleCloseCause::Stop, since, Duration::ZERO);
-            return None;
-        }
         futures::select_biased! {
             ready = ready => return ready.then(|| instance.running().begin()),
             () = drain => break,
             () = check => {}
         }
-        let limit = limits(instance).idle_timeout;
+        limit = limit.max(limits(instance).idle_timeout);
         if instance.now().since(since) > limit {
-            record_idle_close(instance, IdleCloseCause::IdleLimit, since, limit);
-            return None;
+            let ready = last_look(instance, ready.as_mut()).await;
+            if ready.is_none() {
+                record_idle_close(instance, IdleCloseCause::IdleLimit, since, limit);
+            }
+            return ready?.then(|| instance.running().begin());
         }
     }
     // The caller does not expect this connection to close, so a stop waits for
-    // one more request, but not for one that it could not finish.
+    // one more request.
     let running = instance.running().begin();
-    let timeout = LAST_REQUEST_TIMEOUT.min(instance.remaining_accept_time());
-    let ready = monoio::time::timeout(timeout, ready).await;
-    if ready.is_err() {
-        record_idle_close(instance, IdleCloseCause::Stop, since, timeout);
+    let ready = match monoio::time::timeout(LAST_REQUEST_TIMEOUT, ready.as_mut()).await {
+        Ok(ready) => Some(ready),
+        Err(_) => last_look(instance, ready.as_mut()).await,
+    };
+    if ready.is_none() {
+        record_idle_close(instance, IdleCloseCause::Stop, since, LAST_REQUEST_TIMEOUT);
+    }
+    ready?.then_some(running)
+}
+
+/// Returns the result of `ready` if bytes or the end of the connection have arrived by now.
+///
+/// After a suspension, timers may fire before the runtime has looked at the sockets.
+async fn last_look(
+    instance: &FleetInstance,
+    mut ready: Pin<&mut (impl Future<Output = bool> + ?Sized)>,
+) -> Option<bool> {
+    loop {
+        let begun = instance.now();
+        let looked = monoio::time::timeout(LAST_LOOK_TIME, ready.as_mut()).await;
+        if let Ok(ready) = looked {
+            return Some(ready);
+        }
+        if instance.now().since(begun) <= MAX_LAST_LOOK_TIME {
+            return None;
+        }
     }
-    ready.unwrap_or(false).then_some(running)
 }
 
 /// Reads the next request, or returns `None` when the connection is to be
