Announce the close of a connection with the last answer of a stop

Callers saw: during a stop, an answer that kept the connection open, and then the connection closed unannounced: 700 ms later, or at once after 2.8 s, under the request that followed. Cause: whether an answer says `Connection: close` was decided before the request was handled; and a request that came too late to be finished was dropped with its connection. Class: an end that is decided without telling the caller. Change: the close is announced when the answer is written. A kept connection gets one more answer at any time of the stop; one that could not be finished is refused at once with 503 `stopping` and a Retry-After, as it has not run and other instances serve.

--- a/crates/fleet/src/refusal.rs
+++ b/crates/fleet/src/refusal.rs
@@ -15,6 +15,8 @@
     RequestTimeout,
     /// This instance has no configuration yet.
     NotReady,
+    /// This instance stops and has no time left to finish the request.
+    Stopping,
     /// The configuration may be outdated, so the key cannot be trusted.
     StaleConfiguration,
     /// No route matches.
@@ -39,12 +41,13 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::BadRequest,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
         Self::RequestTimeout,
         Self::NotReady,
+        Self::Stopping,
         Self::StaleConfiguration,
         Self::NoRoute,
         Self::UnknownKey,
@@ -66,6 +69,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::RequestTimeout => "request_timeout",
             Self::NotReady => "not_ready",
+            Self::Stopping => "stopping",
             Self::StaleConfiguration => "stale_configuration",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
@@ -94,6 +98,7 @@
             Self::UnknownKey => 401,
             Self::OverLimit => 429,
             Self::NotReady
+            | Self::Stopping
             | Self::StaleConfiguration
             | Self::NoUpstream
             | Self::Overloaded
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -27,6 +27,9 @@
 /// The time after which a caller may retry when the instance is not ready.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The time after which a caller may retry at another instance when this one stops.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// A request that the configuration and the team's limit permit.
 pub struct AcceptedRequest {
     /// The configuration that was applied.
@@ -83,6 +86,7 @@
 ) -> bool {
     instance.metrics.record_refusal(refusal.reason);
     let res = responses::refusal(refusal, id);
+    instance.announce_close(conn);
     conn.respond(res).await.is_ok()
 }
 
@@ -121,6 +125,9 @@
     req: &Request,
     arrived: Time,
 ) -> Result<AcceptedRequest, Refusal> {
+    if instance.remaining_accept_time().is_zero() {
+        return Err(Refusal::new(Reason::Stopping).retry_after(STOPPING_RETRY_AFTER));
+    }
     let Some(configuration) = instance.configuration() else {
         return Err(Refusal::new(Reason::NotReady).retry_after(NOT_READY_RETRY_AFTER));
     };
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -35,6 +35,7 @@
 use limpetsaddle_fleet::weights::TargetWeights;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
+use limpetsaddle_http::Connection;
 use log::info;
 
 use super::call::CallError;
@@ -227,6 +228,14 @@
         })
     }
 
+    /// Announces the end of the connection in the next response if the instance is
+    /// stopping.
+    pub fn announce_close(&self, conn: &mut Connection) {
+        if self.draining.is_closed() {
+            conn.close_after_response();
+        }
+    }
+
     /// Returns whether the load balancer should send new connections here.
     pub fn is_ready(&self) -> bool {
         let now = self.now();
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -302,6 +302,7 @@
     pending: PendingResponse,
 ) -> ForwardOutcome {
     let PendingResponse { origin, response } = pending;
+    forwarder.instance.announce_close(conn);
     match response {
         UpstreamResponse::Buffered(res) => {
             let status = res.status().as_u16();
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -51,9 +51,6 @@
         let Some(req) = read_request(&instance, &mut conn).await else {
             return;
         };
-        if instance.draining.is_closed() {
-            conn.close_after_response();
-        }
         let reusable = exchange::handle(&instance, &mut conn, req).await;
         drop(running);
         if !reusable || !conn.keep_alive() {
