Look at the socket before each close of an idle connection, in all servers

Callers saw: the same as of a fleet instance, from the lone daemon and from each server of the HTTP crate: a connection closed under a request that had arrived while the process was suspended; and a stop that closed a connection which the last answer had kept open. Change: `Connection::ready_within` looks at the socket before it gives up, the idle timeout of the HTTP crate and both daemons wait by it; the lone daemon decides on the close when it writes its answer.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::future;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -32,6 +33,13 @@
 /// connection is dropped.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The time in which the runtime reports bytes that have already arrived.
+const LAST_LOOK_TIME: Duration = Duration::from_millis(1);
+
+/// The longest last look after which a connection can be closed: in a longer one, the
+/// process was too slow to read what arrived meanwhile.
+const MAX_LAST_LOOK_TIME: Duration = Duration::from_millis(20);
+
 /// Limits on the resources that a connection uses.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerOptions {
@@ -133,16 +141,49 @@
         self.options = options;
     }
 
-    /// Waits for the first byte of the next request and returns whether it arrived.
+    /// Waits for the first byte of the next request, for the idle timeout, and returns whether
+    /// it arrived.
     ///
     /// This distinguishes a request that has started from an idle connection. Cancel-safe.
     pub async fn ready(&mut self) -> bool {
-        if !self.keep_alive || !self.wait_for_request().await {
-            self.keep_alive = false;
-        }
+        let ready = self.ready_within(self.options.idle_timeout).await;
+        self.keep_alive &= ready == Some(true);
         self.keep_alive
     }
 
+    /// Waits for up to `limit` for the first byte of the next request, and returns whether
+    /// it arrived, or `None` if nothing has arrived by then.
+    ///
+    /// Looks at the socket once more before it returns `None`: after a suspension, timers
+    /// fire before the runtime has looked at the sockets. Cancel-safe.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use limpetsaddle_http::Connection;
+    ///
+    /// async fn is_idle(connection: &mut Connection) -> bool {
+    ///     connection.ready_within(Duration::from_secs(1)).await.is_none()
+    /// }
+    /// ```
+    pub async fn ready_within(&mut self, limit: Duration) -> Option<bool> {
+        let mut wait = limit;
+        loop {
+            if let Ok(ready) = monoio::time::timeout(wait, self.wait_for_request()).await {
+                return Some(ready);
+            }
+            let begun = Instant::now();
+            if let Ok(ready) = monoio::time::timeout(LAST_LOOK_TIME, self.wait_for_request()).await
+            {
+                return Some(ready);
+            }
+            if begun.elapsed() <= MAX_LAST_LOOK_TIME {
+                return None;
+            }
+            wait = LAST_LOOK_TIME;
+        }
+    }
+
     /// Closes the connection after the next response, which carries `Connection: close`.
     pub const fn close_after_response(&mut self) {
         self.keep_alive = false;
@@ -281,7 +322,7 @@
     }
 
     async fn wait_for_request(&mut self) -> bool {
-        if self.response != ResponseState::Complete {
+        if !self.keep_alive || self.response != ResponseState::Complete {
             return false;
         }
         if !self.stream.buf.is_empty() {
@@ -290,9 +331,7 @@
         if self.peer_closed {
             return false;
         }
-        let read = self.stream.fill(READ_BYTES);
-        let read = monoio::time::timeout(self.options.idle_timeout, read).await;
-        matches!(read, Ok(Ok(n)) if n > 0)
+        matches!(self.stream.fill(READ_BYTES).await, Ok(n) if n > 0)
     }
 
     async fn read_request(&mut self) -> Result<Request> {
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -392,6 +392,38 @@
     assert!(begun.elapsed() > Duration::from_millis(500));
 }
 
+#[test]
+fn verify_a_request_that_arrives_while_the_server_is_slow_is_answered() {
+    let options = ServerOptions {
+        idle_timeout: Duration::from_millis(150),
+        ..options()
+    };
+    let server = Server::start(options, |mut connection: Connection| async move {
+        while let Ok(Some(req)) = connection.next_request().await {
+            let res = response(StatusCode::OK, format!("<{}>", req.uri()));
+            connection.respond(res).await.unwrap();
+            if req.uri().path() == "/slow" {
+                // Blocks the whole server beyond the idle timeout of the other connection.
+                std::thread::sleep(Duration::from_millis(400));
+            }
+        }
+    });
+    for _ in 0..5 {
+        let mut kept = server.connect();
+        kept.write_all(b"GET /first HTTP/1.1\r\nHost: x\r\n\r\n")
+            .unwrap();
+        read_until(&mut kept, "</first>");
+        let mut slow = server.connect();
+        slow.write_all(b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+            .unwrap();
+        read_until(&mut slow, "</slow>");
+        kept.write_all(b"GET /second HTTP/1.1\r\nHost: x\r\n\r\n")
+            .unwrap();
+        let answer = read_until(&mut kept, "</second>");
+        assert!(answer.contains("</second>"), "{answer}");
+    }
+}
+
 #[test]
 fn verify_a_panic_closes_only_its_own_connection() {
     let server = Server::start(options(), |mut connection: Connection| async move {
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -1,10 +1,10 @@
 //! Serving of callers' connections.
 
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures::FutureExt as _;
+use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::configuration::CallerLimits;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
@@ -29,13 +29,6 @@
 /// change.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The time in which the runtime reports bytes that have already arrived.
-const LAST_LOOK_TIME: Duration = Duration::from_millis(1);
-
-/// The longest last look after which a connection can be closed: in a longer one, the
-/// instance was too slow to read what arrived meanwhile.
-const MAX_LAST_LOOK_TIME: Duration = Duration::from_millis(20);
-
 /// The longest time from the end of a head to the end of the body. Large bodies
 /// take several seconds over narrow links.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -80,60 +73,62 @@
 
 /// Waits for the first byte of a request, from which on it counts as in
 /// progress, or returns `None` when the connection is to be closed.
-///
-/// The idle limit is the longest one that was in force while the connection was idle: the
-/// caller may not know of a lower one yet.
 async fn wait_for_request(instance: &Rc<FleetInstance>, conn: &mut Connection) -> Option<Running> {
     let since = instance.now();
-    let mut limit = limits(instance).idle_timeout;
-    let mut ready = std::pin::pin!(conn.ready().fuse());
-    while !instance.draining.is_closed() {
-        let mut check = std::pin::pin!(monoio::time::sleep(IDLE_CHECK_INTERVAL).fuse());
-        let mut drain = std::pin::pin!(instance.draining.closed().fuse());
-        futures::select_biased! {
-            ready = ready => return ready.then(|| instance.running().begin()),
-            () = drain => break,
-            () = check => {}
-        }
-        limit = limit.max(limits(instance).idle_timeout);
-        if instance.now().since(since) > limit {
-            let ready = last_look(instance, ready.as_mut()).await;
-            if ready.is_none() {
-                record_idle_close(instance, IdleCloseCause::IdleLimit, since, limit);
-            }
-            return ready?.then(|| instance.running().begin());
-        }
-    }
+    let (cause, limit) = match wait_while_serving(instance, conn, since).await {
+        Wait::Ready(ready) => return ready.then(|| instance.running().begin()),
+        Wait::LimitExceeded(limit) => (IdleCloseCause::IdleLimit, limit),
+        Wait::Stopping => (IdleCloseCause::Stop, LAST_REQUEST_TIMEOUT),
+    };
     // The caller does not expect this connection to close, so a stop waits for
     // one more request.
     let running = instance.running().begin();
-    let ready = match monoio::time::timeout(LAST_REQUEST_TIMEOUT, ready.as_mut()).await {
-        Ok(ready) => Some(ready),
-        Err(_) => last_look(instance, ready.as_mut()).await,
+    let wait = match cause {
+        IdleCloseCause::IdleLimit => Duration::ZERO,
+        IdleCloseCause::Stop => LAST_REQUEST_TIMEOUT,
     };
+    let ready = conn.ready_within(wait).await;
     if ready.is_none() {
-        record_idle_close(instance, IdleCloseCause::Stop, since, LAST_REQUEST_TIMEOUT);
+        record_idle_close(instance, cause, since, limit);
     }
     ready?.then_some(running)
 }
 
-/// Returns the result of `ready` if bytes or the end of the connection have arrived by now.
+/// The end of a wait for a request.
+enum Wait {
+    /// Bytes have arrived, or the caller has closed the connection (false).
+    Ready(bool),
+    /// The connection was idle for longer than this limit.
+    LimitExceeded(Duration),
+    /// The instance stops.
+    Stopping,
+}
+
+/// Waits for a request until the idle limit is exceeded or the instance stops.
 ///
-/// After a suspension, timers may fire before the runtime has looked at the sockets.
-async fn last_look(
-    instance: &FleetInstance,
-    mut ready: Pin<&mut (impl Future<Output = bool> + ?Sized)>,
-) -> Option<bool> {
-    loop {
-        let begun = instance.now();
-        let looked = monoio::time::timeout(LAST_LOOK_TIME, ready.as_mut()).await;
-        if let Ok(ready) = looked {
-            return Some(ready);
+/// The limit is the longest one that was in force while the connection was idle: the
+/// caller may not know of a lower one yet.
+async fn wait_while_serving(
+    instance: &Rc<FleetInstance>,
+    conn: &mut Connection,
+    since: Time,
+) -> Wait {
+    let mut limit = limits(instance).idle_timeout;
+    let mut ready = std::pin::pin!(conn.ready().fuse());
+    while !instance.draining.is_closed() {
+        let mut check = std::pin::pin!(monoio::time::sleep(IDLE_CHECK_INTERVAL).fuse());
+        let mut drain = std::pin::pin!(instance.draining.closed().fuse());
+        futures::select_biased! {
+            ready = ready => return Wait::Ready(ready),
+            () = drain => break,
+            () = check => {}
         }
-        if instance.now().since(begun) <= MAX_LAST_LOOK_TIME {
-            return None;
+        limit = limit.max(limits(instance).idle_timeout);
+        if instance.now().since(since) > limit {
+            return Wait::LimitExceeded(limit);
         }
     }
+    Wait::Stopping
 }
 
 /// Reads the next request, or returns `None` when the connection is to be
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -44,9 +44,6 @@
         let Some(req) = next_request(&instance, &mut conn).await else {
             return;
         };
-        if instance.draining.is_closed() {
-            conn.close_after_response();
-        }
         let id = instance.next_request_id();
         let exchange = Exchange {
             instance: &instance,
@@ -68,17 +65,19 @@
 /// Waits for the first byte of a request, from which on it counts as in progress.
 /// Returns `None` when the connection is to be closed.
 async fn wait_for_request(instance: &Rc<Instance>, conn: &mut Connection) -> Option<Running> {
-    let mut ready = std::pin::pin!(conn.ready().fuse());
-    let mut drain = std::pin::pin!(instance.draining.closed().fuse());
-    futures::select_biased! {
-        ready = ready => return ready.then(|| instance.running().begin()),
-        () = drain => {}
+    {
+        let mut ready = std::pin::pin!(conn.ready().fuse());
+        let mut drain = std::pin::pin!(instance.draining.closed().fuse());
+        futures::select_biased! {
+            ready = ready => return ready.then(|| instance.running().begin()),
+            () = drain => {}
+        }
     }
     // The caller does not know yet that this connection will close, so the stop
     // waits for one more request.
     let running = instance.running().begin();
-    let ready = monoio::time::timeout(LAST_REQUEST_WAIT, ready).await;
-    ready.unwrap_or(false).then_some(running)
+    let ready = conn.ready_within(LAST_REQUEST_WAIT).await;
+    ready?.then_some(running)
 }
 
 /// Returns the next request, or `None` when the connection is to be closed.
@@ -117,6 +116,7 @@
         return exchange.end_with_error(&refusal).await;
     }
     let mut res = responses::refusal(&refusal, &exchange.id);
+    exchange.announce_close();
     exchange.identify(res.headers_mut());
     exchange.conn.respond(res).await.is_ok()
 }
--- a/crates/router/src/serve/attempt.rs
+++ b/crates/router/src/serve/attempt.rs
@@ -369,6 +369,7 @@
         let no_cache = header::HeaderValue::from_static("no-cache");
         headers.insert(header::CACHE_CONTROL, no_cache);
         exchange.identify(headers);
+        exchange.announce_close();
         if exchange.conn.start(res).await.is_err() {
             return false;
         }
--- a/crates/router/src/serve/exchange.rs
+++ b/crates/router/src/serve/exchange.rs
@@ -89,9 +89,18 @@
         }
     }
 
+    /// Announces the end of the connection in the next response if the instance is
+    /// stopping.
+    pub fn announce_close(&mut self) {
+        if self.instance.draining.is_closed() {
+            self.conn.close_after_response();
+        }
+    }
+
     /// Sends a complete response. A disconnected caller is only counted.
     pub async fn respond(&mut self, mut res: Response<Bytes>) {
         self.identify(res.headers_mut());
+        self.announce_close();
         if self.conn.respond(res).await.is_err() {
             self.instance.metrics.count(Event::CallerDisconnected);
         }
--- a/crates/router/src/serve/services.rs
+++ b/crates/router/src/serve/services.rs
@@ -225,6 +225,7 @@
     *head.headers_mut() = forward::end_to_end(&res.head.headers);
     exchange.identify(head.headers_mut());
     let first = res.next().await.map_err(|_| broken)?;
+    exchange.announce_close();
     if exchange.conn.start(head).await.is_err() {
         exchange.instance.metrics.count(Event::CallerDisconnected);
         return Ok(());
--- a/crates/router/tests/stops.rs
+++ b/crates/router/tests/stops.rs
@@ -288,3 +288,37 @@
         assert!(caller.join().expect("a caller panicked").is_done());
     }
 }
+
+/// Sends a request on an open connection, which stays open.
+fn send_kept(stream: &mut TcpStream) {
+    let request = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    stream.write_all(request).expect("the connection is open");
+}
+
+/// Returns whether a response arrives before the connection closes.
+fn is_answered(stream: &mut TcpStream) -> bool {
+    let mut buf = [0; 4096];
+    stream.read(&mut buf).is_ok_and(|n| n > 0)
+}
+
+#[test]
+fn verify_a_request_that_arrives_while_a_stopping_daemon_is_suspended_is_answered() {
+    let fleet = Fleet::start(&options(&[]));
+    let daemon = &fleet.daemons[0];
+    let connect = |_| TcpStream::connect(daemon.listen()).expect("the daemon accepts");
+    let mut streams: Vec<TcpStream> = (0..32).map(connect).collect();
+    for stream in &mut streams {
+        send_kept(stream);
+        assert!(is_answered(stream));
+    }
+    daemon.terminate();
+    thread::sleep(Duration::from_millis(300));
+    daemon.freeze();
+    streams.iter_mut().for_each(send_kept);
+    thread::sleep(Duration::from_millis(1_500));
+    daemon.thaw();
+    let answered = streams
+        .iter_mut()
+        .filter_map(|s| is_answered(s).then_some(()));
+    assert_eq!(answered.count(), 32);
+}
