Bound the calls of an instance at an unavailable store

Seen: verify_few_instances_poll_an_unavailable_store_and_all_notice_its_recovery failed with "13 calls of a-6", at most 12 allowed in 8 s.

Cause: not late heartbeats, as was suspected; the rank stayed at 5 throughout. The sum of three things reaches 14 by chance alone: - a watch that had not failed yet called a store that was known to be unavailable (that on instances, 1.5 s after the others); - the late response to a watch that was sent before the outage ended the outage for a few milliseconds, so that all watches called again; - the polls of an instance that relies on its peers began at 100 ms, up to nine.

Late heartbeats would have added to it: an instance that misses them for 400 ms took the pace of those that poll for all. `PollRole` now gives this pace only to instances that have not heard of three pollers for a second beyond the timeout, and is asked again during the wait, so that an instance also notices that its pollers have failed. Watches wait for the recovery, and only a call that was sent during the outage ends it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rollout;
 pub mod settings;
 pub mod store_era;
+pub mod store_polls;
 pub mod upstreams;
 pub mod weights;
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -13,6 +13,7 @@
 use crate::heartbeat::UpstreamLoad;
 use crate::limits::PeerCounts;
 use crate::retry_budget::RequestCounts;
+use crate::store_polls::PollRole;
 
 /// Timing of heartbeats and of the timeouts of peers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,6 +43,10 @@
 /// The number of instances that poll the configuration and confirm it to all others.
 const CONFIRMERS: u32 = 3;
 
+/// The delay of heartbeats beyond the timeout of a peer up to which it is still relied on to
+/// poll an unavailable store.
+const POLLER_SLACK: Duration = Duration::from_secs(1);
+
 /// The time after the start until which an instance without peers may be one of a fleet
 /// whose instances have all just started.
 const SETTLE_TIME: Duration = Duration::from_millis(3_500);
@@ -80,6 +85,13 @@
     is_counted: bool,
 }
 
+impl Peer {
+    fn was_heard_within(&self, timeout: Duration, now: Time) -> bool {
+        let last = self.last_heartbeat;
+        last.is_some_and(|at| now.since(at) < timeout)
+    }
+}
+
 /// The sums over the live peers, kept up to date with each heartbeat.
 #[derive(Debug, Default)]
 struct LiveSums {
@@ -185,12 +197,9 @@
             kept.insert(registration.name, peer);
         }
         let missing = std::mem::replace(&mut self.others, kept);
-        let is_live = |peer: &Peer| {
-            peer.last_heartbeat
-                .is_some_and(|at| now.since(at) < timeout)
-        };
-        self.others
-            .extend(missing.into_iter().filter(|(_, peer)| is_live(peer)));
+        let live = missing.into_iter();
+        let live = live.filter(|(_, peer)| peer.was_heard_within(timeout, now));
+        self.others.extend(live);
         // The timeout depends on the number of peers.
         self.live = LiveSums::default();
         for peer in self.others.values_mut() {
@@ -317,6 +326,20 @@
         self.is_settled(now) && self.rank(now) < CONFIRMERS
     }
 
+    /// Returns whether this instance polls an unavailable store for others.
+    ///
+    /// Peers whose heartbeats are only late are still relied on, so that a busy machine does
+    /// not turn all instances into pollers.
+    #[must_use]
+    pub fn poll_role(&self, now: Time) -> PollRole {
+        let timeout = self.timeout() + POLLER_SLACK;
+        if self.is_settled(now) && self.rank_within(timeout, now) < CONFIRMERS {
+            PollRole::Poller
+        } else {
+            PollRole::Follower
+        }
+    }
+
     /// Returns whether this instance knows its place in the fleet. Until then it does no
     /// work on behalf of the fleet, which all instances would do at the same time.
     #[must_use]
@@ -393,12 +416,17 @@
     /// Returns the position of this instance in the order of the live instances' names.
     #[must_use]
     pub fn rank(&self, now: Time) -> u32 {
+        self.rank_within(self.timeout(), now)
+    }
+
+    /// Returns the position among the instances that were heard of within `timeout`.
+    fn rank_within(&self, timeout: Duration, now: Time) -> u32 {
         let lower = self
             .others
             .iter()
             .filter(|(name, _)| **name < self.own_name);
-        let live = lower.filter(|(_, peer)| self.is_live(peer, now)).count();
-        u32::try_from(live).unwrap_or(u32::MAX)
+        let heard = lower.filter(|(_, peer)| peer.was_heard_within(timeout, now));
+        u32::try_from(heard.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the time without a heartbeat after which a peer is no longer live.
@@ -407,9 +435,7 @@
     }
 
     fn is_live(&self, peer: &Peer, now: Time) -> bool {
-        let timeout = self.timeout();
-        peer.last_heartbeat
-            .is_some_and(|at| now.since(at) < timeout)
+        peer.was_heard_within(self.timeout(), now)
     }
 }
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -236,9 +236,9 @@
         }
     }
 
-    /// Records the result of a call to the store.
-    pub fn record_store_call<T>(&self, result: &std::result::Result<T, CallError>) {
-        self.store.record(result.as_ref().err(), self.now());
+    /// Records the result of a call to the store that was sent at `sent`.
+    pub fn record_store_call<T>(&self, result: &std::result::Result<T, CallError>, sent: Time) {
+        self.store.record(result.as_ref().err(), sent, self.now());
         self.metrics.record_store_call(result.is_ok());
     }
 
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -165,16 +165,18 @@
         Ok(wire::store::decode_write(status, &body)?)
     }
 
-    /// Records whether a call succeeded, and logs the beginning and end of an
-    /// outage.
-    pub fn record(&self, failure: Option<&CallError>, now: Time) {
+    /// Records whether a call that was sent at `sent` succeeded, and logs the
+    /// beginning and end of an outage.
+    ///
+    /// The late response to a call that was sent before an outage doesn't end it.
+    pub fn record(&self, failure: Option<&CallError>, sent: Time, now: Time) {
         match (failure, self.failing_since.get()) {
             (Some(error), None) => {
                 self.failing_since.set(Some(now));
                 self.outages.set(self.outages.get() + 1);
                 warn!(dependency = "store", error:display; "dependency unavailable");
             }
-            (None, Some(since)) => {
+            (None, Some(since)) if sent >= since => {
                 let lasted = now.since(since);
                 self.failing_since.set(None);
                 if lasted >= MIN_OUTAGE {
@@ -183,7 +185,7 @@
                 let lasted_ms = millis(lasted);
                 info!(dependency = "store", lasted_ms; "dependency recovered");
             }
-            (Some(_), Some(_)) | (None, None) => {}
+            (Some(_) | None, Some(_)) | (None, None) => {}
         }
     }
 
--- a/crates/router/src/fleet/watch.rs
+++ b/crates/router/src/fleet/watch.rs
@@ -57,8 +57,7 @@
 /// The backoff after the first failed call, doubled with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 
-/// The longest backoff after a failed call. Requests with keys are refused
-/// while the store is unavailable, so its recovery has to be noticed soon.
+/// The longest backoff after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
 /// The longest backoff before all objects are listed again after the history
@@ -121,7 +120,7 @@
     let mut compactions = 0;
     while !stopping.is_closed() {
         // The task that confirms the configuration detects the store's recovery.
-        if instance.store.is_failing() && failures > 0 {
+        if instance.store.is_failing() && (failures > 0 || instance.store.outages() > 0) {
             stopping.pause(RECHECK_INTERVAL).await;
             continue;
         }
@@ -137,6 +136,7 @@
         if compactions > 1 {
             options.consistency = Consistency::Linearizable;
         }
+        let sent = instance.now();
         let call = list_or_watch(&instance, &watcher, since, &options);
         let Some(result) = cancel_if_needed(&instance, &stopping, &watcher, call).await else {
             failures += u32::from(instance.store.is_failing());
@@ -146,7 +146,7 @@
             stopping.pause(RECHECK_INTERVAL).await;
             continue;
         }
-        instance.record_store_call(&result);
+        instance.record_store_call(&result, sent);
         let Ok(progress) = result else {
             failures += 1;
             let wait = backoff(MAX_BACKOFF, failures, instance.random.draw());
--- a/crates/router/src/fleet/watch/confirmation.rs
+++ b/crates/router/src/fleet/watch/confirmation.rs
@@ -8,9 +8,7 @@
 use limpetsaddle_platform_wire::store::Consistency;
 use log::warn;
 
-use super::MAX_BACKOFF;
 use super::RECHECK_INTERVAL;
-use super::backoff;
 use super::configuration;
 use crate::fleet::call::CallError;
 use crate::fleet::instance::FleetInstance;
@@ -20,11 +18,6 @@
 /// yet.
 const UNSETTLED_CONFIRM_INTERVAL: Duration = Duration::from_millis(1_800);
 
-/// The longest backoff after a failed call on instances that learn of the
-/// store's recovery from their peers. It is shorter than the four seconds after
-/// which a recovered store counts as stable.
-const MAX_NON_CONFIRMER_BACKOFF: Duration = Duration::from_secs(3);
-
 /// Reads the configuration periodically if this instance is one of the
 /// confirmers or its peers report no recent confirmation.
 ///
@@ -38,8 +31,9 @@
             stopping.pause(RECHECK_INTERVAL).await;
             continue;
         }
+        let sent = instance.now();
         let result = read(&instance).await;
-        instance.record_store_call(&result);
+        instance.record_store_call(&result, sent);
         if result.is_ok() {
             failures = 0;
             stopping.pause(confirm_interval(&instance)).await;
@@ -90,18 +84,16 @@
 /// Waits before the next call to a store that failed, until the backoff ends or
 /// a peer reports that the store has recovered.
 async fn wait_for_store(instance: &FleetInstance, stopping: &Stopping, failures: u32) {
-    let is_confirmer = instance.peers.borrow().is_confirmer(instance.now());
-    let max = if is_confirmer {
-        MAX_BACKOFF
-    } else {
-        MAX_NON_CONFIRMER_BACKOFF
-    };
-    let end = instance.now() + backoff(max, failures, instance.random.draw());
+    let failed = instance.now();
+    let random = instance.random.draw();
     // If peers already reached the store before this call failed, it has
     // recovered for them only.
     let reached_before = instance.peers_reach_store();
     loop {
-        let left = end.since(instance.now());
+        let now = instance.now();
+        // The role changes when pollers fail.
+        let role = instance.peers.borrow().poll_role(now);
+        let left = (failed + role.backoff(failures, random)).since(now);
         let recovered = !reached_before && instance.peers_reach_store();
         if left.is_zero() || recovered || !stopping.pause(left.min(RECHECK_INTERVAL)).await {
             return;
