Write a lost registration again without waiting for stale reads

In every traced one the refused instance and the lease holder had no registration for four seconds after the store had returned from an older copy, so that no heartbeat told the refused one of the loads.

Cause: after a registration is written, the next check waits four seconds, as stale reads may not show it. A store that returns from an older copy in that time has lost the registration, and the wait went on. The pause after a change delayed the new list of instances as well. Both pauses now end when the store's era rises.

--- a/crates/router/src/fleet/watch.rs
+++ b/crates/router/src/fleet/watch.rs
@@ -160,7 +160,7 @@
                 since = Some(position);
                 compactions = 0;
                 if changed {
-                    stopping.pause(options.debounce).await;
+                    pause_within_era(&instance, &stopping, options.debounce).await;
                 }
             }
             Progress::HistoryCompacted => {
@@ -177,6 +177,22 @@
     }
 }
 
+/// Waits for `span`, until the store returns from an older copy or until the
+/// instance stops, and returns whether to continue.
+async fn pause_within_era(instance: &FleetInstance, stopping: &Stopping, span: Duration) -> bool {
+    let era = instance.store.era();
+    let end = instance.now() + span;
+    loop {
+        let left = end.since(instance.now());
+        if left.is_zero() || instance.store.era() != era {
+            return !stopping.is_closed();
+        }
+        if !stopping.pause(left.min(RECHECK_INTERVAL)).await {
+            return false;
+        }
+    }
+}
+
 /// A revision of the store in one of its eras.
 #[derive(Clone, Copy)]
 struct Position {
--- a/crates/router/src/fleet/watch/instances.rs
+++ b/crates/router/src/fleet/watch/instances.rs
@@ -25,6 +25,7 @@
 use super::WatchOptions;
 use super::Watcher;
 use super::backoff;
+use super::pause_within_era;
 use crate::fleet::instance::FleetInstance;
 use crate::shutdown::Stopping;
 
@@ -150,7 +151,8 @@
 ) {
     let mut failures = 0;
     let mut wait = RECHECK_INTERVAL;
-    while stopping.pause(wait).await {
+    // A store that returns from an older copy may have lost the registration.
+    while pause_within_era(&instance, &stopping, wait).await {
         wait = RECHECK_INTERVAL;
         let own = registrations.borrow().as_ref().map(|registrations| {
             let own = registrations.get(&*instance.settings.name);
