Accept the connections in the queue before a listener closes

Seen by reading: when a stop ends the acceptance of connections, the listener is dropped, and the kernel resets the connections that it has established for it but that weren't accepted yet, though their callers may have sent whole requests.

Change: after the shutdown, `serve` accepts until no connection has come for a millisecond, in which the driver polls the listener, for half a second at most.

--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -3,11 +3,13 @@
 use std::future::Future;
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures::FutureExt as _;
 use futures::channel::oneshot;
 use futures::future::Either;
 use monoio::net::TcpListener;
+use monoio::net::TcpStream;
 
 use crate::server::Connection;
 use crate::server::ServerOptions;
@@ -15,9 +17,17 @@
 /// The delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// The time without a new connection after which the queue of the listener is empty.
+const EMPTY_QUEUE_TIME: Duration = Duration::from_millis(1);
+
+/// The longest time for accepting the connections in the queue during a shutdown.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Accepts connections and runs `handler` for each in its own task.
 ///
 /// Closes the listener and returns when the sender of `shutdown` sends or is dropped.
+/// Connections that were established before are accepted first, for at most half a
+/// second, as closing the listener would reset them and lose their requests.
 /// Tasks of accepted connections keep running. A panic in a handler closes only its
 /// own connection.
 ///
@@ -57,18 +67,25 @@
     F: Fn(Connection) -> R,
     R: Future<Output = ()> + 'static,
 {
-    loop {
-        let accept = std::pin::pin!(listener.accept());
-        let accepted = match futures::future::select(&mut shutdown, accept).await {
-            Either::Left(_) => return,
-            Either::Right((accepted, _)) => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    let start = |stream: TcpStream| {
         let task = handler(Connection::new(stream, options.clone()));
         // The panic hook reports the panic; unwinding drops the connection.
         monoio::spawn(AssertUnwindSafe(task).catch_unwind().map(drop));
+    };
+    loop {
+        let accept = std::pin::pin!(listener.accept());
+        match futures::future::select(&mut shutdown, accept).await {
+            Either::Left(_) => break,
+            Either::Right((Ok((stream, _)), _)) => start(stream),
+            Either::Right((Err(_), _)) => monoio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+    let end = Instant::now() + QUEUE_TIMEOUT;
+    while Instant::now() < end {
+        match monoio::time::timeout(EMPTY_QUEUE_TIME, listener.accept()).await {
+            Ok(Ok((stream, _))) => start(stream),
+            Ok(Err(_)) => monoio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(_) => return,
+        }
     }
 }
