Install signal handlers first, and read settings on a thread of their own

Seen in new tests on the untouched code: - a SIGHUP or SIGTERM that came before the settings were read ended the process by the signal, as the handlers were installed afterwards, within the runtime; - a reload of settings that are a FIFO (or lie on a mount that doesn't respond) blocked the only thread, so that callers got no answer and a stop never began; - a settings file of 64 MiB was read whole on that thread.

Cause: a blocking read on the thread that serves callers and receives signals, and handlers that needed the runtime.

Change: `SignalHandlers` are installed before logs, settings and the runtime, by the lone daemon as well, and keep signals until they are received.

A SIGHUP that arrives before the program's first instructions still ends it.

--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -17,6 +17,7 @@
 mod rollout;
 mod run;
 mod serve;
+mod settings_file;
 mod store;
 mod watch;
 
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -1,15 +1,15 @@
 //! Start, service and planned stop of a fleet instance.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt as _;
 use futures::channel::oneshot;
 use limpetsaddle_fleet::settings::FleetSettings;
 use limpetsaddle_http::Connection;
 use limpetsaddle_http::ServerOptions;
-use limpetsaddle_platform_wire as wire;
+use log::LevelFilter;
 use log::info;
 use log::warn;
 use monoio::net::TcpListener;
@@ -20,14 +20,15 @@
 use super::monitoring;
 use super::rollout;
 use super::serve;
+use super::settings_file::SettingsFile;
 use super::watch;
-use crate::errors::Error;
 use crate::errors::Result;
+use crate::logging;
 use crate::run::block_on;
 use crate::run::listen;
 use crate::running::DrainOptions;
 use crate::running::drain;
-use crate::shutdown::ReloadSignals;
+use crate::shutdown::SignalHandlers;
 use crate::shutdown::Signals;
 use crate::shutdown::Stopping;
 use crate::shutdown::channel;
@@ -43,51 +44,63 @@
 /// The time before the end of the permitted stop at which the process exits.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
 
+/// The time of a reload after which the log tells that the file is not read yet.
+const SLOW_READ_TIME: Duration = Duration::from_secs(2);
+
 /// Runs an instance until a signal stops it.
 ///
 /// # Errors
 ///
 /// Fails when the instance cannot start.
 pub fn run() -> Result<()> {
-    let path = settings_path();
-    let settings = read_settings(&path)?;
-    block_on(async move {
-        let mut signals = Signals::install()?;
-        let reloads = ReloadSignals::install()?;
-        let (stopper, draining) = channel();
-        let (end, ending) = channel();
-        let (no_more, closed) = oneshot::channel();
-        let instance = FleetInstance::new(settings, draining)?;
-        start(&instance, &ending, closed)?;
-        monoio::spawn(reload(Rc::clone(&instance), reloads, path));
-        signals.next().await;
-        info!(running = instance.running().get(); "stopping");
-        instance.begin_stop();
-        drop(stopper);
-        let times = DrainOptions {
-            lame_duck: LAME_DUCK,
-            last_request: serve::LAST_REQUEST_TIMEOUT,
-            timeout: instance.settings.bounds.stop.saturating_sub(STOP_MARGIN),
-        };
-        drain(instance.running(), times, || instance.now(), no_more).await;
-        drop(end);
-        info!(running = instance.running().get(); "stopped");
-        Ok(())
-    })
+    // A signal without a handler would end the process.
+    let stops = SignalHandlers::for_stop()?;
+    let reloads = SignalHandlers::for_reload()?;
+    logging::init_fleet(LevelFilter::Info)?;
+    block_on(serve_until_stopped(stops, reloads))
 }
 
-fn settings_path() -> PathBuf {
-    std::env::var_os(wire::SETTINGS_VARIABLE)
-        .map_or_else(|| PathBuf::from(wire::DEFAULT_SETTINGS_PATH), PathBuf::from)
+async fn serve_until_stopped(stops: SignalHandlers, reloads: SignalHandlers) -> Result<()> {
+    let mut stops = stops.into_signals()?;
+    let reloads = reloads.into_signals()?;
+    let file = SettingsFile::from_environment();
+    let Some(settings) = read_unless_stopped(&file, &mut stops).await? else {
+        info!("stopped before the settings were read");
+        return Ok(());
+    };
+    let (stopper, draining) = channel();
+    let (end, ending) = channel();
+    let (no_more, closed) = oneshot::channel();
+    let instance = FleetInstance::new(settings, draining)?;
+    start(&instance, &ending, closed)?;
+    monoio::spawn(reload(Rc::clone(&instance), reloads, file));
+    stops.next().await;
+    info!(running = instance.running().get(); "stopping");
+    instance.begin_stop();
+    drop(stopper);
+    let times = DrainOptions {
+        lame_duck: LAME_DUCK,
+        last_request: serve::LAST_REQUEST_TIMEOUT,
+        timeout: instance.settings.bounds.stop.saturating_sub(STOP_MARGIN),
+    };
+    // Further stop signals are ignored: the platform kills the process in the end.
+    drain(instance.running(), times, || instance.now(), no_more).await;
+    drop(end);
+    info!(running = instance.running().get(); "stopped");
+    Ok(())
 }
 
-fn read_settings(path: &PathBuf) -> Result<FleetSettings> {
-    let text = std::fs::read_to_string(path);
-    let text = text.map_err(|source| Error::SettingsFile {
-        path: path.clone(),
-        source,
-    })?;
-    Ok(wire::settings::decode(&text)?)
+/// Reads the settings, or returns `None` when a signal requests a stop first.
+async fn read_unless_stopped(
+    file: &SettingsFile,
+    stops: &mut Signals,
+) -> Result<Option<FleetSettings>> {
+    let mut read = std::pin::pin!(file.read().fuse());
+    let mut stop = std::pin::pin!(stops.next().fuse());
+    futures::select_biased! {
+        () = stop => Ok(None),
+        settings = read => settings.map(Some),
+    }
 }
 
 fn start(
@@ -132,12 +145,20 @@
     limpetsaddle_http::serve(listener, ServerOptions::default(), closed, handler).await;
 }
 
-/// Reads the settings file after each reload signal, and logs whether it has
-/// changed. Changes take effect at the next start.
-async fn reload(instance: Rc<FleetInstance>, mut reloads: ReloadSignals, path: PathBuf) {
+/// Reads the settings file after reload signals, and logs whether it has changed.
+/// Changes take effect at the next start.
+async fn reload(instance: Rc<FleetInstance>, mut reloads: Signals, file: SettingsFile) {
     loop {
         reloads.next().await;
-        match read_settings(&path) {
+        let mut read = std::pin::pin!(file.read());
+        let in_time = monoio::time::timeout(SLOW_READ_TIME, &mut read).await;
+        let result = if let Ok(result) = in_time {
+            result
+        } else {
+            warn!("settings file not read yet; keeping the current settings");
+            read.await
+        };
+        match result {
             Ok(settings) => {
                 let changed = settings != instance.settings;
                 info!(changed; "settings file read again; changes take effect at the next start");
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -4,7 +4,6 @@
 
 use limpetsaddle_router::Result;
 use limpetsaddle_router::fleet;
-use limpetsaddle_router::logging;
 use limpetsaddle_router::run;
 use limpetsaddle_router::settings;
 use limpetsaddle_router::settings::Command;
@@ -22,17 +21,13 @@
 fn start() -> Result<()> {
     let args: Vec<String> = std::env::args().skip(1).collect();
     if args.first().is_some_and(|arg| arg == "fleet") {
-        logging::init_fleet(log::LevelFilter::Info)?;
         return fleet::run();
     }
     match settings::parse(&args, |name| std::env::var(name).ok())? {
         Command::Help(text) => print!("{text}"),
         Command::Version => println!("limpetsaddle {}", env!("CARGO_PKG_VERSION")),
         Command::Check(_) => println!("the settings are valid"),
-        Command::Run(settings) => {
-            logging::init(settings.log_level)?;
-            run::run(*settings)?;
-        }
+        Command::Run(settings) => run::run(*settings)?,
     }
     Ok(())
 }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -30,12 +30,14 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::instance::Instance;
+use crate::logging;
 use crate::metrics::Event;
 use crate::peers;
 use crate::running::DrainOptions;
 use crate::running::drain;
 use crate::serve;
 use crate::settings::Settings;
+use crate::shutdown::SignalHandlers;
 use crate::shutdown::Signals;
 use crate::shutdown::Stopping;
 use crate::shutdown::channel;
@@ -53,8 +55,10 @@
 ///
 /// Returns an error if the daemon cannot start.
 pub fn run(settings: Settings) -> Result<()> {
+    let handlers = SignalHandlers::for_stop()?;
+    logging::init(settings.log_level)?;
     block_on(async move {
-        let mut signals = Signals::install()?;
+        let mut signals = handlers.into_signals()?;
         serve_until(settings, async move {
             signals.next().await;
             signals
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -68,69 +68,68 @@
     }
 }
 
-/// Receives the signals that request a stop, SIGTERM and SIGINT.
-pub struct Signals {
-    stream: UnixStream,
+/// Installed signal handlers.
+///
+/// Signals are kept from the installation on, which needs no runtime, until they are
+/// received.
+pub struct SignalHandlers {
+    rx: StdUnixStream,
 }
 
-impl Signals {
-    /// Installs the handlers of SIGTERM and SIGINT.
+impl SignalHandlers {
+    /// Installs the handlers of SIGTERM and SIGINT, which request a stop.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Signals`] if a handler cannot be installed.
-    pub fn install() -> Result<Self> {
-        let (rx, tx) = StdUnixStream::pair().map_err(Error::Signals)?;
-        let copy = tx.try_clone().map_err(Error::Signals)?;
-        pipe::register(SIGTERM, tx).map_err(Error::Signals)?;
-        pipe::register(SIGINT, copy).map_err(Error::Signals)?;
-        Ok(Self {
-            stream: receiver(rx)?,
-        })
+    pub fn for_stop() -> Result<Self> {
+        Self::install(&[SIGTERM, SIGINT])
     }
 
-    /// Waits for the next signal.
-    pub async fn next(&mut self) {
-        wait_for_byte(&mut self.stream).await;
-    }
-}
-
-/// Receives SIGHUP, which requests a reload of the settings.
-pub struct ReloadSignals {
-    stream: UnixStream,
-}
-
-impl ReloadSignals {
-    /// Installs the handler of SIGHUP.
+    /// Installs the handler of SIGHUP, which requests a reload of the settings.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Signals`] if the handler cannot be installed.
-    pub fn install() -> Result<Self> {
+    pub fn for_reload() -> Result<Self> {
+        Self::install(&[SIGHUP])
+    }
+
+    fn install(signals: &[i32]) -> Result<Self> {
         let (rx, tx) = StdUnixStream::pair().map_err(Error::Signals)?;
-        pipe::register(SIGHUP, tx).map_err(Error::Signals)?;
-        Ok(Self {
-            stream: receiver(rx)?,
-        })
+        for signal in signals {
+            let copy = tx.try_clone().map_err(Error::Signals)?;
+            pipe::register(*signal, copy).map_err(Error::Signals)?;
+        }
+        Ok(Self { rx })
     }
 
-    /// Waits for the next signal.
-    pub async fn next(&mut self) {
-        wait_for_byte(&mut self.stream).await;
+    /// Returns the receiver of the signals; to be called within a runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Signals`] if the runtime cannot watch for signals.
+    pub fn into_signals(self) -> Result<Signals> {
+        self.rx.set_nonblocking(true).map_err(Error::Signals)?;
+        let stream = UnixStream::from_std(self.rx).map_err(Error::Signals)?;
+        Ok(Signals { stream })
     }
 }
 
-fn receiver(rx: StdUnixStream) -> Result<UnixStream> {
-    rx.set_nonblocking(true).map_err(Error::Signals)?;
-    UnixStream::from_std(rx).map_err(Error::Signals)
+/// Receives signals.
+pub struct Signals {
+    stream: UnixStream,
 }
 
-async fn wait_for_byte(stream: &mut UnixStream) {
-    loop {
-        let (read, _) = stream.read(vec![0_u8; 1]).await;
-        match read {
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            _ => return,
+impl Signals {
+    /// Waits for the next signal.
+    pub async fn next(&mut self) {
+        loop {
+            let (read, _) = self.stream.read(vec![0_u8; 1]).await;
+            match read {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                _ => return,
+            }
         }
     }
 }
