Read the settings once for a series of reload signals

Seen: 400 SIGHUPs within a second led to 400 reads and log lines ("400 reads in a second"), which exceeds the rate of log lines and has others dropped.

Change: signals that are pending are received as one, and a reload is followed by a pause of 0.2 s. The last signal is always followed by a read.

--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -47,6 +47,9 @@
 /// The time of a reload after which the log tells that the file is not read yet.
 const SLOW_READ_TIME: Duration = Duration::from_secs(2);
 
+/// The pause after a reload, in which further signals request only one more.
+const RELOAD_PAUSE: Duration = Duration::from_millis(200);
+
 /// Runs an instance until a signal stops it.
 ///
 /// # Errors
@@ -149,7 +152,7 @@
 /// Changes take effect at the next start.
 async fn reload(instance: Rc<FleetInstance>, mut reloads: Signals, file: SettingsFile) {
     loop {
-        reloads.next().await;
+        reloads.next_series().await;
         let mut read = std::pin::pin!(file.read());
         let in_time = monoio::time::timeout(SLOW_READ_TIME, &mut read).await;
         let result = if let Ok(result) = in_time {
@@ -165,5 +168,6 @@
             }
             Err(error) => warn!(error:display; "invalid settings; keeping the current ones"),
         }
+        monoio::time::sleep(RELOAD_PAUSE).await;
     }
 }
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -121,11 +121,23 @@
     stream: UnixStream,
 }
 
+/// The number of signals that are received as one.
+const MAX_PENDING_SIGNALS: usize = 1_024;
+
 impl Signals {
     /// Waits for the next signal.
     pub async fn next(&mut self) {
+        self.read(1).await;
+    }
+
+    /// Waits for the next signal, and receives those that have arrived by then as one.
+    pub async fn next_series(&mut self) {
+        self.read(MAX_PENDING_SIGNALS).await;
+    }
+
+    async fn read(&mut self, max: usize) {
         loop {
-            let (read, _) = self.stream.read(vec![0_u8; 1]).await;
+            let (read, _) = self.stream.read(vec![0_u8; max]).await;
             match read {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 _ => return,
