--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -19,6 +19,7 @@
 mod rollout;
 mod run;
 mod serve;
+mod settings_file;
 mod store;
 mod unfinished;
 mod watch;
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -68,69 +68,80 @@
     }
 }
 
-/// Receives the signals that request a stop, SIGTERM and SIGINT.
-pub struct Signals {
-    stream: UnixStream,
+/// Installed signal handlers.
+///
+/// Signals are kept from the installation on, which needs no runtime, until they are
+/// received.
+pub struct SignalHandlers {
+    rx: StdUnixStream,
 }
 
-impl Signals {
-    /// Installs the handlers of SIGTERM and SIGINT.
+impl SignalHandlers {
+    /// Installs the handlers of SIGTERM and SIGINT, which request a stop.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Signals`] if a handler cannot be installed.
-    pub fn install() -> Result<Self> {
-        let (rx, tx) = StdUnixStream::pair().map_err(Error::Signals)?;
-        let copy = tx.try_clone().map_err(Error::Signals)?;
-        pipe::register(SIGTERM, tx).map_err(Error::Signals)?;
-        pipe::register(SIGINT, copy).map_err(Error::Signals)?;
-        Ok(Self {
-            stream: receiver(rx)?,
-        })
+    pub fn for_stop() -> Result<Self> {
+        Self::install(&[SIGTERM, SIGINT])
     }
 
-    /// Waits for the next signal.
-    pub async fn next(&mut self) {
-        wait_for_byte(&mut self.stream).await;
+    /// Installs the handler of SIGHUP, which requests a reload of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Signals`] if the handler cannot be installed.
+    pub fn for_reload() -> Result<Self> {
+        Self::install(&[SIGHUP])
     }
-}
 
-/// Receives SIGHUP, which requests a reload of the settings.
-pub struct ReloadSignals {
-    stream: UnixStream,
-}
+    fn install(signals: &[i32]) -> Result<Self> {
+        let (rx, tx) = StdUnixStream::pair().map_err(Error::Signals)?;
+        for signal in signals {
+            let copy = tx.try_clone().map_err(Error::Signals)?;
+            pipe::register(*signal, copy).map_err(Error::Signals)?;
+        }
+        Ok(Self { rx })
+    }
 
-impl ReloadSignals {
-    /// Installs the handler of SIGHUP.
+    /// Returns the receiver of the signals; to be called within a runtime.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Signals`] if the handler cannot be installed.
-    pub fn install() -> Result<Self> {
-        let (rx, tx) = StdUnixStream::pair().map_err(Error::Signals)?;
-        pipe::register(SIGHUP, tx).map_err(Error::Signals)?;
-        Ok(Self {
-            stream: receiver(rx)?,
-        })
+    /// Returns [`Error::Signals`] if the runtime cannot watch for signals.
+    pub fn into_signals(self) -> Result<Signals> {
+        self.rx.set_nonblocking(true).map_err(Error::Signals)?;
+        let stream = UnixStream::from_std(self.rx).map_err(Error::Signals)?;
+        Ok(Signals { stream })
     }
+}
+
+/// Receives signals.
+pub struct Signals {
+    stream: UnixStream,
+}
 
+/// The number of signals that are received as one.
+const MAX_PENDING_SIGNALS: usize = 1_024;
+
+impl Signals {
     /// Waits for the next signal.
     pub async fn next(&mut self) {
-        wait_for_byte(&mut self.stream).await;
+        self.read(1).await;
     }
-}
 
-fn receiver(rx: StdUnixStream) -> Result<UnixStream> {
-    rx.set_nonblocking(true).map_err(Error::Signals)?;
-    UnixStream::from_std(rx).map_err(Error::Signals)
-}
+    /// Waits for the next signal, and receives those that have arrived by then as one.
+    pub async fn next_series(&mut self) {
+        self.read(MAX_PENDING_SIGNALS).await;
+    }
 
-async fn wait_for_byte(stream: &mut UnixStream) {
-    loop {
-        let (read, _) = stream.read(vec![0_u8; 1]).await;
-        match read {
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            _ => return,
+    async fn read(&mut self, max: usize) {
+        loop {
+            let (read, _) = self.stream.read(vec![0_u8; max]).await;
+            match read {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                _ => return,
+            }
         }
     }
 }
