Split connecting from sending in the HTTP client

Client::open connects and OpenConnection::send sends; Client::send is both, as before. Ruled out: a callback in send, which would need an error of its own for its refusal.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -98,30 +98,23 @@
     /// Returns an error when the server cannot be reached, a time limit expires, or the
     /// response is malformed or its length ambiguous. [`Error::not_sent`] returns whether
     /// the server cannot have received any part of the request.
-    pub async fn send(&self, address: SocketAddr, mut req: Request) -> Result<Response> {
-        remove_hop_by_hop(req.headers_mut());
-        let (head, body) = req.into_parts();
-        let mut bytes = encode::request_head(
-            &head,
-            &address.to_string(),
-            declared_length(&head.method, &body),
-        );
-        bytes.extend_from_slice(&body);
+    pub async fn send(&self, address: SocketAddr, req: Request) -> Result<Response> {
+        self.open(address).await?.send(req).await
+    }
 
-        let stream = self.connect(address).await;
-        let mut stream = BufferedStream::new(stream.map_err(not_sent)?);
-        let sent = stream
-            .write(bytes.freeze(), self.options.write_timeout)
-            .await;
-        match sent {
-            Ok(()) => self.read_response(stream, &head.method).await,
-            Err(e) if stream.written() == 0 => Err(not_sent(e)),
-            // The server may have responded without reading the whole request.
-            Err(e) => self
-                .read_response(stream, &head.method)
-                .await
-                .map_err(|_| e),
-        }
+    /// Connects to `address`, so that the caller can decide immediately before it sends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for which [`Error::not_sent`] holds when the server cannot be reached
+    /// in time.
+    pub async fn open(&self, address: SocketAddr) -> Result<OpenConnection> {
+        let stream = self.connect(address).await.map_err(not_sent)?;
+        Ok(OpenConnection {
+            options: Rc::clone(&self.options),
+            address,
+            stream: BufferedStream::new(stream),
+        })
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<TcpStream> {
@@ -134,20 +127,65 @@
         })
         .await
     }
+}
 
-    async fn read_response(&self, mut stream: BufferedStream, method: &Method) -> Result<Response> {
-        let read = read_final_head(&mut stream, self.options.max_head_bytes);
-        let head = with_timeout(self.options.head_timeout, Phase::Head, read).await?;
-        let length = framing::response_length(&head.headers, head.version, head.status, method)?;
-        Ok(Response {
-            head,
-            stream,
-            body: Body::new(length, MAX_CHUNK_BYTES),
-            idle_timeout: self.options.idle_timeout,
-        })
+/// A connection over which nothing was sent yet.
+pub struct OpenConnection {
+    options: Rc<ClientOptions>,
+    address: SocketAddr,
+    stream: BufferedStream,
+}
+
+impl OpenConnection {
+    /// Sends `req` as [`Client::send`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Client::send`] but those of connecting.
+    pub async fn send(self, mut req: Request) -> Result<Response> {
+        let Self {
+            options,
+            address,
+            mut stream,
+        } = self;
+        remove_hop_by_hop(req.headers_mut());
+        let (head, body) = req.into_parts();
+        let mut bytes = encode::request_head(
+            &head,
+            &address.to_string(),
+            declared_length(&head.method, &body),
+        );
+        bytes.extend_from_slice(&body);
+
+        let sent = stream.write(bytes.freeze(), options.write_timeout).await;
+        match sent {
+            Ok(()) => read_response(stream, &options, &head.method).await,
+            Err(e) if stream.written() == 0 => Err(not_sent(e)),
+            // The server may have responded without reading the whole request.
+            Err(e) => {
+                let response = read_response(stream, &options, &head.method).await;
+                response.map_err(|_| e)
+            }
+        }
     }
 }
 
+async fn read_response(
+    mut stream: BufferedStream,
+    options: &ClientOptions,
+    method: &Method,
+) -> Result<Response> {
+    let read = read_final_head(&mut stream, options.max_head_bytes);
+    let head = with_timeout(options.head_timeout, Phase::Head, read).await?;
+    let length = framing::response_length(&head.headers, head.version, head.status, method)?;
+    Ok(Response {
+        head,
+        stream,
+        body: Body::new(length, MAX_CHUNK_BYTES),
+        idle_timeout: options.idle_timeout,
+    })
+}
+
 /// A response whose body is read on demand.
 ///
 /// Dropping it closes the connection, which signals the server to stop.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,6 +17,7 @@
 pub use accept::serve;
 pub use client::Client;
 pub use client::ClientOptions;
+pub use client::OpenConnection;
 pub use client::Response;
 pub use error::Error;
 pub use error::Phase;
