--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -64,7 +64,10 @@
     for index in 0..engines {
         upstreams.upsert(engine(index), now);
     }
-    let hashes: Vec<u64> = upstreams.of_service(SERVICE).map(|row| row.hash).collect();
+    let hashes: Vec<u64> = upstreams
+        .of_service(SERVICE, now)
+        .map(|row| row.hash)
+        .collect();
     let peers = peers(instances, &hashes, now);
     let directory = directory(&hashes, now);
     let spec = Engine {
--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -16,6 +16,8 @@
     ConnectFailed,
     /// The upstream reported that it has not run the request.
     Rejected,
+    /// The upstream became unavailable before anything was sent.
+    Withheld,
     /// The address now belongs to another upstream, or the upstream has other weights.
     Misdirected,
     /// The connection broke before the response was complete.
@@ -30,9 +32,10 @@
 
 impl Failure {
     /// Every failure.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::ConnectFailed,
         Self::Rejected,
+        Self::Withheld,
         Self::Misdirected,
         Self::ConnectionLost,
         Self::InvalidResponse,
@@ -46,6 +49,7 @@
         match self {
             Self::ConnectFailed => "unreachable",
             Self::Rejected => "turned_away",
+            Self::Withheld => "withheld",
             Self::Misdirected => "misdirected",
             Self::ConnectionLost => "broke",
             Self::InvalidResponse => "bad_answer",
@@ -54,11 +58,17 @@
         }
     }
 
+    /// Returns whether the upstream has received anything.
+    #[must_use]
+    pub const fn was_sent(self) -> bool {
+        !matches!(self, Self::ConnectFailed | Self::Withheld)
+    }
+
     /// Returns whether the upstream may have run the request.
     #[must_use]
     pub const fn may_have_run(self) -> bool {
         match self {
-            Self::ConnectFailed | Self::Rejected | Self::Misdirected => false,
+            Self::ConnectFailed | Self::Rejected | Self::Withheld | Self::Misdirected => false,
             Self::ConnectionLost | Self::InvalidResponse | Self::UpstreamError | Self::TimedOut => {
                 true
             }
@@ -70,7 +80,7 @@
     pub const fn outcome(self) -> Option<RequestOutcome> {
         match self {
             Self::ConnectFailed => Some(RequestOutcome::ConnectFailed),
-            Self::Rejected | Self::Misdirected => None,
+            Self::Rejected | Self::Withheld | Self::Misdirected => None,
             Self::ConnectionLost | Self::InvalidResponse => Some(RequestOutcome::ConnectionLost),
             Self::UpstreamError => Some(RequestOutcome::UpstreamError),
             Self::TimedOut => Some(RequestOutcome::TimedOut),
@@ -145,7 +155,7 @@
         let repeatable = self.runs == 0 || self.kind.may_repeat();
         let left = self.runs < self.max_runs && self.rejections < MAX_REJECTIONS;
         let in_time = now + MIN_TIME_LEFT < self.deadline;
-        if repeatable && left && in_time && (failure == Failure::ConnectFailed || budget()) {
+        if repeatable && left && in_time && (!failure.was_sent() || budget()) {
             return NextStep::Retry;
         }
         NextStep::GiveUp(self.refusal(failure))
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -13,7 +13,7 @@
 use crate::store_era::StoreEra;
 
 /// The version of the message's layout; heartbeats with another layout are dropped.
-const LAYOUT: u8 = 9;
+const LAYOUT: u8 = 10;
 
 /// The units that an instance has admitted for a team.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -80,10 +80,12 @@
 
 /// The report that an upstream is leaving.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(transparent)]
 pub struct LeavingUpdate {
     /// The hash of the upstream's process; see [`process_hash`].
     pub process: u64,
+    /// The number of the process's last entry if that was removed; a process that is still
+    /// alive may register again.
+    pub removed: Option<u64>,
 }
 
 /// The requests that an instance has sent to a service since its start.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod availability;
 pub mod configuration;
 pub mod directory;
 pub mod events;
@@ -16,6 +17,7 @@
 pub mod lease;
 pub mod limits;
 pub mod load_pace;
+pub mod outage;
 pub mod peers;
 pub mod placement;
 pub mod prompt;
--- /dev/null
+++ b/crates/fleet/src/outage.rs
@@ -0,0 +1,105 @@
+//! Requests to a service none of whose upstreams is available.
+//!
+//! A request that could only wait for its deadline is refused at once, with the time at
+//! which the first upstream has rested. If that is soon, waiting is better for the caller
+//! than to come back.
+
+use std::time::Duration;
+
+use limpetsaddle_core::units::Time;
+
+/// The longest time for which a request waits: another instance may serve the caller
+/// sooner, as a rest binds one instance.
+const MAX_WAIT: Duration = Duration::from_millis(300);
+
+/// The fraction of the remaining time within which the response must be expected.
+const USABLE_FRACTION: f64 = 0.8;
+
+/// The fraction of the remaining rest over which requests are spread after its end.
+const SPREAD_FRACTION: f64 = 0.25;
+
+/// The shortest time over which requests are spread.
+const MIN_SPREAD: Duration = Duration::from_millis(40);
+
+/// The longest time over which requests are spread.
+const MAX_SPREAD: Duration = Duration::from_secs(1);
+
+/// The state of a service that has no available upstream for a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Outage {
+    /// Whether an upstream that was attempted for the request is available to others.
+    pub others_served: bool,
+    /// The earliest end of a rest.
+    pub first_end: Option<Time>,
+    /// The earliest end of a rest among upstreams that were not attempted.
+    pub first_untried: Option<Time>,
+}
+
+/// The time that a request has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WaitOptions {
+    /// The time to the deadline.
+    pub left: Duration,
+    /// The time for which the request has waited.
+    pub waited: Duration,
+    /// The time that the response is expected to take.
+    pub expected: Duration,
+}
+
+impl Outage {
+    /// Records the end of an upstream's rest.
+    pub fn add_rest(&mut self, until: Time, is_tried: bool) {
+        let earliest = |end: Option<Time>| end.map_or(until, |end| end.min(until));
+        self.first_end = Some(earliest(self.first_end));
+        if !is_tried {
+            self.first_untried = Some(earliest(self.first_untried));
+        }
+    }
+
+    /// Returns the time for which a request waits for the first rest to end, or `None` if
+    /// it is refused at once.
+    ///
+    /// `random` spreads requests that wait for the same end.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use limpetsaddle_core::units::Time;
+    /// use limpetsaddle_fleet::outage::Outage;
+    /// use limpetsaddle_fleet::outage::WaitOptions;
+    ///
+    /// let mut outage = Outage::default();
+    /// let options = WaitOptions {
+    ///     left: Duration::from_secs(3),
+    ///     waited: Duration::ZERO,
+    ///     expected: Duration::from_millis(100),
+    /// };
+    /// assert_eq!(outage.wait(&options, Time::ZERO, 7), None);
+    /// outage.add_rest(Time::ZERO + Duration::from_millis(200), false);
+    /// assert!(outage.wait(&options, Time::ZERO, 7).is_some());
+    /// ```
+    #[must_use]
+    pub fn wait(&self, options: &WaitOptions, now: Time, random: u64) -> Option<Duration> {
+        let rest = self.first_untried?.since(now);
+        let wait = spread(rest, random);
+        let is_short = options.waited.saturating_add(wait) <= MAX_WAIT;
+        let is_in_time =
+            wait.saturating_add(options.expected) <= options.left.mul_f64(USABLE_FRACTION);
+        (is_short && is_in_time).then_some(wait)
+    }
+
+    /// Returns the time after which a refused caller may retry, or `None` if no rest
+    /// determines it.
+    #[must_use]
+    pub fn retry_after(&self, now: Time, random: u64) -> Option<Duration> {
+        let end = self.first_end.filter(|_| !self.others_served)?;
+        Some(spread(end.since(now), random))
+    }
+}
+
+/// Returns the rest and a random part of the time over which requests are spread.
+fn spread(rest: Duration, random: u64) -> Duration {
+    let width = rest.min(MAX_SPREAD * 4).mul_f64(SPREAD_FRACTION);
+    let draw = f64::from(u32::try_from(random >> 32).unwrap_or(0)) / f64::from(u32::MAX);
+    rest.saturating_add(width.clamp(MIN_SPREAD, MAX_SPREAD).mul_f64(draw))
+}
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -16,6 +16,7 @@
 use limpetsaddle_core::units::Time;
 
 use crate::Name;
+use crate::availability::Incarnation;
 use crate::directory::ChainedPart;
 use crate::directory::PrefixDirectory;
 use crate::peers::Peers;
@@ -63,6 +64,8 @@
     pub upstream: Name,
     /// The upstream's address.
     pub address: SocketAddr,
+    /// The start of the upstream's process, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
     /// The version of weights that the upstream must have.
     pub weights: Option<u64>,
     /// How the upstream uses cached prompts.
@@ -77,6 +80,17 @@
     pub expected_latency: Duration,
 }
 
+impl Placement {
+    /// Returns the incarnation of the upstream.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            upstream: Name::clone(&self.upstream),
+            born_ms: self.born_ms,
+        }
+    }
+}
+
 /// The state on which a placement is decided, beside the request.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementContext<'a> {
@@ -104,7 +118,7 @@
         let not_attempted = |row: &&Upstream| !self.attempted.contains(&row.entry.id);
         let all: Vec<_> = self
             .upstreams
-            .of_service(service)
+            .of_service(service, self.now)
             .filter(not_attempted)
             .collect();
         let usable = |row: &&&Upstream| {
@@ -132,6 +146,7 @@
     Some(Placement {
         upstream: Name::clone(&row.entry.id),
         address: row.entry.address,
+        born_ms: row.entry.born_ms,
         weights: None,
         cache: None,
         prompt_tokens: 0,
--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -102,7 +102,7 @@
         let memory = req.engine.memory_tokens;
         let depths = cx.directory.depths(&parts, memory, cx.now);
         let ranked = |depth: fn(&Depths) -> usize| {
-            let usable = cx.upstreams.of_service(req.service);
+            let usable = cx.upstreams.of_service(req.service, cx.now);
             let usable = usable.filter(|row| !cx.upstreams.is_avoided(row, cx.now));
             let holders = usable.filter_map(|row| {
                 let held_parts = depths.get(&row.hash).map(depth)?;
@@ -244,6 +244,7 @@
     Some(Placement {
         upstream: Name::clone(&chosen.row.entry.id),
         address: chosen.row.entry.address,
+        born_ms: chosen.row.entry.born_ms,
         weights: chosen.version,
         cache: salt.map(|salt| CacheDirectives {
             salt,
@@ -347,7 +348,7 @@
 fn preferred<'a>(req: &PromptRequest<'_>, cx: &PlacementContext<'a>) -> Option<&'a Upstream> {
     let scope = req.isolated_team.unwrap_or_default();
     let prefix_hash = req.prompt.shared_hash(scope);
-    let all = cx.upstreams.of_service(req.service);
+    let all = cx.upstreams.of_service(req.service, cx.now);
     all.max_by_key(|row| mix(row.hash ^ prefix_hash))
 }
 
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -13,6 +13,7 @@
 use limpetsaddle_core::units::Time;
 
 use crate::Name;
+use crate::availability::Incarnation;
 use crate::load_pace::LoadPace;
 use crate::load_pace::LoadTime;
 use crate::peers::Peers;
@@ -27,12 +28,25 @@
     pub upstream: Name,
     /// The engine's address.
     pub address: SocketAddr,
+    /// The start of the engine's process, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
     /// The model.
     pub model: Name,
     /// The version to load.
     pub version: u64,
 }
 
+impl WeightsLoad {
+    /// Returns the incarnation of the engine.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            upstream: Name::clone(&self.upstream),
+            born_ms: self.born_ms,
+        }
+    }
+}
+
 /// What happens to an engine's running requests when it loads weights.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SwitchMode {
@@ -224,6 +238,7 @@
                 loads.push(WeightsLoad {
                     upstream: Name::clone(&row.entry.id),
                     address: row.entry.address,
+                    born_ms: row.entry.born_ms,
                     model: Name::clone(&target.model),
                     version: target.newest(),
                 });
@@ -441,7 +456,9 @@
         now: Time,
     ) -> Vec<&'a Upstream> {
         let is_pending = |row: &&Upstream| {
-            !self.engines.contains_key(&row.entry.id) && !self.paused.contains_key(&row.entry.id)
+            !self.engines.contains_key(&row.entry.id)
+                && !self.paused.contains_key(&row.entry.id)
+                && row.availability(now).accepts_calls()
         };
         let loads = peers.remote_loads(now);
         let mut pending: Vec<&Upstream> = outdated(upstreams, target).filter(is_pending).collect();
@@ -459,7 +476,9 @@
 /// Returns the average number of waiting prompt tokens per engine.
 fn backlog_tokens(upstreams: &Upstreams, peers: &Peers, model: &str, now: Time) -> u64 {
     let serving = upstreams.iter().filter(|row| {
-        row.weights(model).is_some() && row.accepts_requests() && !upstreams.is_avoided(row, now)
+        row.weights(model).is_some()
+            && row.availability(now).accepts_calls()
+            && !upstreams.is_avoided(row, now)
     });
     let loads = peers.remote_loads(now);
     let waiting_tokens = |row: &Upstream| {
@@ -478,7 +497,7 @@
 ) -> impl Iterator<Item = &'a Upstream> {
     let is_outdated = |row: &&Upstream| {
         let version = row.weights(&target.model);
-        row.accepts_requests() && version.is_some_and(|v| v < target.newest())
+        row.stays() && version.is_some_and(|v| v < target.newest())
     };
     upstreams.iter().filter(is_outdated)
 }
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -1,4 +1,7 @@
-//! The table of upstreams with their weights, load and health.
+//! The table of upstreams with their weights, load, health and availability.
+
+mod availability;
+mod weights;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -7,13 +10,18 @@
 
 use limpetsaddle_core::units::Time;
 
+use self::weights::raise_version;
 use crate::Name;
+use crate::availability::Availability;
+use crate::availability::AvailabilityChange;
+use crate::availability::AvailabilityRecord;
+use crate::availability::Incarnation;
+use crate::availability::Source;
 use crate::health::Health;
 use crate::health::HealthOptions;
 use crate::health::RequestOutcome;
 use crate::heartbeat::LeavingUpdate;
 use crate::heartbeat::UpstreamLoad;
-use crate::heartbeat::WeightsUpdate;
 use crate::heartbeat::name_hash;
 use crate::heartbeat::process_hash;
 use crate::reachability::DomainReachability;
@@ -59,6 +67,17 @@
     pub weights: Vec<Weights>,
 }
 
+impl UpstreamEntry {
+    /// Returns the incarnation that has written the entry.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            upstream: Name::clone(&self.id),
+            born_ms: self.born_ms,
+        }
+    }
+}
+
 /// A request's share of an upstream's load, from [`Upstreams::start`] to
 /// [`Upstreams::finish`].
 #[derive(Debug)]
@@ -103,6 +122,8 @@
     pub local_load: UpstreamLoad,
     /// The moving average of the ratio of observed to expected time to the first event.
     pub slowness: f64,
+    /// What the upstream, its entries and other instances said of its availability.
+    record: AvailabilityRecord,
     paused_until: Option<Time>,
     away_until: Option<Time>,
     rejections: u32,
@@ -132,10 +153,16 @@
         self.away_until.is_some_and(|until| now < until)
     }
 
-    /// Returns whether the upstream accepts new requests; its health does not matter.
+    /// Returns whether the upstream may be called; its health does not matter.
+    #[must_use]
+    pub fn availability(&self, now: Time) -> Availability {
+        self.record.state(now)
+    }
+
+    /// Returns whether the upstream stays, though it may rest for now.
     #[must_use]
-    pub fn accepts_requests(&self) -> bool {
-        self.entry.phase == Phase::Ready
+    pub const fn stays(&self) -> bool {
+        self.record.stays()
     }
 }
 
@@ -152,18 +179,6 @@
 /// The maximum number of times that the pause is doubled.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// The time for which heartbeats repeat that an upstream is leaving.
-const LEAVING_REPEAT_TIME: Duration = Duration::from_secs(3);
-
-/// The time for which heartbeats repeat changes of weights: four heartbeat intervals of
-/// a large fleet. Engines report their weights as well, and during a rollout over many
-/// engines a longer time would saturate the holder's link.
-const WEIGHTS_REPEAT_TIME: Duration = Duration::from_millis(1_200);
-
-/// The time for which removed entries are remembered; copies of the store are some seconds
-/// old.
-const REMOVED_MEMORY_TIME: Duration = Duration::from_secs(30);
-
 /// The time after an outage of the platform in which missing upstreams may register again.
 pub const REAPPEAR_TIMEOUT: Duration = Duration::from_millis(2_200);
 
@@ -177,6 +192,11 @@
     leaving: Vec<(LeavingUpdate, Time)>,
     /// The last entry's number of each process whose entry was removed.
     removed: HashMap<u64, (u64, Time)>,
+    /// The records of processes without a row, by their process hashes.
+    departed: HashMap<u64, (AvailabilityRecord, Time)>,
+    /// The incarnations that are not available.
+    marked: Vec<Incarnation>,
+    changes: Vec<AvailabilityChange>,
     reachability: DomainReachability,
 }
 
@@ -190,6 +210,9 @@
             ids: HashMap::new(),
             leaving: Vec::new(),
             removed: HashMap::new(),
+            departed: HashMap::new(),
+            marked: Vec::new(),
+            changes: Vec::new(),
             reachability: DomainReachability::default(),
         }
     }
@@ -200,120 +223,78 @@
     /// process is discarded. An entry that is older than a known one, as the store may
     /// return from an older copy, is ignored.
     pub fn upsert(&mut self, entry: UpstreamEntry, now: Time) {
-        if self.was_removed(&entry, now) {
+        if self.was_removed(&entry, now) || self.is_succeeded(&entry) {
             return;
         }
+        let incarnation = entry.incarnation();
         let is_draining = entry.phase == Phase::Draining;
         let existing = self.rows.get_mut(&entry.id);
-        let Some(row) = existing.filter(|row| row.entry.born_ms == entry.born_ms) else {
-            if is_draining {
-                self.announce_leaving(process_of(&entry), now);
+        if let Some(row) = existing.filter(|row| row.entry.born_ms == entry.born_ms) {
+            row.missing_since = None;
+            if entry.sequence < row.entry.sequence {
+                return;
             }
-            // The previous process under this id has ended.
-            self.remove_row(&entry.id);
-            let row = Upstream {
-                hash: name_hash(&entry.id),
-                health: Health::default(),
-                local_load: UpstreamLoad::default(),
-                slowness: 1.0,
-                paused_until: None,
-                away_until: None,
-                rejections: 0,
-                paused_at: None,
-                missing_since: None,
-                entry,
-            };
-            self.ids
-                .insert(process_of(&row.entry), Name::clone(&row.entry.id));
-            self.rows.insert(Name::clone(&row.entry.id), row);
-            return;
-        };
-        row.missing_since = None;
-        if entry.sequence < row.entry.sequence {
-            return;
-        }
-        let starts_draining = is_draining && row.entry.phase != Phase::Draining;
-        let earlier = std::mem::take(&mut row.entry.weights);
-        row.entry = entry;
-        // Versions observed in responses may be newer than the entry.
-        for weights in earlier {
-            raise_version(row, &weights.model, weights.version);
+            // Without a number, an entry can't be told from an older one.
+            if entry.sequence > row.entry.sequence || entry.sequence == 0 {
+                row.record.register();
+            }
+            let earlier = std::mem::take(&mut row.entry.weights);
+            row.entry = entry;
+            // Versions observed in responses may be newer than the entry.
+            for weights in earlier {
+                raise_version(row, &weights.model, weights.version);
+            }
+        } else {
+            self.insert(entry, now);
         }
-        if starts_draining {
-            let process = process_of(&row.entry);
-            self.announce_leaving(process, now);
+        if is_draining && self.mark_leaving(&incarnation, Source::Entry, now) {
+            self.announce_leaving(incarnation.process(), None, now);
         }
     }
 
+    /// Inserts the row of a process that has none.
+    fn insert(&mut self, entry: UpstreamEntry, now: Time) {
+        // The previous process under this id has ended.
+        self.succeed(&entry.id, now);
+        let process = process_of(&entry);
+        let record = self.recall(process);
+        let row = Upstream {
+            hash: name_hash(&entry.id),
+            health: Health::default(),
+            local_load: UpstreamLoad::default(),
+            slowness: 1.0,
+            record,
+            paused_until: None,
+            away_until: None,
+            rejections: 0,
+            paused_at: None,
+            missing_since: None,
+            entry,
+        };
+        self.ids.insert(process, Name::clone(&row.entry.id));
+        self.rows.insert(Name::clone(&row.entry.id), row);
+    }
+
     /// Removes an upstream whose entry was removed.
     pub fn remove(&mut self, id: &str, now: Time) {
-        let Some(row) = self.remove_row(id) else {
+        let Some(row) = self.remove_row(id, now) else {
             return;
         };
-        self.remember_removed(&row.entry, now);
-        // A draining upstream was announced before.
-        if row.entry.phase != Phase::Draining {
-            self.announce_leaving(process_of(&row.entry), now);
-        }
-    }
-
-    /// Returns whether an entry is one that was removed before, or an older one.
-    fn was_removed(&self, entry: &UpstreamEntry, now: Time) -> bool {
-        let removed = self.removed.get(&process_of(entry));
-        removed.is_some_and(|(sequence, at)| {
-            entry.sequence <= *sequence && now.since(*at) < REMOVED_MEMORY_TIME
-        })
-    }
-
-    fn remember_removed(&mut self, entry: &UpstreamEntry, now: Time) {
-        self.removed
-            .retain(|_, (_, at)| now.since(*at) < REMOVED_MEMORY_TIME);
-        // Entries without a number can't be told from newer ones.
-        if entry.sequence > 0 {
-            let removed = (entry.sequence, now);
-            self.removed.insert(process_of(entry), removed);
+        self.remember_removed(process_of(&row.entry), row.entry.sequence, now);
+        // A leaving upstream was announced before.
+        if row.record.stays() {
+            self.announce_removed(&row.entry, now);
         }
     }
 
-    fn remove_row(&mut self, id: &str) -> Option<Upstream> {
+    fn remove_row(&mut self, id: &str, now: Time) -> Option<Upstream> {
         let row = self.rows.remove(id)?;
-        self.ids.remove(&process_of(&row.entry));
+        let process = process_of(&row.entry);
+        self.ids.remove(&process);
+        self.depart(process, row.record, now);
         Some(row)
     }
 
-    fn by_process(&mut self, process: u64) -> Option<&mut Upstream> {
-        self.rows.get_mut(self.ids.get(&process)?)
-    }
-
-    /// Queues the process for the next heartbeats.
-    fn announce_leaving(&mut self, process: u64, now: Time) {
-        let update = LeavingUpdate { process };
-        self.leaving
-            .retain(|(earlier, at)| *earlier != update && now.since(*at) < LEAVING_REPEAT_TIME);
-        self.leaving.push((update, now));
-    }
-
-    /// Returns the recently leaving upstreams for heartbeats.
-    #[must_use]
-    pub fn leaving_updates(&self, now: Time) -> Vec<LeavingUpdate> {
-        let recent = self
-            .leaving
-            .iter()
-            .filter(|(_, at)| now.since(*at) < LEAVING_REPEAT_TIME);
-        recent.map(|(update, _)| *update).collect()
-    }
-
-    /// Marks an upstream as draining that another instance has reported as leaving, and
-    /// returns its id if that is new.
-    pub fn apply_leaving(&mut self, update: &LeavingUpdate) -> Option<Name> {
-        let row = self.by_process(update.process)?;
-        if row.entry.phase == Phase::Draining {
-            return None;
-        }
-        row.entry.phase = Phase::Draining;
-        Some(Name::clone(&row.entry.id))
-    }
-
     /// Removes the upstreams that are missing in `registered`, the complete list of
     /// registered ids.
     ///
@@ -330,7 +311,7 @@
             }
         }
         for id in &removed {
-            self.remove_row(id);
+            self.remove_row(id, now);
         }
     }
 
@@ -352,7 +333,7 @@
         let ids = self.rows.iter().filter(|(_, row)| is_expired(row));
         let ids: Vec<Name> = ids.map(|(id, _)| Name::clone(id)).collect();
         for id in &ids {
-            self.remove_row(id);
+            self.remove_row(id, now);
         }
         ids
     }
@@ -368,11 +349,11 @@
         self.rows.values()
     }
 
-    /// Returns the upstreams of a service that accept requests, whatever their health.
-    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
-        self.rows
-            .values()
-            .filter(move |row| &*row.entry.service == service && row.accepts_requests())
+    /// Returns the upstreams of a service that may be called, whatever their health.
+    pub fn of_service(&self, service: &str, now: Time) -> impl Iterator<Item = &Upstream> {
+        self.rows.values().filter(move |row| {
+            &*row.entry.service == service && row.availability(now).accepts_calls()
+        })
     }
 
     /// Returns whether an upstream gets no requests while others are available: recent
@@ -444,29 +425,6 @@
         }
     }
 
-    /// Records that another upstream responds at the address: the process there has ended,
-    /// though its entry may not have expired yet.
-    pub fn mark_replaced(&mut self, id: &str) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.entry.phase = Phase::Draining;
-        }
-    }
-
-    /// Records the weights that an upstream stated in a response.
-    pub fn observe_weights(&mut self, id: &str, model: &str, version: u64) {
-        if let Some(row) = self.rows.get_mut(id) {
-            raise_version(row, model, version);
-        }
-    }
-
-    /// Sends an upstream no requests for a time, and reports that to other instances.
-    pub fn pause_requests(&mut self, id: &str, span: Duration, now: Time) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.paused_until = Some(now + span);
-            row.paused_at = Some(now);
-        }
-    }
-
     /// Records that an upstream rejected a request.
     ///
     /// The pause doubles with each consecutive rejection.
@@ -478,54 +436,6 @@
         }
     }
 
-    /// Sets the version that an upstream stated when it rejected a request for other
-    /// weights. It may be older than before, after a restart.
-    pub fn reset_weights(&mut self, id: &str, model: &str, version: u64) {
-        let row = self.rows.get_mut(id);
-        let weights = row.map(|row| row.entry.weights.iter_mut());
-        let loaded = weights.and_then(|mut all| all.find(|w| &*w.model == model));
-        if let Some(loaded) = loaded {
-            loaded.version = version;
-        }
-    }
-
-    /// Applies a report of weights by another instance.
-    pub fn apply_weights(&mut self, update: &WeightsUpdate, now: Time) {
-        let Some(row) = self.by_process(update.process) else {
-            return;
-        };
-        if let Some(model) = row.entry.weights.first().map(|w| Name::clone(&w.model)) {
-            raise_version(row, &model, update.version);
-        }
-        let pause = Duration::from_millis(u64::from(update.away_ms));
-        row.paused_until = (!pause.is_zero()).then_some(now + pause);
-        row.away_until = row.paused_until;
-    }
-
-    /// Returns the recent changes of weights for heartbeats.
-    #[must_use]
-    pub fn weights_updates(&self, now: Time) -> Vec<WeightsUpdate> {
-        self.weights_updates_within(WEIGHTS_REPEAT_TIME, now)
-    }
-
-    /// Returns the changes of weights within `span`, for notices.
-    #[must_use]
-    pub fn weights_updates_within(&self, span: Duration, now: Time) -> Vec<WeightsUpdate> {
-        let recent = |row: &&Upstream| row.paused_at.is_some_and(|at| now.since(at) < span);
-        let update = |row: &Upstream| {
-            row.entry.weights.first().map(|w| WeightsUpdate {
-                process: process_of(&row.entry),
-                version: w.version,
-                away_ms: pause_left_ms(row, now),
-            })
-        };
-        self.rows
-            .values()
-            .filter(recent)
-            .filter_map(update)
-            .collect()
-    }
-
     /// Returns the load of this instance's requests at each upstream that has any.
     #[must_use]
     pub fn local_loads(&self) -> Vec<UpstreamLoad> {
@@ -542,23 +452,6 @@
     process_hash(&entry.id, entry.born_ms)
 }
 
-/// Keeps the highest version seen, as a process never returns to older weights.
-fn raise_version(row: &mut Upstream, model: &str, version: u64) {
-    let loaded = row.entry.weights.iter_mut().find(|w| &*w.model == model);
-    if let Some(loaded) = loaded
-        && loaded.version < version
-    {
-        loaded.version = version;
-    }
-}
-
-fn pause_left_ms(row: &Upstream, now: Time) -> u32 {
-    let left = row
-        .paused_until
-        .map_or(Duration::ZERO, |until| until.since(now));
-    u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
-}
-
 fn end_prefill(row: &mut Upstream, ticket: &Ticket) {
     let load = &mut row.local_load;
     load.waiting_tokens = load.waiting_tokens.saturating_sub(ticket.waiting_tokens);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -12,12 +12,14 @@
 mod kv_store;
 mod metrics;
 mod monitoring;
+mod outage;
 mod relay;
 mod responses;
 mod rollout;
 mod run;
 mod serve;
 mod store;
+mod upstream_calls;
 mod watch;
 
 pub use self::run::run;
--- a/crates/router/src/fleet/call.rs
+++ b/crates/router/src/fleet/call.rs
@@ -1,21 +1,23 @@
-//! Short calls to the store and to upstreams, apart from callers' requests.
+//! Calls to the store, and the errors of calls apart from callers' requests.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
-use http::StatusCode;
 use http::response::Parts;
+use limpetsaddle_fleet::availability::Availability;
 use limpetsaddle_fleet::store_era::StoreEra;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::Request;
 use limpetsaddle_platform_wire as wire;
 use thiserror::Error as ThisError;
 
+use super::upstream_calls::SendError;
+
 /// The largest response body that is read, in bytes: a full page of the store's
 /// objects.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+pub const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
 /// The cause of a failed call.
 #[derive(Debug, ThisError)]
@@ -23,6 +25,9 @@
     /// The HTTP exchange failed; the call may have taken effect.
     #[error(transparent)]
     Http(#[from] limpetsaddle_http::Error),
+    /// The recipient is not available, so nothing was sent.
+    #[error("nothing was sent, as the recipient is {}", .0.code())]
+    Withheld(Availability),
     /// The request cannot be encoded or the response cannot be decoded.
     #[error(transparent)]
     Wire(#[from] wire::Error),
@@ -35,19 +40,13 @@
     OutdatedEra(StoreEra),
 }
 
-/// Sends a request and returns the status and body of the response.
-///
-/// # Errors
-///
-/// Fails when no complete response is received within `timeout`.
-pub async fn call(
-    client: &Client,
-    address: SocketAddr,
-    req: Request,
-    timeout: Duration,
-) -> Result<(StatusCode, Bytes), CallError> {
-    let (head, body) = call_with_head(client, address, req, timeout).await?;
-    Ok((head.status, body))
+impl From<SendError> for CallError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Withheld(state) => Self::Withheld(state),
+            SendError::Http(error) => Self::Http(error),
+        }
+    }
 }
 
 /// Sends a request and returns the head and body of the response.
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -37,6 +37,7 @@
 
 use super::exchange::AcceptedRequest;
 use super::instance::FleetInstance;
+use super::outage;
 use super::relay;
 use super::relay::AttemptOutcome;
 use super::relay::Origin;
@@ -159,7 +160,8 @@
     pub attempts: Attempts,
     /// The id of the last event that the caller has received.
     pub last_event: Option<String>,
-    attempted: Vec<Name>,
+    /// The upstreams that were attempted.
+    pub attempted: Vec<Name>,
     sent: u32,
 }
 
@@ -213,7 +215,7 @@
     /// any more.
     pub async fn send(&mut self) -> Result<PendingResponse, Refusal> {
         loop {
-            let placement = self.place()?;
+            let placement = outage::place_or_wait(self).await?;
             let mut in_flight =
                 InFlightGuard::new(self.instance, &placement, self.request_load(&placement));
             let (outcome, timed_out_early) = self.attempt(&placement, &mut in_flight).await;
@@ -254,7 +256,7 @@
                         response: relay::UpstreamResponse::Buffered(response),
                     });
                 }
-                (NextStep::GiveUp(refusal), None) => return Err(refusal),
+                (NextStep::GiveUp(refusal), None) => return Err(outage::with_rest(self, refusal)),
             }
         }
     }
@@ -291,7 +293,12 @@
         }
     }
 
-    fn place(&self) -> Result<Placement, Refusal> {
+    /// Selects an upstream for the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if there is none, or none that responds in time.
+    pub fn place(&self) -> Result<Placement, Refusal> {
         let instance = self.instance;
         let now = instance.now();
         let remaining = self.accepted.deadline.since(now);
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -18,6 +18,7 @@
 use monoio::net::udp::UdpSocket;
 
 use super::instance::FleetInstance;
+use super::upstream_calls;
 use crate::clock::millis;
 use crate::errors::Error;
 use crate::errors::Result;
@@ -127,10 +128,12 @@
     }
     apply_target_weights(instance, heartbeat);
     for report in &heartbeat.leaving {
-        if let Some(upstream) = upstreams.apply_leaving(report) {
+        if let Some(upstream) = upstreams.apply_leaving(report, now) {
             info!(upstream:display, from = heartbeat.sender.as_str(); "upstream draining");
         }
     }
+    drop(upstreams);
+    upstream_calls::log_changes(instance, "heartbeat");
     let mut directory = instance.directory.borrow_mut();
     for report in &heartbeat.cached {
         directory.apply_update(report, now);
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -32,13 +32,13 @@
 use limpetsaddle_fleet::settings::FleetSettings;
 use limpetsaddle_fleet::upstreams::Upstreams;
 use limpetsaddle_fleet::weights::TargetWeights;
-use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
 use log::info;
 
 use super::call::CallError;
 use super::metrics::Metrics;
 use super::store::StoreClient;
+use super::upstream_calls::UpstreamClient;
 use crate::clock::Random;
 use crate::clock::SuspendClock;
 use crate::errors::Result;
@@ -72,7 +72,8 @@
     pub metrics: Metrics,
     /// The client for the platform's store.
     pub store: StoreClient,
-    pub upstream_client: Client,
+    /// The client for every call to upstreams and KV stores.
+    pub upstream_client: UpstreamClient,
     /// The configuration in force.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
     /// Whether a peer has reported a newer configuration.
@@ -132,7 +133,7 @@
             incarnation: seed | 1,
             metrics: Metrics::new()?,
             store: StoreClient::new(settings.store, now),
-            upstream_client: Client::new(client_options),
+            upstream_client: UpstreamClient::new(client_options),
             configuration: RefCell::new(None),
             newer_configuration: Cell::new(false),
             reported_configuration: Cell::new(0),
--- a/crates/router/src/fleet/kv_store.rs
+++ b/crates/router/src/fleet/kv_store.rs
@@ -12,8 +12,8 @@
 use log::debug;
 
 use super::call::CallError;
-use super::call::call;
 use super::instance::FleetInstance;
+use super::upstream_calls::Recipient;
 use crate::shutdown::Stopping;
 
 /// The time for which a KV store may hold a poll open. Polls with shorter waits
@@ -67,12 +67,11 @@
     since: u64,
 ) -> Result<wire::engine::CacheEvents, CallError> {
     let req = wire::engine::cache_events_request(since, POLL_WAIT)?;
-    let (status, body) = call(
-        &instance.upstream_client,
-        address,
-        req,
-        POLL_WAIT + POLL_SLACK,
-    )
-    .await?;
+    let recipient = Recipient::kv_store(instance, address);
+    let timeout = POLL_WAIT + POLL_SLACK;
+    let client = &instance.upstream_client;
+    let (status, body) = client
+        .call(instance, &recipient, req, "cache events", timeout)
+        .await?;
     Ok(wire::engine::decode_cache_events(status, &body)?)
 }
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -33,6 +33,9 @@
     store_calls: Counter<u64>,
     store_restores: Counter<u64>,
     orders: Counter<u64>,
+    upstream_marks: Counter<u64>,
+    withheld_calls: Counter<u64>,
+    ignored_notices: Counter<u64>,
     first_event: Histogram<f64>,
     response_time: Histogram<f64>,
 }
@@ -62,6 +65,9 @@
             store_calls: meter.u64_counter("limpetsaddle_store_calls").build(),
             store_restores: meter.u64_counter("limpetsaddle_store_restores").build(),
             orders: meter.u64_counter("limpetsaddle_orders").build(),
+            upstream_marks: meter.u64_counter("limpetsaddle_upstream_marks").build(),
+            withheld_calls: meter.u64_counter("limpetsaddle_withheld_calls").build(),
+            ignored_notices: meter.u64_counter("limpetsaddle_ignored_notices").build(),
             first_event: times("limpetsaddle_first_event_seconds"),
             response_time: times("limpetsaddle_answer_seconds"),
             registry,
@@ -113,6 +119,21 @@
         self.orders.add(1, &[KeyValue::new("answer", result)]);
     }
 
+    /// Counts an upstream that became unavailable, by the cause.
+    pub fn record_mark(&self, cause: &'static str) {
+        self.upstream_marks.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a call that was not sent, by the state of its recipient.
+    pub fn record_withheld_call(&self, state: &'static str) {
+        self.withheld_calls.add(1, &[KeyValue::new("state", state)]);
+    }
+
+    /// Counts an invalid notice in an answer.
+    pub fn record_ignored_notice(&self) {
+        self.ignored_notices.add(1, &[]);
+    }
+
     /// Returns all samples in the text format of Prometheus.
     ///
     /// # Errors
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -25,6 +25,7 @@
 use super::forward::InFlightGuard;
 use super::forward::buffered_response;
 use super::forward::elapsed_ms;
+use super::upstream_calls::Recipient;
 use crate::clock::millis;
 
 /// The largest response of a plain service that is read, in bytes.
@@ -56,7 +57,7 @@
         }
     }
 
-    fn caused(failure: Failure, error: &limpetsaddle_http::Error) -> Self {
+    fn caused(failure: Failure, error: &impl std::error::Error) -> Self {
         Self::Failed {
             failure,
             cause: error.to_string(),
@@ -105,11 +106,16 @@
     let Some(req) = forwarder.upstream_request(placement, remaining) else {
         return AttemptOutcome::failed(Failure::Rejected);
     };
-    let client = &forwarder.instance.upstream_client;
-    let res = match client.send(placement.address, req).await {
+    let instance = forwarder.instance;
+    let id = forwarder.accepted.fields.id.as_deref().unwrap_or_default();
+    let recipient = Recipient::Upstream {
+        incarnation: placement.incarnation(),
+        address: placement.address,
+    };
+    let client = &instance.upstream_client;
+    let res = match client.send(instance, &recipient, req, id).await {
         Ok(res) => res,
-        Err(err) if err.not_sent() => return AttemptOutcome::caused(Failure::ConnectFailed, &err),
-        Err(err) => return AttemptOutcome::caused(Failure::ConnectionLost, &err),
+        Err(err) => return AttemptOutcome::caused(err.failure(), &err),
     };
     let fields = headers::response_fields(&res.head.headers);
     record_weights(forwarder, placement, res.head.status, &fields);
@@ -142,7 +148,6 @@
         .as_ref()
         .filter(|id| **id != placement.upstream);
     if status == StatusCode::MISDIRECTED_REQUEST && other.is_some() {
-        upstreams.mark_replaced(&placement.upstream);
         return;
     }
     let prompt = forwarder.accepted.fields.prompt.as_ref();
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -3,8 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::StatusCode;
 use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::availability::Availability;
 use limpetsaddle_fleet::lease::LeaseWrite;
 use limpetsaddle_fleet::lease::LeaseWriteResult;
 use limpetsaddle_fleet::rollout;
@@ -13,6 +15,7 @@
 use limpetsaddle_fleet::rollout::SeenEnd;
 use limpetsaddle_fleet::rollout::SwitchMode;
 use limpetsaddle_fleet::rollout::WeightsLoad;
+use limpetsaddle_http::Request;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::engine::OrderResult;
 use limpetsaddle_platform_wire::engine::Report;
@@ -22,8 +25,9 @@
 use log::warn;
 
 use super::call::CallError;
-use super::call::call;
 use super::instance::FleetInstance;
+use super::upstream_calls::Recipient;
+use super::upstream_calls::log_changes;
 use super::watch::LEASE_NAME;
 use super::watch::decode_lease;
 use crate::clock::millis;
@@ -50,6 +54,10 @@
 /// renewed with each poll.
 const REQUEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// The longest rest of an engine after which its order is still sent. The order of another
+/// engine takes the place of one that rests for longer.
+const MAX_REST_WAIT: Duration = Duration::from_millis(400);
+
 /// The shortest timeout for one engine, including its running requests.
 const MIN_LOAD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -61,6 +69,7 @@
         for upstream in removed {
             info!(upstream:display; "removing upstream that has not registered again after an outage of the store");
         }
+        log_changes(&instance, "");
         step(&instance, now);
     }
 }
@@ -228,15 +237,18 @@
             Ok(report) => report,
             Err(error) => {
                 warn!(upstream:display = load.upstream, error:display; "cannot get the engine's report");
+                if wait_for_rest(instance, load, accepted.is_some()).await {
+                    continue;
+                }
                 return LoadEnd::Failed;
             }
         };
         let now = instance.now();
-        if is_successor(instance, load, &report) {
+        if is_successor(load, &report) {
             instance
                 .upstreams
                 .borrow_mut()
-                .mark_replaced(&load.upstream);
+                .mark_replaced(&load.incarnation(), now);
             return LoadEnd::Failed;
         }
         if let Some(order) = &accepted {
@@ -284,10 +296,11 @@
             }
             Some(OrderResult::Conflict) | None => monoio::time::sleep(POLL_INTERVAL).await,
             Some(OrderResult::Misdirected) => {
+                let now = instance.now();
                 instance
                     .upstreams
                     .borrow_mut()
-                    .mark_replaced(&load.upstream);
+                    .mark_replaced(&load.incarnation(), now);
                 return LoadEnd::Failed;
             }
             Some(OrderResult::Fenced | OrderResult::UnknownWeights) => return LoadEnd::Failed,
@@ -296,6 +309,30 @@
     LoadEnd::Failed
 }
 
+/// Waits until an engine has rested, and returns whether its load goes on. An engine that
+/// already loads may rest for longer.
+async fn wait_for_rest(instance: &FleetInstance, load: &WeightsLoad, is_loading: bool) -> bool {
+    let now = instance.now();
+    let state = {
+        let upstreams = instance.upstreams.borrow();
+        upstreams.availability(&load.incarnation(), now)
+    };
+    let Availability::Resting { until } = state else {
+        return false;
+    };
+    let limit = if is_loading {
+        load_timeout(instance)
+    } else {
+        MAX_REST_WAIT
+    };
+    let rest = until.since(now);
+    if rest > limit {
+        return false;
+    }
+    monoio::time::sleep(rest).await;
+    true
+}
+
 /// Keeps requests away from an engine that still loads, and counts it as loading
 /// until the next report.
 fn extend_load(instance: &FleetInstance, load: &WeightsLoad, now: Time) {
@@ -346,11 +383,9 @@
 
 /// Returns whether a report comes from a process that has replaced the engine at
 /// its address.
-fn is_successor(instance: &FleetInstance, load: &WeightsLoad, report: &Report) -> bool {
-    let upstreams = instance.upstreams.borrow();
-    let known = upstreams.get(&load.upstream).map(|row| row.entry.born_ms);
+const fn is_successor(load: &WeightsLoad, report: &Report) -> bool {
     // A report without a start time proves nothing.
-    report.born_ms != 0 && known != Some(report.born_ms)
+    report.born_ms != 0 && load.born_ms != report.born_ms
 }
 
 /// Returns whether a report may be older than the last accepted order.
@@ -401,9 +436,25 @@
     weights.version >= load.version
 }
 
+async fn call_upstream(
+    instance: &FleetInstance,
+    load: &WeightsLoad,
+    req: Request,
+    kind: &str,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let recipient = Recipient::Upstream {
+        incarnation: load.incarnation(),
+        address: load.address,
+    };
+    let client = &instance.upstream_client;
+    client
+        .call(instance, &recipient, req, kind, ENGINE_TIMEOUT)
+        .await
+}
+
 async fn fetch_report(instance: &FleetInstance, load: &WeightsLoad) -> Result<Report, CallError> {
     let req = wire::engine::report_request(&load.upstream)?;
-    let (status, body) = call(&instance.upstream_client, load.address, req, ENGINE_TIMEOUT).await?;
+    let (status, body) = call_upstream(instance, load, req, "report").await?;
     Ok(wire::engine::decode_report(status, &body)?)
 }
 
@@ -455,6 +506,6 @@
     order: &WeightsOrder<'_>,
 ) -> Result<(StatusCode, OrderResult), CallError> {
     let req = wire::engine::order_request(order)?;
-    let (status, _) = call(&instance.upstream_client, load.address, req, ENGINE_TIMEOUT).await?;
+    let (status, _) = call_upstream(instance, load, req, "order").await?;
     Ok((status, wire::engine::order_result(status)?))
 }
--- /dev/null
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -0,0 +1,243 @@
+//! Calls to upstreams and KV stores.
+//!
+//! Every call passes through [`UpstreamClient`]: requests of callers, reports, orders and
+//! polls. It sends nothing to a recipient that is not available, and records what each
+//! answer says of its sender's availability.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http::response::Parts;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::attempt::Failure;
+use limpetsaddle_fleet::availability::Availability;
+use limpetsaddle_fleet::availability::AvailabilityChange;
+use limpetsaddle_fleet::availability::ChangeKind;
+use limpetsaddle_fleet::availability::Incarnation;
+use limpetsaddle_fleet::availability::Notices;
+use limpetsaddle_fleet::configuration::store_hash;
+use limpetsaddle_http::Client;
+use limpetsaddle_http::ClientOptions;
+use limpetsaddle_http::Request;
+use limpetsaddle_http::Response;
+use limpetsaddle_platform_wire as wire;
+use limpetsaddle_platform_wire::headers;
+use log::info;
+use log::warn;
+use thiserror::Error as ThisError;
+
+use super::call::CallError;
+use super::call::MAX_RESPONSE_BYTES;
+use super::instance::FleetInstance;
+use crate::clock::millis;
+
+/// The recipient of a call: one run of a process at an address.
+#[derive(Clone, Debug)]
+pub enum Recipient {
+    /// An upstream.
+    Upstream {
+        incarnation: Incarnation,
+        address: SocketAddr,
+    },
+    /// A KV store.
+    KvStore {
+        address: SocketAddr,
+        /// The number of the store's start, or 0 if none is known.
+        boot: u64,
+    },
+}
+
+impl Recipient {
+    /// Returns the KV store at an address, as it is known at present.
+    pub fn kv_store(instance: &FleetInstance, address: SocketAddr) -> Self {
+        let boot = instance.kv_stores.borrow().boot(store_hash(address));
+        Self::KvStore { address, boot }
+    }
+
+    const fn address(&self) -> SocketAddr {
+        match self {
+            Self::Upstream { address, .. } | Self::KvStore { address, .. } => *address,
+        }
+    }
+
+    /// Returns whether the recipient may be called.
+    fn availability(&self, instance: &FleetInstance, now: Time) -> Availability {
+        match self {
+            Self::Upstream { incarnation, .. } => {
+                let upstreams = instance.upstreams.borrow();
+                upstreams.availability(incarnation, now)
+            }
+            Self::KvStore { address, .. } => {
+                let stores = instance.kv_stores.borrow();
+                stores.availability(store_hash(*address), now)
+            }
+        }
+    }
+}
+
+/// The cause for which a call got no response.
+#[derive(Debug, ThisError)]
+pub enum SendError {
+    /// The recipient is not available, so nothing was sent.
+    #[error("nothing was sent, as the recipient is {}", .0.code())]
+    Withheld(Availability),
+    /// The HTTP exchange failed.
+    #[error(transparent)]
+    Http(#[from] limpetsaddle_http::Error),
+}
+
+impl SendError {
+    /// Returns the failure of an attempt.
+    pub const fn failure(&self) -> Failure {
+        match self {
+            Self::Withheld(_) => Failure::Withheld,
+            Self::Http(error) if error.not_sent() => Failure::ConnectFailed,
+            Self::Http(_) => Failure::ConnectionLost,
+        }
+    }
+}
+
+/// The client for upstreams and KV stores.
+pub struct UpstreamClient {
+    client: Client,
+}
+
+impl UpstreamClient {
+    /// Returns a client with the limits in `options`.
+    pub fn new(options: ClientOptions) -> Self {
+        Self {
+            client: Client::new(options),
+        }
+    }
+
+    /// Sends a request and returns its response once the head has been read.
+    ///
+    /// `id` is the id of a caller's request, or the kind of another call, for the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the recipient is not available, before or after the connection is
+    /// established, or when the exchange fails.
+    pub async fn send(
+        &self,
+        instance: &FleetInstance,
+        recipient: &Recipient,
+        req: Request,
+        id: &str,
+    ) -> Result<Response, SendError> {
+        check(instance, recipient)?;
+        let conn = self.client.open(recipient.address()).await?;
+        check(instance, recipient)?;
+        let res = conn.send(req).await?;
+        observe(instance, recipient, &res.head, id);
+        Ok(res)
+    }
+
+    /// Sends a request and returns the status and body of the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no complete response is received within `timeout`.
+    pub async fn call(
+        &self,
+        instance: &FleetInstance,
+        recipient: &Recipient,
+        req: Request,
+        kind: &str,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let exchange = async {
+            let res = self.send(instance, recipient, req, kind).await?;
+            let status = res.head.status;
+            let body = res.collect(MAX_RESPONSE_BYTES).await?;
+            Ok((status, body))
+        };
+        match monoio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::Timeout(timeout)),
+        }
+    }
+}
+
+fn check(instance: &FleetInstance, recipient: &Recipient) -> Result<(), SendError> {
+    let state = recipient.availability(instance, instance.now());
+    if state.accepts_calls() {
+        return Ok(());
+    }
+    instance.metrics.record_withheld_call(state.code());
+    Err(SendError::Withheld(state))
+}
+
+/// Records what the head of an answer says of the recipient that the call was sent to.
+fn observe(instance: &FleetInstance, recipient: &Recipient, head: &Parts, id: &str) {
+    let now = instance.now();
+    let notices = Notices {
+        leaving: valid_or_default(instance, headers::leaving_notice(&head.headers), id),
+        rest: valid_or_default(
+            instance,
+            headers::rest_notice(head.status, &head.headers),
+            id,
+        ),
+    };
+    match recipient {
+        Recipient::Upstream { incarnation, .. } => {
+            let answers = headers::response_fields(&head.headers).upstream;
+            let is_other = answers.is_some_and(|other| other != incarnation.upstream);
+            let mut upstreams = instance.upstreams.borrow_mut();
+            // The notices are those of another process.
+            if !is_other {
+                upstreams.record_notices(incarnation, &notices, now);
+            } else if head.status == StatusCode::MISDIRECTED_REQUEST {
+                upstreams.mark_replaced(incarnation, now);
+            }
+            drop(upstreams);
+            log_changes(instance, id);
+        }
+        Recipient::KvStore { address, boot } => {
+            let mut stores = instance.kv_stores.borrow_mut();
+            if stores.record_notices(store_hash(*address), *boot, &notices, now) {
+                let rest_ms = notices.rest.map_or(0, millis);
+                info!(id, address:display, boot, leaving = notices.leaving, rest_ms; "KV store not available");
+            }
+        }
+    }
+}
+
+fn valid_or_default<T: Default>(instance: &FleetInstance, notice: wire::Result<T>, id: &str) -> T {
+    notice.unwrap_or_else(|error| {
+        instance.metrics.record_ignored_notice();
+        warn!(id, error:display; "ignoring notice of upstream");
+        T::default()
+    })
+}
+
+/// Logs and counts the changes of upstreams' availability.
+///
+/// `id` is the id of the request, or the kind of the call, whose answer was the cause.
+pub fn log_changes(instance: &FleetInstance, id: &str) {
+    let now = instance.now();
+    let changes = instance.upstreams.borrow_mut().take_changes(now);
+    for AvailabilityChange { incarnation, kind } in changes {
+        let Incarnation { upstream, born_ms } = incarnation;
+        match kind {
+            ChangeKind::Leaving(source) => {
+                let source = source.code();
+                instance.metrics.record_mark(source);
+                info!(id, upstream:display, born_ms, source; "upstream leaving");
+            }
+            ChangeKind::Resting { until } => {
+                instance.metrics.record_mark("rest");
+                let rest_ms = millis(until.since(now));
+                info!(id, upstream:display, born_ms, rest_ms; "upstream resting");
+            }
+            ChangeKind::Replaced => {
+                instance.metrics.record_mark("replaced");
+                info!(id, upstream:display, born_ms; "upstream replaced");
+            }
+            ChangeKind::Freed => info!(upstream:display, born_ms; "upstream free again"),
+            ChangeKind::Gone => info!(upstream:display, born_ms; "unavailable upstream gone"),
+        }
+    }
+}
--- a/crates/router/src/fleet/watch/upstreams.rs
+++ b/crates/router/src/fleet/watch/upstreams.rs
@@ -20,6 +20,7 @@
 use super::WatchOptions;
 use super::Watcher;
 use crate::fleet::instance::FleetInstance;
+use crate::fleet::upstream_calls;
 
 /// The pause after a change in a large fleet. New upstreams get no requests
 /// from this instance meanwhile.
@@ -51,6 +52,7 @@
                 let service = Name::clone(&entry.service);
                 self.forget_cache_after_restart(&entry);
                 self.0.upstreams.borrow_mut().upsert(entry, now);
+                upstream_calls::log_changes(&self.0, "entry");
                 info!(
                     upstream, revision, phase, weights, born_ms, service:display;
                     "upstream registered"
