Keep what binds an incarnation whatever entries are delivered later

Change: only a process that started later counts as a successor; an entry that says draining marks its process whatever its number.

--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -16,7 +16,6 @@
 use crate::availability::AvailabilityChange;
 use crate::availability::AvailabilityRecord;
 use crate::availability::Incarnation;
-use crate::availability::Source;
 use crate::health::Health;
 use crate::health::HealthOptions;
 use crate::health::RequestOutcome;
@@ -223,11 +222,16 @@
     /// process is discarded. An entry that is older than a known one, as the store may
     /// return from an older copy, is ignored.
     pub fn upsert(&mut self, entry: UpstreamEntry, now: Time) {
-        if self.was_removed(&entry, now) || self.is_succeeded(&entry) {
+        if self.is_succeeded(&entry) {
+            return;
+        }
+        // No later entry of the process takes that back.
+        if entry.phase == Phase::Draining {
+            self.record_draining(&entry, now);
+        }
+        if self.was_removed(&entry, now) {
             return;
         }
-        let incarnation = entry.incarnation();
-        let is_draining = entry.phase == Phase::Draining;
         let existing = self.rows.get_mut(&entry.id);
         if let Some(row) = existing.filter(|row| row.entry.born_ms == entry.born_ms) {
             row.missing_since = None;
@@ -247,15 +251,12 @@
         } else {
             self.insert(entry, now);
         }
-        if is_draining && self.mark_leaving(&incarnation, Source::Entry, now) {
-            self.announce_leaving(incarnation.process(), None, now);
-        }
     }
 
     /// Inserts the row of a process that has none.
     fn insert(&mut self, entry: UpstreamEntry, now: Time) {
         // The previous process under this id has ended.
-        self.succeed(&entry.id, now);
+        self.succeed(&entry.id, entry.born_ms, now);
         let process = process_of(&entry);
         let record = self.recall(process);
         let row = Upstream {
--- a/crates/fleet/src/upstreams/availability.rs
+++ b/crates/fleet/src/upstreams/availability.rs
@@ -44,9 +44,8 @@
     /// Records what an incarnation has said in an answer. Other instances hear that it
     /// leaves; its rest is between it and this instance.
     pub fn record_notices(&mut self, incarnation: &Incarnation, notices: &Notices, now: Time) {
-        if notices.leaving && self.mark_leaving(incarnation, Source::Answer, now) {
-            let process = incarnation.process();
-            self.announce_leaving(process, None, now);
+        if notices.leaving {
+            self.observe_leaving(incarnation, Source::Answer, now);
         }
         let Some(rest) = notices.rest else {
             return;
@@ -140,18 +139,18 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Records that an incarnation leaves, and returns whether that is new.
-    pub(super) fn mark_leaving(
-        &mut self,
-        incarnation: &Incarnation,
-        source: Source,
-        now: Time,
-    ) -> bool {
-        let is_new = self.record_mut(incarnation.process(), now).leave();
-        if is_new {
+    /// Records an entry that says that its process drains.
+    pub(super) fn record_draining(&mut self, entry: &UpstreamEntry, now: Time) {
+        self.observe_leaving(&entry.incarnation(), Source::Entry, now);
+    }
+
+    /// Records that an incarnation leaves, and tells other instances if that is new.
+    fn observe_leaving(&mut self, incarnation: &Incarnation, source: Source, now: Time) {
+        let process = incarnation.process();
+        if self.record_mut(process, now).leave() {
             self.record_change(incarnation.clone(), ChangeKind::Leaving(source));
+            self.announce_leaving(process, None, now);
         }
-        is_new
     }
 
     fn record_change(&mut self, incarnation: Incarnation, kind: ChangeKind) {
@@ -191,10 +190,15 @@
         }
     }
 
-    /// Removes the row of a process whose successor registers.
-    pub(super) fn succeed(&mut self, id: &str, now: Time) {
+    /// Removes the row of a process in whose place one registers that started at `born_ms`.
+    ///
+    /// An older process can't be the successor: its entry may be from an older copy of the
+    /// store, and the removed one may register again.
+    pub(super) fn succeed(&mut self, id: &str, born_ms: u64, now: Time) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.record.succeed();
+            if row.entry.born_ms < born_ms {
+                row.record.succeed();
+            }
             self.remove_row(id, now);
         }
     }
@@ -229,7 +233,7 @@
     }
 
     /// Queues a process for the next heartbeats.
-    pub(super) fn announce_leaving(&mut self, process: u64, removed: Option<u64>, now: Time) {
+    fn announce_leaving(&mut self, process: u64, removed: Option<u64>, now: Time) {
         let update = LeavingUpdate { process, removed };
         self.leaving
             .retain(|(earlier, at)| *earlier != update && now.since(*at) < LEAVING_REPEAT_TIME);
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::availability::Notices;
 use limpetsaddle_fleet::configuration::KvStore;
 use limpetsaddle_fleet::configuration::store_hash;
 use limpetsaddle_fleet::directory::CacheUpdate;
@@ -127,6 +128,25 @@
     assert_eq!(placement.cache.unwrap().fetch_from, Some(address));
 }
 
+#[test]
+fn verify_no_parts_are_fetched_from_a_holder_that_leaves_or_rests() {
+    for leaving in [false, true] {
+        let mut fleet = Fleet::new((1..=3).map(|i| engine(i, 1)).collect());
+        let holder = hash(&fleet, "e1");
+        record_cached(&mut fleet, holder, &shared_prompt(), 1, at(0));
+        let notices = Notices {
+            leaving,
+            rest: Some(Duration::from_secs(1)),
+        };
+        let incarnation = engine(1, 1).incarnation();
+        fleet
+            .upstreams
+            .record_notices(&incarnation, &notices, at(0));
+        let placement = place(&fleet, &shared_prompt(), None, at(900)).unwrap();
+        assert_eq!(placement.cache.unwrap().fetch_from, None);
+    }
+}
+
 #[test]
 fn verify_parts_of_other_weights_are_not_fetched() {
     let mut fleet = Fleet::new(vec![engine(1, 1), engine(2, 2)]);
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -199,6 +199,7 @@
             let mut stores = instance.kv_stores.borrow_mut();
             if stores.record_notices(store_hash(*address), *boot, &notices, now) {
                 let rest_ms = notices.rest.map_or(0, millis);
+                instance.metrics.record_mark("kv_store");
                 info!(id, address:display, boot, leaving = notices.leaving, rest_ms; "KV store not available");
             }
         }
