--- a/.ci/check_style.py
+++ b/.ci/check_style.py
@@ -52,7 +52,7 @@
 
 WIRE_NAMES = re.compile(
     r"x-limpetsaddle-|limpetsaddle/(objects|ready|report|order|kv-|hold-)"
-    r"|kv[-_](events|list|move|fetch|save|from|backup)|gap_target_ms|uncached_tokens",
+    r"|kv[-_](events|list|move|fetch|save|from|backup)|server-leaving|gap_target_ms|uncached_tokens",
     re.I,
 )
 
