--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -13,6 +13,7 @@
 mod kv_store;
 mod metrics;
 mod monitoring;
+mod outage;
 mod relay;
 mod responses;
 mod resume;
@@ -22,6 +23,7 @@
 mod settings_file;
 mod store;
 mod unfinished;
+mod upstream_calls;
 mod watch;
 
 pub use self::run::run;
--- a/crates/router/src/fleet/attempts.rs
+++ b/crates/router/src/fleet/attempts.rs
@@ -18,6 +18,7 @@
 use super::forward::Forwarder;
 use super::forward::InFlightGuard;
 use super::forward::elapsed_ms;
+use super::outage;
 use super::relay;
 use super::relay::AttemptOutcome;
 use super::relay::Origin;
@@ -67,7 +68,7 @@
     /// Returns a refusal when no upstream responds and none may be attempted
     /// any more.
     pub async fn send(&'a self) -> Result<PendingResponse, Refusal> {
-        self.send_first_to(self.place()?).await
+        self.send_first_to(outage::place_or_wait(self).await?).await
     }
 
     /// Sends the request to the placed upstream, and to others as long as none
@@ -90,7 +91,8 @@
                     response,
                 }) => {
                     self.record_end(&mut latest, failure, &cause);
-                    latest = match (self.next_attempt(failure), silent.take()) {
+                    let next = self.next_attempt(failure, silent.is_some()).await;
+                    latest = match (next, silent.take()) {
                         (Ok(placement), held) => {
                             silent = held;
                             self.start(placement)
@@ -201,14 +203,19 @@
         }
     }
 
-    /// Returns the upstream for the next attempt after a failed one.
-    fn next_attempt(&self, failure: Failure) -> Result<Placement, Refusal> {
+    /// Returns the upstream for the next attempt after a failed one. Only a request that
+    /// runs nowhere waits for an upstream that rests.
+    async fn next_attempt(&self, failure: Failure, is_running: bool) -> Result<Placement, Refusal> {
         match self.step_after(failure) {
             NextStep::Retry => {
                 self.instance.metrics.record_retry(failure);
-                self.place()
+                if is_running {
+                    self.place()
+                } else {
+                    outage::place_or_wait(self).await
+                }
             }
-            NextStep::GiveUp(refusal) => Err(refusal),
+            NextStep::GiveUp(refusal) => Err(outage::with_rest(self, refusal)),
         }
     }
 
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Selects an upstream for the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if there is none, or none that responds in time.
     pub fn place(&self) -> Result<Placement, Refusal> {
         let instance = self.instance;
         let now = instance.now();
