Test what KV stores say of themselves, and describe leaving and rest

A start of a KV store that was not called is not bound by an answer, and the others still hear that a resting store is alive.

--- a/crates/fleet/tests/availability.rs
+++ b/crates/fleet/tests/availability.rs
@@ -12,6 +12,8 @@
 use limpetsaddle_fleet::availability::Incarnation;
 use limpetsaddle_fleet::availability::Notices;
 use limpetsaddle_fleet::heartbeat::LeavingUpdate;
+use limpetsaddle_fleet::kv_store_monitor::KvStoreMonitor;
+use limpetsaddle_fleet::kv_store_monitor::KvStoreStatus;
 use limpetsaddle_fleet::placement::place_plain;
 use limpetsaddle_fleet::rollout::Rollout;
 use limpetsaddle_fleet::rollout::WeightsLoad;
@@ -79,6 +81,24 @@
     }
 }
 
+#[test]
+fn verify_what_a_kv_store_says_binds_the_start_that_was_called() {
+    let mut monitor = KvStoreMonitor::default();
+    let status = |boot| KvStoreStatus { store: 1, boot };
+    monitor.record_status(status(7), at(0));
+    assert!(monitor.record_notices(1, 7, &rest(900), at(0)));
+    assert!(!monitor.is_up(1, at(800)));
+    assert!(monitor.is_up(1, at(1_000)));
+    // Other instances hear that it is alive, as its rest binds this instance alone.
+    assert_eq!(monitor.statuses(at(800)), [status(7)]);
+    assert!(monitor.record_notices(1, 7, &LEAVING, at(1_000)));
+    assert!(!monitor.is_up(1, at(1_000)));
+    monitor.record_status(status(8), at(1_100));
+    assert!(monitor.is_up(1, at(1_100)));
+    assert!(!monitor.record_notices(1, 7, &LEAVING, at(1_200)));
+    assert!(monitor.is_up(1, at(1_200)));
+}
+
 /// One step of a random history.
 #[derive(Clone, Copy, Debug)]
 enum Step {
