Learn the age of target weights from peers after a start

Cause: an instance that starts finds the target weights in the store, which doesn't say when they were set. It took them for 2.5 s old; the sender, restarted at 9.1 s, took version 2 for 7.5 s old at 14.07 s. It also knew the newest version only, so an engine two versions behind counted from the newest one.

Ruled out: the store's metadata. `revision` and `created` order changes and give no time. `born` of engines is a time of day, and clocks jump.

Change: heartbeats carry the ages of the versions on which the use of old weights depends, 64 at most. The greatest age holds; an age is kept with the moment at which it was learnt, as it may exceed the machine's uptime. A report whose echoed stamp is absent or old is a lower bound only. After a start, a version that was found in the store counts as too old to use others beside it for 0.4 s, until a peer reports its age. If none knows, older weights are used for the time in which the platform holds a starting machine to no bounds. A change that a running instance has missed is taken for 2.5 s old, as before, and that guess isn't passed on. The ages follow the recipient's part of the datagram, which instances of the same layout without them ignore; a heartbeat without them is read as before.

--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -3,6 +3,8 @@
 //! It repeats totals since the sender's start, so lost or duplicated datagrams are
 //! harmless.
 
+use std::time::Duration;
+
 use limpetsaddle_core::hash::stable_hash;
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,6 +13,7 @@
 use crate::directory::CacheUpdate;
 use crate::kv_store_monitor::KvStoreStatus;
 use crate::store_era::StoreEra;
+use crate::weights::VersionAge;
 
 /// The version of the message's layout; heartbeats with another layout are dropped.
 const LAYOUT: u8 = 9;
@@ -78,6 +81,56 @@
     pub version: u64,
 }
 
+/// The age of a version of target weights.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetWeightsAge {
+    /// The hash of the model's name.
+    pub model: u64,
+    /// The version.
+    pub version: u64,
+    age_ms: u32,
+    is_known: bool,
+}
+
+impl TargetWeightsAge {
+    /// Returns a report of an age, in whole milliseconds.
+    #[must_use]
+    pub fn new(model: u64, version: u64, age: VersionAge) -> Self {
+        Self {
+            model,
+            version,
+            age_ms: u32::try_from(age.least().as_millis()).unwrap_or(u32::MAX),
+            is_known: age.is_known(),
+        }
+    }
+
+    /// Returns the age, where the report was sent at most `delay` ago, or an unknown time if
+    /// that is `None`.
+    ///
+    /// A report that may have been sent longer than `max_delay` ago gives a lower bound only.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use limpetsaddle_fleet::heartbeat::TargetWeightsAge;
+    /// use limpetsaddle_fleet::weights::VersionAge;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let report = TargetWeightsAge::new(7, 2, VersionAge::Known(second));
+    /// assert_eq!(report.age(Some(second), second), VersionAge::Known(second));
+    /// assert_eq!(report.age(None, second), VersionAge::AtLeast(second));
+    /// ```
+    #[must_use]
+    pub fn age(&self, delay: Option<Duration>, max_delay: Duration) -> VersionAge {
+        let age = Duration::from_millis(u64::from(self.age_ms));
+        if self.is_known && delay.is_some_and(|delay| delay <= max_delay) {
+            VersionAge::Known(age)
+        } else {
+            VersionAge::AtLeast(age)
+        }
+    }
+}
+
 /// The report that an upstream is leaving.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(transparent)]
@@ -152,6 +205,10 @@
     pub stores: Vec<KvStoreStatus>,
     /// The prompts that were cached since the last heartbeat.
     pub cached: Vec<CacheUpdate>,
+    /// The ages of target weights. They follow the recipient's part, where instances that
+    /// don't know them ignore them.
+    #[serde(skip)]
+    pub ages: Vec<TargetWeightsAge>,
 }
 
 /// The reason for which a heartbeat cannot be encoded or decoded.
@@ -198,7 +255,15 @@
     /// # Ok::<(), limpetsaddle_fleet::heartbeat::HeartbeatError>(())
     /// ```
     pub fn encode(&self) -> Result<EncodedHeartbeat, HeartbeatError> {
-        Ok(EncodedHeartbeat(postcard::to_stdvec(self)?))
+        let extension = if self.ages.is_empty() {
+            Vec::new()
+        } else {
+            postcard::to_stdvec(&self.ages)?
+        };
+        Ok(EncodedHeartbeat {
+            shared: postcard::to_stdvec(self)?,
+            extension,
+        })
     }
 
     /// Decodes a heartbeat from a datagram, and the receiver's own stamp that it echoes.
@@ -212,8 +277,12 @@
         {
             return Err(HeartbeatError::UnsupportedLayout { layout });
         }
-        let (heartbeat, rest) = postcard::take_from_bytes(bytes)?;
-        Ok((heartbeat, postcard::from_bytes(rest)?))
+        let (mut heartbeat, rest): (Self, _) = postcard::take_from_bytes(bytes)?;
+        let (echo_ms, extension) = postcard::take_from_bytes(rest)?;
+        if !extension.is_empty() {
+            heartbeat.ages = postcard::from_bytes(extension)?;
+        }
+        Ok((heartbeat, echo_ms))
     }
 }
 
@@ -287,9 +356,14 @@
     }
 }
 
-/// The part of an encoded heartbeat that all recipients share.
+/// The parts of an encoded heartbeat that all recipients share.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct EncodedHeartbeat(Vec<u8>);
+pub struct EncodedHeartbeat {
+    /// The part before the recipient's one.
+    shared: Vec<u8>,
+    /// The part after the recipient's one.
+    extension: Vec<u8>,
+}
 
 impl EncodedHeartbeat {
     /// Returns the datagram for one recipient.
@@ -300,7 +374,9 @@
     ///
     /// Returns [`HeartbeatError::Malformed`] if the stamp cannot be encoded.
     pub fn for_recipient(&self, echo_ms: Option<u64>) -> Result<Vec<u8>, HeartbeatError> {
-        Ok(postcard::to_extend(&echo_ms, self.0.clone())?)
+        let mut datagram = postcard::to_extend(&echo_ms, self.shared.clone())?;
+        datagram.extend_from_slice(&self.extension);
+        Ok(datagram)
     }
 }
 
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -28,6 +28,8 @@
     pub order_handover: Duration,
     /// The time after a new target version from which requests run on it only.
     pub max_weights_age: Duration,
+    /// The time after an instance's start in which bounds on time don't hold for it.
+    pub start_grace: Duration,
 }
 
 impl Default for Bounds {
@@ -42,6 +44,7 @@
             limits: LimitOptions::default(),
             order_handover: Duration::from_secs(3),
             max_weights_age: Duration::from_secs(6),
+            start_grace: Duration::from_secs(3),
         }
     }
 }
--- a/crates/fleet/src/weights.rs
+++ b/crates/fleet/src/weights.rs
@@ -1,25 +1,170 @@
 //! Target weights, the versions of weights that operators set for models.
+//!
+//! Each instance measures a version's age itself, as clocks jump and machines are suspended.
+//! One that starts later learns the age from the others, as the store doesn't keep it.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
 
 use crate::Name;
+use crate::heartbeat::TargetWeightsAge;
+use crate::heartbeat::name_hash;
 
 /// The number of versions that are kept. Operators rarely set new ones; an engine that is
 /// further behind counts as outdated since the oldest one.
 const MAX_VERSIONS: usize = 16;
 
+/// The largest number of ages in a heartbeat, which take about 12 bytes each.
+const MAX_REPORTED_AGES: usize = 64;
+
+/// The time since operators set a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum VersionAge {
+    /// The version was set this long ago, when an instance saw the target change.
+    Known(Duration),
+    /// The version was set at least this long ago: it was the target already when instances
+    /// first asked.
+    AtLeast(Duration),
+}
+
+impl VersionAge {
+    /// Returns the time for which the version has certainly been the target.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use limpetsaddle_fleet::weights::VersionAge;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// assert_eq!(VersionAge::AtLeast(second).least(), second);
+    /// ```
+    #[must_use]
+    pub const fn least(self) -> Duration {
+        match self {
+            Self::Known(age) | Self::AtLeast(age) => age,
+        }
+    }
+
+    /// Returns whether an instance saw the target change.
+    #[must_use]
+    pub const fn is_known(self) -> bool {
+        matches!(self, Self::Known(_))
+    }
+
+    /// Returns the age after some more time.
+    fn after(self, elapsed: Duration) -> Self {
+        match self {
+            Self::Known(age) => Self::Known(age.saturating_add(elapsed)),
+            Self::AtLeast(age) => Self::AtLeast(age.saturating_add(elapsed)),
+        }
+    }
+
+    /// Returns what both ages of one version say together. Reports are late, never early, so
+    /// the greater age holds.
+    fn and(self, other: Self) -> Self {
+        let least = self.least().max(other.least());
+        if self.is_known() || other.is_known() {
+            Self::Known(least)
+        } else {
+            Self::AtLeast(least)
+        }
+    }
+}
+
+/// The treatment of versions of unknown age.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UnknownAgeOptions {
+    /// The time in which peers that know the age report it. Until then the version counts as
+    /// infinitely old.
+    pub answer_time: Duration,
+    /// The assumed age of a version that no peer knows, at the time when it was found.
+    pub assumed_age: Duration,
+}
+
+impl Default for UnknownAgeOptions {
+    fn default() -> Self {
+        Self {
+            answer_time: Duration::from_millis(400),
+            assumed_age: Duration::from_secs(3),
+        }
+    }
+}
+
+impl UnknownAgeOptions {
+    /// The options for a version that was set while this instance was running, though it
+    /// missed the change. It is assumed to be as old as a watch that fails silently.
+    pub const MISSED_CHANGE: Self = Self {
+        answer_time: Duration::ZERO,
+        assumed_age: Duration::from_millis(2_500),
+    };
+
+    /// Returns the options for a version that may have been set before the start: older
+    /// weights are used for `start_grace` if no peer knows the age, where they may be used
+    /// until the newer ones are `max_age` old.
+    #[must_use]
+    pub fn at_start(max_age: Duration, start_grace: Duration) -> Self {
+        Self {
+            assumed_age: max_age.saturating_sub(start_grace),
+            ..Self::default()
+        }
+    }
+}
+
+/// What an instance has learnt from a report of a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Learned {
+    /// The version is newer than all before.
+    Newest,
+    /// The version's age has become known.
+    Age,
+    /// Nothing that changes decisions, or a greater age.
+    Nothing,
+}
+
+/// A version and its age when that was last learnt.
+///
+/// An age and not a moment is kept, as the version may be older than the machine's uptime.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Version {
+    number: u64,
+    age: VersionAge,
+    learned: Time,
+    first_seen: Time,
+    unknown_age: UnknownAgeOptions,
+}
+
+impl Version {
+    fn age(&self, now: Time) -> VersionAge {
+        self.age.after(now.since(self.learned))
+    }
+
+    /// Returns the age on which decisions are based.
+    fn assumed_age(&self, now: Time) -> Duration {
+        let seen_for = now.since(self.first_seen);
+        let options = &self.unknown_age;
+        match self.age(now) {
+            VersionAge::Known(age) => age,
+            VersionAge::AtLeast(_) if seen_for < options.answer_time => Duration::MAX,
+            VersionAge::AtLeast(age) => age.max(options.assumed_age.saturating_add(seen_for)),
+        }
+    }
+}
+
 /// The target weights of a model with their recent history.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetWeights {
     /// The model.
     pub model: Name,
-    versions: Vec<(u64, Time)>,
+    model_hash: u64,
+    /// The versions, oldest first.
+    versions: Vec<Version>,
+    unknown_age: UnknownAgeOptions,
 }
 
 impl TargetWeights {
-    /// Returns the target weights of a model without a history.
+    /// Returns the target weights of a model whose first version is set at `since`.
     ///
     /// ```
     /// use std::time::Duration;
@@ -37,34 +182,144 @@
     /// ```
     #[must_use]
     pub fn new(model: Name, version: u64, since: Time) -> Self {
+        let mut target = Self::without_versions(model, UnknownAgeOptions::default());
+        target.set_version(version, since);
+        target
+    }
+
+    /// Returns the target weights of a model of which no version is known yet; `unknown_age`
+    /// holds for the first one and older ones.
+    #[must_use]
+    pub fn without_versions(model: Name, unknown_age: UnknownAgeOptions) -> Self {
         Self {
+            model_hash: name_hash(&model),
             model,
-            versions: vec![(version, since)],
+            versions: Vec::new(),
+            unknown_age,
         }
     }
 
-    /// Returns the newest version.
+    /// Returns the hash of the model's name in heartbeats.
     #[must_use]
-    pub fn newest(&self) -> u64 {
-        self.versions.last().map_or(0, |(version, _)| *version)
+    pub const fn model_hash(&self) -> u64 {
+        self.model_hash
     }
 
     /// Sets a version, and returns whether it is newer than all before.
     pub fn set_version(&mut self, version: u64, since: Time) -> bool {
-        if version <= self.newest() {
-            return false;
+        let is_newer = version > self.newest();
+        if is_newer {
+            self.learn(version, VersionAge::Known(Duration::ZERO), since);
         }
-        if self.versions.len() == MAX_VERSIONS {
-            self.versions.remove(0);
+        is_newer
+    }
+
+    /// Returns the newest version.
+    #[must_use]
+    pub fn newest(&self) -> u64 {
+        self.versions.last().map_or(0, |version| version.number)
+    }
+
+    /// Adds what is known of a version's age at `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use limpetsaddle_core::units::Time;
+    /// use limpetsaddle_fleet::weights::TargetWeights;
+    /// use limpetsaddle_fleet::weights::UnknownAgeOptions;
+    /// use limpetsaddle_fleet::weights::VersionAge;
+    ///
+    /// let at = |seconds| Time::from_origin(Duration::from_secs(seconds));
+    /// let seconds = Duration::from_secs;
+    /// let options = UnknownAgeOptions::at_start(seconds(6), seconds(3));
+    /// let mut target = TargetWeights::without_versions("m".into(), options);
+    /// target.learn(2, VersionAge::AtLeast(seconds(0)), at(10));
+    /// // No peer has reported the age.
+    /// assert_eq!(target.outdated_for(1, at(11)), Some(seconds(4)));
+    /// target.learn(2, VersionAge::Known(seconds(2)), at(11));
+    /// assert_eq!(target.outdated_for(1, at(12)), Some(seconds(3)));
+    /// ```
+    pub fn learn(&mut self, version: u64, age: VersionAge, now: Time) -> Learned {
+        let is_newest = version > self.newest();
+        match self.versions.binary_search_by_key(&version, |v| v.number) {
+            Ok(index) => {
+                let known = &mut self.versions[index];
+                let before = known.age(now);
+                known.age = before.and(age);
+                known.learned = now;
+                if known.age.is_known() && !before.is_known() {
+                    return Learned::Age;
+                }
+            }
+            Err(0) if self.versions.len() == MAX_VERSIONS => {}
+            Err(index) => {
+                let missed_change = is_newest && !self.versions.is_empty();
+                let added = Version {
+                    number: version,
+                    age,
+                    learned: now,
+                    first_seen: now,
+                    unknown_age: if missed_change {
+                        UnknownAgeOptions::MISSED_CHANGE
+                    } else {
+                        self.unknown_age
+                    },
+                };
+                self.versions.insert(index, added);
+                if self.versions.len() > MAX_VERSIONS {
+                    self.versions.remove(0);
+                }
+            }
+        }
+        if is_newest {
+            Learned::Newest
+        } else {
+            Learned::Nothing
         }
-        self.versions.push((version, since));
-        true
     }
 
     /// Returns the time for which `version` has been outdated, or `None` if it is not.
+    ///
+    /// While peers may still report the age of a newer version, this is [`Duration::MAX`].
     #[must_use]
     pub fn outdated_for(&self, version: u64, now: Time) -> Option<Duration> {
-        let newer = self.versions.iter().find(|(v, _)| *v > version);
-        newer.map(|(_, since)| now.since(*since))
+        let newer = self.versions.iter().filter(|v| v.number > version);
+        newer.map(|v| v.assumed_age(now)).max()
     }
+
+    /// Returns the ages on which the use of old weights depends: those below `max_age`, and
+    /// that of the newest version beyond it.
+    fn relevant_ages(
+        &self,
+        max_age: Duration,
+        now: Time,
+    ) -> impl Iterator<Item = (u64, VersionAge)> {
+        let is_old = |v: &Version| v.age(now).least() >= max_age;
+        let first = self.versions.iter().rposition(is_old).unwrap_or(0);
+        let relevant = self.versions[first..].iter();
+        relevant.map(move |v| (v.number, v.age(now)))
+    }
+}
+
+/// Returns the ages of target weights for a heartbeat, the least ones first, where weights
+/// may be used until a newer version is `max_age` old.
+#[must_use]
+pub fn reported_ages(
+    targets: &[TargetWeights],
+    max_age: Duration,
+    now: Time,
+) -> Vec<TargetWeightsAge> {
+    let mut ages: Vec<_> = targets
+        .iter()
+        .flat_map(|target| {
+            let ages = target.relevant_ages(max_age, now);
+            ages.map(|(version, age)| (target.model_hash, version, age))
+        })
+        .collect();
+    ages.sort_by_key(|(_, version, age)| (age.least(), Reverse(*version)));
+    ages.truncate(MAX_REPORTED_AGES);
+    ages.into_iter()
+        .map(|(model, version, age)| TargetWeightsAge::new(model, version, age))
+        .collect()
 }
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -13,6 +13,8 @@
 use limpetsaddle_fleet::heartbeat::WeightsNotice;
 use limpetsaddle_fleet::heartbeat::name_hash;
 use limpetsaddle_fleet::kv_store_monitor::KvStoreMonitor;
+use limpetsaddle_fleet::weights::Learned;
+use limpetsaddle_fleet::weights::reported_ages;
 use log::info;
 use log::warn;
 use monoio::net::udp::UdpSocket;
@@ -125,6 +127,7 @@
     for report in &heartbeat.weights {
         upstreams.apply_weights(report, now);
     }
+    apply_ages(instance, heartbeat, echo_ms);
     apply_target_weights(instance, heartbeat);
     for report in &heartbeat.leaving {
         if let Some(upstream) = upstreams.apply_leaving(report) {
@@ -269,8 +272,9 @@
     heartbeat.loads = upstreams.local_loads();
     heartbeat.weights = upstreams.weights_updates(now);
     let targets = instance.target_weights.borrow();
+    heartbeat.ages = reported_ages(&targets, instance.settings.bounds.max_weights_age, now);
     let targets = targets.iter().map(|target| TargetWeightsUpdate {
-        model: name_hash(&target.model),
+        model: target.model_hash(),
         version: target.newest(),
     });
     heartbeat.named = targets.collect();
@@ -289,6 +293,33 @@
     u32::try_from(age.as_millis()).ok()
 }
 
+/// Applies the ages of target weights that a peer reports, which this instance
+/// does not know if they were set before its start or while it was suspended.
+fn apply_ages(instance: &FleetInstance, heartbeat: &Heartbeat, echo_ms: Option<u64>) {
+    let now = instance.now();
+    let delay = echo_ms.map(|ms| now.since(Time::from_origin(Duration::from_millis(ms))));
+    let max_delay = instance.peers.borrow().max_report_delay();
+    let mut targets = instance.target_weights.borrow_mut();
+    for report in &heartbeat.ages {
+        let Some(target) = targets.iter_mut().find(|t| t.model_hash() == report.model) else {
+            continue;
+        };
+        let age = report.age(delay, max_delay);
+        let learned = target.learn(report.version, age, now);
+        let model = &target.model;
+        let version = report.version;
+        let from = heartbeat.sender.as_str();
+        match learned {
+            Learned::Newest => info!(model:display, version, from; "target weights changed"),
+            Learned::Age => {
+                let age_ms = millis(age.least());
+                info!(model:display, version, age_ms, from; "age of target weights known");
+            }
+            Learned::Nothing => {}
+        }
+    }
+}
+
 /// Applies the target weights that a peer reports, as this instance's own watch
 /// may have silently failed.
 fn apply_target_weights(instance: &FleetInstance, heartbeat: &Heartbeat) {
@@ -298,9 +329,7 @@
         if targets.iter().all(|t| t.newest() >= report.version) {
             continue;
         }
-        let known = targets
-            .iter_mut()
-            .find(|t| name_hash(&t.model) == report.model);
+        let known = targets.iter_mut().find(|t| t.model_hash() == report.model);
         if let Some(known) = known
             && known.set_version(report.version, now)
         {
--- a/crates/router/src/fleet/watch.rs
+++ b/crates/router/src/fleet/watch.rs
@@ -108,7 +108,8 @@
     let configuration = ConfigurationWatcher::new(shared());
     monoio::spawn(watch(shared(), configuration, stopping.clone()));
     monoio::spawn(watch(shared(), UpstreamWatcher(shared()), stopping.clone()));
-    monoio::spawn(watch(shared(), WeightsWatcher(shared()), stopping.clone()));
+    let weights = WeightsWatcher::new(shared());
+    monoio::spawn(watch(shared(), weights, stopping.clone()));
     let instances = InstanceWatcher::start(shared(), stopping);
     monoio::spawn(watch(shared(), instances, stopping.clone()));
     monoio::spawn(watch(shared(), LeaseWatcher(shared()), stopping.clone()));
--- a/crates/router/src/fleet/watch/weights.rs
+++ b/crates/router/src/fleet/watch/weights.rs
@@ -1,11 +1,14 @@
 //! The watch on the target weights that operators set.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::weights::Learned;
 use limpetsaddle_fleet::weights::TargetWeights;
+use limpetsaddle_fleet::weights::UnknownAgeOptions;
+use limpetsaddle_fleet::weights::VersionAge;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Change;
 use limpetsaddle_platform_wire::store::Consistency;
@@ -19,26 +22,26 @@
 use super::Watcher;
 use crate::fleet::instance::FleetInstance;
 
-/// The assumed age of target weights that were set before this instance
-/// started, possibly long ago.
-const AGE_AT_START: Duration = Duration::from_millis(2_500);
-
 /// Tracks the target weights of each model.
-pub struct WeightsWatcher(pub Rc<FleetInstance>);
+pub struct WeightsWatcher {
+    instance: Rc<FleetInstance>,
+    /// Whether the target weights were listed since the start.
+    has_listed: Cell<bool>,
+}
 
 impl WeightsWatcher {
-    fn apply(&self, object: &Object, since: Time) {
+    /// Returns a watcher that has not listed any target weights.
+    pub const fn new(instance: Rc<FleetInstance>) -> Self {
+        Self {
+            instance,
+            has_listed: Cell::new(false),
+        }
+    }
+
+    fn apply(&self, object: &Object, age: VersionAge) {
         match wire::weights::decode(object) {
             Ok((model, version)) => {
-                let mut targets = self.0.target_weights.borrow_mut();
-                let known = targets.iter_mut().find(|t| t.model == model);
-                let is_newer = if let Some(known) = known {
-                    known.set_version(version, since)
-                } else {
-                    targets.push(TargetWeights::new(Name::clone(&model), version, since));
-                    true
-                };
-                if !is_newer {
+                if !self.learn(&model, version, age) {
                     return;
                 }
                 let revision = object.revision;
@@ -50,14 +53,34 @@
             }
         }
     }
+
+    /// Adds a version, and returns whether it is newer than all before.
+    fn learn(&self, model: &Name, version: u64, age: VersionAge) -> bool {
+        let now = self.instance.now();
+        let mut targets = self.instance.target_weights.borrow_mut();
+        if let Some(known) = targets.iter_mut().find(|t| t.model == *model) {
+            // A list shows versions again whose ages are known better.
+            return version > known.newest() && known.learn(version, age, now) == Learned::Newest;
+        }
+        let bounds = &self.instance.settings.bounds;
+        let options = if self.has_listed.get() {
+            UnknownAgeOptions::MISSED_CHANGE
+        } else {
+            UnknownAgeOptions::at_start(bounds.max_weights_age, bounds.start_grace)
+        };
+        let mut target = TargetWeights::without_versions(Name::clone(model), options);
+        target.learn(version, age, now);
+        targets.push(target);
+        true
+    }
 }
 
 impl Watcher for WeightsWatcher {
     const KIND: &'static str = wire::store::TARGET_WEIGHTS;
 
     fn watch_options(&self) -> WatchOptions {
-        let now = self.0.now();
-        let peers = self.0.peers.borrow();
+        let now = self.instance.now();
+        let peers = self.instance.peers.borrow();
         let is_confirmer = peers.is_confirmer(now);
         let relies_on_peers = peers.is_large() && !is_confirmer;
         WatchOptions {
@@ -76,16 +99,15 @@
     }
 
     fn replace_all(&self, objects: Vec<Object>) {
-        let now = self.0.now().since_origin();
-        let since = Time::from_origin(now.saturating_sub(AGE_AT_START));
         for object in &objects {
-            self.apply(object, since);
+            self.apply(object, VersionAge::AtLeast(Duration::ZERO));
         }
+        self.has_listed.set(true);
     }
 
     fn apply_change(&self, change: Change) {
         if !change.removed {
-            self.apply(&change.object, self.0.now());
+            self.apply(&change.object, VersionAge::Known(Duration::ZERO));
         }
     }
 }
