--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lease;
 pub mod limits;
 pub mod load_pace;
+pub mod patience;
 pub mod peers;
 pub mod placement;
 pub mod prompt;
@@ -25,6 +26,7 @@
 pub mod rollout;
 pub mod settings;
 pub mod store_era;
+pub mod store_polls;
 pub mod upstreams;
 pub mod weights;
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -21,6 +21,7 @@
 use limpetsaddle_fleet::lease::OrderLease;
 use limpetsaddle_fleet::limits::Limits;
 use limpetsaddle_fleet::limits::TeamLimit;
+use limpetsaddle_fleet::patience::PatienceOptions;
 use limpetsaddle_fleet::peers::PeerOptions;
 use limpetsaddle_fleet::peers::Peers;
 use limpetsaddle_fleet::peers::ServiceUsageDelta;
@@ -34,6 +35,7 @@
 use limpetsaddle_fleet::weights::TargetWeights;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
+use limpetsaddle_http::Connection;
 use log::info;
 
 use super::call::CallError;
@@ -57,9 +59,6 @@
 /// which another upstream can respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The timeout for writing a request to an upstream.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// The state of one instance of a fleet.
 pub struct FleetInstance {
     pub settings: FleetSettings,
@@ -75,6 +74,8 @@
     pub upstream_client: Client,
     /// The configuration in force.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
+    /// The time at which the configuration in force was applied.
+    pub configured_at: Cell<Option<Time>>,
     /// Whether a peer has reported a newer configuration.
     pub newer_configuration: Cell<bool>,
     /// The newest configuration version that a peer has reported.
@@ -97,6 +98,8 @@
     /// The engines that are loading weights.
     pub rollout: RefCell<Rollout>,
     pub placement: PlacementOptions,
+    /// The patience with silent upstreams.
+    pub patience: PatienceOptions,
     /// Closes when the instance accepts no more connections.
     pub draining: Stopping,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
@@ -123,7 +126,6 @@
         };
         let client_options = ClientOptions {
             connect_timeout: CONNECT_TIMEOUT,
-            write_timeout: WRITE_TIMEOUT,
             ..ClientOptions::default()
         };
         Ok(Rc::new(Self {
@@ -134,6 +136,7 @@
             store: StoreClient::new(settings.store, now),
             upstream_client: Client::new(client_options),
             configuration: RefCell::new(None),
+            configured_at: Cell::new(None),
             newer_configuration: Cell::new(false),
             reported_configuration: Cell::new(0),
             freshness: RefCell::new(Freshness::new(FreshnessOptions::for_withdrawal(
@@ -154,6 +157,7 @@
                 max_weights_age: placement.old_weights_max_age,
             })),
             placement,
+            patience: PatienceOptions::default(),
             draining,
             budgets: RefCell::new(HashMap::new()),
             team_names: RefCell::new(HashMap::new()),
@@ -190,6 +194,7 @@
         self.limits.borrow_mut().configure(&limits, self.now());
         self.create_budgets(&configuration);
         self.configuration.replace(Some(Rc::new(configuration)));
+        self.configured_at.set(Some(self.now()));
     }
 
     /// Creates the retry budget of every service, so that the requests of peers
@@ -210,6 +215,11 @@
         self.stop_began.set(Some(self.now()));
     }
 
+    /// Returns the beginning of the planned stop, if it has begun.
+    pub const fn stop_began(&self) -> Option<Time> {
+        self.stop_began.get()
+    }
+
     /// Returns the remaining time in which requests are accepted.
     pub fn remaining_accept_time(&self) -> Duration {
         let since = self.stop_began.get().map(|at| self.now().since(at));
@@ -218,6 +228,14 @@
         })
     }
 
+    /// Announces the end of the connection in the next response if the instance is
+    /// stopping.
+    pub fn announce_close(&self, conn: &mut Connection) {
+        if self.draining.is_closed() {
+            conn.close_after_response();
+        }
+    }
+
     /// Returns whether the load balancer should send new connections here.
     pub fn is_ready(&self) -> bool {
         let now = self.now();
@@ -236,9 +254,9 @@
         }
     }
 
-    /// Records the result of a call to the store.
-    pub fn record_store_call<T>(&self, result: &std::result::Result<T, CallError>) {
-        self.store.record(result.as_ref().err(), self.now());
+    /// Records the result of a call to the store that was sent at `sent`.
+    pub fn record_store_call<T>(&self, result: &std::result::Result<T, CallError>, sent: Time) {
+        self.store.record(result.as_ref().err(), sent, self.now());
         self.metrics.record_store_call(result.is_ok());
     }
 
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -3,18 +3,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt as _;
 use http::Response;
 use http::StatusCode;
 use http::response::Parts;
+use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::attempt::Failure;
-use limpetsaddle_fleet::attempt::NextStep;
 use limpetsaddle_fleet::configuration::RouteKind;
 use limpetsaddle_fleet::events::EventSplitter;
 use limpetsaddle_fleet::events::RawEvent;
 use limpetsaddle_fleet::health::RequestOutcome;
 use limpetsaddle_fleet::placement::Placement;
-use limpetsaddle_fleet::refusal::Reason;
-use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_http::Connection;
 use limpetsaddle_platform_wire::headers;
 use limpetsaddle_platform_wire::headers::ResponseFields;
@@ -25,15 +24,15 @@
 use super::forward::InFlightGuard;
 use super::forward::buffered_response;
 use super::forward::elapsed_ms;
+use super::instance::FleetInstance;
+use super::resume;
+use super::unfinished::CutOffCause;
+use super::unfinished::record_cut_off;
 use crate::clock::millis;
 
 /// The largest response of a plain service that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
-/// The idle time after which a resumable stream is resumed at another engine.
-/// Callers time out after two seconds at the earliest.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// The outcome of one attempt at an upstream.
 pub enum AttemptOutcome {
     /// The upstream has sent the whole response, or the first event of a stream.
@@ -79,6 +78,20 @@
     res: limpetsaddle_http::Response,
     splitter: EventSplitter,
     ended: bool,
+    /// The time of the upstream's last byte.
+    pub last_byte_at: Time,
+    /// The pause after which the upstream counts as silent, if another one may continue
+    /// the stream.
+    patience: Option<Duration>,
+    /// Whether the upstream is silent and nothing replaces it.
+    pub is_awaited: bool,
+}
+
+/// The reason why a stream has no next event.
+enum NoEvent {
+    Failed(Failure),
+    /// The upstream has sent nothing for the stream's patience.
+    Silent,
 }
 
 /// The upstream that a response comes from.
@@ -99,7 +112,6 @@
 pub async fn send_attempt(
     forwarder: &Forwarder<'_>,
     placement: &Placement,
-    in_flight: &mut InFlightGuard,
     remaining: Duration,
 ) -> AttemptOutcome {
     let Some(req) = forwarder.upstream_request(placement, remaining) else {
@@ -125,9 +137,9 @@
         return AttemptOutcome::failed(Failure::InvalidResponse);
     }
     if status.is_success() && streams {
-        return open_stream(placement, res, in_flight).await;
+        return open_stream(forwarder, res).await;
     }
-    read_buffered(forwarder, placement, res, in_flight).await
+    read_buffered(forwarder, res).await
 }
 
 fn record_weights(
@@ -172,20 +184,16 @@
 
 async fn read_buffered(
     forwarder: &Forwarder<'_>,
-    placement: &Placement,
     res: limpetsaddle_http::Response,
-    in_flight: &mut InFlightGuard,
 ) -> AttemptOutcome {
     let (head, res) = split(res);
     let body = match res.collect(MAX_RESPONSE_BYTES).await {
         Ok(body) => body,
         Err(error) => return AttemptOutcome::caused(Failure::ConnectionLost, &error),
     };
-    in_flight.record_first_event(placement);
     let status = head.status;
     let response = buffered_response(head, body);
     if status.is_success() {
-        in_flight.outcome = Some(RequestOutcome::Responded);
         return AttemptOutcome::Responded(UpstreamResponse::Buffered(response));
     }
     // To the caller, these statuses mean that the request has not run, which
@@ -200,7 +208,6 @@
             response: Some(response),
         };
     }
-    in_flight.outcome = Some(RequestOutcome::UpstreamError);
     AttemptOutcome::Responded(UpstreamResponse::Buffered(response))
 }
 
@@ -221,9 +228,8 @@
 
 /// Reads a stream up to its first event.
 async fn open_stream(
-    placement: &Placement,
+    forwarder: &Forwarder<'_>,
     res: limpetsaddle_http::Response,
-    in_flight: &mut InFlightGuard,
 ) -> AttemptOutcome {
     let (head, res) = split(res);
     let mut head = Response::from_parts(head, ());
@@ -233,26 +239,35 @@
         res,
         splitter: EventSplitter::default(),
         ended: false,
+        last_byte_at: forwarder.instance.now(),
+        patience: forwarder
+            .instance
+            .patience
+            .until_event(&forwarder.accepted.route),
+        is_awaited: false,
     };
-    if let Err(error) = stream.fill().await {
+    if let Err(error) = stream.fill(forwarder.instance).await {
         return AttemptOutcome::caused(Failure::ConnectionLost, &error);
     }
-    in_flight.record_first_event(placement);
     AttemptOutcome::Responded(UpstreamResponse::Stream(Box::new(stream)))
 }
 
 impl Stream {
     /// Reads the next bytes, or records the end of the stream.
-    async fn fill(&mut self) -> limpetsaddle_http::Result<()> {
+    pub async fn fill(&mut self, instance: &FleetInstance) -> limpetsaddle_http::Result<()> {
         match self.res.next().await? {
-            Some(bytes) => self.splitter.push(&bytes),
+            Some(bytes) => {
+                self.last_byte_at = instance.now();
+                self.is_awaited = false;
+                self.splitter.push(&bytes);
+            }
             None => self.ended = true,
         }
         Ok(())
     }
 
     /// Returns the next event, or `None` at the end of the stream.
-    async fn next(&mut self) -> Result<Option<RawEvent>, Failure> {
+    async fn next(&mut self, instance: &FleetInstance) -> Result<Option<RawEvent>, NoEvent> {
         loop {
             if let Some(event) = self.splitter.next() {
                 return Ok(Some(event));
@@ -263,13 +278,18 @@
                 return if complete {
                     Ok(None)
                 } else {
-                    Err(Failure::ConnectionLost)
+                    Err(NoEvent::Failed(Failure::ConnectionLost))
                 };
             }
-            match monoio::time::timeout(STREAM_IDLE_TIMEOUT, self.fill()).await {
+            let patience = self.patience.filter(|_| !self.is_awaited);
+            let filled = match patience {
+                Some(patience) => monoio::time::timeout(patience, self.fill(instance)).await,
+                None => Ok(self.fill(instance).await),
+            };
+            match filled {
                 Ok(Ok(())) => {}
-                Ok(Err(_)) => return Err(Failure::ConnectionLost),
-                Err(_) => return Err(Failure::TimedOut),
+                Ok(Err(_)) => return Err(NoEvent::Failed(Failure::ConnectionLost)),
+                Err(_) => return Err(NoEvent::Silent),
             }
         }
     }
@@ -277,15 +297,22 @@
 
 /// Writes a response to the caller.
 pub async fn relay(
-    forwarder: &mut Forwarder<'_>,
+    forwarder: &Forwarder<'_>,
     conn: &mut Connection,
     pending: PendingResponse,
 ) -> ForwardOutcome {
     let PendingResponse { origin, response } = pending;
+    forwarder.instance.announce_close(conn);
     match response {
         UpstreamResponse::Buffered(res) => {
             let status = res.status().as_u16();
-            let reusable = conn.respond(res).await.is_ok();
+            let received_at = forwarder.instance.now();
+            let written = conn.respond(res).await;
+            if let Err(error) = &written {
+                let cause = CutOffCause::of_write(error);
+                cut_off(forwarder, &origin.placement, cause, received_at);
+            }
+            let reusable = written.is_ok();
             log_end(forwarder, &origin.placement, status, reusable, 0);
             ForwardOutcome::Responded { reusable }
         }
@@ -321,8 +348,20 @@
     );
 }
 
+fn cut_off(
+    forwarder: &Forwarder<'_>,
+    placement: &Placement,
+    cause: CutOffCause,
+    upstream_byte_at: Time,
+) {
+    let Forwarder {
+        instance, accepted, ..
+    } = forwarder;
+    record_cut_off(instance, accepted, placement, cause, upstream_byte_at);
+}
+
 async fn relay_stream(
-    forwarder: &mut Forwarder<'_>,
+    forwarder: &Forwarder<'_>,
     conn: &mut Connection,
     mut origin: Origin,
     mut stream: Stream,
@@ -332,7 +371,9 @@
     forwarder.instance.metrics.record_first_event(first);
     let head = std::mem::take(&mut stream.head);
     let status = head.status().as_u16();
-    if conn.start(head).await.is_err() {
+    if let Err(error) = conn.start(head).await {
+        let cause = CutOffCause::of_write(&error);
+        cut_off(forwarder, &origin.placement, cause, stream.last_byte_at);
         log_end(forwarder, &origin.placement, status, false, first_event_ms);
         return ForwardOutcome::Aborted;
     }
@@ -341,12 +382,17 @@
         let copied = copy_events(forwarder, conn, &mut stream);
         let end = match monoio::time::timeout(remaining, copied).await {
             Ok(end) => end,
-            Err(_) => CopyEnd::DeadlineExceeded,
+            Err(_) => CopyEnd::CutOff(CutOffCause::DeadlineExceeded),
         };
         match end {
             CopyEnd::Complete => {
                 origin.in_flight.outcome = Some(RequestOutcome::Responded);
-                let reusable = conn.finish().await.is_ok();
+                let finished = conn.finish().await;
+                if let Err(error) = &finished {
+                    let cause = CutOffCause::of_write(error);
+                    cut_off(forwarder, &origin.placement, cause, stream.last_byte_at);
+                }
+                let reusable = finished.is_ok();
                 log_end(
                     forwarder,
                     &origin.placement,
@@ -356,22 +402,46 @@
                 );
                 return ForwardOutcome::Responded { reusable };
             }
-            CopyEnd::CallerDisconnected | CopyEnd::DeadlineExceeded => {
+            CopyEnd::CutOff(cause) => {
+                cut_off(forwarder, &origin.placement, cause, stream.last_byte_at);
                 log_end(forwarder, &origin.placement, status, false, first_event_ms);
                 return ForwardOutcome::Aborted;
             }
+            CopyEnd::Silent => {
+                let Some(placement) = forwarder.place_beside(&origin.placement) else {
+                    stream.is_awaited = true;
+                    continue;
+                };
+                let silent = origin.placement.clone();
+                let last_byte_at = stream.last_byte_at;
+                let replaced = resume::replace_silent(forwarder, conn, (origin, stream), placement);
+                match replaced.boxed_local().await {
+                    Ok((next, next_stream)) => {
+                        origin = next;
+                        stream = next_stream;
+                    }
+                    Err(cause) => {
+                        cut_off(forwarder, &silent, cause, last_byte_at);
+                        return ForwardOutcome::Aborted;
+                    }
+                }
+            }
             CopyEnd::Failed(failure) => {
                 // Closes the connection before the stream is resumed, so that
                 // the engine stops the run.
+                let last_byte_at = stream.last_byte_at;
                 drop(stream);
                 origin.in_flight.outcome = failure.outcome();
-                match resume(forwarder, conn, failure, origin).await {
-                    Some((next, next_stream)) => {
-                        origin = next;
-                        stream = next_stream;
-                    }
-                    None => return ForwardOutcome::Aborted,
-                }
+                let failed = origin.placement.clone();
+                let resumed = resume::resume(forwarder, conn, failure, origin);
+                let resumed = resumed.boxed_local().await;
+                let Some((next, next_stream)) = resumed else {
+                    let cause = CutOffCause::Upstream(failure);
+                    cut_off(forwarder, &failed, cause, last_byte_at);
+                    return ForwardOutcome::Aborted;
+                };
+                origin = next;
+                stream = next_stream;
             }
         }
     }
@@ -380,38 +450,45 @@
 /// The reason why the copying of events to the caller ended.
 enum CopyEnd {
     Complete,
-    CallerDisconnected,
-    DeadlineExceeded,
+    CutOff(CutOffCause),
     Failed(Failure),
+    /// The upstream has become silent.
+    Silent,
 }
 
 async fn copy_events(
-    forwarder: &mut Forwarder<'_>,
+    forwarder: &Forwarder<'_>,
     conn: &mut Connection,
     stream: &mut Stream,
 ) -> CopyEnd {
     loop {
         let next = {
-            let next = std::pin::pin!(stream.next());
+            let next = std::pin::pin!(stream.next(forwarder.instance));
             let closed = std::pin::pin!(conn.closed());
             match futures::future::select(next, closed).await {
                 futures::future::Either::Left((next, _)) => next,
-                futures::future::Either::Right(_) => return CopyEnd::CallerDisconnected,
+                futures::future::Either::Right(_) => {
+                    return CopyEnd::CutOff(CutOffCause::CallerClosed);
+                }
             }
         };
         let event = match next {
             Ok(Some(event)) => event,
             Ok(None) => return CopyEnd::Complete,
-            Err(failure) => return CopyEnd::Failed(failure),
+            Err(NoEvent::Failed(failure)) => return CopyEnd::Failed(failure),
+            Err(NoEvent::Silent) => return CopyEnd::Silent,
         };
-        if is_duplicate(event.id.as_deref(), forwarder.last_event.as_deref()) {
+        if is_duplicate(
+            event.id.as_deref(),
+            forwarder.last_event.borrow().as_deref(),
+        ) {
             continue;
         }
-        if conn.send(event.bytes.into()).await.is_err() {
-            return CopyEnd::CallerDisconnected;
+        if let Err(error) = conn.send(event.bytes.into()).await {
+            return CopyEnd::CutOff(CutOffCause::of_write(&error));
         }
         if event.id.is_some() {
-            forwarder.last_event = event.id;
+            forwarder.last_event.replace(event.id);
         }
     }
 }
@@ -424,60 +501,3 @@
         _ => false,
     }
 }
-
-/// Resumes a failed stream at another upstream, if that is permitted.
-async fn resume(
-    forwarder: &mut Forwarder<'_>,
-    conn: &mut Connection,
-    failure: Failure,
-    origin: Origin,
-) -> Option<(Origin, Stream)> {
-    forwarder.exclude(&origin.placement);
-    drop(origin);
-    let instance = forwarder.instance;
-    let service = forwarder.service.clone();
-    let step = forwarder
-        .attempts
-        .record_failure(failure, instance.now(), || {
-            instance.withdraw_retry(&service)
-        });
-    let refusal = match step {
-        NextStep::Retry => {
-            instance.metrics.record_retry(failure);
-            match reopen(forwarder, conn).await {
-                Ok(next) => return Some(next),
-                Err(refusal) => refusal,
-            }
-        }
-        NextStep::GiveUp(refusal) => refusal,
-    };
-    let id = forwarder.accepted.fields.id.as_deref().unwrap_or_default();
-    let after_ms = elapsed_ms(instance, forwarder.accepted.arrived);
-    let last_event = forwarder.last_event.as_deref().unwrap_or_default();
-    info!(
-        id, failure = failure.code(), last_event, after_ms,
-        reason = refusal.reason.code();
-        "stream aborted"
-    );
-    None
-}
-
-async fn reopen(
-    forwarder: &mut Forwarder<'_>,
-    conn: &mut Connection,
-) -> Result<(Origin, Stream), Refusal> {
-    let pending = {
-        let send = std::pin::pin!(forwarder.send());
-        let closed = std::pin::pin!(conn.closed());
-        match futures::future::select(send, closed).await {
-            futures::future::Either::Left((pending, _)) => pending?,
-            futures::future::Either::Right(_) => {
-                return Err(Refusal::new(Reason::UpstreamFailed));
-            }
-        }
-    };
-    match pending.response {
-        UpstreamResponse::Stream(stream) => Ok((pending.origin, *stream)),
-        UpstreamResponse::Buffered(_) => Err(Refusal::new(Reason::UpstreamFailed)),
-    }
-}
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures::FutureExt as _;
+use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::configuration::CallerLimits;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
@@ -16,6 +17,8 @@
 use super::exchange;
 use super::instance::FleetInstance;
 use super::responses;
+use super::unfinished::IdleCloseCause;
+use super::unfinished::record_idle_close;
 use crate::running::Running;
 
 /// The time that an open connection gets for one more request once the
@@ -30,7 +33,7 @@
 /// take several seconds over narrow links.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The longest time for writing one piece of a response.
+/// The longest time in which a caller accepts no byte of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Serves the requests of one connection, one after the other.
@@ -41,9 +44,6 @@
         let Some(req) = read_request(&instance, &mut conn).await else {
             return;
         };
-        if instance.draining.is_closed() {
-            conn.close_after_response();
-        }
         let reusable = exchange::handle(&instance, &mut conn, req).await;
         drop(running);
         if !reusable || !conn.keep_alive() {
@@ -75,28 +75,60 @@
 /// progress, or returns `None` when the connection is to be closed.
 async fn wait_for_request(instance: &Rc<FleetInstance>, conn: &mut Connection) -> Option<Running> {
     let since = instance.now();
+    let (cause, limit) = match wait_while_serving(instance, conn, since).await {
+        Wait::Ready(ready) => return ready.then(|| instance.running().begin()),
+        Wait::LimitExceeded(limit) => (IdleCloseCause::IdleLimit, limit),
+        Wait::Stopping => (IdleCloseCause::Stop, LAST_REQUEST_TIMEOUT),
+    };
+    // The caller does not expect this connection to close, so a stop waits for
+    // one more request.
+    let running = instance.running().begin();
+    let wait = match cause {
+        IdleCloseCause::IdleLimit => Duration::ZERO,
+        IdleCloseCause::Stop => LAST_REQUEST_TIMEOUT,
+    };
+    let ready = conn.ready_within(wait).await;
+    if ready.is_none() {
+        record_idle_close(instance, cause, since, limit);
+    }
+    ready?.then_some(running)
+}
+
+/// The end of a wait for a request.
+enum Wait {
+    /// Bytes have arrived, or the caller has closed the connection (false).
+    Ready(bool),
+    /// The connection was idle for longer than this limit.
+    LimitExceeded(Duration),
+    /// The instance stops.
+    Stopping,
+}
+
+/// Waits for a request until the idle limit is exceeded or the instance stops.
+///
+/// The limit is the longest one that was in force while the connection was idle: the
+/// caller may not know of a lower one yet.
+async fn wait_while_serving(
+    instance: &Rc<FleetInstance>,
+    conn: &mut Connection,
+    since: Time,
+) -> Wait {
+    let mut limit = limits(instance).idle_timeout;
     let mut ready = std::pin::pin!(conn.ready().fuse());
-    loop {
+    while !instance.draining.is_closed() {
         let mut check = std::pin::pin!(monoio::time::sleep(IDLE_CHECK_INTERVAL).fuse());
         let mut drain = std::pin::pin!(instance.draining.closed().fuse());
-        if instance.remaining_accept_time().is_zero() {
-            return None;
-        }
         futures::select_biased! {
-            ready = ready => return ready.then(|| instance.running().begin()),
+            ready = ready => return Wait::Ready(ready),
             () = drain => break,
             () = check => {}
         }
-        if instance.now().since(since) > limits(instance).idle_timeout {
-            return None;
+        limit = limit.max(limits(instance).idle_timeout);
+        if instance.now().since(since) > limit {
+            return Wait::LimitExceeded(limit);
         }
     }
-    // The caller does not expect this connection to close, so a stop waits for
-    // one more request, but not for one that it could not finish.
-    let running = instance.running().begin();
-    let timeout = LAST_REQUEST_TIMEOUT.min(instance.remaining_accept_time());
-    let ready = monoio::time::timeout(timeout, ready).await;
-    ready.unwrap_or(false).then_some(running)
+    Wait::Stopping
 }
 
 /// Reads the next request, or returns `None` when the connection is to be
