Carry bounds on the age of target weights

Change: an age has a lower and an upper bound, and heartbeats carry both. The receiver adds the greatest transit, by its echoed stamp, to the upper one; the closest bounds hold. A listed change is bounded by the last answer to a watch. The property test now checks both bounds, which is stricter.

--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -88,26 +88,26 @@
     pub model: u64,
     /// The version.
     pub version: u64,
-    age_ms: u32,
-    is_known: bool,
+    least_ms: u32,
+    most_ms: Option<u32>,
 }
 
 impl TargetWeightsAge {
-    /// Returns a report of an age, in whole milliseconds.
+    /// Returns a report of an age.
     #[must_use]
     pub fn new(model: u64, version: u64, age: VersionAge) -> Self {
+        let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
         Self {
             model,
             version,
-            age_ms: u32::try_from(age.least().as_millis()).unwrap_or(u32::MAX),
-            is_known: age.is_known(),
+            least_ms: millis(age.least),
+            // Rounded up.
+            most_ms: age.most.map(|most| millis(most).saturating_add(1)),
         }
     }
 
-    /// Returns the age, where the report was sent at most `delay` ago, or an unknown time if
-    /// that is `None`.
-    ///
-    /// A report that may have been sent longer than `max_delay` ago gives a lower bound only.
+    /// Returns the age at the arrival of a report that was sent at most `max_delay` ago, or at
+    /// any time if that is `None`.
     ///
     /// ```
     /// use std::time::Duration;
@@ -115,18 +115,18 @@
     /// use limpetsaddle_fleet::heartbeat::TargetWeightsAge;
     /// use limpetsaddle_fleet::weights::VersionAge;
     ///
-    /// let second = Duration::from_secs(1);
-    /// let report = TargetWeightsAge::new(7, 2, VersionAge::Known(second));
-    /// assert_eq!(report.age(Some(second), second), VersionAge::Known(second));
-    /// assert_eq!(report.age(None, second), VersionAge::AtLeast(second));
+    /// let delay = Duration::from_millis(100);
+    /// let report = TargetWeightsAge::new(7, 2, VersionAge::ZERO);
+    /// assert_eq!(report.age(Some(delay)).most, Some(Duration::from_millis(101)));
+    /// assert_eq!(report.age(None), VersionAge::UNKNOWN);
     /// ```
     #[must_use]
-    pub fn age(&self, delay: Option<Duration>, max_delay: Duration) -> VersionAge {
-        let age = Duration::from_millis(u64::from(self.age_ms));
-        if self.is_known && delay.is_some_and(|delay| delay <= max_delay) {
-            VersionAge::Known(age)
-        } else {
-            VersionAge::AtLeast(age)
+    pub fn age(&self, max_delay: Option<Duration>) -> VersionAge {
+        let age = |ms: u32| Duration::from_millis(u64::from(ms));
+        let most = self.most_ms.zip(max_delay);
+        VersionAge {
+            least: age(self.least_ms),
+            most: most.map(|(ms, delay)| age(ms) + delay),
         }
     }
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -52,9 +52,6 @@
 /// The margin for late heartbeats in the age of a confirmation.
 const CONFIRMATION_SLACK: Duration = Duration::from_secs(1);
 
-/// The margin for late heartbeats in the delay of reports whose content ages.
-const REPORT_SLACK: Duration = Duration::from_millis(400);
-
 /// The longest time in which notices reach the instances that they are sent to, the time
 /// for sending them included.
 const NOTICE_TIME: Duration = Duration::from_millis(300);
@@ -334,13 +331,6 @@
         CONFIRM_INTERVAL + self.heartbeat_interval() * 2 + CONFIRMATION_SLACK
     }
 
-    /// Returns the longest time between the sending of a stamp to a peer and the arrival of the
-    /// heartbeat that echoes it, unless one of them was suspended or the link is bad.
-    #[must_use]
-    pub fn max_report_delay(&self) -> Duration {
-        self.heartbeat_interval() * 2 + REPORT_SLACK
-    }
-
     /// Returns whether the fleet is so large that work which grows with its size must be
     /// spread over the instances.
     #[must_use]
--- a/crates/fleet/src/weights.rs
+++ b/crates/fleet/src/weights.rs
@@ -19,56 +19,51 @@
 /// The largest number of ages in a heartbeat, which take about 12 bytes each.
 const MAX_REPORTED_AGES: usize = 64;
 
-/// The time since operators set a version.
+/// The assumed age of a version whose change a running instance has missed: the time in which
+/// a watch that fails silently is noticed.
+pub const MISSED_CHANGE_AGE: Duration = Duration::from_millis(2_500);
+
+/// What is known of the time since operators set a version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum VersionAge {
-    /// The version was set this long ago, when an instance saw the target change.
-    Known(Duration),
-    /// The version was set at least this long ago: it was the target already when instances
-    /// first asked.
-    AtLeast(Duration),
+pub struct VersionAge {
+    /// The time for which the version has certainly been the target.
+    pub least: Duration,
+    /// The longest time for which it may have been the target, if that is known.
+    pub most: Option<Duration>,
 }
 
 impl VersionAge {
-    /// Returns the time for which the version has certainly been the target.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    ///
-    /// use limpetsaddle_fleet::weights::VersionAge;
-    ///
-    /// let second = Duration::from_secs(1);
-    /// assert_eq!(VersionAge::AtLeast(second).least(), second);
-    /// ```
-    #[must_use]
-    pub const fn least(self) -> Duration {
-        match self {
-            Self::Known(age) | Self::AtLeast(age) => age,
-        }
-    }
+    /// The age of a version that is being set.
+    pub const ZERO: Self = Self {
+        least: Duration::ZERO,
+        most: Some(Duration::ZERO),
+    };
 
-    /// Returns whether an instance saw the target change.
-    #[must_use]
-    pub const fn is_known(self) -> bool {
-        matches!(self, Self::Known(_))
-    }
+    /// The age of a version that may have been set at any time.
+    pub const UNKNOWN: Self = Self {
+        least: Duration::ZERO,
+        most: None,
+    };
 
     /// Returns the age after some more time.
     fn after(self, elapsed: Duration) -> Self {
-        match self {
-            Self::Known(age) => Self::Known(age.saturating_add(elapsed)),
-            Self::AtLeast(age) => Self::AtLeast(age.saturating_add(elapsed)),
+        Self {
+            least: self.least.saturating_add(elapsed),
+            most: self.most.map(|most| most.saturating_add(elapsed)),
         }
     }
 
-    /// Returns what both ages of one version say together. Reports are late, never early, so
-    /// the greater age holds.
+    /// Returns what two statements on one version say together. Changes are seen late, never
+    /// early, so the lower bound prevails where they contradict each other.
     fn and(self, other: Self) -> Self {
-        let least = self.least().max(other.least());
-        if self.is_known() || other.is_known() {
-            Self::Known(least)
-        } else {
-            Self::AtLeast(least)
+        let least = self.least.max(other.least);
+        let most = match (self.most, other.most) {
+            (Some(one), Some(another)) => Some(one.min(another)),
+            (one, another) => one.or(another),
+        };
+        Self {
+            least,
+            most: most.map(|most| most.max(least)),
         }
     }
 }
@@ -94,10 +89,10 @@
 
 impl UnknownAgeOptions {
     /// The options for a version that was set while this instance was running, though it
-    /// missed the change. It is assumed to be as old as a watch that fails silently.
+    /// missed the change.
     pub const MISSED_CHANGE: Self = Self {
         answer_time: Duration::ZERO,
-        assumed_age: Duration::from_millis(2_500),
+        assumed_age: MISSED_CHANGE_AGE,
     };
 
     /// Returns the options for a version that may have been set before the start: older
@@ -117,9 +112,9 @@
 pub enum Learned {
     /// The version is newer than all before.
     Newest,
-    /// The version's age has become known.
+    /// The version's greatest age has become known.
     Age,
-    /// Nothing that changes decisions, or a greater age.
+    /// At most closer bounds on the age.
     Nothing,
 }
 
@@ -144,10 +139,11 @@
     fn assumed_age(&self, now: Time) -> Duration {
         let seen_for = now.since(self.first_seen);
         let options = &self.unknown_age;
-        match self.age(now) {
-            VersionAge::Known(age) => age,
-            VersionAge::AtLeast(_) if seen_for < options.answer_time => Duration::MAX,
-            VersionAge::AtLeast(age) => age.max(options.assumed_age.saturating_add(seen_for)),
+        let age = self.age(now);
+        match age.most {
+            Some(most) => most,
+            None if seen_for < options.answer_time => Duration::MAX,
+            None => age.least.max(options.assumed_age.saturating_add(seen_for)),
         }
     }
 }
@@ -209,7 +205,7 @@
     pub fn set_version(&mut self, version: u64, since: Time) -> bool {
         let is_newer = version > self.newest();
         if is_newer {
-            self.learn(version, VersionAge::Known(Duration::ZERO), since);
+            self.learn(version, VersionAge::ZERO, since);
         }
         is_newer
     }
@@ -234,10 +230,11 @@
     /// let seconds = Duration::from_secs;
     /// let options = UnknownAgeOptions::at_start(seconds(6), seconds(3));
     /// let mut target = TargetWeights::without_versions("m".into(), options);
-    /// target.learn(2, VersionAge::AtLeast(seconds(0)), at(10));
+    /// target.learn(2, VersionAge::UNKNOWN, at(10));
     /// // No peer has reported the age.
     /// assert_eq!(target.outdated_for(1, at(11)), Some(seconds(4)));
-    /// target.learn(2, VersionAge::Known(seconds(2)), at(11));
+    /// let reported = VersionAge { least: seconds(1), most: Some(seconds(2)) };
+    /// target.learn(2, reported, at(11));
     /// assert_eq!(target.outdated_for(1, at(12)), Some(seconds(3)));
     /// ```
     pub fn learn(&mut self, version: u64, age: VersionAge, now: Time) -> Learned {
@@ -248,7 +245,7 @@
                 let before = known.age(now);
                 known.age = before.and(age);
                 known.learned = now;
-                if known.age.is_known() && !before.is_known() {
+                if known.age.most.is_some() && before.most.is_none() {
                     return Learned::Age;
                 }
             }
@@ -279,7 +276,8 @@
         }
     }
 
-    /// Returns the time for which `version` has been outdated, or `None` if it is not.
+    /// Returns the longest time for which `version` may have been outdated, or `None` if it
+    /// is not.
     ///
     /// While peers may still report the age of a newer version, this is [`Duration::MAX`].
     #[must_use]
@@ -295,7 +293,7 @@
         max_age: Duration,
         now: Time,
     ) -> impl Iterator<Item = (u64, VersionAge)> {
-        let is_old = |v: &Version| v.age(now).least() >= max_age;
+        let is_old = |v: &Version| v.age(now).least >= max_age;
         let first = self.versions.iter().rposition(is_old).unwrap_or(0);
         let relevant = self.versions[first..].iter();
         relevant.map(move |v| (v.number, v.age(now)))
@@ -317,7 +315,7 @@
             ages.map(|(version, age)| (target.model_hash, version, age))
         })
         .collect();
-    ages.sort_by_key(|(_, version, age)| (age.least(), Reverse(*version)));
+    ages.sort_by_key(|(_, version, age)| (age.least, Reverse(*version)));
     ages.truncate(MAX_REPORTED_AGES);
     ages.into_iter()
         .map(|(model, version, age)| TargetWeightsAge::new(model, version, age))
--- a/crates/fleet/tests/weights.rs
+++ b/crates/fleet/tests/weights.rs
@@ -17,12 +17,10 @@
 
 const MAX_AGE: Duration = Duration::from_secs(6);
 
-const MAX_DELAY: Duration = Duration::from_millis(600);
-
 fn restarted(version: u64, now: Time) -> TargetWeights {
     let options = UnknownAgeOptions::at_start(MAX_AGE, Duration::from_secs(3));
     let mut target = TargetWeights::without_versions(MODEL.into(), options);
-    target.learn(version, VersionAge::AtLeast(Duration::ZERO), now);
+    target.learn(version, VersionAge::UNKNOWN, now);
     target
 }
 
@@ -34,8 +32,11 @@
 #[test]
 fn verify_an_age_beyond_the_uptime_is_kept() {
     let mut target = restarted(3, at(100));
-    target.learn(2, VersionAge::Known(Duration::from_secs(90)), at(200));
-    target.learn(3, VersionAge::Known(Duration::from_secs(1)), at(200));
+    for (version, seconds) in [(2, 90), (3, 1)] {
+        let least = Duration::from_secs(seconds);
+        let most = Some(least);
+        target.learn(version, VersionAge { least, most }, at(200));
+    }
     let outdated = |version| target.outdated_for(version, at(700)).unwrap();
     assert_eq!(outdated(1), Duration::from_millis(90_500));
     assert_eq!(outdated(2), Duration::from_millis(1_500));
@@ -93,7 +94,7 @@
 proptest! {
     /// Guards against ages that grow as instances repeat them to each other.
     #[test]
-    fn verify_reported_ages_are_never_too_great(
+    fn verify_actual_ages_are_between_the_reported_ones(
         steps in prop::collection::vec((0..4u8, 0..3usize, 0..3usize, 0..900u64), 1..200),
     ) {
         let mut set_at = vec![at(0), at(0)];
@@ -111,14 +112,15 @@
                     let delay = Duration::from_millis(delay);
                     now = now + delay;
                     for report in reports {
-                        fleet[to].learn(report.version, report.age(Some(delay), MAX_DELAY), now);
+                        fleet[to].learn(report.version, report.age(Some(delay)), now);
                     }
                 }
             }
             now = now + Duration::from_millis(50);
             for report in fleet.iter().flat_map(|t| ages(t, now)) {
-                let set_at = set_at[usize::try_from(report.version).unwrap()];
-                prop_assert!(report.age(None, MAX_DELAY).least() <= now.since(set_at));
+                let actual = now.since(set_at[usize::try_from(report.version).unwrap()]);
+                let age = report.age(Some(Duration::ZERO));
+                prop_assert!(age.least <= actual && age.most.is_none_or(|most| actual <= most));
             }
         }
     }
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -297,14 +297,14 @@
 /// does not know if they were set before its start or while it was suspended.
 fn apply_ages(instance: &FleetInstance, heartbeat: &Heartbeat, echo_ms: Option<u64>) {
     let now = instance.now();
-    let delay = echo_ms.map(|ms| now.since(Time::from_origin(Duration::from_millis(ms))));
-    let max_delay = instance.peers.borrow().max_report_delay();
+    // The peer has sent the heartbeat after this instance sent the echoed stamp.
+    let max_delay = echo_ms.map(|ms| now.since(Time::from_origin(Duration::from_millis(ms))));
     let mut targets = instance.target_weights.borrow_mut();
     for report in &heartbeat.ages {
         let Some(target) = targets.iter_mut().find(|t| t.model_hash() == report.model) else {
             continue;
         };
-        let age = report.age(delay, max_delay);
+        let age = report.age(max_delay);
         let learned = target.learn(report.version, age, now);
         let model = &target.model;
         let version = report.version;
@@ -312,8 +312,8 @@
         match learned {
             Learned::Newest => info!(model:display, version, from; "target weights changed"),
             Learned::Age => {
-                let age_ms = millis(age.least());
-                info!(model:display, version, age_ms, from; "age of target weights known");
+                let age_ms = age.most.map(millis);
+                info!(model:display, version, age_ms:?, from; "age of target weights known");
             }
             Learned::Nothing => {}
         }
--- a/crates/router/src/fleet/watch/weights.rs
+++ b/crates/router/src/fleet/watch/weights.rs
@@ -4,8 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::weights::Learned;
+use limpetsaddle_fleet::weights::MISSED_CHANGE_AGE;
 use limpetsaddle_fleet::weights::TargetWeights;
 use limpetsaddle_fleet::weights::UnknownAgeOptions;
 use limpetsaddle_fleet::weights::VersionAge;
@@ -22,11 +24,14 @@
 use super::Watcher;
 use crate::fleet::instance::FleetInstance;
 
+/// The time by which an answer without changes may be late.
+const ANSWER_LAG: Duration = Duration::from_secs(1);
+
 /// Tracks the target weights of each model.
 pub struct WeightsWatcher {
     instance: Rc<FleetInstance>,
-    /// Whether the target weights were listed since the start.
-    has_listed: Cell<bool>,
+    /// The time of the last list or answered watch.
+    last_answer: Cell<Option<Time>>,
 }
 
 impl WeightsWatcher {
@@ -34,7 +39,7 @@
     pub const fn new(instance: Rc<FleetInstance>) -> Self {
         Self {
             instance,
-            has_listed: Cell::new(false),
+            last_answer: Cell::new(None),
         }
     }
 
@@ -63,7 +68,7 @@
             return version > known.newest() && known.learn(version, age, now) == Learned::Newest;
         }
         let bounds = &self.instance.settings.bounds;
-        let options = if self.has_listed.get() {
+        let options = if self.last_answer.get().is_some() {
             UnknownAgeOptions::MISSED_CHANGE
         } else {
             UnknownAgeOptions::at_start(bounds.max_weights_age, bounds.start_grace)
@@ -99,15 +104,25 @@
     }
 
     fn replace_all(&self, objects: Vec<Object>) {
+        let now = self.instance.now();
+        let since_answer = self.last_answer.get().map(|at| now.since(at));
+        let age = VersionAge {
+            most: since_answer.map(|time| (time + ANSWER_LAG).min(MISSED_CHANGE_AGE)),
+            ..VersionAge::UNKNOWN
+        };
         for object in &objects {
-            self.apply(object, VersionAge::AtLeast(Duration::ZERO));
+            self.apply(object, age);
         }
-        self.has_listed.set(true);
+        self.record_answer();
     }
 
     fn apply_change(&self, change: Change) {
         if !change.removed {
-            self.apply(&change.object, VersionAge::Known(Duration::ZERO));
+            self.apply(&change.object, VersionAge::ZERO);
         }
     }
+
+    fn record_answer(&self) {
+        self.last_answer.set(Some(self.instance.now()));
+    }
 }
