Return to a silent engine when the one tried beside it fails

Callers saw: a resumable stream was cut (or got 502 before its first event) though its engine was only silent and went on later: the engine tried beside it rejected the request after the 250 ms in which two engines may run it, and the silent one had been given up by then. Cause: the end of the overlap gives up the silent engine and excludes it for the rest of the request, before it is known that the other one takes the request. Change: an upstream that was given up for its silence alone is selected again once no other is left. It counts as before in attempts and retry budget, and adds no further upstream.

--- a/crates/router/src/fleet/attempts.rs
+++ b/crates/router/src/fleet/attempts.rs
@@ -130,6 +130,7 @@
                     if let Some(mut held) = silent.take() {
                         let cause = "another upstream runs the request";
                         self.record_end(&mut held.attempt, Failure::TimedOut, cause);
+                        self.give_up_silent(&held.attempt.placement);
                     }
                 }
                 Progress::DeadlineExceeded => {
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -150,6 +150,8 @@
     pub attempts: Cell<Attempts>,
     /// The upstreams that were attempted.
     pub attempted: RefCell<Vec<Name>>,
+    /// The upstream that was given up for its silence alone.
+    pub given_up: RefCell<Option<Name>>,
     /// The number of attempts so far.
     pub sent: Cell<u32>,
 }
@@ -175,6 +177,7 @@
         )),
         last_event: RefCell::default(),
         attempted: RefCell::default(),
+        given_up: RefCell::default(),
         sent: Cell::new(0),
     };
     let pending = {
@@ -232,12 +235,24 @@
         }
     }
 
-    /// Selects an upstream for the next attempt.
+    /// Selects an upstream for the next attempt. An upstream that was given up for its
+    /// silence is selected again once no other is left.
     ///
     /// # Errors
     ///
     /// Returns the refusal if there is none, or none that responds in time.
     pub fn place(&self) -> Result<Placement, Refusal> {
+        let refusal = match self.place_elsewhere() {
+            Ok(placement) => return Ok(placement),
+            Err(refusal) => refusal,
+        };
+        let silent = self.given_up.take().ok_or(refusal)?;
+        self.attempted.borrow_mut().retain(|name| *name != silent);
+        self.place_elsewhere()
+    }
+
+    /// Selects an upstream that was not attempted.
+    fn place_elsewhere(&self) -> Result<Placement, Refusal> {
         let instance = self.instance;
         let now = instance.now();
         let remaining = self.accepted.deadline.since(now);
@@ -345,6 +360,13 @@
         attempted.push(Name::clone(&placement.upstream));
     }
 
+    /// Excludes an upstream whose silence has outlasted the time beside another one.
+    pub fn give_up_silent(&self, placement: &Placement) {
+        self.exclude(placement);
+        self.given_up
+            .replace(Some(Name::clone(&placement.upstream)));
+    }
+
     /// Returns the number of attempts so far.
     pub const fn sent(&self) -> u32 {
         self.sent.get()
--- a/crates/router/src/fleet/resume.rs
+++ b/crates/router/src/fleet/resume.rs
@@ -101,6 +101,9 @@
         stream.is_awaited = stream.last_byte_at == silent_since;
         return Ok((origin, stream));
     };
+    if failure == Failure::TimedOut {
+        forwarder.give_up_silent(&origin.placement);
+    }
     // Closes the connection, so that the engine stops the run.
     drop(stream);
     origin.in_flight.outcome = failure.outcome();
