Look at the queue before a listener closes, and leave silence to the deadline

A busy process closed its listener after one short look at the queue; the client for upstreams kept limits of 30 s on silence beside the request's deadline; a stream that was cut after its replacement had failed was missing in the counters. Change: the queue is looked at again after a look that took long; calls to upstreams have no limit on silence but their own deadlines; each cut stream is counted and logged alike.

--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -20,6 +20,10 @@
 /// The time without a new connection after which the queue of the listener is empty.
 const EMPTY_QUEUE_TIME: Duration = Duration::from_millis(1);
 
+/// The longest wait after which the queue counts as empty: in a longer one, the process was
+/// too slow to see what arrived meanwhile.
+const MAX_EMPTY_QUEUE_TIME: Duration = Duration::from_millis(20);
+
 /// The longest time for accepting the connections in the queue during a shutdown.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -82,10 +86,12 @@
     }
     let end = Instant::now() + QUEUE_TIMEOUT;
     while Instant::now() < end {
+        let begun = Instant::now();
         match monoio::time::timeout(EMPTY_QUEUE_TIME, listener.accept()).await {
             Ok(Ok((stream, _))) => start(stream),
             Ok(Err(_)) => monoio::time::sleep(ACCEPT_RETRY_DELAY).await,
-            Err(_) => return,
+            Err(_) if begun.elapsed() <= MAX_EMPTY_QUEUE_TIME => return,
+            Err(_) => {}
         }
     }
 }
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -127,6 +127,9 @@
         };
         let client_options = ClientOptions {
             connect_timeout: CONNECT_TIMEOUT,
+            // The deadline of each request and call is the only limit on silence.
+            head_timeout: Duration::MAX,
+            idle_timeout: Duration::MAX,
             ..ClientOptions::default()
         };
         Ok(Rc::new(Self {
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -427,6 +427,7 @@
                     }
                     Err(cause) => {
                         cut_off(forwarder, &silent, cause, last_byte_at);
+                        log_end(forwarder, &silent, status, false, first_event_ms);
                         return ForwardOutcome::Aborted;
                     }
                 }
@@ -443,6 +444,7 @@
                 let Some((next, next_stream)) = resumed else {
                     let cause = CutOffCause::Upstream(failure);
                     cut_off(forwarder, &failed, cause, last_byte_at);
+                    log_end(forwarder, &failed, status, false, first_event_ms);
                     return ForwardOutcome::Aborted;
                 };
                 origin = next;
