--- a/crates/router/src/fleet/resume.rs
+++ b/crates/router/src/fleet/resume.rs
@@ -98,6 +98,7 @@
         }
     };
     let Some(failure) = failure else {
+        // Nothing replaces the engine, so it is waited for unless it has sent something.
         stream.is_awaited = stream.last_byte_at == silent_since;
         return Ok((origin, stream));
     };
