Log and count the limits that upstreams name

Change: the head of each answer is read for the limit; what it says is recorded for the incarnation, logged when it changes ("upstream limited", "upstream no longer limited") and counted (limpetsaddle_limit_changes). The line of a relayed response names the source from which its engine fetches.

--- a/crates/fleet/src/availability.rs
+++ b/crates/fleet/src/availability.rs
@@ -11,6 +11,9 @@
 
 use crate::Name;
 use crate::heartbeat::process_hash;
+use crate::upstream_limit::LimitNotice;
+use crate::upstream_limit::LimitRecord;
+use crate::upstream_limit::RequestRate;
 
 /// One run of an upstream's process.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -79,6 +82,8 @@
     pub leaving: bool,
     /// The time for which it wants no call from this instance.
     pub rest: Option<Duration>,
+    /// The limit that it sets for all instances together.
+    pub limit: LimitNotice,
 }
 
 /// How an instance learned that an upstream is not available.
@@ -114,6 +119,15 @@
         /// The end of the rest.
         until: Time,
     },
+    /// It has set a limit, or another one than before.
+    Limited {
+        /// The rate for all instances together.
+        rate: RequestRate,
+        /// How this instance learned of it.
+        source: Source,
+    },
+    /// It has lifted its limit.
+    Unlimited(Source),
     /// Another process has taken its place.
     Replaced,
     /// It may be called again: its rest has ended, or it has registered again.
@@ -146,6 +160,8 @@
     is_leaving: bool,
     resting_until: Option<Time>,
     absence: Option<Absence>,
+    /// What it has said of its limit.
+    pub limit: LimitRecord,
 }
 
 impl AvailabilityRecord {
@@ -227,6 +243,9 @@
     /// Returns whether the record says nothing at a time.
     #[must_use]
     pub fn is_empty(&self, now: Time) -> bool {
-        !self.is_leaving && self.absence.is_none() && self.resting_until.is_none_or(|u| u <= now)
+        !self.is_leaving
+            && self.absence.is_none()
+            && self.limit.named().is_none()
+            && self.resting_until.is_none_or(|u| u <= now)
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod store_era;
 pub mod store_polls;
 pub mod store_reads;
+pub mod upstream_limit;
 pub mod upstreams;
 pub mod weights;
 
--- a/crates/fleet/src/upstreams/availability.rs
+++ b/crates/fleet/src/upstreams/availability.rs
@@ -18,6 +18,7 @@
 use crate::availability::Source;
 use crate::heartbeat::LeavingUpdate;
 use crate::outage::Outage;
+use crate::upstream_limit::LimitNotice;
 
 /// The time for which heartbeats repeat that an upstream is leaving.
 const LEAVING_REPEAT_TIME: Duration = Duration::from_secs(3);
@@ -47,6 +48,7 @@
         if notices.leaving {
             self.observe_leaving(incarnation, Source::Answer, now);
         }
+        self.record_limit_notice(incarnation, notices.limit, now);
         let Some(rest) = notices.rest else {
             return;
         };
@@ -56,6 +58,27 @@
         }
     }
 
+    fn record_limit_notice(&mut self, incarnation: &Incarnation, notice: LimitNotice, now: Time) {
+        let process = incarnation.process();
+        let source = Source::Answer;
+        let kind = match notice {
+            LimitNotice::Unknown => return,
+            LimitNotice::Limited(rate) => {
+                let record = &mut self.record_mut(process, now).limit;
+                let is_new = record.limit(rate, now, source);
+                is_new.then_some(ChangeKind::Limited { rate, source })
+            }
+            LimitNotice::Unlimited { sent } => {
+                let row = self.by_process(process);
+                let is_ended = row.is_some_and(|row| row.record.limit.lift(sent));
+                is_ended.then_some(ChangeKind::Unlimited(source))
+            }
+        };
+        let incarnation = incarnation.clone();
+        let change = kind.map(|kind| AvailabilityChange { incarnation, kind });
+        self.changes.extend(change);
+    }
+
     /// Records that another upstream responds at an incarnation's address: the process there
     /// has ended, though its entry may not have expired yet.
     pub fn mark_replaced(&mut self, incarnation: &Incarnation, now: Time) {
--- a/crates/fleet/tests/availability.rs
+++ b/crates/fleet/tests/availability.rs
@@ -17,6 +17,7 @@
 use limpetsaddle_fleet::placement::place_plain;
 use limpetsaddle_fleet::rollout::Rollout;
 use limpetsaddle_fleet::rollout::WeightsLoad;
+use limpetsaddle_fleet::upstream_limit::LimitNotice;
 use limpetsaddle_fleet::upstreams::Phase;
 use limpetsaddle_fleet::upstreams::UpstreamEntry;
 use limpetsaddle_fleet::weights::TargetWeights;
@@ -31,12 +32,14 @@
     Notices {
         leaving: false,
         rest: Some(Duration::from_millis(millis)),
+        ..Notices::default()
     }
 }
 
 const LEAVING: Notices = Notices {
     leaving: true,
     rest: None,
+    limit: LimitNotice::Unknown,
 };
 
 /// Returns a numbered entry of a process.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -137,6 +137,7 @@
         let notices = Notices {
             leaving,
             rest: Some(Duration::from_secs(1)),
+            ..Notices::default()
         };
         let incarnation = engine(1, 1).incarnation();
         fleet
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -42,6 +42,7 @@
     store_restores: Counter<u64>,
     orders: Counter<u64>,
     upstream_marks: Counter<u64>,
+    limit_changes: Counter<u64>,
     withheld_calls: Counter<u64>,
     ignored_notices: Counter<u64>,
     crashes: Counter<u64>,
@@ -79,6 +80,7 @@
             store_restores: meter.u64_counter("limpetsaddle_store_restores").build(),
             orders: meter.u64_counter("limpetsaddle_orders").build(),
             upstream_marks: meter.u64_counter("limpetsaddle_upstream_marks").build(),
+            limit_changes: meter.u64_counter("limpetsaddle_limit_changes").build(),
             withheld_calls: meter.u64_counter("limpetsaddle_withheld_calls").build(),
             ignored_notices: meter.u64_counter("limpetsaddle_ignored_notices").build(),
             crashes: meter.u64_counter("limpetsaddle_upstream_crashes").build(),
@@ -162,6 +164,15 @@
         self.upstream_marks.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a limit that an upstream has set or lifted, by how this instance learned of it.
+    pub fn record_limit_change(&self, state: &'static str, source: &'static str) {
+        let labels = [
+            KeyValue::new("state", state),
+            KeyValue::new("source", source),
+        ];
+        self.limit_changes.add(1, &labels);
+    }
+
     /// Counts a call that was not sent, by the state of its recipient or of the call.
     pub fn record_withheld_call(&self, state: &'static str) {
         self.withheld_calls.add(1, &[KeyValue::new("state", state)]);
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -433,12 +433,14 @@
     instance.metrics.record_response(complete, span);
     let id = accepted.fields.id.as_deref().unwrap_or_default();
     let team = accepted.team.as_ref().map_or("", |team| &team.name);
+    let fetch_from = placement.cache.as_ref().and_then(|cache| cache.fetch_from);
     info!(
         id, status, complete, team,
         route:display = accepted.route.name,
         upstream:display = placement.upstream,
         weights = placement.weights.unwrap_or_default(),
-        fetch = placement.cache.as_ref().is_some_and(|c| c.fetch_from.is_some()),
+        fetch = fetch_from.is_some(),
+        source:? = fetch_from,
         sent = forwarder.sent(),
         configuration = accepted.configuration.version,
         expected_ms = millis(placement.expected_latency),
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -18,6 +18,7 @@
 use limpetsaddle_fleet::availability::Incarnation;
 use limpetsaddle_fleet::availability::Notices;
 use limpetsaddle_fleet::configuration::store_hash;
+use limpetsaddle_fleet::upstream_limit::LimitNotice;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
 use limpetsaddle_http::Request;
@@ -156,8 +157,9 @@
             instance.metrics.record_withheld_call("obsolete");
             return Err(SendError::Obsolete);
         };
+        let sent = instance.now();
         let res = conn.send(req).await?;
-        observe(instance, recipient, &res.head, id);
+        observe(instance, recipient, &res.head, sent, id);
         Ok(res)
     }
 
@@ -210,8 +212,9 @@
     Err(SendError::Withheld(state))
 }
 
-/// Records what the head of an answer says of the recipient that the call was sent to.
-fn observe(instance: &FleetInstance, recipient: &Recipient, head: &Parts, id: &str) {
+/// Records what the head of an answer says of the recipient that the call was sent to at
+/// `sent`.
+fn observe(instance: &FleetInstance, recipient: &Recipient, head: &Parts, sent: Time, id: &str) {
     let now = instance.now();
     let notices = Notices {
         leaving: valid_or_default(instance, headers::leaving_notice(&head.headers), id),
@@ -220,6 +223,7 @@
             headers::rest_notice(head.status, &head.headers),
             id,
         ),
+        limit: limit_notice(instance, head, sent, id),
     };
     match recipient {
         Recipient::Upstream { incarnation, .. } => {
@@ -246,6 +250,19 @@
     }
 }
 
+/// Returns what the head of an answer says of its upstream's limit. Only a signed answer is
+/// certain to be the upstream's own.
+fn limit_notice(instance: &FleetInstance, head: &Parts, sent: Time, id: &str) -> LimitNotice {
+    let notice = headers::limit_notice(&head.headers);
+    let is_signed = || headers::response_fields(&head.headers).signed;
+    let notice = notice.map(|rate| match rate {
+        Some(rate) => LimitNotice::Limited(rate),
+        None if is_signed() => LimitNotice::Unlimited { sent },
+        None => LimitNotice::Unknown,
+    });
+    valid_or_default(instance, notice, id)
+}
+
 fn valid_or_default<T: Default>(instance: &FleetInstance, notice: wire::Result<T>, id: &str) -> T {
     notice.unwrap_or_else(|error| {
         instance.metrics.record_ignored_notice();
@@ -273,6 +290,17 @@
                 let rest_ms = millis(until.since(now));
                 info!(id, upstream:display, born_ms, rest_ms; "upstream resting");
             }
+            ChangeKind::Limited { rate, source } => {
+                let source = source.code();
+                instance.metrics.record_limit_change("limited", source);
+                let per_second = rate.as_per_second();
+                info!(id, upstream:display, born_ms, per_second, source; "upstream limited");
+            }
+            ChangeKind::Unlimited(source) => {
+                let source = source.code();
+                instance.metrics.record_limit_change("unlimited", source);
+                info!(id, upstream:display, born_ms, source; "upstream no longer limited");
+            }
             ChangeKind::Replaced => {
                 instance.metrics.record_mark("replaced");
                 info!(id, upstream:display, born_ms; "upstream replaced");
