Hold the limits of upstreams over all instances together

What callers saw: nothing; what engines saw: one in need, which takes 1.2 requests a second from the whole fleet, got as many as before.

Cause: no instance read the limit, and nothing in the design could have kept it. What an upstream says is taken by each instance as said to it alone (rest), or holds for all alike (leaving). A rate for all together needs a place where it is shared out. A share for each instance is no answer: at 1 request a second and nine instances, buckets that save up one request each let 13 through in 4 s, and empty ones none.

Change: a limited upstream gets a request only with a permit. One live instance, chosen alike by all through rendezvous hashing over the heartbeats, issues an upstream's permits from one bucket; the others ask it by datagram for as many as they are about to use, which takes a round trip. A permit is valid for 0.4 s from the ask. An issuer that hears from a part of the registered instances issues that part of the limit, so that the sides of a partition stay below it together; a new issuer starts with an empty bucket after the time in which its predecessor may still issue. The check is in the gate that every call passes, so reports, orders, retries and resumed streams need permits too; limited engines are no sources of fetches. A limit ends when an answer to a call sent after its last naming lacks it; issuers pass that on. More urgent requests get the permits that are short; what finds none waits for at most 0.3 s if permits are to be expected, and is refused otherwise with a Retry-After that follows from this instance's own share of permits and refusals.

--- a/crates/fleet/src/availability.rs
+++ b/crates/fleet/src/availability.rs
@@ -42,6 +42,11 @@
         /// The end of that time.
         until: Time,
     },
+    /// It limits all instances together, and this one has no permit.
+    Limited {
+        /// The earliest time at which there may be a permit.
+        until: Time,
+    },
     /// It is shutting down and accepts no new calls.
     Leaving,
     /// It is not registered, or another process has taken its place.
@@ -49,6 +54,12 @@
 }
 
 impl Availability {
+    /// Returns whether the upstream takes calls, if only with a permit.
+    #[must_use]
+    pub const fn is_serving(self) -> bool {
+        matches!(self, Self::Serving | Self::Limited { .. })
+    }
+
     /// Returns whether calls of any kind may be sent.
     ///
     /// ```
@@ -69,6 +80,7 @@
         match self {
             Self::Serving => "serving",
             Self::Resting { .. } => "resting",
+            Self::Limited { .. } => "limited",
             Self::Leaving => "leaving",
             Self::Gone => "gone",
         }
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -13,6 +13,7 @@
 
 use crate::directory::CacheUpdate;
 use crate::kv_store_monitor::KvStoreStatus;
+use crate::permit_messages::PermitMessage;
 use crate::quarantine::QuarantineReport;
 use crate::quarantine::ReportError;
 use crate::store_era::StoreEra;
@@ -406,6 +407,8 @@
     Notice(WeightsNotice),
     /// A report of crashes and withheld parts.
     Quarantine(QuarantineReport),
+    /// A message about permits.
+    Permits(PermitMessage),
 }
 
 impl Datagram {
@@ -421,6 +424,9 @@
         if QuarantineReport::is_report(bytes) {
             return Ok(Self::Quarantine(QuarantineReport::decode(bytes)?));
         }
+        if PermitMessage::is_message(bytes) {
+            return Ok(Self::Permits(PermitMessage::decode(bytes)?));
+        }
         let (heartbeat, echo_ms) = Heartbeat::decode(bytes)?;
         Ok(Self::Heartbeat(Box::new(heartbeat), echo_ms))
     }
--- a/crates/fleet/src/outage.rs
+++ b/crates/fleet/src/outage.rs
@@ -12,6 +12,9 @@
 /// sooner, as a rest binds one instance.
 const MAX_WAIT: Duration = Duration::from_millis(300);
 
+/// The longest wait for the reply to an ask for permits.
+const REPLY_WAIT: Duration = Duration::from_millis(20);
+
 /// The fraction of the remaining time within which the response must be expected.
 const USABLE_FRACTION: f64 = 0.8;
 
@@ -39,6 +42,8 @@
     pub first_end: Option<Time>,
     /// The earliest end of a rest among upstreams that were not attempted.
     pub first_untried: Option<Time>,
+    /// The earliest time at which there may be a permit for an upstream with a limit.
+    pub first_permit: Option<Time>,
 }
 
 /// The time that a request has.
@@ -50,6 +55,8 @@
     pub waited: Duration,
     /// The time that the response is expected to take.
     pub expected: Duration,
+    /// Whether the request may wait for a permit that was denied.
+    pub may_queue: bool,
 }
 
 /// The waits of a stream that its caller has a part of, and that no upstream can continue now.
@@ -102,8 +109,16 @@
         }
     }
 
-    /// Returns the time for which a request waits for the first rest to end, or `None` if
-    /// it is refused at once.
+    /// Records the time at which there may be a permit for an upstream.
+    pub fn add_permit(&mut self, until: Time, is_tried: bool) {
+        if !is_tried {
+            let earliest = self.first_permit.map_or(until, |first| first.min(until));
+            self.first_permit = Some(earliest);
+        }
+    }
+
+    /// Returns the time for which a request waits for the first rest to end or the first
+    /// permit, or `None` if it is refused at once.
     ///
     /// `random` spreads requests that wait for the same end.
     ///
@@ -119,6 +134,7 @@
     ///     left: Duration::from_secs(3),
     ///     waited: Duration::ZERO,
     ///     expected: Duration::from_millis(100),
+    ///     may_queue: true,
     /// };
     /// assert_eq!(outage.wait(&options, Time::ZERO, 7), None);
     /// outage.add_rest(Time::ZERO + Duration::from_millis(200), false);
@@ -126,8 +142,10 @@
     /// ```
     #[must_use]
     pub fn wait(&self, options: &WaitOptions, now: Time, random: u64) -> Option<Duration> {
-        let rest = self.first_untried?.since(now);
-        let wait = spread(rest, random);
+        let rest = self.first_untried.map(|end| spread(end.since(now), random));
+        let permit = self.first_permit.map(|at| at.since(now));
+        let permit = permit.filter(|wait| options.may_queue || *wait <= REPLY_WAIT);
+        let wait = rest.into_iter().chain(permit).min()?;
         let is_short = options.waited.saturating_add(wait) <= MAX_WAIT;
         let is_in_time =
             wait.saturating_add(options.expected) <= options.left.mul_f64(USABLE_FRACTION);
@@ -135,11 +153,17 @@
     }
 
     /// Returns the time after which a refused caller may retry, or `None` if no rest
-    /// determines it.
+    /// or permit determines it.
+    ///
+    /// `backlog` is the time in which permits will have come for the callers that were refused
+    /// before.
     #[must_use]
-    pub fn retry_after(&self, now: Time, random: u64) -> Option<Duration> {
-        let end = self.first_end.filter(|_| !self.others_served)?;
-        Some(spread(end.since(now), random))
+    pub fn retry_after(&self, backlog: Duration, now: Time, random: u64) -> Option<Duration> {
+        let permit = self.first_permit.map(|at| at.since(now).max(backlog));
+        let rest = self.first_end.map(|end| end.since(now));
+        let first = rest.into_iter().chain(permit).min();
+        let first = first.filter(|_| !self.others_served)?;
+        Some(spread(first, random))
     }
 }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -6,11 +6,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use limpetsaddle_core::hash::mix;
 use limpetsaddle_core::units::Time;
 
 use crate::Name;
 use crate::heartbeat::Heartbeat;
 use crate::heartbeat::UpstreamLoad;
+use crate::heartbeat::name_hash;
 use crate::limits::PeerCounts;
 use crate::retry_budget::RequestCounts;
 use crate::store_polls::PollRole;
@@ -70,8 +72,21 @@
     pub address: SocketAddr,
 }
 
+/// The instance that issues the permits for a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Issuer {
+    /// This instance.
+    Own,
+    /// The instance with this address for heartbeats.
+    Peer(SocketAddr),
+    /// None is known, as this instance has just started.
+    Unknown,
+}
+
 #[derive(Debug)]
 struct Peer {
+    /// The hash by which issuers are chosen.
+    hash: u64,
     address: SocketAddr,
     registered: Time,
     incarnation: u64,
@@ -178,6 +193,7 @@
         let mut kept = BTreeMap::new();
         for registration in all.into_iter().filter(|r| r.name != self.own_name) {
             let new_peer = || Peer {
+                hash: name_hash(&registration.name),
                 address: registration.address,
                 registered: now,
                 incarnation: 0,
@@ -361,6 +377,28 @@
         self.others.len() > FULL_RATE_PEERS as usize
     }
 
+    /// Returns the live instance that issues the permits for a process.
+    #[must_use]
+    pub fn issuer(&self, process: u64, now: Time) -> Issuer {
+        if !self.is_settled(now) {
+            return Issuer::Unknown;
+        }
+        let weight = |hash: u64| mix(hash ^ mix(process));
+        let own = weight(name_hash(&self.own_name));
+        let peers = self.live_peers(now);
+        let peers = peers.map(|peer| (weight(peer.hash), peer.address));
+        match peers.max().filter(|(weight, _)| *weight > own) {
+            Some((_, address)) => Issuer::Peer(address),
+            None => Issuer::Own,
+        }
+    }
+
+    /// Returns the address for heartbeats of a registered instance.
+    #[must_use]
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.others.get(name).map(|peer| peer.address)
+    }
+
     /// Returns the numbers of registered and live instances, including this one.
     #[must_use]
     pub fn peer_counts(&self, now: Time) -> PeerCounts {
--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -103,7 +103,9 @@
         let depths = cx.directory.depths(&parts, memory, cx.now);
         let ranked = |depth: fn(&Depths) -> usize| {
             let usable = cx.upstreams.of_service(req.service, cx.now);
-            let usable = usable.filter(|row| !cx.upstreams.is_avoided(row, cx.now));
+            // A limited engine's permits are for requests, not for transfers.
+            let usable =
+                usable.filter(|row| row.limit().is_none() && !cx.upstreams.is_avoided(row, cx.now));
             let holders = usable.filter_map(|row| {
                 let held_parts = depths.get(&row.hash).map(depth)?;
                 (held_parts > 0).then_some(Holder { held_parts, row })
@@ -351,7 +353,8 @@
     let scope = req.isolated_team.unwrap_or_default();
     let prefix_hash = req.prompt.shared_hash(scope);
     let all = cx.upstreams.of_service(req.service, cx.now);
-    all.max_by_key(|row| mix(row.hash ^ prefix_hash))
+    // An engine with a limit can't take all requests with the prefix.
+    all.max_by_key(|row| (row.limit().is_none(), mix(row.hash ^ prefix_hash)))
 }
 
 /// The cost of each long prompt in prefill at an engine, for a request that would stream
--- a/crates/fleet/src/refusal.rs
+++ b/crates/fleet/src/refusal.rs
@@ -39,11 +39,13 @@
     DeadlineExceeded,
     /// Engines end when they answer on a part of the prompt, so it is withheld from them.
     WithheldPart,
+    /// The upstreams limit all instances together, and there is no permit.
+    UpstreamLimit,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::BadRequest,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -61,6 +63,7 @@
         Self::UpstreamTimeout,
         Self::DeadlineExceeded,
         Self::WithheldPart,
+        Self::UpstreamLimit,
     ];
 
     /// Returns the code in logs, metrics and responses.
@@ -84,6 +87,7 @@
             Self::UpstreamTimeout => "upstream_timeout",
             Self::DeadlineExceeded => "out_of_time",
             Self::WithheldPart => "withheld_part",
+            Self::UpstreamLimit => "upstream_limit",
         }
     }
 
@@ -108,7 +112,8 @@
             | Self::Overloaded
             | Self::Rejected
             | Self::DeadlineExceeded
-            | Self::WithheldPart => 503,
+            | Self::WithheldPart
+            | Self::UpstreamLimit => 503,
             Self::UpstreamFailed => 502,
             Self::UpstreamTimeout => 504,
         }
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -507,7 +507,7 @@
         let is_pending = |row: &&Upstream| {
             !self.engines.contains_key(&row.entry.id)
                 && !self.paused.contains_key(&row.entry.id)
-                && row.availability(now).accepts_calls()
+                && row.availability(now).is_serving()
         };
         let loads = peers.remote_loads(now);
         let mut pending: Vec<&Upstream> = outdated(upstreams, target).filter(is_pending).collect();
@@ -526,7 +526,7 @@
 fn backlog_tokens(upstreams: &Upstreams, peers: &Peers, model: &str, now: Time) -> u64 {
     let serving = upstreams.iter().filter(|row| {
         row.weights(model).is_some()
-            && row.availability(now).accepts_calls()
+            && row.availability(now).is_serving()
             && !upstreams.is_avoided(row, now)
     });
     let loads = peers.remote_loads(now);
--- a/crates/fleet/src/upstream_limit.rs
+++ b/crates/fleet/src/upstream_limit.rs
@@ -144,6 +144,13 @@
         is_ended
     }
 
+    /// Records that the limit in force, if there is one, was set at `since` or earlier.
+    pub fn date_back(&mut self, since: Time) {
+        if let Some(named) = &mut self.named {
+            named.since = named.since.min(since);
+        }
+    }
+
     /// Returns the time since the upstream was last known to have no limit.
     #[must_use]
     pub fn lifted_for(&self, now: Time) -> Option<Duration> {
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! The table of upstreams with their weights, load, health and availability.
 
 mod availability;
+mod limits;
 mod weights;
 
 use std::collections::BTreeMap;
@@ -23,6 +24,7 @@
 use crate::heartbeat::UpstreamLoad;
 use crate::heartbeat::name_hash;
 use crate::heartbeat::process_hash;
+use crate::permits::PermitPool;
 use crate::reachability::DomainReachability;
 
 /// The phase of an upstream's life, as the upstream reports it.
@@ -123,6 +125,8 @@
     pub slowness: f64,
     /// What the upstream, its entries and other instances said of its availability.
     record: AvailabilityRecord,
+    /// The permits for its limit.
+    pub permits: PermitPool,
     paused_until: Option<Time>,
     away_until: Option<Time>,
     rejections: u32,
@@ -155,7 +159,7 @@
     /// Returns whether the upstream may be called; its health does not matter.
     #[must_use]
     pub fn availability(&self, now: Time) -> Availability {
-        self.record.state(now)
+        self.permitted(self.record.state(now), now)
     }
 
     /// Returns whether the upstream stays, though it may rest for now.
@@ -265,6 +269,7 @@
             local_load: UpstreamLoad::default(),
             slowness: 1.0,
             record,
+            permits: PermitPool::default(),
             paused_until: None,
             away_until: None,
             rejections: 0,
--- a/crates/fleet/src/upstreams/availability.rs
+++ b/crates/fleet/src/upstreams/availability.rs
@@ -18,7 +18,6 @@
 use crate::availability::Source;
 use crate::heartbeat::LeavingUpdate;
 use crate::outage::Outage;
-use crate::upstream_limit::LimitNotice;
 
 /// The time for which heartbeats repeat that an upstream is leaving.
 const LEAVING_REPEAT_TIME: Duration = Duration::from_secs(3);
@@ -58,27 +57,6 @@
         }
     }
 
-    fn record_limit_notice(&mut self, incarnation: &Incarnation, notice: LimitNotice, now: Time) {
-        let process = incarnation.process();
-        let source = Source::Answer;
-        let kind = match notice {
-            LimitNotice::Unknown => return,
-            LimitNotice::Limited(rate) => {
-                let record = &mut self.record_mut(process, now).limit;
-                let is_new = record.limit(rate, now, source);
-                is_new.then_some(ChangeKind::Limited { rate, source })
-            }
-            LimitNotice::Unlimited { sent } => {
-                let row = self.by_process(process);
-                let is_ended = row.is_some_and(|row| row.record.limit.lift(sent));
-                is_ended.then_some(ChangeKind::Unlimited(source))
-            }
-        };
-        let incarnation = incarnation.clone();
-        let change = kind.map(|kind| AvailabilityChange { incarnation, kind });
-        self.changes.extend(change);
-    }
-
     /// Records that another upstream responds at an incarnation's address: the process there
     /// has ended, though its entry may not have expired yet.
     pub fn mark_replaced(&mut self, incarnation: &Incarnation, now: Time) {
@@ -138,6 +116,7 @@
                 Availability::Serving if is_tried => outage.others_served = true,
                 Availability::Serving => return None,
                 Availability::Resting { until } => outage.add_rest(until, is_tried),
+                Availability::Limited { until } => outage.add_permit(until, is_tried),
                 Availability::Leaving | Availability::Gone => {}
             }
         }
@@ -150,7 +129,7 @@
         for incarnation in marked {
             let has_row = self.ids.contains_key(&incarnation.process());
             let kind = match self.availability(&incarnation, now) {
-                Availability::Serving => ChangeKind::Freed,
+                Availability::Serving | Availability::Limited { .. } => ChangeKind::Freed,
                 Availability::Gone if !has_row => ChangeKind::Gone,
                 Availability::Resting { .. } | Availability::Leaving | Availability::Gone => {
                     self.marked.push(incarnation);
@@ -184,7 +163,7 @@
     }
 
     /// Returns the record of a process, which may have no row yet or any more.
-    fn record_mut(&mut self, process: u64, now: Time) -> &mut AvailabilityRecord {
+    pub(super) fn record_mut(&mut self, process: u64, now: Time) -> &mut AvailabilityRecord {
         let row = self.ids.get(&process).and_then(|id| self.rows.get_mut(id));
         if let Some(row) = row {
             return &mut row.record;
--- /dev/null
+++ b/crates/fleet/src/upstreams/limits.rs
@@ -0,0 +1,187 @@
+//! The limits that upstreams set for all instances together, and the permits for them.
+
+use std::time::Duration;
+
+use limpetsaddle_core::hash::mix;
+use limpetsaddle_core::units::Time;
+
+use super::Upstream;
+use super::Upstreams;
+use crate::availability::Availability;
+use crate::availability::AvailabilityChange;
+use crate::availability::AvailabilityRecord;
+use crate::availability::ChangeKind;
+use crate::availability::Incarnation;
+use crate::availability::Source;
+use crate::permit_messages::LimitReport;
+use crate::permit_messages::PermitAnswer;
+use crate::permit_messages::PermitAsk;
+use crate::permit_messages::before;
+use crate::permits::Permit;
+use crate::upstream_limit::LimitNotice;
+use crate::upstream_limit::LimitRecord;
+use crate::upstream_limit::NamedLimit;
+
+impl Upstream {
+    /// Returns the limit that the upstream sets for all instances together.
+    #[must_use]
+    pub const fn limit(&self) -> Option<NamedLimit> {
+        self.record.limit.named()
+    }
+
+    /// Returns the state, in which a limited upstream needs a permit.
+    pub(super) fn permitted(&self, state: Availability, now: Time) -> Availability {
+        let needs_permit = state == Availability::Serving && self.limit().is_some();
+        if needs_permit && !self.permits.has_permit(now) {
+            return Availability::Limited {
+                until: self.permits.next(now),
+            };
+        }
+        state
+    }
+}
+
+impl Upstreams {
+    /// Returns what is known of a process's limit.
+    #[must_use]
+    pub fn limit_record(&self, process: u64) -> LimitRecord {
+        let row = self.ids.get(&process).and_then(|id| self.rows.get(id));
+        let departed = || self.departed.get(&process).map(|(record, _)| record);
+        let record: Option<&AvailabilityRecord> = row.map(|row| &row.record).or_else(departed);
+        record.map_or_else(LimitRecord::default, |record| record.limit)
+    }
+
+    /// Takes a permit for a call to a limited upstream. Returns `None` if there is none.
+    pub fn take_permit(&mut self, incarnation: &Incarnation, now: Time) -> Option<Permit> {
+        let row = self.by_process(incarnation.process())?;
+        row.permits.take(now)
+    }
+
+    /// Returns a permit with which nothing was sent.
+    pub fn return_permit(&mut self, incarnation: &Incarnation, permit: Permit) {
+        if let Some(row) = self.by_process(incarnation.process()) {
+            row.permits.put_back(permit);
+        }
+    }
+
+    /// Returns the process hash of a limited upstream of a service to ask a permit for, if it
+    /// is worth it. `random` spreads the asks over all of them.
+    #[must_use]
+    pub fn permit_candidate(&self, service: &str, random: u64, now: Time) -> Option<u64> {
+        let limited = || {
+            let rows = self.rows.values();
+            rows.filter(|row| &*row.entry.service == service && row.limit().is_some())
+        };
+        if limited().any(|row| row.permits.is_asking(now)) {
+            return None;
+        }
+        let rows = limited().filter(|row| {
+            row.record.state(now) == Availability::Serving
+                && !row.is_paused(now)
+                && row.permits.may_ask(now)
+        });
+        let chosen = rows.max_by_key(|row| mix(row.hash ^ random))?;
+        Some(chosen.entry.incarnation().process())
+    }
+
+    /// Begins an ask, and returns the number of wanted permits and what is known of the limit,
+    /// or `None` if nothing is to be asked.
+    pub fn begin_ask(&mut self, process: u64, now: Time) -> Option<(u16, LimitReport)> {
+        let row = self.by_process(process)?;
+        let limit = row.limit()?;
+        let wanted = row.permits.ask(now)?;
+        Some((wanted, LimitReport::new(&limit, now)))
+    }
+
+    /// Applies the answer to the ask at `asked`.
+    pub fn apply_answer(&mut self, process: u64, asked: Time, answer: &PermitAnswer, now: Time) {
+        let Some(row) = self.by_process(process) else {
+            return;
+        };
+        match *answer {
+            PermitAnswer::Granted { count, issue } => row.permits.grant(asked, count, issue, now),
+            PermitAnswer::Denied { after_ms } => {
+                let after = Duration::from_millis(u64::from(after_ms));
+                row.permits.deny(asked, after, now);
+            }
+            // The issuer has answered after the ask was sent.
+            PermitAnswer::Unlimited { age_ms } => {
+                self.lift_limit(process, before(asked, age_ms), Source::Peer);
+            }
+        }
+    }
+
+    /// Applies what another instance knows of a process's limit.
+    pub fn apply_limit_report(&mut self, process: u64, report: &LimitReport, now: Time) {
+        let since = before(now, report.since_ms);
+        let heard = before(now, report.heard_ms);
+        let (rate, source) = (report.rate, Source::Peer);
+        let record = &mut self.record_mut(process, now).limit;
+        let is_new = record.limit(rate, heard, source);
+        record.date_back(since);
+        let row = self.by_process(process);
+        let incarnation = row.map(|row| row.entry.incarnation()).filter(|_| is_new);
+        let change = incarnation.map(|incarnation| AvailabilityChange {
+            incarnation,
+            kind: ChangeKind::Limited { rate, source },
+        });
+        self.changes.extend(change);
+    }
+
+    /// Learns from another instance's ask what it knows of a process's limit. `incarnation` is
+    /// that of this instance.
+    pub fn learn_from_ask(&mut self, process: u64, ask: &PermitAsk, incarnation: u64, now: Time) {
+        if let Some(report) = &ask.limit {
+            self.apply_limit_report(process, report, now);
+        }
+        // A request was sent after its permit was issued.
+        if let Some(issue) = ask.lifted.filter(|issue| issue.issuer == incarnation) {
+            let issued = Time::from_origin(Duration::from_millis(issue.stamp_ms));
+            self.lift_limit(process, issued, Source::Peer);
+        }
+    }
+
+    /// Records that a process had no limit at `at`, as far as this instance knows of one.
+    pub fn lift_limit(&mut self, process: u64, at: Time, source: Source) {
+        let Some(row) = self.by_process(process) else {
+            return;
+        };
+        if !row.record.limit.lift(at) {
+            return;
+        }
+        let incarnation = row.entry.incarnation();
+        let kind = ChangeKind::Unlimited(source);
+        self.changes.push(AvailabilityChange { incarnation, kind });
+    }
+
+    /// Returns the permits that this instance has received for a service in the last second.
+    #[must_use]
+    pub fn received_permits(&self, service: &str, now: Time) -> u32 {
+        let rows = self.rows.values();
+        let rows = rows.filter(|row| &*row.entry.service == service);
+        rows.map(|row| row.permits.received(now)).sum()
+    }
+
+    /// Records what an answer says of its upstream's limit.
+    pub(super) fn record_limit_notice(
+        &mut self,
+        incarnation: &Incarnation,
+        notice: LimitNotice,
+        now: Time,
+    ) {
+        let process = incarnation.process();
+        let source = Source::Answer;
+        match notice {
+            LimitNotice::Unknown => {}
+            LimitNotice::Limited(rate) => {
+                let record = &mut self.record_mut(process, now).limit;
+                if record.limit(rate, now, source) {
+                    let incarnation = incarnation.clone();
+                    let kind = ChangeKind::Limited { rate, source };
+                    self.changes.push(AvailabilityChange { incarnation, kind });
+                }
+            }
+            LimitNotice::Unlimited { sent } => self.lift_limit(process, sent, source),
+        }
+    }
+}
--- a/crates/fleet/tests/availability.rs
+++ b/crates/fleet/tests/availability.rs
@@ -78,7 +78,7 @@
     assert_eq!(outage.first_end, Some(at(500)));
     assert_eq!(outage.first_untried, Some(at(9_000)));
     for random in [0, u64::MAX / 2, u64::MAX] {
-        let after = outage.retry_after(at(10), random).unwrap();
+        let after = outage.retry_after(Duration::ZERO, at(10), random).unwrap();
         let range = Duration::from_millis(490)..=Duration::from_millis(620);
         assert!(range.contains(&after), "{after:?}");
     }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod crash_sim;
+pub mod permit_sim;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod monitoring;
 mod outage;
+mod permits;
 mod quarantine;
 mod relay;
 mod response_limits;
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -44,6 +44,7 @@
 
 use super::exchange::AcceptedRequest;
 use super::instance::FleetInstance;
+use super::permits;
 use super::relay;
 use crate::clock::millis;
 
@@ -268,6 +269,13 @@
         self.accepted.fields.prompt.as_ref()
     }
 
+    /// Returns the priority of the team, or else of the route.
+    fn priority(&self) -> u8 {
+        let team = self.accepted.team.as_ref();
+        let priority = team.and_then(|team| team.priority);
+        priority.unwrap_or(self.accepted.route.priority)
+    }
+
     /// Returns the KV store for the prompt's shared parts, if it is up.
     fn kv_store(&self, now: Time) -> Option<&KvStore> {
         let scope = self.isolated_team().unwrap_or_default();
@@ -313,6 +321,20 @@
     ///
     /// Returns the refusal if there is none, or none that responds in time.
     pub fn place(&self) -> Result<Placement, Refusal> {
+        let placed = self.place_anywhere();
+        let uses_permit = placed.as_ref().is_ok_and(|placement| {
+            let upstreams = self.instance.upstreams.borrow();
+            let row = upstreams.get(&placement.upstream);
+            row.is_some_and(|row| row.limit().is_some())
+        });
+        // Limited upstreams are used beside others as well.
+        if !uses_permit {
+            permits::seek(self.instance, &self.service, self.priority());
+        }
+        placed
+    }
+
+    fn place_anywhere(&self) -> Result<Placement, Refusal> {
         let refusal = match self.place_elsewhere() {
             Ok(placement) => return Ok(placement),
             Err(refusal) => refusal,
@@ -429,13 +451,12 @@
         let mut req = self.req.clone();
         req.headers_mut().remove(header::EXPECT);
         let team = self.accepted.team.as_ref();
-        let priority = team.and_then(|team| team.priority);
         let last_event = self.last_event.borrow();
         let fields = UpstreamFields {
             upstream: &placement.upstream,
             remaining,
             team: team.map(|team| &*team.name),
-            priority: priority.unwrap_or(self.accepted.route.priority),
+            priority: self.priority(),
             weights: placement.weights,
             cache: placement.cache.as_ref(),
             last_event: last_event.as_deref(),
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt as _;
+use futures::StreamExt as _;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::heartbeat::ConfigurationStatus;
 use limpetsaddle_fleet::heartbeat::Datagram;
@@ -23,6 +25,7 @@
 use monoio::net::udp::UdpSocket;
 
 use super::instance::FleetInstance;
+use super::permits;
 use super::upstream_calls;
 use crate::clock::millis;
 use crate::errors::Error;
@@ -66,6 +69,11 @@
         Rc::clone(&socket),
         stopping.clone(),
     ));
+    monoio::spawn(send_permit_messages(
+        Rc::clone(instance),
+        Rc::clone(&socket),
+        stopping.clone(),
+    ));
     monoio::spawn(send_periodically(
         Rc::clone(instance),
         socket,
@@ -96,6 +104,7 @@
         }
         Ok(Datagram::Notice(notice)) => handle_notice(instance, &notice),
         Ok(Datagram::Quarantine(report)) => handle_quarantine(instance, &report),
+        Ok(Datagram::Permits(message)) => permits::handle(instance, &message),
         Err(error) => warn!(error:display; "dropping invalid datagram"),
     }
 }
@@ -171,6 +180,7 @@
     loop {
         sequence += 1;
         live = update_peer_counts(&instance, live);
+        permits::release(&instance);
         if !send_round(&instance, &socket, &stopping, sequence).await {
             return;
         }
@@ -269,6 +279,28 @@
     }
 }
 
+/// Sends asks for permits and the answers to them, until the instance stops.
+async fn send_permit_messages(
+    instance: Rc<FleetInstance>,
+    socket: Rc<UdpSocket>,
+    stopping: Stopping,
+) {
+    let Some(mut datagrams) = instance.permits.take_datagrams() else {
+        return;
+    };
+    let mut stopped = std::pin::pin!(stopping.closed().fuse());
+    loop {
+        let next = futures::select_biased! {
+            () = stopped => None,
+            next = datagrams.next() => next,
+        };
+        let Some((address, datagram)) = next else {
+            return;
+        };
+        send_to(&socket, address, datagram).await;
+    }
+}
+
 /// Sends what this instance knows of crashes and withheld parts as long as that is news.
 async fn send_quarantine_reports(
     instance: Rc<FleetInstance>,
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -45,6 +45,7 @@
 use super::call::CallError;
 use super::crashes::Probes;
 use super::metrics::Metrics;
+use super::permits::PermitDesk;
 use super::quarantine::QuarantineStore;
 use super::store::StoreClient;
 use super::upstream_calls::UpstreamClient;
@@ -97,6 +98,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// The record of withheld parts at the platform.
     pub quarantine_record: QuarantineStore,
+    /// The permits for upstreams that limit all instances together.
+    pub permits: PermitDesk,
     /// The probes in progress of engines that have closed a connection.
     pub probes: Probes,
     /// The other instances.
@@ -169,6 +172,7 @@
             runs: RefCell::new(RunLog::default()),
             quarantine: RefCell::new(Quarantine::new(QuarantineOptions::default(), now)),
             quarantine_record: QuarantineStore::default(),
+            permits: PermitDesk::default(),
             probes: Probes::default(),
             peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default(), now)),
             kv_stores: RefCell::new(KvStoreMonitor::default()),
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -43,6 +43,7 @@
     orders: Counter<u64>,
     upstream_marks: Counter<u64>,
     limit_changes: Counter<u64>,
+    permits: Counter<u64>,
     withheld_calls: Counter<u64>,
     ignored_notices: Counter<u64>,
     crashes: Counter<u64>,
@@ -81,6 +82,7 @@
             orders: meter.u64_counter("limpetsaddle_orders").build(),
             upstream_marks: meter.u64_counter("limpetsaddle_upstream_marks").build(),
             limit_changes: meter.u64_counter("limpetsaddle_limit_changes").build(),
+            permits: meter.u64_counter("limpetsaddle_permits").build(),
             withheld_calls: meter.u64_counter("limpetsaddle_withheld_calls").build(),
             ignored_notices: meter.u64_counter("limpetsaddle_ignored_notices").build(),
             crashes: meter.u64_counter("limpetsaddle_upstream_crashes").build(),
@@ -173,6 +175,12 @@
         self.limit_changes.add(1, &labels);
     }
 
+    /// Counts permits for limited upstreams by what became of them.
+    pub fn record_permits(&self, state: &'static str, count: u16) {
+        let state = KeyValue::new("state", state);
+        self.permits.add(u64::from(count), &[state]);
+    }
+
     /// Counts a call that was not sent, by the state of its recipient or of the call.
     pub fn record_withheld_call(&self, state: &'static str) {
         self.withheld_calls.add(1, &[KeyValue::new("state", state)]);
--- a/crates/router/src/fleet/monitoring.rs
+++ b/crates/router/src/fleet/monitoring.rs
@@ -10,6 +10,7 @@
 use monoio::net::TcpListener;
 
 use super::instance::FleetInstance;
+use super::permits;
 use super::quarantine;
 use crate::documents;
 use crate::responses;
@@ -17,6 +18,8 @@
 
 const METRICS_PATH: &str = "/metrics";
 
+const LIMITS_PATH: &str = "/limits";
+
 const WITHHELD_PARTS_PATH: &str = "/withheld-parts";
 
 /// Serves readiness and metrics until the instance stops.
@@ -28,6 +31,7 @@
     match req.uri().path() {
         READINESS_PATH => readiness(instance),
         METRICS_PATH => documents::metrics(instance.metrics.render()),
+        LIMITS_PATH => responses::document(StatusCode::OK, permits::document(instance)),
         WITHHELD_PARTS_PATH => responses::document(StatusCode::OK, quarantine::document(instance)),
         _ => responses::document(StatusCode::NOT_FOUND, Bytes::from_static(b"{}")),
     }
--- a/crates/router/src/fleet/outage.rs
+++ b/crates/router/src/fleet/outage.rs
@@ -9,6 +9,8 @@
 use limpetsaddle_fleet::refusal::Refusal;
 
 use super::forward::Forwarder;
+use super::permits;
+use super::permits::PermitWait;
 
 /// Places a request, after a short wait if all upstreams rest.
 ///
@@ -21,16 +23,19 @@
         return place_stream(forwarder).await;
     }
     let mut waited = Duration::ZERO;
+    let mut queued = None;
     loop {
         let refusal = match forwarder.place() {
             Ok(placement) => return Ok(placement),
             Err(refusal) => refusal,
         };
         let now = instance.now();
+        queued = queued.or_else(|| PermitWait::begin(instance, &forwarder.service));
         let options = WaitOptions {
             left: forwarder.accepted.deadline.since(now),
             waited,
             expected: forwarder.accepted.route.target_latency,
+            may_queue: queued.is_some(),
         };
         let outage = outage(forwarder);
         let wait = outage.and_then(|outage| outage.wait(&options, now, instance.random.draw()));
@@ -98,10 +103,20 @@
 pub fn with_rest(forwarder: &Forwarder<'_>, refusal: Refusal) -> Refusal {
     let instance = forwarder.instance;
     let (now, random) = (instance.now(), instance.random.draw());
-    let after = outage(forwarder).and_then(|outage| outage.retry_after(now, random));
-    match after {
-        Some(after) if refusal.retry_after.is_some() => refusal.retry_after(after),
+    let Some(outage) = outage(forwarder).filter(|_| refusal.retry_after.is_some()) else {
+        return refusal;
+    };
+    let backlog = permits::record_refusal(instance, &forwarder.service, &outage);
+    let refusal = match refusal.reason {
+        Reason::NoUpstream if outage.first_permit.is_some() => Refusal {
+            reason: Reason::UpstreamLimit,
+            ..refusal
+        },
         _ => refusal,
+    };
+    match outage.retry_after(backlog, now, random) {
+        Some(after) => refusal.retry_after(after),
+        None => refusal,
     }
 }
 
--- /dev/null
+++ b/crates/router/src/fleet/permits.rs
@@ -0,0 +1,352 @@
+//! Asking for and issuing of permits for upstreams that limit all instances together.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::channel::mpsc::UnboundedReceiver;
+use futures::channel::mpsc::UnboundedSender;
+use futures::channel::mpsc::unbounded;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::availability::Availability;
+use limpetsaddle_fleet::availability::Incarnation;
+use limpetsaddle_fleet::availability::Source;
+use limpetsaddle_fleet::limited_demand::LimitedDemand;
+use limpetsaddle_fleet::outage::Outage;
+use limpetsaddle_fleet::peers::Issuer;
+use limpetsaddle_fleet::permit_issuer::IssueContext;
+use limpetsaddle_fleet::permit_issuer::PermitIssuer;
+use limpetsaddle_fleet::permit_messages::LimitReport;
+use limpetsaddle_fleet::permit_messages::PermitAnswer;
+use limpetsaddle_fleet::permit_messages::PermitAsk;
+use limpetsaddle_fleet::permit_messages::PermitBody;
+use limpetsaddle_fleet::permit_messages::PermitMessage;
+use limpetsaddle_fleet::permits::Permit;
+use log::warn;
+use serde::Serialize;
+
+use super::instance::FleetInstance;
+use super::upstream_calls::log_changes;
+use crate::clock::millis;
+
+/// A datagram with its recipient.
+pub type Outgoing = (SocketAddr, Vec<u8>);
+
+/// The priority of reports and orders, on which later requests depend.
+const CONTROL_PRIORITY: u8 = 0;
+
+/// What an instance shares of permits between its tasks.
+pub struct PermitDesk {
+    /// The permits that this instance issues.
+    pub issuer: RefCell<PermitIssuer>,
+    demands: RefCell<HashMap<Name, LimitedDemand>>,
+    datagrams: UnboundedSender<Outgoing>,
+    unsent: RefCell<Option<UnboundedReceiver<Outgoing>>>,
+}
+
+impl Default for PermitDesk {
+    fn default() -> Self {
+        let (datagrams, unsent) = unbounded();
+        Self {
+            issuer: RefCell::default(),
+            demands: RefCell::default(),
+            datagrams,
+            unsent: RefCell::new(Some(unsent)),
+        }
+    }
+}
+
+impl PermitDesk {
+    /// Returns the datagrams to be sent; only the first call does.
+    pub fn take_datagrams(&self) -> Option<UnboundedReceiver<Outgoing>> {
+        self.unsent.borrow_mut().take()
+    }
+
+    fn with_demand<T>(&self, service: &Name, change: impl FnOnce(&mut LimitedDemand) -> T) -> T {
+        let mut demands = self.demands.borrow_mut();
+        change(demands.entry(Name::clone(service)).or_default())
+    }
+}
+
+/// Asks for a permit for a limited upstream of a service on behalf of a request of this
+/// priority. One upstream is asked for at a time, as a permit that isn't used is lost to all.
+pub fn seek(instance: &FleetInstance, service: &str, priority: u8) {
+    let (now, random) = (instance.now(), instance.random.draw());
+    let process = {
+        let upstreams = instance.upstreams.borrow();
+        upstreams.permit_candidate(service, random, now)
+    };
+    if let Some(process) = process {
+        ask(instance, process, priority);
+    }
+}
+
+/// Waits until a report or an order may be sent to an upstream, for `limit` at most.
+pub async fn wait_for_permit(instance: &FleetInstance, incarnation: &Incarnation, limit: Duration) {
+    let started = instance.now();
+    loop {
+        let now = instance.now();
+        let state = instance.upstreams.borrow().availability(incarnation, now);
+        let Availability::Limited { until } = state else {
+            return;
+        };
+        if now.since(started) >= limit {
+            return;
+        }
+        ask(instance, incarnation.process(), CONTROL_PRIORITY);
+        monoio::time::sleep(until.since(now)).await;
+    }
+}
+
+/// Asks for permits for a process if that is worth it.
+fn ask(instance: &FleetInstance, process: u64, priority: u8) {
+    // Stamps have whole milliseconds, and the asks must be told from each other by them.
+    let stamp_ms = millis(instance.now().since_origin());
+    let asked = Time::from_origin(Duration::from_millis(stamp_ms));
+    let begun = instance.upstreams.borrow_mut().begin_ask(process, asked);
+    let Some((wanted, limit)) = begun else {
+        return;
+    };
+    let ask = PermitAsk {
+        stamp_ms,
+        limit: Some(limit),
+        wanted,
+        priority,
+        lifted: None,
+    };
+    let now = instance.now();
+    let issuer = instance.peers.borrow().issuer(process, now);
+    match issuer {
+        Issuer::Own => {
+            let answer = decide(instance, process, &ask);
+            apply_answer(instance, process, asked, &answer);
+        }
+        Issuer::Peer(address) => send(instance, address, process, PermitBody::Ask(ask)),
+        Issuer::Unknown => {}
+    }
+}
+
+fn apply_answer(instance: &FleetInstance, process: u64, asked: Time, answer: &PermitAnswer) {
+    let now = instance.now();
+    match answer {
+        PermitAnswer::Granted { count, .. } => instance.metrics.record_permits("received", *count),
+        PermitAnswer::Denied { .. } => instance.metrics.record_permits("denied", 1),
+        PermitAnswer::Unlimited { .. } => {}
+    }
+    let mut upstreams = instance.upstreams.borrow_mut();
+    upstreams.apply_answer(process, asked, answer, now);
+    drop(upstreams);
+    log_changes(instance, "permit");
+}
+
+/// Decides on an ask for permits of a process.
+fn decide(instance: &FleetInstance, process: u64, ask: &PermitAsk) -> PermitAnswer {
+    let cx = IssueContext {
+        peers: &instance.peers.borrow(),
+        upstreams: &instance.upstreams.borrow(),
+        incarnation: instance.incarnation,
+        now: instance.now(),
+    };
+    let answer = instance
+        .permits
+        .issuer
+        .borrow_mut()
+        .answer(process, ask, &cx);
+    if let PermitAnswer::Granted { count, .. } = answer {
+        instance.metrics.record_permits("issued", count);
+    }
+    answer
+}
+
+/// Handles a message of another instance.
+pub fn handle(instance: &FleetInstance, message: &PermitMessage) {
+    let address = instance.peers.borrow().address(&message.sender);
+    let Some(address) = address else {
+        return;
+    };
+    let process = message.process;
+    match &message.body {
+        PermitBody::Ask(ask) => {
+            learn(instance, process, ask);
+            if ask.wanted > 0 {
+                let answer = decide(instance, process, ask);
+                let echo_ms = ask.stamp_ms;
+                let reply = PermitBody::Reply { echo_ms, answer };
+                send(instance, address, process, reply);
+            }
+        }
+        PermitBody::Reply { echo_ms, answer } => {
+            let asked = Time::from_origin(Duration::from_millis(*echo_ms));
+            apply_answer(instance, process, asked, answer);
+        }
+        PermitBody::Limit(report) => apply_report(instance, process, report),
+    }
+}
+
+/// Learns from an ask what its sender knows.
+fn learn(instance: &FleetInstance, process: u64, ask: &PermitAsk) {
+    let now = instance.now();
+    let mut upstreams = instance.upstreams.borrow_mut();
+    upstreams.learn_from_ask(process, ask, instance.incarnation, now);
+    drop(upstreams);
+    log_changes(instance, "permit");
+}
+
+fn apply_report(instance: &FleetInstance, process: u64, report: &LimitReport) {
+    let now = instance.now();
+    let mut upstreams = instance.upstreams.borrow_mut();
+    upstreams.apply_limit_report(process, report, now);
+    drop(upstreams);
+    log_changes(instance, "permit");
+}
+
+/// Tells other instances of a limit that is news to this one: the issuer all of them, any
+/// other instance that has it from an answer the issuer.
+pub fn announce(instance: &FleetInstance, incarnation: &Incarnation, source: Source) {
+    let now = instance.now();
+    let process = incarnation.process();
+    let Some(limit) = instance.upstreams.borrow().limit_record(process).named() else {
+        return;
+    };
+    let report = LimitReport::new(&limit, now);
+    let peers = instance.peers.borrow();
+    match peers.issuer(process, now) {
+        Issuer::Own => {
+            for (address, _) in peers.heartbeat_targets(now) {
+                send(instance, address, process, PermitBody::Limit(report));
+            }
+        }
+        Issuer::Peer(address) if source == Source::Answer => {
+            send(
+                instance,
+                address,
+                process,
+                PermitBody::Ask(PermitAsk::report(Some(report), None)),
+            );
+        }
+        Issuer::Peer(_) | Issuer::Unknown => {}
+    }
+}
+
+/// Tells the issuer that a request with this permit got an answer that names no limit.
+pub fn report_lifted(instance: &FleetInstance, incarnation: &Incarnation, permit: Permit) {
+    let process = incarnation.process();
+    let issuer = instance.peers.borrow().issuer(process, instance.now());
+    if let Issuer::Peer(address) = issuer {
+        let body = PermitBody::Ask(PermitAsk::report(None, Some(permit.issue)));
+        send(instance, address, process, body);
+    }
+}
+
+fn send(instance: &FleetInstance, address: SocketAddr, process: u64, body: PermitBody) {
+    let message = PermitMessage::new(&instance.settings.name, process, body);
+    match message.encode() {
+        // Without a recipient the instance stops, and needs no more permits.
+        Ok(datagram) => {
+            let _ = instance
+                .permits
+                .datagrams
+                .unbounded_send((address, datagram));
+        }
+        Err(error) => warn!(error:display; "cannot encode message about permits"),
+    }
+}
+
+/// A request that waits for a permit, until this is dropped.
+pub struct PermitWait<'a> {
+    instance: &'a FleetInstance,
+    service: &'a Name,
+}
+
+impl<'a> PermitWait<'a> {
+    /// Begins a wait, or returns `None` if enough requests wait already.
+    pub fn begin(instance: &'a FleetInstance, service: &'a Name) -> Option<Self> {
+        let permits = received(instance, service);
+        let begins = instance.permits.with_demand(service, |demand| {
+            let may_wait = demand.may_wait(permits);
+            if may_wait {
+                demand.begin_wait();
+            }
+            may_wait
+        });
+        begins.then_some(Self { instance, service })
+    }
+}
+
+impl Drop for PermitWait<'_> {
+    fn drop(&mut self) {
+        let desk = &self.instance.permits;
+        desk.with_demand(self.service, LimitedDemand::end_wait);
+    }
+}
+
+/// Records a request that is refused for want of a permit, and returns the time in which
+/// permits will have come for the callers that were refused lately.
+pub fn record_refusal(instance: &FleetInstance, service: &Name, outage: &Outage) -> Duration {
+    let now = instance.now();
+    let Some(first) = outage.first_permit else {
+        return Duration::ZERO;
+    };
+    let permits = received(instance, service);
+    instance.permits.with_demand(service, |demand| {
+        demand.record_refusal(now);
+        demand.retry_after(first.since(now), permits, now)
+    })
+}
+
+fn received(instance: &FleetInstance, service: &str) -> u32 {
+    let upstreams = instance.upstreams.borrow();
+    upstreams.received_permits(service, instance.now())
+}
+
+/// Forgets the permits of processes for which another instance issues them now.
+pub fn release(instance: &FleetInstance) {
+    let now = instance.now();
+    let peers = instance.peers.borrow();
+    let mut issuer = instance.permits.issuer.borrow_mut();
+    issuer.retain(|process| peers.issuer(process, now) == Issuer::Own);
+}
+
+/// A limit of an upstream, for operators.
+#[derive(Serialize)]
+struct LimitDocument<'a> {
+    upstream: &'a str,
+    born_ms: u64,
+    /// The requests per second for all instances together.
+    per_second: f64,
+    since_seconds: f64,
+    heard_seconds: f64,
+    learned_by: &'static str,
+    /// Whether this instance issues the permits.
+    issues: bool,
+    /// The permits that this instance may use now.
+    held: usize,
+    /// The permits that this instance received in the last second.
+    received: u32,
+}
+
+/// Returns the limits in force as a JSON document.
+pub fn document(instance: &FleetInstance) -> bytes::Bytes {
+    let now = instance.now();
+    let upstreams = instance.upstreams.borrow();
+    let peers = instance.peers.borrow();
+    let limited = upstreams.iter().filter_map(|row| {
+        let limit = row.limit()?;
+        let process = row.entry.incarnation().process();
+        Some(LimitDocument {
+            upstream: &row.entry.id,
+            born_ms: row.entry.born_ms,
+            per_second: limit.rate.as_per_second(),
+            since_seconds: now.since(limit.since).as_secs_f64(),
+            heard_seconds: now.since(limit.heard).as_secs_f64(),
+            learned_by: limit.source.code(),
+            issues: peers.issuer(process, now) == Issuer::Own,
+            held: row.permits.held(now),
+            received: row.permits.received(now),
+        })
+    });
+    let limits: Vec<LimitDocument<'_>> = limited.collect();
+    crate::responses::json(&limits)
+}
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -27,6 +27,7 @@
 
 use super::call::CallError;
 use super::instance::FleetInstance;
+use super::permits;
 use super::response_limits::CallKind;
 use super::upstream_calls::Recipient;
 use super::upstream_calls::log_changes;
@@ -506,6 +507,12 @@
     weights.version >= load.version
 }
 
+/// Waits until a report or an order may be sent to an engine that limits all instances.
+async fn wait_for_permit(instance: &FleetInstance, load: &WeightsLoad) {
+    let limit = max_drain_time(instance);
+    permits::wait_for_permit(instance, &load.incarnation(), limit).await;
+}
+
 async fn call_upstream(
     instance: &FleetInstance,
     load: &WeightsLoad,
@@ -523,6 +530,7 @@
 }
 
 async fn fetch_report(instance: &FleetInstance, load: &WeightsLoad) -> Result<Report, CallError> {
+    wait_for_permit(instance, load).await;
     let req = wire::engine::report_request(&load.upstream)?;
     let (status, body) = call_upstream(instance, load, || Some(req), CallKind::Report).await?;
     Ok(wire::engine::decode_report(status, &body)?)
@@ -583,6 +591,7 @@
     load: &WeightsLoad,
     order: &WeightsOrder<'_>,
 ) -> Result<(StatusCode, OrderResult), CallError> {
+    wait_for_permit(instance, load).await;
     let req = wire::engine::order_request(order)?;
     let deadline = instance.now() + ENGINE_TIMEOUT;
     let prepare = || permits_order(instance, order.fencing, deadline).then_some(req);
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -18,6 +18,7 @@
 use limpetsaddle_fleet::availability::Incarnation;
 use limpetsaddle_fleet::availability::Notices;
 use limpetsaddle_fleet::configuration::store_hash;
+use limpetsaddle_fleet::permits::Permit;
 use limpetsaddle_fleet::upstream_limit::LimitNotice;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
@@ -31,6 +32,7 @@
 
 use super::call::CallError;
 use super::instance::FleetInstance;
+use super::permits;
 use super::response_limits::CallKind;
 use super::response_limits::ResponseBuffers;
 use super::response_limits::ResponseLimits;
@@ -150,16 +152,29 @@
         prepare: impl FnOnce() -> Option<Request>,
         id: &str,
     ) -> Result<Response, SendError> {
-        check(instance, recipient)?;
-        let conn = self.client.open(recipient.address()).await?;
-        check(instance, recipient)?;
+        let permit = admit(instance, recipient, None)?;
+        let conn = match self.client.open(recipient.address()).await {
+            Ok(conn) => conn,
+            Err(error) => {
+                give_back(instance, recipient, permit);
+                return Err(error.into());
+            }
+        };
+        let permit = admit(instance, recipient, permit)?;
         let Some(req) = prepare() else {
+            give_back(instance, recipient, permit);
             instance.metrics.record_withheld_call("obsolete");
             return Err(SendError::Obsolete);
         };
+        if permit.is_some() {
+            instance.metrics.record_permits("used", 1);
+        }
         let sent = instance.now();
         let res = conn.send(req).await?;
         observe(instance, recipient, &res.head, sent, id);
+        if let Some(permit) = permit {
+            report_lifted(instance, recipient, permit);
+        }
         Ok(res)
     }
 
@@ -205,9 +220,68 @@
 
 fn check(instance: &FleetInstance, recipient: &Recipient) -> Result<(), SendError> {
     let state = recipient.availability(instance, instance.now());
-    if state.accepts_calls() {
+    // A limit counts requests, not connections.
+    if state.is_serving() {
         return Ok(());
     }
+    withhold(instance, state)
+}
+
+/// Permits a call, with a permit if the recipient limits all instances together. `held` is the
+/// permit that the call has been given before.
+fn admit(
+    instance: &FleetInstance,
+    recipient: &Recipient,
+    held: Option<Permit>,
+) -> Result<Option<Permit>, SendError> {
+    let now = instance.now();
+    let held = held.filter(|permit| now < permit.expires);
+    let state = recipient.availability(instance, now);
+    let Recipient::Upstream { incarnation, .. } = recipient else {
+        return check(instance, recipient).map(|()| None);
+    };
+    let mut upstreams = instance.upstreams.borrow_mut();
+    let is_limited = upstreams
+        .limit_record(incarnation.process())
+        .named()
+        .is_some();
+    match state {
+        Availability::Serving if !is_limited => Ok(None),
+        Availability::Serving | Availability::Limited { .. } => {
+            match held.or_else(|| upstreams.take_permit(incarnation, now)) {
+                Some(permit) => Ok(Some(permit)),
+                None => withhold(instance, state),
+            }
+        }
+        Availability::Resting { .. } | Availability::Leaving | Availability::Gone => {
+            withhold(instance, state)
+        }
+    }
+}
+
+/// Returns the permit of a call that was not sent.
+fn give_back(instance: &FleetInstance, recipient: &Recipient, permit: Option<Permit>) {
+    if let Some((Recipient::Upstream { incarnation, .. }, permit)) = Some(recipient).zip(permit) {
+        let mut upstreams = instance.upstreams.borrow_mut();
+        upstreams.return_permit(incarnation, permit);
+    }
+}
+
+/// Tells the issuer of a permit if the answer to the call that was sent with it has ended the
+/// limit.
+fn report_lifted(instance: &FleetInstance, recipient: &Recipient, permit: Permit) {
+    if let Recipient::Upstream { incarnation, .. } = recipient {
+        let record = {
+            let upstreams = instance.upstreams.borrow();
+            upstreams.limit_record(incarnation.process())
+        };
+        if record.named().is_none() {
+            permits::report_lifted(instance, incarnation, permit);
+        }
+    }
+}
+
+fn withhold<T>(instance: &FleetInstance, state: Availability) -> Result<T, SendError> {
     instance.metrics.record_withheld_call(state.code());
     Err(SendError::Withheld(state))
 }
@@ -277,8 +351,9 @@
 pub fn log_changes(instance: &FleetInstance, id: &str) {
     let now = instance.now();
     let changes = instance.upstreams.borrow_mut().take_changes(now);
+    let mut limited = Vec::new();
     for AvailabilityChange { incarnation, kind } in changes {
-        let Incarnation { upstream, born_ms } = incarnation;
+        let Incarnation { upstream, born_ms } = &incarnation;
         match kind {
             ChangeKind::Leaving(source) => {
                 let source = source.code();
@@ -291,6 +366,7 @@
                 info!(id, upstream:display, born_ms, rest_ms; "upstream resting");
             }
             ChangeKind::Limited { rate, source } => {
+                limited.push((incarnation.clone(), source));
                 let source = source.code();
                 instance.metrics.record_limit_change("limited", source);
                 let per_second = rate.as_per_second();
@@ -309,4 +385,7 @@
             ChangeKind::Gone => info!(upstream:display, born_ms; "unavailable upstream gone"),
         }
     }
+    for (incarnation, source) in limited {
+        permits::announce(instance, &incarnation, source);
+    }
 }
