Use the permits that an instance issues to itself

Cause: the request was placed before the permit was asked for; the issuer's own ask is answered at once, so that the state that decides on the wait found an upstream available, and no reason to wait.

Change: a request that has got a permit by asking is placed again at once.

--- a/crates/fleet/src/permit_issuer.rs
+++ b/crates/fleet/src/permit_issuer.rs
@@ -22,7 +22,7 @@
 use crate::upstreams::Upstreams;
 
 /// The time over which unused permits may be saved up.
-const SAVING_SPAN: Duration = Duration::from_millis(250);
+const SAVING_SPAN: Duration = Duration::from_secs(1);
 
 /// The time for which less urgent requests get no permit after a more urgent one was denied.
 const PRIORITY_SPAN: Duration = Duration::from_secs(1);
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -328,8 +328,10 @@
             row.is_some_and(|row| row.limit().is_some())
         });
         // Limited upstreams are used beside others as well.
-        if !uses_permit {
-            permits::seek(self.instance, &self.service, self.priority());
+        let has_permit =
+            !uses_permit && permits::seek(self.instance, &self.service, self.priority());
+        if has_permit && placed.is_err() {
+            return self.place_anywhere();
         }
         placed
     }
--- a/crates/router/src/fleet/permits.rs
+++ b/crates/router/src/fleet/permits.rs
@@ -71,16 +71,15 @@
 }
 
 /// Asks for a permit for a limited upstream of a service on behalf of a request of this
-/// priority. One upstream is asked for at a time, as a permit that isn't used is lost to all.
-pub fn seek(instance: &FleetInstance, service: &str, priority: u8) {
+/// priority, and returns whether this instance has issued it at once. One upstream is asked
+/// for at a time, as a permit that isn't used is lost to all.
+pub fn seek(instance: &FleetInstance, service: &str, priority: u8) -> bool {
     let (now, random) = (instance.now(), instance.random.draw());
     let process = {
         let upstreams = instance.upstreams.borrow();
         upstreams.permit_candidate(service, random, now)
     };
-    if let Some(process) = process {
-        ask(instance, process, priority);
-    }
+    process.is_some_and(|process| ask(instance, process, priority))
 }
 
 /// Waits until a report or an order may be sent to an upstream, for `limit` at most.
@@ -100,14 +99,15 @@
     }
 }
 
-/// Asks for permits for a process if that is worth it.
-fn ask(instance: &FleetInstance, process: u64, priority: u8) {
+/// Asks for permits for a process if that is worth it, and returns whether this instance has
+/// issued some at once.
+fn ask(instance: &FleetInstance, process: u64, priority: u8) -> bool {
     // Stamps have whole milliseconds, and the asks must be told from each other by them.
     let stamp_ms = millis(instance.now().since_origin());
     let asked = Time::from_origin(Duration::from_millis(stamp_ms));
     let begun = instance.upstreams.borrow_mut().begin_ask(process, asked);
     let Some((wanted, limit)) = begun else {
-        return;
+        return false;
     };
     let ask = PermitAsk {
         stamp_ms,
@@ -122,9 +122,13 @@
         Issuer::Own => {
             let answer = decide(instance, process, &ask);
             apply_answer(instance, process, asked, &answer);
+            matches!(answer, PermitAnswer::Granted { .. })
+        }
+        Issuer::Peer(address) => {
+            send(instance, address, process, PermitBody::Ask(ask));
+            false
         }
-        Issuer::Peer(address) => send(instance, address, process, PermitBody::Ask(ask)),
-        Issuer::Unknown => {}
+        Issuer::Unknown => false,
     }
 }
 
