Tell instances that start later of upstreams that leave

What operators told: after a restart of a process, a server that had left was in use again. It can happen here: an upstream that says only in its answers that it leaves, and whose entry stays, was announced in heartbeats for 3 s. An instance that started later used it until its own first answer.

Change: heartbeats repeat that an upstream leaves for 30 s; that an entry was removed is repeated for 3 s as before, since a new list of the store has it no more.

The test failed before: Serving where Leaving is expected, 12 s after the notice.

--- a/crates/fleet/src/upstreams/availability.rs
+++ b/crates/fleet/src/upstreams/availability.rs
@@ -19,8 +19,12 @@
 use crate::heartbeat::LeavingUpdate;
 use crate::outage::Outage;
 
-/// The time for which heartbeats repeat that an upstream is leaving.
-const LEAVING_REPEAT_TIME: Duration = Duration::from_secs(3);
+/// The time for which heartbeats repeat that an upstream is leaving, for instances that start
+/// meanwhile.
+const LEAVING_REPEAT_TIME: Duration = Duration::from_secs(30);
+
+/// The time for which heartbeats repeat that an entry was removed.
+const REMOVED_REPEAT_TIME: Duration = Duration::from_secs(3);
 
 /// The time for which removed entries are remembered; copies of the store are some seconds
 /// old.
@@ -100,7 +104,7 @@
         let recent = self
             .leaving
             .iter()
-            .filter(|(_, at)| now.since(*at) < LEAVING_REPEAT_TIME);
+            .filter(|(update, at)| now.since(*at) < repeat_time(update));
         recent.map(|(update, _)| *update).collect()
     }
 
@@ -238,7 +242,14 @@
     fn announce_leaving(&mut self, process: u64, removed: Option<u64>, now: Time) {
         let update = LeavingUpdate { process, removed };
         self.leaving
-            .retain(|(earlier, at)| *earlier != update && now.since(*at) < LEAVING_REPEAT_TIME);
+            .retain(|(earlier, at)| *earlier != update && now.since(*at) < repeat_time(earlier));
         self.leaving.push((update, now));
     }
 }
+
+const fn repeat_time(update: &LeavingUpdate) -> Duration {
+    match update.removed {
+        Some(_) => REMOVED_REPEAT_TIME,
+        None => LEAVING_REPEAT_TIME,
+    }
+}
--- a/crates/fleet/tests/availability.rs
+++ b/crates/fleet/tests/availability.rs
@@ -66,6 +66,19 @@
     assert_eq!(again, Availability::Serving);
 }
 
+#[test]
+fn verify_an_instance_that_starts_later_hears_of_a_leaving_upstream() {
+    let mut observer = Fleet::new(vec![engine(1, 1)]).upstreams;
+    let leaving = engine(1, 1).incarnation();
+    observer.record_notices(&leaving, &LEAVING, at(100));
+    let mut started = Fleet::new(vec![engine(1, 1)]).upstreams;
+    for update in observer.leaving_updates(at(12_000)) {
+        started.apply_leaving(&update, at(12_000));
+    }
+    let state = started.availability(&leaving, at(12_000));
+    assert_eq!(state, Availability::Leaving);
+}
+
 #[test]
 fn verify_an_outage_names_the_earliest_end_that_helps_the_request() {
     let mut upstreams = Fleet::new(vec![engine(1, 1), engine(2, 1), engine(3, 1)]).upstreams;
