--- a/crates/fleet/src/permit_issuer.rs
+++ b/crates/fleet/src/permit_issuer.rs
@@ -27,6 +27,9 @@
 /// The time for which less urgent requests get no permit after a more urgent one was denied.
 const PRIORITY_SPAN: Duration = Duration::from_secs(1);
 
+/// The permits after which a less urgent request gets one in spite of more urgent ones.
+const MAX_PASSED_OVER: u32 = 4;
+
 /// The shortest time after which a denied ask is repeated.
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -85,6 +88,8 @@
     refilled: Time,
     /// The priority of the most urgent denied ask, and the time of the last one.
     urgent: Option<(u8, Time)>,
+    /// The permits issued to urgent requests since a less urgent one got any.
+    passed_over: u32,
 }
 
 impl Bucket {
@@ -100,7 +105,18 @@
     /// Returns whether permits are kept for more urgent requests.
     fn is_reserved(&self, priority: u8, rate: IssueRate, now: Time) -> bool {
         let urgent = self.urgent.filter(|(_, at)| now.since(*at) < PRIORITY_SPAN);
-        urgent.is_some_and(|(first, _)| first < priority) && self.level < rate.capacity()
+        urgent.is_some_and(|(first, _)| first < priority)
+            && self.level < rate.capacity()
+            && self.passed_over < MAX_PASSED_OVER
+    }
+
+    fn record_grant(&mut self, priority: u8, granted: u16) {
+        let is_urgent = self.urgent.is_none_or(|(first, _)| priority <= first);
+        self.passed_over = if is_urgent {
+            self.passed_over.saturating_add(u32::from(granted))
+        } else {
+            0
+        };
     }
 
     fn record_denial(&mut self, priority: u8, now: Time) {
@@ -202,6 +218,7 @@
             level: if quiet.is_zero() { 1.0 } else { 0.0 },
             refilled: now + quiet,
             urgent: None,
+            passed_over: 0,
         });
         bucket.refill(rate, now);
         if bucket.level < 1.0 || bucket.is_reserved(demand.priority, rate, now) {
@@ -215,6 +232,7 @@
             bucket.level -= 1.0;
             granted += 1;
         }
+        bucket.record_grant(demand.priority, granted);
         Issued::Granted(granted)
     }
 
