Keep a permit for an urgent request until it asks again, and ask only for what can be used

The holder of the lease got no permit for its order within 6 s.

Cause: a permit was kept for an urgent request for 1 s after its denial, but at low rates it was told to ask again after up to 2 s, when others had taken it. Those others asked for an engine whose weights were too old for them, so that the permits expired. After a change of the issuer the first permit came only once it had accumulated, 2 s later at this rate. And only signed answers ended a limit, which the engine could not give while it waited to load.

Change: the reservation lasts until 0.5 s after the time that the urgent request was told; a request asks only for upstreams that it could be sent to; a new issuer has one permit after its quiet time, within the bound of 5 requests; a report without a limit ends one if reports have named it before.

--- a/crates/fleet/src/permit_issuer.rs
+++ b/crates/fleet/src/permit_issuer.rs
@@ -24,8 +24,8 @@
 /// The time over which unused permits may be saved up.
 const SAVING_SPAN: Duration = Duration::from_secs(1);
 
-/// The time for which less urgent requests get no permit after a more urgent one was denied.
-const PRIORITY_SPAN: Duration = Duration::from_secs(1);
+/// The time for which less urgent requests get no permit after a more urgent one may ask again.
+const PRIORITY_SPAN: Duration = Duration::from_millis(500);
 
 /// The permits after which a less urgent request gets one in spite of more urgent ones.
 const MAX_PASSED_OVER: u32 = 4;
@@ -86,7 +86,8 @@
 struct Bucket {
     level: f64,
     refilled: Time,
-    /// The priority of the most urgent denied ask, and the time of the last one.
+    /// The priority of the most urgent denied ask, and the end of the time in which it is
+    /// expected again.
     urgent: Option<(u8, Time)>,
     /// The permits issued to urgent requests since a less urgent one got any.
     passed_over: u32,
@@ -104,7 +105,7 @@
 
     /// Returns whether permits are kept for more urgent requests.
     fn is_reserved(&self, priority: u8, rate: IssueRate, now: Time) -> bool {
-        let urgent = self.urgent.filter(|(_, at)| now.since(*at) < PRIORITY_SPAN);
+        let urgent = self.urgent.filter(|(_, until)| now < *until);
         urgent.is_some_and(|(first, _)| first < priority)
             && self.level < rate.capacity()
             && self.passed_over < MAX_PASSED_OVER
@@ -119,10 +120,10 @@
         };
     }
 
-    fn record_denial(&mut self, priority: u8, now: Time) {
-        let urgent = self.urgent.filter(|(_, at)| now.since(*at) < PRIORITY_SPAN);
+    fn record_denial(&mut self, priority: u8, pause: Duration, now: Time) {
+        let urgent = self.urgent.filter(|(_, until)| now < *until);
         if urgent.is_none_or(|(first, _)| priority <= first) {
-            self.urgent = Some((priority, now));
+            self.urgent = Some((priority, now + pause + PRIORITY_SPAN));
         }
     }
 }
@@ -215,17 +216,19 @@
         now: Time,
     ) -> Issued {
         let bucket = self.buckets.entry(process).or_insert_with(|| Bucket {
-            level: if quiet.is_zero() { 1.0 } else { 0.0 },
+            level: 1.0,
             refilled: now + quiet,
             urgent: None,
             passed_over: 0,
         });
         bucket.refill(rate, now);
-        if bucket.level < 1.0 || bucket.is_reserved(demand.priority, rate, now) {
-            bucket.record_denial(demand.priority, now);
+        let is_quiet = now < bucket.refilled;
+        if is_quiet || bucket.level < 1.0 || bucket.is_reserved(demand.priority, rate, now) {
             let missing = (1.0 - bucket.level).max(0.0);
             let pause = bucket.refilled.since(now) + rate.time_for(missing);
-            return Issued::Denied(pause.clamp(MIN_PAUSE, MAX_PAUSE));
+            let pause = pause.clamp(MIN_PAUSE, MAX_PAUSE);
+            bucket.record_denial(demand.priority, pause, now);
+            return Issued::Denied(pause);
         }
         let mut granted = 0;
         while granted < demand.wanted && bucket.level >= 1.0 {
--- a/crates/fleet/src/upstream_limit.rs
+++ b/crates/fleet/src/upstream_limit.rs
@@ -52,11 +52,18 @@
     #[default]
     Unknown,
     /// The upstream takes no more than this rate.
-    Limited(RequestRate),
-    /// The upstream has no limit.
+    Limited {
+        /// The rate.
+        rate: RequestRate,
+        /// Whether the answer has the upstream's signature.
+        is_signed: bool,
+    },
+    /// The upstream has no limit, as far as answers of this kind name one.
     Unlimited {
         /// The time at which the answered call was sent.
         sent: Time,
+        /// Whether the answer has the upstream's signature.
+        is_signed: bool,
     },
 }
 
@@ -99,6 +106,8 @@
     named: Option<NamedLimit>,
     /// The latest time at which the upstream is known to have had no limit.
     lifted: Option<Time>,
+    /// Whether an answer without a signature has named a limit, so that others would too.
+    is_named_unsigned: bool,
 }
 
 impl LimitRecord {
@@ -133,6 +142,17 @@
         is_new
     }
 
+    /// Records that an answer without a signature has named a limit.
+    pub const fn record_unsigned(&mut self) {
+        self.is_named_unsigned = true;
+    }
+
+    /// Returns whether an answer without a limit tells that there is none.
+    #[must_use]
+    pub const fn is_told_by(&self, is_signed: bool) -> bool {
+        is_signed || self.is_named_unsigned
+    }
+
     /// Records that the upstream has had no limit at `at` or later, and returns whether that
     /// ends one.
     pub fn lift(&mut self, at: Time) -> bool {
--- a/crates/fleet/src/upstreams/limits.rs
+++ b/crates/fleet/src/upstreams/limits.rs
@@ -65,9 +65,14 @@
     }
 
     /// Returns the process hash of a limited upstream of a service to ask a permit for, if it
-    /// is worth it. `random` spreads the asks over all of them.
-    #[must_use]
-    pub fn permit_candidate(&self, service: &str, random: u64, now: Time) -> Option<u64> {
+    /// is worth it. `random` spreads the asks over all that are usable.
+    pub fn permit_candidate(
+        &self,
+        service: &str,
+        is_usable: impl Fn(&Upstream) -> bool,
+        random: u64,
+        now: Time,
+    ) -> Option<u64> {
         let limited = || {
             let rows = self.rows.values();
             rows.filter(|row| &*row.entry.service == service && row.limit().is_some())
@@ -79,6 +84,7 @@
             row.record.state(now) == Availability::Serving
                 && !row.is_paused(now)
                 && row.permits.may_ask(now)
+                && is_usable(row)
         });
         let chosen = rows.max_by_key(|row| mix(row.hash ^ random))?;
         Some(chosen.entry.incarnation().process())
@@ -173,15 +179,22 @@
         let source = Source::Answer;
         match notice {
             LimitNotice::Unknown => {}
-            LimitNotice::Limited(rate) => {
+            LimitNotice::Limited { rate, is_signed } => {
                 let record = &mut self.record_mut(process, now).limit;
+                if !is_signed {
+                    record.record_unsigned();
+                }
                 if record.limit(rate, now, source) {
                     let incarnation = incarnation.clone();
                     let kind = ChangeKind::Limited { rate, source };
                     self.changes.push(AvailabilityChange { incarnation, kind });
                 }
             }
-            LimitNotice::Unlimited { sent } => self.lift_limit(process, sent, source),
+            LimitNotice::Unlimited { sent, is_signed } => {
+                if self.limit_record(process).is_told_by(is_signed) {
+                    self.lift_limit(process, sent, source);
+                }
+            }
         }
     }
 }
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -35,6 +35,7 @@
 use limpetsaddle_fleet::runs::RunId;
 use limpetsaddle_fleet::upstreams::RequestLoad;
 use limpetsaddle_fleet::upstreams::Ticket;
+use limpetsaddle_fleet::upstreams::Upstream;
 use limpetsaddle_fleet::weights::Outdated;
 use limpetsaddle_http::Connection;
 use limpetsaddle_http::Request;
@@ -328,14 +329,25 @@
             row.is_some_and(|row| row.limit().is_some())
         });
         // Limited upstreams are used beside others as well.
+        let is_usable = |row: &Upstream| self.may_use(row);
         let has_permit =
-            !uses_permit && permits::seek(self.instance, &self.service, self.priority());
+            !uses_permit && permits::seek(self.instance, &self.service, self.priority(), is_usable);
         if has_permit && placed.is_err() {
             return self.place_anywhere();
         }
         placed
     }
 
+    /// Returns whether the request could be sent to an upstream with a permit.
+    fn may_use(&self, row: &Upstream) -> bool {
+        let model = self.prompt().and_then(|prompt| prompt.model.as_deref());
+        let weights = model.and_then(|model| row.weights(model));
+        let outdated = self.outdated(weights);
+        let is_current = outdated
+            .is_none_or(|outdated| outdated.age < self.instance.placement.old_weights_max_age);
+        is_current && !self.attempted.borrow().contains(&row.entry.id)
+    }
+
     fn place_anywhere(&self) -> Result<Placement, Refusal> {
         let refusal = match self.place_elsewhere() {
             Ok(placement) => return Ok(placement),
--- a/crates/router/src/fleet/permits.rs
+++ b/crates/router/src/fleet/permits.rs
@@ -24,6 +24,7 @@
 use limpetsaddle_fleet::permit_messages::PermitBody;
 use limpetsaddle_fleet::permit_messages::PermitMessage;
 use limpetsaddle_fleet::permits::Permit;
+use limpetsaddle_fleet::upstreams::Upstream;
 use log::warn;
 use serde::Serialize;
 
@@ -73,11 +74,16 @@
 /// Asks for a permit for a limited upstream of a service on behalf of a request of this
 /// priority, and returns whether this instance has issued it at once. One upstream is asked
 /// for at a time, as a permit that isn't used is lost to all.
-pub fn seek(instance: &FleetInstance, service: &str, priority: u8) -> bool {
+pub fn seek(
+    instance: &FleetInstance,
+    service: &str,
+    priority: u8,
+    is_usable: impl Fn(&Upstream) -> bool,
+) -> bool {
     let (now, random) = (instance.now(), instance.random.draw());
     let process = {
         let upstreams = instance.upstreams.borrow();
-        upstreams.permit_candidate(service, random, now)
+        upstreams.permit_candidate(service, is_usable, random, now)
     };
     process.is_some_and(|process| ask(instance, process, priority))
 }
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -324,14 +324,14 @@
     }
 }
 
-/// Returns what the head of an answer says of its upstream's limit. Only a signed answer is
-/// certain to be the upstream's own.
+/// Returns what the head of an answer says of its upstream's limit. Refusals and errors without
+/// a signature may not be the upstream's own.
 fn limit_notice(instance: &FleetInstance, head: &Parts, sent: Time, id: &str) -> LimitNotice {
     let notice = headers::limit_notice(&head.headers);
-    let is_signed = || headers::response_fields(&head.headers).signed;
+    let is_signed = headers::response_fields(&head.headers).signed;
     let notice = notice.map(|rate| match rate {
-        Some(rate) => LimitNotice::Limited(rate),
-        None if is_signed() => LimitNotice::Unlimited { sent },
+        Some(rate) => LimitNotice::Limited { rate, is_signed },
+        None if is_signed || head.status.is_success() => LimitNotice::Unlimited { sent, is_signed },
         None => LimitNotice::Unknown,
     });
     valid_or_default(instance, notice, id)
