Bound the state of an issuer, and name the messages of permits in the usual terms

Cause: an issuer kept the bucket of each process that it had ever issued permits for, as long as it remained the chosen one, also when the process was gone. Comments called a request for permits an ask.

Change: the state of a process is removed a minute after the last request for its permits.

--- a/crates/fleet/src/limited_demand.rs
+++ b/crates/fleet/src/limited_demand.rs
@@ -38,7 +38,7 @@
 
 impl LimitedDemand {
     /// Returns whether another request may wait for a permit, where `permits` were received in
-    /// the last second. More would wait in vain.
+    /// the last second. A longer queue would exceed the longest wait.
     #[must_use]
     pub const fn may_wait(&self, permits: u32) -> bool {
         self.waiting == 0 || self.waiting < permits / 3
--- a/crates/fleet/src/outage.rs
+++ b/crates/fleet/src/outage.rs
@@ -12,7 +12,7 @@
 /// sooner, as a rest binds one instance.
 const MAX_WAIT: Duration = Duration::from_millis(300);
 
-/// The longest wait for the reply to an ask for permits.
+/// The longest wait for the reply to a permit request.
 const REPLY_WAIT: Duration = Duration::from_millis(20);
 
 /// The fraction of the remaining time within which the response must be expected.
--- a/crates/fleet/src/permit_issuer.rs
+++ b/crates/fleet/src/permit_issuer.rs
@@ -1,7 +1,7 @@
 //! The issue of permits for upstreams that limit all instances together.
 //!
 //! All instances choose the same live instance as the issuer of an upstream's permits, by
-//! rendezvous hashing. What it issues stays below the limit whoever asks: an instance without
+//! rendezvous hashing. What it issues stays below the limit for any set of requesters: an instance without
 //! a permit sends nothing. An issuer that doesn't hear from all registered instances issues
 //! in proportion to those that it hears from, so that the two sides of a partition together
 //! stay below the limit.
@@ -15,7 +15,7 @@
 use crate::peers::Issuer;
 use crate::peers::Peers;
 use crate::permit_messages::PermitAnswer;
-use crate::permit_messages::PermitAsk;
+use crate::permit_messages::PermitRequest;
 use crate::permits::Issue;
 use crate::permits::PERMIT_VALIDITY;
 use crate::upstream_limit::RequestRate;
@@ -24,19 +24,22 @@
 /// The time over which unused permits may be saved up.
 const SAVING_SPAN: Duration = Duration::from_secs(1);
 
-/// The time for which less urgent requests get no permit after a more urgent one may ask again.
+/// The time for which a permit stays reserved after an urgent request is due to be repeated.
 const PRIORITY_SPAN: Duration = Duration::from_millis(500);
 
 /// The permits after which a less urgent request gets one in spite of more urgent ones.
 const MAX_PASSED_OVER: u32 = 4;
 
-/// The shortest time after which a denied ask is repeated.
+/// The time after its last permit request for which the state of a process is kept.
+const IDLE_RETENTION: Duration = Duration::from_mins(1);
+
+/// The shortest time after which a denied permit request is repeated.
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 
-/// The longest time after which a denied ask is repeated.
+/// The longest time after which a denied permit request is repeated.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
-/// The time after which an instance may ask again that has asked another one than the issuer.
+/// The pause after a permit request that was sent to an instance that isn't the issuer.
 const REDIRECT_PAUSE: Duration = Duration::from_millis(100);
 
 /// The rate at which an issuer issues.
@@ -64,7 +67,7 @@
     }
 }
 
-/// An ask for permits.
+/// The content of a permit request that decides on its outcome.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Demand {
     /// The number of permits.
@@ -73,12 +76,12 @@
     pub priority: u8,
 }
 
-/// The answer to an ask.
+/// The outcome of a permit request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Issued {
     /// This number of permits is issued.
     Granted(u16),
-    /// None is issued; the ask may be repeated after this time.
+    /// None is issued; the req may be repeated after this time.
     Denied(Duration),
 }
 
@@ -86,11 +89,13 @@
 struct Bucket {
     level: f64,
     refilled: Time,
-    /// The priority of the most urgent denied ask, and the end of the time in which it is
+    /// The priority of the most urgent denied request, and the end of the time in which it is
     /// expected again.
     urgent: Option<(u8, Time)>,
     /// The permits issued to urgent requests since a less urgent one got any.
     passed_over: u32,
+    /// The time of the last permit request.
+    requested: Time,
 }
 
 impl Bucket {
@@ -128,7 +133,7 @@
     }
 }
 
-/// The state on which an ask is answered.
+/// The state on which a reply to a permit request depends.
 #[derive(Clone, Copy, Debug)]
 pub struct IssueContext<'a> {
     /// The other instances.
@@ -169,8 +174,13 @@
 }
 
 impl PermitIssuer {
-    /// Answers an ask for permits of a process, as far as this instance issues them.
-    pub fn answer(&mut self, process: u64, ask: &PermitAsk, cx: &IssueContext<'_>) -> PermitAnswer {
+    /// Returns the reply to a request for permits of a process, if this instance issues them.
+    pub fn answer(
+        &mut self,
+        process: u64,
+        req: &PermitRequest,
+        cx: &IssueContext<'_>,
+    ) -> PermitAnswer {
         let now = cx.now;
         if cx.peers.issuer(process, now) != Issuer::Own {
             return denied(REDIRECT_PAUSE);
@@ -181,14 +191,14 @@
             let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
             return PermitAnswer::Unlimited { age_ms };
         };
-        // The time in which another instance may take itself for the issuer.
+        // The time for which two instances may both consider themselves the issuer.
         let handover = PERMIT_VALIDITY + cx.peers.heartbeat_interval() * 2;
         let is_new = now.since(limit.since) < handover;
         let quiet = if is_new { Duration::ZERO } else { handover };
         let rate = IssueRate::new(limit.rate, cx.peers.peer_counts(now));
         let demand = Demand {
-            wanted: ask.wanted,
-            priority: ask.priority,
+            wanted: req.wanted,
+            priority: req.priority,
         };
         match self.issue(process, rate, demand, quiet, now) {
             Issued::Granted(count) => {
@@ -203,9 +213,9 @@
         }
     }
 
-    /// Decides on an ask for permits of a process.
+    /// Issues permits of a process, if there are any.
     ///
-    /// `quiet` is the time for which nothing is issued if this is the first ask here: the
+    /// `quiet` is the time for which nothing is issued after the first request here: the
     /// instance that was chosen before may still issue.
     pub fn issue(
         &mut self,
@@ -220,7 +230,9 @@
             refilled: now + quiet,
             urgent: None,
             passed_over: 0,
+            requested: now,
         });
+        bucket.requested = now;
         bucket.refill(rate, now);
         let is_quiet = now < bucket.refilled;
         if is_quiet || bucket.level < 1.0 || bucket.is_reserved(demand.priority, rate, now) {
@@ -239,9 +251,24 @@
         Issued::Granted(granted)
     }
 
-    /// Forgets the processes that another instance issues permits for now.
-    pub fn retain(&mut self, is_issuer: impl Fn(u64) -> bool) {
-        self.buckets.retain(|process, _| is_issuer(*process));
+    /// Removes the state of processes for which another instance issues permits now, or for
+    /// which none has been requested for a long time.
+    pub fn retain(&mut self, is_issuer: impl Fn(u64) -> bool, now: Time) {
+        self.buckets.retain(|process, bucket| {
+            now.since(bucket.requested) < IDLE_RETENTION && is_issuer(*process)
+        });
+    }
+
+    /// Returns the number of processes with state.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Returns whether there is no state.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
     }
 }
 
--- a/crates/fleet/src/permit_messages.rs
+++ b/crates/fleet/src/permit_messages.rs
@@ -1,4 +1,4 @@
-//! The datagrams by which instances ask for permits and tell each other of limits.
+//! The datagrams with which instances request permits and report limits.
 
 use std::time::Duration;
 
@@ -20,9 +20,9 @@
 pub struct LimitReport {
     /// The rate for all instances together.
     pub rate: RequestRate,
-    /// The time since the limit was last heard of, in milliseconds.
+    /// The age of the latest notice of the limit, in milliseconds.
     pub heard_ms: u32,
-    /// The time since the limit was first heard of, in milliseconds.
+    /// The age of the first notice of the limit, in milliseconds.
     pub since_ms: u32,
 }
 
@@ -38,9 +38,9 @@
     }
 }
 
-/// An ask for permits. Without any it only reports what the sender knows of the limit.
+/// A request for permits. One for zero permits only reports the limit.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PermitAsk {
+pub struct PermitRequest {
     /// The sender's clock in milliseconds; the reply echoes it.
     pub stamp_ms: u64,
     /// The limit, if the sender knows one.
@@ -53,8 +53,8 @@
     pub lifted: Option<Issue>,
 }
 
-impl PermitAsk {
-    /// Returns an ask for nothing, which tells the issuer of a limit or of its end.
+impl PermitRequest {
+    /// Returns a request for zero permits, which reports a limit or its end.
     #[must_use]
     pub const fn report(limit: Option<LimitReport>, lifted: Option<Issue>) -> Self {
         Self {
@@ -67,7 +67,7 @@
     }
 }
 
-/// What an issuer answers.
+/// An issuer's decision on a permit request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PermitAnswer {
     /// It issues permits.
@@ -79,7 +79,7 @@
     },
     /// It issues none.
     Denied {
-        /// The time after which the ask may be repeated, in milliseconds.
+        /// The time after which the request may be repeated, in milliseconds.
         after_ms: u32,
     },
     /// The upstream has no limit any more.
@@ -92,16 +92,16 @@
 /// The content of a message.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PermitBody {
-    /// An ask.
-    Ask(PermitAsk),
-    /// The answer to an ask.
+    /// A permit request.
+    Request(PermitRequest),
+    /// The reply to a permit request.
     Reply {
-        /// The stamp of the ask.
+        /// The stamp of the request.
         echo_ms: u64,
         /// The answer.
         answer: PermitAnswer,
     },
-    /// The issuer has heard of a limit.
+    /// A limit that the issuer has learned.
     Limit(LimitReport),
 }
 
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -1,7 +1,7 @@
 //! Permits to send single requests to an upstream that limits all instances together.
 //!
 //! One instance issues the permits of an upstream; see
-//! [`permit_issuer`](crate::permit_issuer). The others ask it for as many as they are about to
+//! [`permit_issuer`](crate::permit_issuer). The others request as many as they are about to
 //! use. A permit that isn't used in time expires.
 
 use std::collections::VecDeque;
@@ -11,16 +11,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// The time from the ask within which a permit may be used.
+/// The time after the permit request within which a permit may be used.
 pub const PERMIT_VALIDITY: Duration = Duration::from_millis(400);
 
-/// The time after which a reply to an ask is no longer expected.
+/// The time after which a reply to a permit request is no longer expected.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// The time after which it is worth looking for a reply.
+/// The usual time until a reply arrives.
 const REPLY_TIME: Duration = Duration::from_millis(5);
 
-/// The largest number of permits in one ask.
+/// The largest number of permits in one request.
 const MAX_WANTED: usize = 64;
 
 /// The span over which received permits are counted.
@@ -55,8 +55,8 @@
 ///
 /// let at = |ms| Time::from_origin(Duration::from_millis(ms));
 /// let mut pool = PermitPool::default();
-/// assert_eq!(pool.ask(at(0)), Some(1));
-/// assert_eq!(pool.ask(at(1)), None);
+/// assert_eq!(pool.request(at(0)), Some(1));
+/// assert_eq!(pool.request(at(1)), None);
 /// pool.grant(at(0), 1, Issue { issuer: 7, stamp_ms: 0 }, at(3));
 /// assert!(pool.take(at(10)).is_some());
 /// assert!(pool.take(at(10)).is_none());
@@ -64,9 +64,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct PermitPool {
     permits: Vec<Permit>,
-    asked: Option<Time>,
+    requested: Option<Time>,
     denied_until: Option<Time>,
-    /// The recent uses, which the next ask expects to be repeated.
+    /// The recent uses, from which the next request estimates the demand.
     taken: VecDeque<Time>,
     received: VecDeque<(Time, u16)>,
 }
@@ -93,28 +93,29 @@
         self.permits.push(permit);
     }
 
-    /// Returns the number of permits to ask for, or `None` while there are enough, a reply is
-    /// due, or the last ask was denied. The ask counts as sent.
-    pub fn ask(&mut self, now: Time) -> Option<u16> {
+    /// Returns the number of permits to request, or `None` while there are enough, a reply is
+    /// due, or the last request was denied. The request counts as sent.
+    pub fn request(&mut self, now: Time) -> Option<u16> {
         let wanted = self.wanted(now)?;
-        self.asked = Some(now);
+        self.requested = Some(now);
         Some(wanted)
     }
 
-    /// Returns whether [`ask`](Self::ask) would ask.
+    /// Returns whether a permit request may be sent now.
     #[must_use]
-    pub fn may_ask(&self, now: Time) -> bool {
-        !self.is_asking(now) && self.denied_until.is_none_or(|until| until <= now)
+    pub fn may_request(&self, now: Time) -> bool {
+        !self.is_requesting(now) && self.denied_until.is_none_or(|until| until <= now)
     }
 
     /// Returns whether a reply is due.
     #[must_use]
-    pub fn is_asking(&self, now: Time) -> bool {
-        self.asked.is_some_and(|at| now.since(at) < REPLY_TIMEOUT)
+    pub fn is_requesting(&self, now: Time) -> bool {
+        self.requested
+            .is_some_and(|at| now.since(at) < REPLY_TIMEOUT)
     }
 
     fn wanted(&mut self, now: Time) -> Option<u16> {
-        if !self.may_ask(now) {
+        if !self.may_request(now) {
             return None;
         }
         self.taken.retain(|at| now.since(*at) < PERMIT_VALIDITY);
@@ -124,15 +125,16 @@
         (wanted > 0).then_some(wanted)
     }
 
-    /// Adds the permits that answer the ask at `asked`. An answer to another ask is too late.
-    pub fn grant(&mut self, asked: Time, count: u16, issue: Issue, now: Time) {
-        if self.asked != Some(asked) {
+    /// Adds the permits for the request sent at `requested`. A reply to an earlier request is
+    /// ignored.
+    pub fn grant(&mut self, requested: Time, count: u16, issue: Issue, now: Time) {
+        if self.requested != Some(requested) {
             return;
         }
-        self.asked = None;
+        self.requested = None;
         self.denied_until = None;
-        // Counted from the ask, so that the permit ends no later for the issuer.
-        let expires = asked + PERMIT_VALIDITY;
+        // The request was sent before the permit was issued, so this end is the earlier one.
+        let expires = requested + PERMIT_VALIDITY;
         self.permits.retain(|permit| now < permit.expires);
         let permit = Permit { expires, issue };
         let granted = std::iter::repeat_n(permit, usize::from(count));
@@ -141,10 +143,10 @@
         self.received.retain(|(at, _)| now.since(*at) < RATE_SPAN);
     }
 
-    /// Records that the ask at `asked` was denied, and may be repeated after `after`.
-    pub fn deny(&mut self, asked: Time, after: Duration, now: Time) {
-        if self.asked == Some(asked) {
-            self.asked = None;
+    /// Records that the request sent at `requested` was denied, and may be repeated after `after`.
+    pub fn deny(&mut self, requested: Time, after: Duration, now: Time) {
+        if self.requested == Some(requested) {
+            self.requested = None;
             self.denied_until = Some(now + after);
         }
     }
--- a/crates/fleet/src/upstream_limit.rs
+++ b/crates/fleet/src/upstream_limit.rs
@@ -1,7 +1,7 @@
 //! Limits that upstreams set for all instances together.
 //!
 //! An upstream in need says in its answers how many requests a second it takes from the
-//! whole fleet, for as long as it says so.
+//! fleet; the limit lasts until an answer omits it.
 
 use std::time::Duration;
 
@@ -80,10 +80,10 @@
     pub source: Source,
 }
 
-/// What is known of an incarnation's limit.
+/// The limit of an incarnation, as far as it is known.
 ///
 /// An answer without a limit ends it only if the answered call was sent after the limit was
-/// last heard of: answers may overtake each other.
+/// last named: answers may overtake each other.
 ///
 /// ```
 /// use std::time::Duration;
--- a/crates/fleet/src/upstreams/limits.rs
+++ b/crates/fleet/src/upstreams/limits.rs
@@ -15,7 +15,7 @@
 use crate::availability::Source;
 use crate::permit_messages::LimitReport;
 use crate::permit_messages::PermitAnswer;
-use crate::permit_messages::PermitAsk;
+use crate::permit_messages::PermitRequest;
 use crate::permit_messages::before;
 use crate::permits::Permit;
 use crate::upstream_limit::LimitNotice;
@@ -42,7 +42,7 @@
 }
 
 impl Upstreams {
-    /// Returns what is known of a process's limit.
+    /// Returns the known limit of a process.
     #[must_use]
     pub fn limit_record(&self, process: u64) -> LimitRecord {
         let row = self.ids.get(&process).and_then(|id| self.rows.get(id));
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Returns the process hash of a limited upstream of a service to ask a permit for, if it
-    /// is worth it. `random` spreads the asks over all that are usable.
+    /// Returns the process hash of a limited upstream of a service whose permits may be
+    /// requested now. `random` spreads the requests over all usable ones.
     pub fn permit_candidate(
         &self,
         service: &str,
@@ -77,47 +77,55 @@
             let rows = self.rows.values();
             rows.filter(|row| &*row.entry.service == service && row.limit().is_some())
         };
-        if limited().any(|row| row.permits.is_asking(now)) {
+        if limited().any(|row| row.permits.is_requesting(now)) {
             return None;
         }
         let rows = limited().filter(|row| {
             row.record.state(now) == Availability::Serving
                 && !row.is_paused(now)
-                && row.permits.may_ask(now)
+                && row.permits.may_request(now)
                 && is_usable(row)
         });
         let chosen = rows.max_by_key(|row| mix(row.hash ^ random))?;
         Some(chosen.entry.incarnation().process())
     }
 
-    /// Begins an ask, and returns the number of wanted permits and what is known of the limit,
-    /// or `None` if nothing is to be asked.
-    pub fn begin_ask(&mut self, process: u64, now: Time) -> Option<(u16, LimitReport)> {
+    /// Begins a permit request, and returns the number of permits and the known limit, or `None`
+    /// while no request is due.
+    pub fn begin_request(&mut self, process: u64, now: Time) -> Option<(u16, LimitReport)> {
         let row = self.by_process(process)?;
         let limit = row.limit()?;
-        let wanted = row.permits.ask(now)?;
+        let wanted = row.permits.request(now)?;
         Some((wanted, LimitReport::new(&limit, now)))
     }
 
-    /// Applies the answer to the ask at `asked`.
-    pub fn apply_answer(&mut self, process: u64, asked: Time, answer: &PermitAnswer, now: Time) {
+    /// Applies the reply to the permit request sent at `requested`.
+    pub fn apply_answer(
+        &mut self,
+        process: u64,
+        requested: Time,
+        answer: &PermitAnswer,
+        now: Time,
+    ) {
         let Some(row) = self.by_process(process) else {
             return;
         };
         match *answer {
-            PermitAnswer::Granted { count, issue } => row.permits.grant(asked, count, issue, now),
+            PermitAnswer::Granted { count, issue } => {
+                row.permits.grant(requested, count, issue, now);
+            }
             PermitAnswer::Denied { after_ms } => {
                 let after = Duration::from_millis(u64::from(after_ms));
-                row.permits.deny(asked, after, now);
+                row.permits.deny(requested, after, now);
             }
-            // The issuer has answered after the ask was sent.
+            // The reply was sent after the request.
             PermitAnswer::Unlimited { age_ms } => {
-                self.lift_limit(process, before(asked, age_ms), Source::Peer);
+                self.lift_limit(process, before(requested, age_ms), Source::Peer);
             }
         }
     }
 
-    /// Applies what another instance knows of a process's limit.
+    /// Applies another instance's report of a process's limit.
     pub fn apply_limit_report(&mut self, process: u64, report: &LimitReport, now: Time) {
         let since = before(now, report.since_ms);
         let heard = before(now, report.heard_ms);
@@ -134,20 +142,26 @@
         self.changes.extend(change);
     }
 
-    /// Learns from another instance's ask what it knows of a process's limit. `incarnation` is
-    /// that of this instance.
-    pub fn learn_from_ask(&mut self, process: u64, ask: &PermitAsk, incarnation: u64, now: Time) {
-        if let Some(report) = &ask.limit {
+    /// Applies the limit or the end of one that another instance's permit request reports.
+    /// `incarnation` is that of this instance.
+    pub fn apply_permit_request(
+        &mut self,
+        process: u64,
+        req: &PermitRequest,
+        incarnation: u64,
+        now: Time,
+    ) {
+        if let Some(report) = &req.limit {
             self.apply_limit_report(process, report, now);
         }
         // A request was sent after its permit was issued.
-        if let Some(issue) = ask.lifted.filter(|issue| issue.issuer == incarnation) {
+        if let Some(issue) = req.lifted.filter(|issue| issue.issuer == incarnation) {
             let issued = Time::from_origin(Duration::from_millis(issue.stamp_ms));
             self.lift_limit(process, issued, Source::Peer);
         }
     }
 
-    /// Records that a process had no limit at `at`, as far as this instance knows of one.
+    /// Records that a process had no limit at `at`.
     pub fn lift_limit(&mut self, process: u64, at: Time, source: Source) {
         let Some(row) = self.by_process(process) else {
             return;
--- a/crates/fleet/tests/permits.rs
+++ b/crates/fleet/tests/permits.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Returns the permits issued to asks of a priority every 50 ms.
+/// Returns the permits issued to requests of each priority, one every 50 ms.
 fn issued(issuer: &mut PermitIssuer, priorities: &[u8], seconds: u64) -> Vec<u32> {
     let mut counts = vec![0; priorities.len()];
     for step in 0..seconds * 20 {
@@ -69,15 +69,15 @@
 fn verify_a_permit_is_kept_for_an_urgent_request_until_it_asks_again() {
     let mut issuer = PermitIssuer::default();
     let slow = rate(0.5, 9);
-    let mut ask =
+    let mut req =
         |priority, millis| issuer.issue(7, slow, one(priority), Duration::ZERO, at(millis));
-    assert_eq!(ask(0, 0), Issued::Granted(1));
-    assert_eq!(ask(0, 10), Issued::Denied(Duration::from_millis(1_990)));
+    assert_eq!(req(0, 0), Issued::Granted(1));
+    assert_eq!(req(0, 10), Issued::Denied(Duration::from_millis(1_990)));
     for millis in (100..2_000).step_by(100) {
-        assert!(matches!(ask(1, millis), Issued::Denied(_)));
+        assert!(matches!(req(1, millis), Issued::Denied(_)));
     }
-    assert!(matches!(ask(1, 2_000), Issued::Denied(_)));
-    assert_eq!(ask(0, 2_010), Issued::Granted(1));
+    assert!(matches!(req(1, 2_000), Issued::Denied(_)));
+    assert_eq!(req(0, 2_010), Issued::Granted(1));
 }
 
 #[test]
@@ -100,6 +100,19 @@
     assert!(matches!(next, Issued::Denied(_)));
 }
 
+#[test]
+fn verify_an_issuer_forgets_processes_that_are_gone() {
+    let mut issuer = PermitIssuer::default();
+    for process in 0..1_000 {
+        issuer.issue(process, rate(2.0, 9), one(1), Duration::ZERO, at(process));
+    }
+    issuer.issue(7, rate(2.0, 9), one(1), Duration::ZERO, at(60_000));
+    issuer.retain(|_| true, at(61_000));
+    assert_eq!(issuer.len(), 1);
+    issuer.retain(|_| false, at(61_000));
+    assert!(issuer.is_empty());
+}
+
 #[test]
 fn verify_the_sides_of_a_partition_issue_no_more_than_the_limit() {
     let mut sides = [(PermitIssuer::default(), 4), (PermitIssuer::default(), 5)];
@@ -117,7 +130,7 @@
 #[test]
 fn verify_a_permit_ends_when_its_ask_is_too_old() {
     let mut pool = PermitPool::default();
-    pool.ask(at(0)).unwrap();
+    pool.request(at(0)).unwrap();
     pool.grant(at(0), 1, ISSUE, at(100));
     let end = Time::ZERO + PERMIT_VALIDITY;
     assert!(pool.has_permit(at(399)));
@@ -128,8 +141,8 @@
 #[test]
 fn verify_a_reply_to_an_earlier_ask_is_ignored() {
     let mut pool = PermitPool::default();
-    pool.ask(at(0)).unwrap();
-    pool.ask(at(200)).unwrap();
+    pool.request(at(0)).unwrap();
+    pool.request(at(200)).unwrap();
     pool.grant(at(0), 1, ISSUE, at(210));
     pool.deny(at(0), Duration::from_secs(2), at(210));
     assert!(!pool.has_permit(at(210)));
@@ -140,7 +153,7 @@
 #[test]
 fn verify_a_permit_that_was_not_used_can_be_used_again() {
     let mut pool = PermitPool::default();
-    pool.ask(at(0)).unwrap();
+    pool.request(at(0)).unwrap();
     pool.grant(at(0), 1, ISSUE, at(5));
     let permit = pool.take(at(10)).unwrap();
     pool.put_back(permit);
@@ -152,7 +165,7 @@
     let mut record = LimitRecord::default();
     let limit = RequestRate::per_second(2.0);
     record.limit(limit, at(100), Source::Answer);
-    // Sent before the limit was heard of, and answered after it.
+    // Sent before the limit was learned, and answered after it.
     assert!(!record.lift(at(100)));
     assert!(record.lift(at(101)));
     // What another instance heard before.
@@ -202,10 +215,10 @@
         expected: Duration::from_millis(50),
         may_queue,
     };
-    let mut asked = Outage::default();
-    asked.add_permit(at(5), false);
+    let mut requested = Outage::default();
+    requested.add_permit(at(5), false);
     assert_eq!(
-        asked.wait(&options(false), at(0), 0),
+        requested.wait(&options(false), at(0), 0),
         Some(Duration::from_millis(5))
     );
     let mut denied = Outage::default();
--- a/crates/fleet/tests/permits_sim.rs
+++ b/crates/fleet/tests/permits_sim.rs
@@ -9,7 +9,7 @@
 /// The time for which a fleet runs before its engines set limits.
 const WARM_UP_MS: u64 = 4_500;
 
-/// The time after which a limit binds those that have heard of it.
+/// The time after which a limit binds the instances that have learned it.
 const STABLE_MS: u64 = 700;
 
 /// Returns the requests that a limit permits in 4 s.
--- a/crates/fleet/tests/support/permit_sim.rs
+++ b/crates/fleet/tests/support/permit_sim.rs
@@ -20,8 +20,8 @@
 use limpetsaddle_fleet::permit_issuer::PermitIssuer;
 use limpetsaddle_fleet::permit_messages::LimitReport;
 use limpetsaddle_fleet::permit_messages::PermitAnswer;
-use limpetsaddle_fleet::permit_messages::PermitAsk;
 use limpetsaddle_fleet::permit_messages::PermitBody;
+use limpetsaddle_fleet::permit_messages::PermitRequest;
 use limpetsaddle_fleet::upstream_limit::LimitNotice;
 use limpetsaddle_fleet::upstream_limit::RequestRate;
 use limpetsaddle_fleet::upstreams::Upstreams;
@@ -39,7 +39,7 @@
 /// The time for which a request waits for a permit, in milliseconds.
 const PATIENCE_MS: u64 = 300;
 
-/// The time from which a limit binds an instance that has heard of it, in milliseconds.
+/// The time after its first notice from which a limit binds an instance, in milliseconds.
 const GRACE_MS: u64 = 500;
 
 /// The messages that reach an instance while it is suspended; further ones are lost.
@@ -51,7 +51,7 @@
     pub instance: usize,
     pub engine: u8,
     pub at_ms: u64,
-    /// Whether the instance had heard of the engine's limit in an answer half a second before.
+    /// Whether the engine's answers had named the limit to the instance half a second before.
     pub counts: bool,
 }
 
@@ -285,7 +285,7 @@
             let peers = &instance.peers;
             instance
                 .issuer
-                .retain(|process| peers.issuer(process, now) == Issuer::Own);
+                .retain(|process| peers.issuer(process, now) == Issuer::Own, now);
             let content = Content::Heartbeat(instance.incarnation, instance.sequence);
             for other in (0..self.instances.len()).filter(|other| *other != number) {
                 self.post(number, other, content.clone());
@@ -319,21 +319,23 @@
                 let heartbeat = Heartbeat::new(&name(message.from), *incarnation, *sequence);
                 instance.peers.record_heartbeat(&heartbeat, now);
             }
-            Content::Permits(process, PermitBody::Ask(ask)) => {
+            Content::Permits(process, PermitBody::Request(req)) => {
                 let own = instance.incarnation;
-                instance.upstreams.learn_from_ask(*process, ask, own, now);
-                if ask.wanted > 0 {
-                    let answer = self.decide(message.to, *process, ask);
-                    let echo_ms = ask.stamp_ms;
+                instance
+                    .upstreams
+                    .apply_permit_request(*process, req, own, now);
+                if req.wanted > 0 {
+                    let answer = self.decide(message.to, *process, req);
+                    let echo_ms = req.stamp_ms;
                     let reply = PermitBody::Reply { echo_ms, answer };
                     self.post(message.to, message.from, Content::Permits(*process, reply));
                 }
             }
             Content::Permits(process, PermitBody::Reply { echo_ms, answer }) => {
-                let asked = at(*echo_ms);
+                let requested = at(*echo_ms);
                 instance
                     .upstreams
-                    .apply_answer(*process, asked, answer, now);
+                    .apply_answer(*process, requested, answer, now);
             }
             Content::Permits(process, PermitBody::Limit(report)) => {
                 instance.upstreams.apply_limit_report(*process, report, now);
@@ -342,7 +344,7 @@
         self.announce(message.to);
     }
 
-    /// Tells other instances of limits that are news to this one.
+    /// Announces limits that this instance did not know before.
     fn announce(&mut self, number: usize) {
         let now = at(self.now_ms);
         let changes = self.instances[number].upstreams.take_changes(now);
@@ -364,7 +366,7 @@
                     }
                 }
                 Issuer::Peer(address) if source == Source::Answer => {
-                    let body = PermitBody::Ask(PermitAsk::report(Some(report), None));
+                    let body = PermitBody::Request(PermitRequest::report(Some(report), None));
                     self.post(number, index(address), Content::Permits(process, body));
                 }
                 Issuer::Peer(_) | Issuer::Unknown => {}
@@ -372,7 +374,7 @@
         }
     }
 
-    fn decide(&mut self, number: usize, process: u64, ask: &PermitAsk) -> PermitAnswer {
+    fn decide(&mut self, number: usize, process: u64, req: &PermitRequest) -> PermitAnswer {
         let instance = &mut self.instances[number];
         let cx = IssueContext {
             peers: &instance.peers,
@@ -380,7 +382,7 @@
             incarnation: instance.incarnation,
             now: at(self.now_ms),
         };
-        instance.issuer.answer(process, ask, &cx)
+        instance.issuer.answer(process, req, &cx)
     }
 
     /// Hands the due answers of engines to the instances.
@@ -502,10 +504,10 @@
         let upstreams = &self.instances[number].upstreams;
         if let Some(process) = upstreams.permit_candidate(SERVICE, |_| true, random, now) {
             let instance = &mut self.instances[number];
-            let Some((wanted, limit)) = instance.upstreams.begin_ask(process, now) else {
+            let Some((wanted, limit)) = instance.upstreams.begin_request(process, now) else {
                 return;
             };
-            let ask = PermitAsk {
+            let req = PermitRequest {
                 stamp_ms: self.now_ms,
                 limit: Some(limit),
                 wanted,
@@ -514,12 +516,12 @@
             };
             match instance.peers.issuer(process, now) {
                 Issuer::Own => {
-                    let answer = self.decide(number, process, &ask);
+                    let answer = self.decide(number, process, &req);
                     let upstreams = &mut self.instances[number].upstreams;
                     upstreams.apply_answer(process, now, &answer, now);
                 }
                 Issuer::Peer(address) => {
-                    let content = Content::Permits(process, PermitBody::Ask(ask));
+                    let content = Content::Permits(process, PermitBody::Request(req));
                     self.post(number, index(address), content);
                 }
                 Issuer::Unknown => {}
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -279,7 +279,7 @@
     }
 }
 
-/// Sends asks for permits and the answers to them, until the instance stops.
+/// Sends permit requests and replies until the instance stops.
 async fn send_permit_messages(
     instance: Rc<FleetInstance>,
     socket: Rc<UdpSocket>,
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -175,7 +175,7 @@
         self.limit_changes.add(1, &labels);
     }
 
-    /// Counts permits for limited upstreams by what became of them.
+    /// Counts permits for limited upstreams by their state.
     pub fn record_permits(&self, state: &'static str, count: u16) {
         let state = KeyValue::new("state", state);
         self.permits.add(u64::from(count), &[state]);
--- a/crates/router/src/fleet/permits.rs
+++ b/crates/router/src/fleet/permits.rs
@@ -1,4 +1,4 @@
-//! Asking for and issuing of permits for upstreams that limit all instances together.
+//! Requests for permits, and their issue, for upstreams that limit all instances together.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -20,9 +20,9 @@
 use limpetsaddle_fleet::permit_issuer::PermitIssuer;
 use limpetsaddle_fleet::permit_messages::LimitReport;
 use limpetsaddle_fleet::permit_messages::PermitAnswer;
-use limpetsaddle_fleet::permit_messages::PermitAsk;
 use limpetsaddle_fleet::permit_messages::PermitBody;
 use limpetsaddle_fleet::permit_messages::PermitMessage;
+use limpetsaddle_fleet::permit_messages::PermitRequest;
 use limpetsaddle_fleet::permits::Permit;
 use limpetsaddle_fleet::upstreams::Upstream;
 use log::warn;
@@ -71,9 +71,9 @@
     }
 }
 
-/// Asks for a permit for a limited upstream of a service on behalf of a request of this
-/// priority, and returns whether this instance has issued it at once. One upstream is asked
-/// for at a time, as a permit that isn't used is lost to all.
+/// Requests a permit for a limited upstream of a service on behalf of a caller's request of
+/// this priority, and returns whether this instance has issued it itself. Permits are requested
+/// for one upstream at a time, as an unused one is lost to all instances.
 pub fn seek(
     instance: &FleetInstance,
     service: &str,
@@ -85,7 +85,7 @@
         let upstreams = instance.upstreams.borrow();
         upstreams.permit_candidate(service, is_usable, random, now)
     };
-    process.is_some_and(|process| ask(instance, process, priority))
+    process.is_some_and(|process| request_permits(instance, process, priority))
 }
 
 /// Waits until a report or an order may be sent to an upstream, for `limit` at most.
@@ -100,22 +100,25 @@
         if now.since(started) >= limit {
             return;
         }
-        ask(instance, incarnation.process(), CONTROL_PRIORITY);
+        request_permits(instance, incarnation.process(), CONTROL_PRIORITY);
         monoio::time::sleep(until.since(now)).await;
     }
 }
 
-/// Asks for permits for a process if that is worth it, and returns whether this instance has
-/// issued some at once.
-fn ask(instance: &FleetInstance, process: u64, priority: u8) -> bool {
-    // Stamps have whole milliseconds, and the asks must be told from each other by them.
+/// Requests permits for a process if a request is due, and returns whether this instance has
+/// issued some itself.
+fn request_permits(instance: &FleetInstance, process: u64, priority: u8) -> bool {
+    // The stamp identifies the request in its reply, so the pool uses the same resolution.
     let stamp_ms = millis(instance.now().since_origin());
-    let asked = Time::from_origin(Duration::from_millis(stamp_ms));
-    let begun = instance.upstreams.borrow_mut().begin_ask(process, asked);
+    let requested = Time::from_origin(Duration::from_millis(stamp_ms));
+    let begun = instance
+        .upstreams
+        .borrow_mut()
+        .begin_request(process, requested);
     let Some((wanted, limit)) = begun else {
         return false;
     };
-    let ask = PermitAsk {
+    let req = PermitRequest {
         stamp_ms,
         limit: Some(limit),
         wanted,
@@ -126,19 +129,19 @@
     let issuer = instance.peers.borrow().issuer(process, now);
     match issuer {
         Issuer::Own => {
-            let answer = decide(instance, process, &ask);
-            apply_answer(instance, process, asked, &answer);
+            let answer = decide(instance, process, &req);
+            apply_answer(instance, process, requested, &answer);
             matches!(answer, PermitAnswer::Granted { .. })
         }
         Issuer::Peer(address) => {
-            send(instance, address, process, PermitBody::Ask(ask));
+            send(instance, address, process, PermitBody::Request(req));
             false
         }
         Issuer::Unknown => false,
     }
 }
 
-fn apply_answer(instance: &FleetInstance, process: u64, asked: Time, answer: &PermitAnswer) {
+fn apply_answer(instance: &FleetInstance, process: u64, requested: Time, answer: &PermitAnswer) {
     let now = instance.now();
     match answer {
         PermitAnswer::Granted { count, .. } => instance.metrics.record_permits("received", *count),
@@ -146,13 +149,13 @@
         PermitAnswer::Unlimited { .. } => {}
     }
     let mut upstreams = instance.upstreams.borrow_mut();
-    upstreams.apply_answer(process, asked, answer, now);
+    upstreams.apply_answer(process, requested, answer, now);
     drop(upstreams);
     log_changes(instance, "permit");
 }
 
-/// Decides on an ask for permits of a process.
-fn decide(instance: &FleetInstance, process: u64, ask: &PermitAsk) -> PermitAnswer {
+/// Returns the reply to a request for permits of a process.
+fn decide(instance: &FleetInstance, process: u64, req: &PermitRequest) -> PermitAnswer {
     let cx = IssueContext {
         peers: &instance.peers.borrow(),
         upstreams: &instance.upstreams.borrow(),
@@ -163,7 +166,7 @@
         .permits
         .issuer
         .borrow_mut()
-        .answer(process, ask, &cx);
+        .answer(process, req, &cx);
     if let PermitAnswer::Granted { count, .. } = answer {
         instance.metrics.record_permits("issued", count);
     }
@@ -178,28 +181,28 @@
     };
     let process = message.process;
     match &message.body {
-        PermitBody::Ask(ask) => {
-            learn(instance, process, ask);
-            if ask.wanted > 0 {
-                let answer = decide(instance, process, ask);
-                let echo_ms = ask.stamp_ms;
+        PermitBody::Request(req) => {
+            learn(instance, process, req);
+            if req.wanted > 0 {
+                let answer = decide(instance, process, req);
+                let echo_ms = req.stamp_ms;
                 let reply = PermitBody::Reply { echo_ms, answer };
                 send(instance, address, process, reply);
             }
         }
         PermitBody::Reply { echo_ms, answer } => {
-            let asked = Time::from_origin(Duration::from_millis(*echo_ms));
-            apply_answer(instance, process, asked, answer);
+            let requested = Time::from_origin(Duration::from_millis(*echo_ms));
+            apply_answer(instance, process, requested, answer);
         }
         PermitBody::Limit(report) => apply_report(instance, process, report),
     }
 }
 
-/// Learns from an ask what its sender knows.
-fn learn(instance: &FleetInstance, process: u64, ask: &PermitAsk) {
+/// Applies the limit or the end of one that a permit request reports.
+fn learn(instance: &FleetInstance, process: u64, req: &PermitRequest) {
     let now = instance.now();
     let mut upstreams = instance.upstreams.borrow_mut();
-    upstreams.learn_from_ask(process, ask, instance.incarnation, now);
+    upstreams.apply_permit_request(process, req, instance.incarnation, now);
     drop(upstreams);
     log_changes(instance, "permit");
 }
@@ -212,8 +215,8 @@
     log_changes(instance, "permit");
 }
 
-/// Tells other instances of a limit that is news to this one: the issuer all of them, any
-/// other instance that has it from an answer the issuer.
+/// Announces a limit that this instance did not know before: the issuer to all instances, any
+/// other instance to the issuer if it has learned the limit from an answer.
 pub fn announce(instance: &FleetInstance, incarnation: &Incarnation, source: Source) {
     let now = instance.now();
     let process = incarnation.process();
@@ -233,19 +236,19 @@
                 instance,
                 address,
                 process,
-                PermitBody::Ask(PermitAsk::report(Some(report), None)),
+                PermitBody::Request(PermitRequest::report(Some(report), None)),
             );
         }
         Issuer::Peer(_) | Issuer::Unknown => {}
     }
 }
 
-/// Tells the issuer that a request with this permit got an answer that names no limit.
+/// Reports to the issuer that the answer to a request with this permit named no limit.
 pub fn report_lifted(instance: &FleetInstance, incarnation: &Incarnation, permit: Permit) {
     let process = incarnation.process();
     let issuer = instance.peers.borrow().issuer(process, instance.now());
     if let Issuer::Peer(address) = issuer {
-        let body = PermitBody::Ask(PermitAsk::report(None, Some(permit.issue)));
+        let body = PermitBody::Request(PermitRequest::report(None, Some(permit.issue)));
         send(instance, address, process, body);
     }
 }
@@ -292,8 +295,8 @@
     }
 }
 
-/// Records a request that is refused for want of a permit, and returns the time in which
-/// permits will have come for the callers that were refused lately.
+/// Records a request that is refused without a permit, and returns the expected time until
+/// the recently refused callers could have been served.
 pub fn record_refusal(instance: &FleetInstance, service: &Name, outage: &Outage) -> Duration {
     let now = instance.now();
     let Some(first) = outage.first_permit else {
@@ -311,12 +314,12 @@
     upstreams.received_permits(service, instance.now())
 }
 
-/// Forgets the permits of processes for which another instance issues them now.
+/// Removes the state of processes for which this instance issues no permits any more.
 pub fn release(instance: &FleetInstance) {
     let now = instance.now();
     let peers = instance.peers.borrow();
     let mut issuer = instance.permits.issuer.borrow_mut();
-    issuer.retain(|process| peers.issuer(process, now) == Issuer::Own);
+    issuer.retain(|process| peers.issuer(process, now) == Issuer::Own, now);
 }
 
 /// A limit of an upstream, for operators.
