Name the content of requests, and notice the ends of all upstreams

Cause: the logs of the incident can't tell a request that ends each replica from ordinary crashes. Repeats of a request have other ids, no line names what is in it, and only the end of an engine under a prompt is looked for.

It is in the line of each failed attempt and, with the age of the run, among the suspects of 'upstream crashed', which now follows a lost connection of any request. Nothing is decided by it. Requests that were sent after the end of a process are no suspects of it. The report of crashes has a new layout.

--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -34,6 +34,29 @@
         Self(Sha256::digest(bytes).into())
     }
 
+    /// Returns the SHA-256 digest of `parts`, which depends on their boundaries.
+    ///
+    /// ```
+    /// use limpetsaddle_core::hash::Digest;
+    ///
+    /// assert_ne!(Digest::of_parts(&[b"ab", b"c"]), Digest::of_parts(&[b"a", b"bc"]));
+    /// ```
+    #[must_use]
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+
+    /// Returns the bytes.
+    #[must_use]
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
     /// Compares two digests in constant time.
     #[must_use]
     pub fn matches(&self, other: &Self) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod quarantine;
 pub mod reachability;
 pub mod refusal;
+pub mod request_key;
 pub mod retry_budget;
 pub mod rollout;
 pub mod runs;
--- a/crates/fleet/src/quarantine/report.rs
+++ b/crates/fleet/src/quarantine/report.rs
@@ -13,7 +13,7 @@
 
 /// The version of the datagram's layout. It differs from those of heartbeats and notices,
 /// which arrive at the same port.
-const LAYOUT: u8 = 129;
+const LAYOUT: u8 = 131;
 
 /// The largest number of crashes in a report.
 pub const MAX_CRASHES: usize = 8;
--- /dev/null
+++ b/crates/fleet/src/request_key.rs
@@ -0,0 +1,95 @@
+//! The key of a request's content.
+
+use std::fmt;
+use std::str::FromStr;
+
+use limpetsaddle_core::hash::Digest;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::prompt::Prompt;
+
+/// What two requests have in common if they are the same request, sent again.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The host in lower case.
+    pub host: &'a str,
+    /// The path and query.
+    pub target: &'a str,
+    /// The name of the caller's team, or nothing if it has none.
+    pub team: &'a str,
+    /// The prompt that the request declares.
+    pub prompt: Option<&'a Prompt>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// The key of a request's content, the same on all instances.
+///
+/// It is a part of a SHA-256 digest, so that no caller can find a request with the key of
+/// another one.
+///
+/// ```
+/// use limpetsaddle_fleet::request_key::RequestContent;
+/// use limpetsaddle_fleet::request_key::RequestKey;
+///
+/// let content = RequestContent {
+///     method: "GET",
+///     host: "a.example",
+///     target: "/orders/7",
+///     team: "retail",
+///     prompt: None,
+///     body: b"",
+/// };
+/// let key = RequestKey::of(&content);
+/// assert_eq!(key.to_string().parse(), Ok(key));
+/// assert_ne!(RequestKey::of(&RequestContent { team: "other", ..content }), key);
+/// ```
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct RequestKey(u128);
+
+impl RequestKey {
+    /// Returns the key of a request's content.
+    #[must_use]
+    pub fn of(content: &RequestContent<'_>) -> Self {
+        let prompt = content.prompt;
+        let ids = prompt.into_iter().flat_map(|prompt| &prompt.parts);
+        let texts = [content.method, content.host, content.target, content.team];
+        let mut parts: Vec<&[u8]> = texts.iter().map(|text| text.as_bytes()).collect();
+        parts.push(content.body);
+        parts.extend(ids.map(|part| part.id.as_bytes()));
+        let digest = Digest::of_parts(&parts);
+        let [bytes @ .., _, _, _, _, _, _, _, _, _, _, _, _, _, _, _, _] = *digest.as_bytes();
+        Self(u128::from_be_bytes(bytes))
+    }
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// A text that is not a key.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{text:?} is not the key of a request: 32 hexadecimal digits are expected")]
+pub struct InvalidRequestKey {
+    text: String,
+}
+
+impl FromStr for RequestKey {
+    type Err = InvalidRequestKey;
+
+    fn from_str(text: &str) -> Result<Self, InvalidRequestKey> {
+        let is_key = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let key = Some(text).filter(|_| is_key);
+        let key = key.and_then(|text| u128::from_str_radix(text, 16).ok());
+        key.map(Self).ok_or_else(|| InvalidRequestKey {
+            text: text.to_owned(),
+        })
+    }
+}
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -1,7 +1,7 @@
-//! The recent runs of prompts at engines, as this instance has observed them.
+//! The recent runs of requests at upstreams, as this instance has observed them.
 //!
-//! When an engine ends, they tell which prompts it had just begun to answer, and which parts
-//! of prompts engines have answered before and since.
+//! When an upstream ends, they tell which requests it had just begun to answer, and which
+//! requests and parts of prompts upstreams have answered before and since.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 use crate::part_key::PartKey;
+use crate::request_key::RequestKey;
 
 /// Options for how runs are judged and remembered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,15 +61,32 @@
     Other,
 }
 
-/// A prompt that an engine had not answered well into when it ended.
+/// What is sent to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct RunContent<'a> {
+    /// The hash of the request's id.
+    pub request: u32,
+    /// The key of the request's content.
+    pub key: RequestKey,
+    /// The parts of the prompt that other prompts share, or `None` if it is no prompt.
+    pub parts: Option<&'a [PartKey]>,
+}
+
+/// A request that an upstream had not answered, or not answered well into, when it ended.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashedRun {
     /// The hash of the request's id.
     pub request: u32,
-    /// The time from the beginning of the answer to the end of the engine in milliseconds, if the
-    /// engine had begun to answer.
+    /// The key of the request's content.
+    pub key: RequestKey,
+    /// The time from the sending of the request to the end of the upstream in milliseconds.
+    pub age_ms: u16,
+    /// Whether the answer was complete.
+    pub is_answered: bool,
+    /// The time from the beginning of the answer to the end of the upstream in milliseconds, if it
+    /// had begun to answer.
     pub begun_ms: Option<u16>,
-    /// The parts in order, but the last one.
+    /// The parts of the prompt in order, but the last one; none if it is no prompt.
     pub parts: Vec<PartKey>,
 }
 
@@ -76,7 +94,9 @@
 struct Run {
     process: u64,
     request: u32,
-    parts: Rc<[PartKey]>,
+    key: RequestKey,
+    parts: Option<Rc<[PartKey]>>,
+    sent: Time,
     head: Option<Time>,
     first_event: Option<Time>,
 }
@@ -86,12 +106,15 @@
         self.first_event.map(|at| at + options.under_way_after)
     }
 
-    fn to_crashed(&self, at: Time) -> CrashedRun {
-        let begun = self.head.map(|head| at.since(head).as_millis());
+    fn to_crashed(&self, at: Time, is_answered: bool) -> CrashedRun {
+        let millis = |since| u16::try_from(at.since(since).as_millis()).unwrap_or(u16::MAX);
         CrashedRun {
             request: self.request,
-            begun_ms: begun.map(|ms| u16::try_from(ms).unwrap_or(u16::MAX)),
-            parts: self.parts.to_vec(),
+            key: self.key,
+            age_ms: millis(self.sent),
+            is_answered,
+            begun_ms: self.head.map(millis),
+            parts: self.parts.as_deref().unwrap_or_default().to_vec(),
         }
     }
 }
@@ -108,11 +131,25 @@
 /// ```
 /// use limpetsaddle_core::units::Time;
 /// use limpetsaddle_fleet::part_key::PartKey;
+/// use limpetsaddle_fleet::request_key::RequestContent;
+/// use limpetsaddle_fleet::request_key::RequestKey;
+/// use limpetsaddle_fleet::runs::RunContent;
 /// use limpetsaddle_fleet::runs::RunEnd;
 /// use limpetsaddle_fleet::runs::RunLog;
 ///
+/// let key = RequestKey::of(&RequestContent {
+///     method: "POST",
+///     host: "a.example",
+///     target: "/chat",
+///     team: "",
+///     prompt: None,
+///     body: b"...",
+/// });
+/// let parts = [PartKey::of("5c1e")];
+/// let content = RunContent { request: 1, key, parts: Some(&parts) };
+///
 /// let mut runs = RunLog::default();
-/// let run = runs.start(7, 1, &[PartKey::of("5c1e")], Time::ZERO);
+/// let run = runs.start(7, &content, Time::ZERO);
 /// runs.record_head(run, Time::ZERO);
 /// runs.end(run, RunEnd::Broken, Time::ZERO);
 /// let (crashed, at) = runs.record_crash(7, Time::ZERO);
@@ -124,7 +161,10 @@
     options: RunOptions,
     started: u64,
     running: HashMap<RunId, Run>,
+    /// The ended runs of prompts.
     ended: VecDeque<EndedRun>,
+    /// The ended runs of other requests, until the end of their upstreams would be known.
+    ended_plain: VecDeque<EndedRun>,
     /// The engines whose end was noticed lately, with the time of their end.
     crashed: VecDeque<(u64, Time)>,
 }
@@ -139,17 +179,19 @@
         }
     }
 
-    /// Records that a prompt is sent to the engine with the hash `process`; see
-    /// [`process_hash`](crate::heartbeat::process_hash). `parts` are those that other prompts
-    /// share.
-    pub fn start(&mut self, process: u64, request: u32, parts: &[PartKey], now: Time) -> RunId {
+    /// Records that a request is sent to the upstream with the hash `process`; see
+    /// [`process_hash`](crate::heartbeat::process_hash).
+    pub fn start(&mut self, process: u64, content: &RunContent<'_>, now: Time) -> RunId {
         self.forget(now);
         self.started += 1;
         let id = RunId(self.started);
+        let parts = |parts: &[PartKey]| parts.iter().take(MAX_PARTS).copied().collect();
         let run = Run {
             process,
-            request,
-            parts: parts.iter().take(MAX_PARTS).copied().collect(),
+            request: content.request,
+            key: content.key,
+            parts: content.parts.map(parts),
+            sent: now,
             head: None,
             first_event: None,
         };
@@ -175,28 +217,34 @@
     /// Records the end of a run. A run that has ended stays as it is.
     pub fn end(&mut self, id: RunId, end: RunEnd, now: Time) {
         if let Some(run) = self.running.remove(&id) {
-            self.ended.push_back(EndedRun { run, at: now, end });
+            let ended = match run.parts {
+                Some(_) => &mut self.ended,
+                None => &mut self.ended_plain,
+            };
+            ended.push_back(EndedRun { run, at: now, end });
         }
         self.forget(now);
     }
 
-    /// Records that an engine's process has ended, and returns the prompts that may have been
+    /// Records that an upstream's process has ended, and returns the requests that may have been
     /// the cause, and the time of its end.
     pub fn record_crash(&mut self, process: u64, now: Time) -> (Vec<CrashedRun>, Time) {
         let options = self.options;
         let is_recent = |ended: &&EndedRun| now.since(ended.at) < options.max_notice_delay;
-        let ended = self
-            .ended
-            .iter()
-            .filter(|ended| ended.run.process == process);
-        let ended: Vec<&EndedRun> = ended.filter(is_recent).collect();
-        let broken = ended.iter().filter(|ended| ended.end == RunEnd::Broken);
+        let ended = self.ended_at(process).filter(is_recent);
+        let broken = ended.filter(|ended| ended.end == RunEnd::Broken);
         let at = broken.map(|ended| ended.at).min().unwrap_or(now);
         (self.suspects(process, at), at)
     }
 
-    /// Records that another instance has seen the end of an engine's process at `at`, and
-    /// returns the prompts of this instance that may have been the cause. There are none if the
+    /// Returns the ended runs at a process.
+    fn ended_at(&self, process: u64) -> impl Iterator<Item = &EndedRun> {
+        let all = self.ended.iter().chain(&self.ended_plain);
+        all.filter(move |ended| ended.run.process == process)
+    }
+
+    /// Records that another instance has seen the end of an upstream's process at `at`, and
+    /// returns the requests of this instance that may have been the cause. There are none if the
     /// end was known.
     pub fn record_reported_crash(&mut self, process: u64, at: Time) -> Vec<CrashedRun> {
         let memory_time = self.options.max_notice_delay;
@@ -209,26 +257,28 @@
         self.suspects(process, at)
     }
 
-    /// Records the end of a process, and returns the prompts that may have been the cause.
+    /// Records the end of a process, and returns the requests that may have been the cause.
     fn suspects(&mut self, process: u64, at: Time) -> Vec<CrashedRun> {
         let options = self.options;
-        let ended = self.ended.iter().filter(|ended| {
+        let is_near = |ended: &&EndedRun| {
             let apart = at.since(ended.at).max(ended.at.since(at));
-            ended.run.process == process && apart < options.max_notice_delay
-        });
+            apart < options.max_notice_delay
+        };
         let is_suspect = |run: &Run| run.under_way_at(&options).is_none_or(|time| time > at);
+        let ended = self.ended_at(process).filter(is_near);
         let ended = ended.filter(|ended| match ended.end {
             RunEnd::Broken => true,
-            // Its engine may have ended as it sent the end of the answer.
-            RunEnd::Complete => ended.run.first_event.is_some(),
+            // The engine may have ended as it sent the end of the answer.
+            RunEnd::Complete => ended.run.first_event.is_some() && ended.run.parts.is_some(),
             RunEnd::Other => false,
         });
+        let ended = ended.map(|ended| (&ended.run, ended.end == RunEnd::Complete));
         // The end of these has not been read yet.
         let running = self.running.values().filter(|run| run.process == process);
-        let all = ended.map(|ended| &ended.run).chain(running);
+        let all = ended.chain(running.map(|run| (run, false)));
         let crashed = all
-            .filter(|run| is_suspect(run))
-            .map(|run| run.to_crashed(at));
+            .filter(|(run, _)| run.sent <= at && is_suspect(run))
+            .map(|(run, is_answered)| run.to_crashed(at, is_answered));
         let crashed = crashed.collect();
         self.crashed.push_back((process, at));
         if self.crashed.len() > MAX_CRASHED {
@@ -237,7 +287,7 @@
         crashed
     }
 
-    /// Returns the number of ended runs that are remembered.
+    /// Returns the number of ended runs of prompts that are remembered.
     #[must_use]
     pub fn ended_count(&self) -> usize {
         self.ended.len()
@@ -246,15 +296,15 @@
     /// Returns the parts of prompts whose answers came well under way, each with the time.
     pub fn survivals(&self, now: Time) -> impl Iterator<Item = (PartKey, Time)> {
         let survived = self.survived(now);
-        survived.flat_map(|(run, at)| run.parts.iter().map(move |part| (*part, at)))
+        survived.flat_map(|(parts, at)| parts.iter().map(move |part| (*part, at)))
     }
 
     /// Returns the parts of each prompt whose answer came well under way, with the time.
     pub fn answered(&self, now: Time) -> impl Iterator<Item = (&[PartKey], Time)> {
-        self.survived(now).map(|(run, at)| (&*run.parts, at))
+        self.survived(now)
     }
 
-    fn survived(&self, now: Time) -> impl Iterator<Item = (&Run, Time)> {
+    fn survived(&self, now: Time) -> impl Iterator<Item = (&[PartKey], Time)> {
         let ended = self.ended.iter().map(|ended| (&ended.run, Some(ended)));
         let running = self.running.values().map(|run| (run, None));
         ended.chain(running).filter_map(move |(run, ended)| {
@@ -263,7 +313,8 @@
             let crashed_before = self.crashed.iter().any(|(process, crashed)| {
                 *process == run.process && run.first_event <= Some(*crashed) && *crashed < at
             });
-            (was_running && !crashed_before && at <= now).then_some((run, at))
+            let parts = run.parts.as_deref()?;
+            (was_running && !crashed_before && at <= now).then_some((parts, at))
         })
     }
 
@@ -274,6 +325,15 @@
         {
             self.ended.pop_front();
         }
+        let is_settled = |at: Time| now.since(at) >= self.options.max_notice_delay * 2;
+        while self.ended_plain.len() > self.options.max_ended
+            || self
+                .ended_plain
+                .front()
+                .is_some_and(|ended| is_settled(ended.at))
+        {
+            self.ended_plain.pop_front();
+        }
         while self.crashed.front().is_some_and(|(_, at)| is_old(*at)) {
             self.crashed.pop_front();
         }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -1,5 +1,7 @@
 //! Parts of prompts that are withheld from engines.
 
+mod support;
+
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
@@ -18,6 +20,8 @@
 use limpetsaddle_fleet::runs::RunEnd;
 use limpetsaddle_fleet::runs::RunLog;
 use proptest::prelude::*;
+use support::request_key;
+use support::run_of;
 
 const HARMFUL: &str = "bad";
 
@@ -33,6 +37,9 @@
 fn suspect(request: u32, parts: &[&str]) -> CrashedRun {
     CrashedRun {
         request,
+        key: request_key(request),
+        age_ms: 100,
+        is_answered: false,
         begun_ms: Some(80),
         parts: parts.iter().map(|id| part(id)).collect(),
     }
@@ -70,7 +77,7 @@
     fn answer(&mut self, parts: &[&str], millis: u64) {
         let parts: Vec<PartKey> = parts.iter().map(|id| part(id)).collect();
         let now = Time::from_origin(Duration::from_millis(99_000 + millis));
-        let run = self.runs.start(1, 0, &parts, now);
+        let run = self.runs.start(1, &run_of(0, Some(&parts)), now);
         self.runs.record_first_event(run, now);
         let end = now + Duration::from_millis(600);
         self.runs.end(run, RunEnd::Complete, end);
@@ -252,7 +259,9 @@
     sees.crash(1, &["01"]);
     let report = sees.report(300).unwrap();
     let mut hears = Instance::new();
-    let run = hears.runs.start(101, 2, &[part(HARMFUL)], at(200));
+    let run = hears
+        .runs
+        .start(101, &run_of(2, Some(&[part(HARMFUL)])), at(200));
     hears.runs.record_first_event(run, at(220));
     hears.runs.end(run, RunEnd::Complete, at(280));
     hears.apply(&report, 320);
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -1,5 +1,7 @@
 //! Runs of prompts as evidence of what ends an engine.
 
+mod support;
+
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
@@ -8,6 +10,7 @@
 use limpetsaddle_fleet::runs::RunId;
 use limpetsaddle_fleet::runs::RunLog;
 use limpetsaddle_fleet::runs::RunOptions;
+use support::run_of;
 
 const ENGINE: u64 = 7;
 
@@ -22,7 +25,7 @@
 /// Starts a run with one part, whose first event comes after `first_event` milliseconds.
 fn start(runs: &mut RunLog, id: &str, now: u64, first_event: Option<u64>) -> RunId {
     let request = u32::try_from(now).unwrap();
-    let run = runs.start(ENGINE, request, &[part(id)], at(now));
+    let run = runs.start(ENGINE, &run_of(request, Some(&[part(id)])), at(now));
     if let Some(after) = first_event {
         runs.record_first_event(run, at(now + after));
     }
@@ -75,7 +78,7 @@
 fn verify_runs_whose_end_was_not_read_yet_are_suspects() {
     let mut runs = RunLog::default();
     start(&mut runs, "01", 0, Some(10));
-    let other = runs.start(ENGINE + 1, 1, &[part("02")], at(0));
+    let other = runs.start(ENGINE + 1, &run_of(1, Some(&[part("02")])), at(0));
     runs.record_head(other, at(0));
     assert_eq!(crash_suspects(&mut runs, 50), [(part("01"), true)]);
 }
@@ -120,7 +123,7 @@
     }
     assert!(survivors(&runs, 2_000).len() <= 10);
     let many: Vec<PartKey> = (0..100_000).map(|n| part(&format!("{n:x}"))).collect();
-    runs.start(ENGINE, 0, &many, at(3_000));
+    runs.start(ENGINE, &run_of(0, Some(&many)), at(3_000));
     let (crashed, _) = runs.record_crash(ENGINE, at(3_000));
     assert!(crashed.iter().all(|run| run.parts.len() <= 32));
 }
--- a/crates/fleet/tests/support/crash_sim.rs
+++ b/crates/fleet/tests/support/crash_sim.rs
@@ -16,6 +16,8 @@
 use limpetsaddle_fleet::runs::RunId;
 use limpetsaddle_fleet::runs::RunLog;
 
+use super::run_of;
+
 /// The length of a step of the simulation.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -295,7 +297,7 @@
         let process = self.engines[engine].process;
         let id = self.instances[instance]
             .runs
-            .start(process, request, &parts, now);
+            .start(process, &run_of(request, Some(&parts)), now);
         let mut millis =
             |least, most| Duration::from_millis(least + self.random.below(most - least + 1));
         let head = now + millis(10, 250);
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -13,11 +13,15 @@
 use limpetsaddle_fleet::configuration::Engine;
 use limpetsaddle_fleet::directory::PrefixDirectory;
 use limpetsaddle_fleet::health::HealthOptions;
+use limpetsaddle_fleet::part_key::PartKey;
 use limpetsaddle_fleet::peers::PeerOptions;
 use limpetsaddle_fleet::peers::Peers;
 use limpetsaddle_fleet::placement::PlacementContext;
 use limpetsaddle_fleet::prompt::Part;
 use limpetsaddle_fleet::prompt::Prompt;
+use limpetsaddle_fleet::request_key::RequestContent;
+use limpetsaddle_fleet::request_key::RequestKey;
+use limpetsaddle_fleet::runs::RunContent;
 use limpetsaddle_fleet::upstreams::Phase;
 use limpetsaddle_fleet::upstreams::UpstreamEntry;
 use limpetsaddle_fleet::upstreams::Upstreams;
@@ -122,3 +126,25 @@
         }
     }
 }
+
+/// Returns the key of a request whose content is a number.
+pub fn request_key(number: u32) -> RequestKey {
+    RequestKey::of(&RequestContent {
+        method: "POST",
+        host: "a.example",
+        target: "/orders",
+        team: "",
+        prompt: None,
+        body: &number.to_le_bytes(),
+    })
+}
+
+/// Returns the run of a prompt, or of another request if it has no parts, with a content of its
+/// own.
+pub fn run_of(request: u32, parts: Option<&[PartKey]>) -> RunContent<'_> {
+    RunContent {
+        request,
+        key: request_key(request),
+        parts,
+    }
+}
--- a/crates/router/src/fleet/attempts.rs
+++ b/crates/router/src/fleet/attempts.rs
@@ -364,6 +364,7 @@
         let after = self.instance.now().since(self.accepted.arrived);
         info!(
             id, upstream:display,
+            key:display = self.accepted.key,
             failure = failure.code(),
             cause,
             weights = placement.weights.unwrap_or_default(),
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -1,6 +1,6 @@
 //! Detection of upstreams that end while they answer.
 //!
-//! A connection that is lost may have been reset alone. Only an engine whose host refuses
+//! A connection that is lost may have been reset alone. Only an upstream whose host refuses
 //! connections immediately afterwards has ended.
 
 use std::cell::RefCell;
@@ -28,17 +28,17 @@
 /// The number of attempts to connect, as a lost packet makes one time out.
 const MAX_PROBES: u32 = 3;
 
-/// The probes in progress, by the hashes of the engines' processes.
+/// The probes in progress, by the hashes of the upstreams' processes.
 #[derive(Debug, Default)]
 pub struct Probes {
     running: RefCell<HashMap<u64, Stopping>>,
 }
 
-/// Finds out whether the engine of a prompt has ended, if its connection was lost.
+/// Finds out whether the upstream of a request has ended, if its connection was lost.
 ///
 /// The result is recorded when this returns, unless the probe takes long.
 pub async fn check_after(forwarder: &Forwarder<'_>, placement: &Placement, failure: Failure) {
-    if failure != Failure::ConnectionLost || forwarder.prompt().is_none() {
+    if failure != Failure::ConnectionLost {
         return;
     }
     let ended = start_probe(forwarder.instance, placement);
@@ -53,7 +53,7 @@
     result.is_ok_and(|probe| probe == Probe::Ended)
 }
 
-/// Starts a probe of an engine, unless one is running, and returns its end.
+/// Starts a probe of an upstream, unless one is running, and returns its end.
 fn start_probe(instance: &Rc<FleetInstance>, placement: &Placement) -> Stopping {
     let incarnation = placement.incarnation();
     let process = incarnation.process();
@@ -88,7 +88,7 @@
     Probe::Unknown
 }
 
-/// Records that an engine's process has ended, and logs the prompts that may be the cause.
+/// Records that an upstream's process has ended, and logs the requests that may be the cause.
 fn record_crash(instance: &FleetInstance, incarnation: &Incarnation) {
     let now = instance.now();
     let process = incarnation.process();
@@ -107,12 +107,14 @@
     );
 }
 
-/// Returns the parts of each run for a log line, begun runs with the time since then.
+/// Returns the content and the parts of each run for a log line, with its age and, if the
+/// upstream had begun to answer, the time since then.
 fn describe(runs: &[CrashedRun]) -> String {
     let run = |run: &CrashedRun| {
         let parts: Vec<String> = run.parts.iter().map(ToString::to_string).collect();
         let begun = run.begun_ms.map_or(String::new(), |ms| format!("+{ms}ms"));
-        format!("{:08x}{begun}:{}", run.request, parts.join(","))
+        let (request, key, age_ms) = (run.request, run.key, run.age_ms);
+        format!("{request:08x}/{key}@{age_ms}ms{begun}:{}", parts.join(","))
     };
     let runs: Vec<String> = runs.iter().map(run).collect();
     runs.join(" ")
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -12,6 +12,8 @@
 use limpetsaddle_fleet::configuration::Team;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
+use limpetsaddle_fleet::request_key::RequestContent;
+use limpetsaddle_fleet::request_key::RequestKey;
 use limpetsaddle_http::Connection;
 use limpetsaddle_http::Request;
 use limpetsaddle_platform_wire::headers;
@@ -39,6 +41,8 @@
     pub team: Option<Rc<Team>>,
     /// The decoded header fields.
     pub fields: RequestFields,
+    /// The key of the content.
+    pub key: RequestKey,
     /// The time at which the request was read.
     pub arrived: Time,
     /// The time by which the response is due.
@@ -170,6 +174,7 @@
     Ok(AcceptedRequest {
         // The caller waits from when it sent the request, whose body may take long.
         deadline: begun + timeout.min(route.timeout),
+        key: content_key(req, &host, team.as_deref(), &fields),
         configuration,
         route,
         team,
@@ -179,6 +184,23 @@
     })
 }
 
+fn content_key(
+    req: &Request,
+    host: &str,
+    team: Option<&Team>,
+    fields: &RequestFields,
+) -> RequestKey {
+    let target = req.uri().path_and_query();
+    RequestKey::of(&RequestContent {
+        method: req.method().as_str(),
+        host,
+        target: target.map_or("", |target| target.as_str()),
+        team: team.map_or("", |team| &team.name),
+        prompt: fields.prompt.as_ref(),
+        body: req.body(),
+    })
+}
+
 fn host(req: &Request) -> Option<Name> {
     let value = req.headers().get(header::HOST)?.to_str().ok()?;
     let name = value.rsplit_once(':').map_or(value, |(name, _)| name);
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -31,6 +31,7 @@
 use limpetsaddle_fleet::prompt::Prompt;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
+use limpetsaddle_fleet::runs::RunContent;
 use limpetsaddle_fleet::runs::RunEnd;
 use limpetsaddle_fleet::runs::RunId;
 use limpetsaddle_fleet::upstreams::RequestLoad;
@@ -84,7 +85,7 @@
 pub struct InFlightGuard {
     instance: Rc<FleetInstance>,
     ticket: Option<Ticket>,
-    /// The run of a prompt, until it has ended.
+    /// The run, until it has ended.
     run: Option<RunId>,
     /// The outcome for the upstream's health; `None` if the caller disconnects
     /// first.
@@ -96,14 +97,14 @@
         instance: &Rc<FleetInstance>,
         placement: &Placement,
         request_load: RequestLoad,
-        run: Option<RunId>,
+        run: RunId,
     ) -> Self {
         let now = instance.now();
         let mut upstreams = instance.upstreams.borrow_mut();
         Self {
             ticket: upstreams.start(&placement.upstream, request_load, now),
             instance: Rc::clone(instance),
-            run,
+            run: Some(run),
             outcome: None,
         }
     }
@@ -294,15 +295,19 @@
         team.map(|team| &*team.name)
     }
 
-    /// Records that the prompt is about to be sent to an engine; returns `None` for other
-    /// requests.
-    pub fn start_run(&self, placement: &Placement) -> Option<RunId> {
-        let parts = self.prompt()?.shared_keys();
-        let process = placement.incarnation().process();
+    /// Records that the request is about to be sent to an upstream.
+    pub fn start_run(&self, placement: &Placement) -> RunId {
+        let parts = self.prompt().map(Prompt::shared_keys);
         let id = self.accepted.fields.id.as_deref().unwrap_or_default();
+        let content = RunContent {
+            request: request_hash(id),
+            key: self.accepted.key,
+            parts: parts.as_deref(),
+        };
+        let process = placement.incarnation().process();
         let now = self.instance.now();
         let mut runs = self.instance.runs.borrow_mut();
-        Some(runs.start(process, request_hash(id), &parts, now))
+        runs.start(process, &content, now)
     }
 
     pub fn request_load(&self, placement: &Placement) -> RequestLoad {
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -167,7 +167,7 @@
 pub async fn send_attempt(
     forwarder: &Forwarder<'_>,
     placement: &Placement,
-    run: Option<RunId>,
+    run: RunId,
     has_begun: &Cell<bool>,
 ) -> AttemptOutcome {
     let instance = forwarder.instance;
@@ -190,10 +190,7 @@
     if !matches_request(forwarder, &fields) {
         return AttemptOutcome::failed(Failure::InvalidResponse);
     }
-    if let Some(run) = run {
-        let now = instance.now();
-        instance.runs.borrow_mut().record_head(run, now);
-    }
+    instance.runs.borrow_mut().record_head(run, instance.now());
     let status = res.head.status;
     let streams = matches!(forwarder.accepted.route.kind, RouteKind::Stream { .. });
     if status.is_success() && !fields.signed {
--- a/crates/router/src/fleet/withdrawal.rs
+++ b/crates/router/src/fleet/withdrawal.rs
@@ -18,7 +18,7 @@
 pub async fn send_attempt(
     forwarder: &Forwarder<'_>,
     placement: &Placement,
-    run: Option<RunId>,
+    run: RunId,
 ) -> AttemptOutcome {
     let has_begun = Cell::new(false);
     let sent = std::pin::pin!(relay::send_attempt(forwarder, placement, run, &has_begun));
