--- a/crates/fleet/src/request_key.rs
+++ b/crates/fleet/src/request_key.rs
@@ -8,8 +8,6 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::prompt::Prompt;
-
 /// What two requests have in common if they are the same request, sent again.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestContent<'a> {
@@ -21,8 +19,6 @@
     pub target: &'a str,
     /// The name of the caller's team, or nothing if it has none.
     pub team: &'a str,
-    /// The prompt that the request declares.
-    pub prompt: Option<&'a Prompt>,
     /// The body.
     pub body: &'a [u8],
 }
@@ -41,7 +37,6 @@
 ///     host: "a.example",
 ///     target: "/orders/7",
 ///     team: "retail",
-///     prompt: None,
 ///     body: b"",
 /// };
 /// let key = RequestKey::of(&content);
@@ -56,13 +51,13 @@
     /// Returns the key of a request's content.
     #[must_use]
     pub fn of(content: &RequestContent<'_>) -> Self {
-        let prompt = content.prompt;
-        let ids = prompt.into_iter().flat_map(|prompt| &prompt.parts);
-        let texts = [content.method, content.host, content.target, content.team];
-        let mut parts: Vec<&[u8]> = texts.iter().map(|text| text.as_bytes()).collect();
-        parts.push(content.body);
-        parts.extend(ids.map(|part| part.id.as_bytes()));
-        let digest = Digest::of_parts(&parts);
+        let digest = Digest::of_parts(&[
+            content.method.as_bytes(),
+            content.host.as_bytes(),
+            content.target.as_bytes(),
+            content.team.as_bytes(),
+            content.body,
+        ]);
         let [bytes @ .., _, _, _, _, _, _, _, _, _, _, _, _, _, _, _, _] = *digest.as_bytes();
         Self(u128::from_be_bytes(bytes))
     }
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -142,7 +142,6 @@
 ///     host: "a.example",
 ///     target: "/chat",
 ///     team: "",
-///     prompt: None,
 ///     body: b"...",
 /// });
 /// let parts = [PartKey::of("5c1e")];
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -134,7 +134,6 @@
         host: "a.example",
         target: "/orders",
         team: "",
-        prompt: None,
         body: &number.to_le_bytes(),
     })
 }
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -174,7 +174,7 @@
     Ok(AcceptedRequest {
         // The caller waits from when it sent the request, whose body may take long.
         deadline: begun + timeout.min(route.timeout),
-        key: content_key(req, &host, team.as_deref(), &fields),
+        key: content_key(req, &host, team.as_deref()),
         configuration,
         route,
         team,
@@ -184,19 +184,13 @@
     })
 }
 
-fn content_key(
-    req: &Request,
-    host: &str,
-    team: Option<&Team>,
-    fields: &RequestFields,
-) -> RequestKey {
+fn content_key(req: &Request, host: &str, team: Option<&Team>) -> RequestKey {
     let target = req.uri().path_and_query();
     RequestKey::of(&RequestContent {
         method: req.method().as_str(),
         host,
         target: target.map_or("", |target| target.as_str()),
         team: team.map_or("", |team| &team.name),
-        prompt: fields.prompt.as_ref(),
         body: req.body(),
     })
 }
