Withhold requests that crash each upstream which runs them

Cause: what a request does to upstreams was forgotten with its attempts. The quarantine knew parts of prompts alone. The class: harm that is learnt for one request, and not for what it has in common with the next one.

Change: the quarantine also judges requests, by the key of their content. One that was not answered before is withheld once three processes have ended beside it without an answer since, from any instance; one that was answered in the minute before needs five ends one after the other over 2 s or more, as a hot request is present at ordinary crashes. Crashes that a withheld request explains don't count against others, nor against the parts of a prompt beyond the first of each content, so that parts of such a prompt stay in service. Decisions go to all by reports and the record at the platform; an instance that has not listed the record begins no request. The check is where parts are checked: each placement, before sending, every 0.2 s while it waits. After two ends a request isn't sent again within its own attempts.

A sound request that was withheld by chance comes back: an answer that any upstream still gives releases it, and one instance sends it once after 1 min, and once more 10 min later. An hour without such a request releases it, and so do operators.

A host that closes two new connections in a row before anything is sent counts as one whose process has ended. Bodies count with their length and 256 KiB at both ends, as a digest of 16 MiB held up a test for a second. Entries that are displaced from the full register take their crashes along: without that, a review did not end (verify_a_caller_with_many_contents_fills_no_memory).

--- a/.ci/weaken.py
+++ b/.ci/weaken.py
@@ -163,7 +163,7 @@
      "if forwarder.attempts.get().has_begun() {", "if false {",
      "platform-wire", "silence", "no_engine_can_continue"),
     ("a stream that waits is not judged again", ROUTER + "attempts.rs",
-     "if !self.has_lost_engine.get() {", "if !self.has_lost_engine.get() || !self.waits.get().is_new() {",
+     "if !self.has_lost_upstream.get() {", "if !self.has_lost_upstream.get() || !self.waits.get().is_new() {",
      "platform-wire", "crashing_prompts", "stream_that_waits"),
     ("a prompt that waits is not withdrawn", ROUTER + "forward.rs",
      "if self.withheld_part().is_some() {\n            return Waiting::Withdraw;",
--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -32,11 +32,13 @@
     OutdatedWeights,
     /// The upstream had not begun the request when a part of its prompt was withheld.
     WithheldPart,
+    /// The upstream had not begun the request when requests with its content were withheld.
+    WithheldRequest,
 }
 
 impl Failure {
     /// Every failure.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::ConnectFailed,
         Self::Rejected,
         Self::Withheld,
@@ -47,6 +49,7 @@
         Self::TimedOut,
         Self::OutdatedWeights,
         Self::WithheldPart,
+        Self::WithheldRequest,
     ];
 
     /// Returns the code in logs and metrics.
@@ -63,6 +66,7 @@
             Self::TimedOut => "silent",
             Self::OutdatedWeights => "outdated",
             Self::WithheldPart => "withheld_part",
+            Self::WithheldRequest => "withheld_request",
         }
     }
 
@@ -83,7 +87,8 @@
             | Self::UpstreamError
             | Self::TimedOut
             | Self::OutdatedWeights
-            | Self::WithheldPart => true,
+            | Self::WithheldPart
+            | Self::WithheldRequest => true,
         }
     }
 
@@ -96,7 +101,8 @@
             | Self::Withheld
             | Self::Misdirected
             | Self::OutdatedWeights
-            | Self::WithheldPart => None,
+            | Self::WithheldPart
+            | Self::WithheldRequest => None,
             Self::ConnectionLost | Self::InvalidResponse => Some(RequestOutcome::ConnectionLost),
             Self::UpstreamError => Some(RequestOutcome::UpstreamError),
             Self::TimedOut => Some(RequestOutcome::TimedOut),
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -8,16 +8,18 @@
 
 use limpetsaddle_core::units::Time;
 
-use super::QuarantineOptions;
 use super::answers::Answers;
+use super::options::QuarantineOptions;
+use super::subject::Subject;
 use crate::part_key::PartKey;
+use crate::request_key::RequestKey;
 use crate::runs::CrashedRun;
 
 /// The largest number of crashes that are remembered.
 const MAX_CRASHES: usize = 64;
 
 /// The largest number of suspects of one crash that are remembered.
-const MAX_RUNS: usize = 24;
+const MAX_RUNS: usize = 48;
 
 /// The time within which two reports tell of the same end of a process.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
@@ -25,28 +27,51 @@
 /// The time between two answers before a crash that are both told to other instances.
 const SURVIVAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The end of an engine's process.
+/// The end of an upstream's process.
 #[derive(Clone, Debug)]
-struct Crash {
+pub struct Crash {
     process: u64,
-    at: Time,
-    /// The prompts that may have been the cause.
-    runs: Vec<CrashedRun>,
+    pub at: Time,
+    /// The requests that may have been the cause.
+    pub runs: Vec<CrashedRun>,
 }
 
 impl Crash {
-    /// Returns the suspects: those that the engine had begun to answer, if there are any.
+    /// Returns the suspects among prompts: those that the engine had begun to answer, if there
+    /// are any.
     fn suspects(&self) -> impl Iterator<Item = &CrashedRun> {
         let any_begun = self.runs.iter().any(|run| run.begun_ms.is_some());
         let runs = self.runs.iter();
         runs.filter(move |run| run.begun_ms.is_some() || !any_begun)
     }
 
+    /// Returns whether the crash says something of a part beside `earlier` ones. A withheld
+    /// request explains it, and counts once for its own parts.
+    fn adds_to(&self, part: PartKey, withheld: &BTreeSet<RequestKey>, earlier: &[&Self]) -> bool {
+        let was_seen = |key: RequestKey| {
+            let mut runs = earlier.iter().flat_map(|crash| &crash.runs);
+            runs.any(|run| run.key == key)
+        };
+        let runs = self.runs.iter();
+        let mut causes = runs.filter(|run| run.is_cause(withheld)).peekable();
+        causes.peek().is_none() || causes.any(|run| run.parts.contains(&part) && !was_seen(run.key))
+    }
+
+    /// Returns whether any prompt was present that shares parts with others.
+    fn involves_parts(&self) -> bool {
+        self.runs.iter().any(|run| !run.parts.is_empty())
+    }
+
+    /// Returns whether a request was present that was not answered.
+    pub fn involves_request(&self, keys: &BTreeSet<RequestKey>) -> bool {
+        self.runs.iter().any(|run| run.is_cause(keys))
+    }
+
     fn involves(&self, part: PartKey) -> bool {
         self.suspects().any(|run| run.parts.contains(&part))
     }
 
-    fn involves_any(&self, parts: &BTreeSet<PartKey>) -> bool {
+    pub fn involves_any(&self, parts: &BTreeSet<PartKey>) -> bool {
         let mut all = self.suspects().flat_map(|run| &run.parts);
         all.any(|part| parts.contains(part))
     }
@@ -66,6 +91,15 @@
     }
 }
 
+/// What is withheld already, and explains the crashes at which it was present.
+#[derive(Clone, Copy, Debug)]
+pub struct Explained<'a> {
+    /// The parts.
+    pub parts: &'a BTreeSet<PartKey>,
+    /// The requests.
+    pub requests: &'a BTreeSet<RequestKey>,
+}
+
 /// What the crashes say of a part since an answer on it was last well under way.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Evidence {
@@ -77,7 +111,7 @@
     pub crashes: usize,
     /// The moments of these crashes.
     pub moments: usize,
-    /// The requests with the part in these crashes.
+    /// The requests with the part in these crashes, by their contents.
     pub requests: usize,
     /// The crashes at which the part was absent, from shortly before the first on.
     pub absences: usize,
@@ -139,27 +173,28 @@
     (1.0 - fewer).max(f64::MIN_POSITIVE)
 }
 
-/// What is known of a part of a suspect.
+/// What is known of a suspect, or of a part of it.
 #[derive(Clone, Copy, Debug, Default)]
-struct PartTimes {
-    /// The last crash at which the part was present.
-    last_crash: Time,
-    /// The last time at which an answer on the part came well under way.
-    last_survival: Option<Time>,
+pub struct SuspectTimes {
+    /// The last crash at which it was present.
+    pub last_crash: Time,
+    /// The last time at which it was answered: an answer on the part came well under way, or
+    /// the request got one.
+    pub last_survival: Option<Time>,
 }
 
-impl PartTimes {
+impl SuspectTimes {
     /// Returns whether the last crash has not been outlived.
     fn is_open(&self) -> bool {
         self.last_survival < Some(self.last_crash)
     }
 }
 
-/// The recent crashes, and when answers on their parts came well under way.
+/// The recent crashes, and when their suspects were answered.
 #[derive(Debug, Default)]
 pub struct CrashLog {
-    crashes: VecDeque<Crash>,
-    parts: HashMap<PartKey, PartTimes>,
+    pub crashes: VecDeque<Crash>,
+    pub suspects: HashMap<Subject, SuspectTimes>,
     /// From when on the absence of a part from a crash tells something: prompts that ran before
     /// this instance started may be unknown.
     complete_from: Time,
@@ -199,26 +234,31 @@
         };
         let crash = &mut self.crashes[index];
         crash.merge(at, runs);
-        for part in crash.suspects().flat_map(|run| &run.parts) {
-            let times = self.parts.entry(*part).or_default();
+        let parts = crash.suspects().flat_map(|run| &run.parts);
+        let parts = parts.map(|part| Subject::Part(*part));
+        let requests = crash.runs.iter().filter(|run| !run.is_answered);
+        let requests = requests.map(|run| Subject::Request(run.key));
+        for subject in parts.chain(requests) {
+            let times = self.suspects.entry(subject).or_default();
             times.last_crash = times.last_crash.max(crash.at);
         }
         true
     }
 
-    /// Forgets old crashes, and what is known of parts without one.
+    /// Forgets old crashes, and what is known of suspects without one.
     pub fn forget(&mut self, options: &QuarantineOptions, now: Time) {
         self.crashes
             .retain(|crash| now.since(crash.at) < options.memory_time);
         let oldest = self.crashes.iter().map(|crash| crash.at).min();
-        self.parts
+        self.suspects
             .retain(|_, times| oldest.is_some_and(|oldest| times.last_crash >= oldest));
     }
 
-    /// Records that an answer on a part came well under way. Returns whether that is news: a
-    /// crash that was outlived before stays so, and of earlier answers one suffices.
-    pub fn record_survival(&mut self, part: PartKey, at: Time) -> bool {
-        let Some(times) = self.parts.get_mut(&part).filter(|times| times.is_open()) else {
+    /// Records that a suspect was answered. Returns whether that is news: a crash that was
+    /// outlived before stays so, and of earlier answers one suffices.
+    pub fn record_survival(&mut self, subject: Subject, at: Time) -> bool {
+        let times = self.suspects.get_mut(&subject);
+        let Some(times) = times.filter(|times| times.is_open()) else {
             return false;
         };
         let is_later = |known: Time| at >= times.last_crash || at.since(known) >= SURVIVAL_INTERVAL;
@@ -231,49 +271,73 @@
         is_news
     }
 
-    /// Forgets the crashes at which a part was present, as it is released: they say nothing of
-    /// the parts beside it either.
-    pub fn dismiss(&mut self, part: PartKey, now: Time) {
-        self.record_survival(part, now);
-        self.crashes.retain(|crash| !crash.involves(part));
+    /// Forgets the crashes at which a subject was present, as it is released: they say nothing
+    /// of the parts beside it either.
+    pub fn dismiss(&mut self, subject: Subject, now: Time) {
+        match subject {
+            Subject::Part(_) => _ = self.record_survival(subject, now),
+            Subject::Request(_) => _ = self.suspects.remove(&subject),
+        }
+        let is_present = |crash: &Crash| match subject {
+            Subject::Part(part) => crash.involves(part),
+            Subject::Request(key) => crash.involves_request(&BTreeSet::from([key])),
+        };
+        self.crashes.retain(|crash| !is_present(crash));
     }
 
     /// Returns whether a part was present at a crash that has not been outlived.
     pub fn is_open(&self, part: PartKey) -> bool {
-        self.parts.get(&part).is_some_and(PartTimes::is_open)
+        let times = self.suspects.get(&Subject::Part(part));
+        times.is_some_and(SuspectTimes::is_open)
     }
 
-    /// Returns whether any part is [open](Self::is_open).
-    pub fn has_open_parts(&self) -> bool {
-        self.parts.values().any(PartTimes::is_open)
+    /// Returns whether anything was present at a crash that has not been outlived.
+    pub fn has_open_suspects(&self) -> bool {
+        self.suspects.values().any(SuspectTimes::is_open)
     }
 
-    /// Returns what the crashes say of a part, apart from those that one of `explained` was
-    /// present at, or `None` if there are none.
+    /// Returns the requests that were present at a crash that has not been outlived.
+    pub fn open_requests(&self) -> impl Iterator<Item = RequestKey> {
+        let open = self.suspects.iter().filter(|(_, times)| times.is_open());
+        open.filter_map(|(subject, _)| match subject {
+            Subject::Request(key) => Some(*key),
+            Subject::Part(_) => None,
+        })
+    }
+
+    /// Returns what the crashes say of a part, apart from those that are `explained`, or `None`
+    /// if there are none.
     pub fn evidence(
         &self,
         part: PartKey,
-        explained: &BTreeSet<PartKey>,
+        explained: Explained<'_>,
         answers: &Answers<'_>,
         options: &QuarantineOptions,
         now: Time,
     ) -> Option<Evidence> {
-        let survival = self.parts.get(&part)?.last_survival;
+        let survival = self.suspects.get(&Subject::Part(part))?.last_survival;
         let open = || {
-            let crashes = self.crashes.iter();
-            crashes.filter(|crash| !crash.involves_any(explained))
+            let crashes = self.crashes.iter().filter(|crash| crash.involves_parts());
+            crashes.filter(|crash| !crash.involves_any(explained.parts))
         };
         let is_counted = |crash: &&Crash| Some(crash.at) > survival && crash.involves(part);
-        let counted: Vec<&Crash> = open().filter(is_counted).collect();
+        let mut counted: Vec<&Crash> = Vec::new();
+        for crash in open().filter(is_counted) {
+            if crash.adds_to(part, explained.requests, &counted) {
+                counted.push(crash);
+            }
+        }
         let first = counted.iter().map(|crash| crash.at).min()?;
         let is_near = |crash: &&Crash| {
             first.since(crash.at) < options.answered_time && crash.at >= self.complete_from
         };
-        let absent = open().filter(is_near).filter(|crash| !crash.involves(part));
+        let is_absent =
+            |crash: &&Crash| !crash.involves(part) && !crash.involves_request(explained.requests);
+        let absent = open().filter(is_near).filter(is_absent);
         let absent: Vec<&Crash> = absent.collect();
         let runs = counted.iter().flat_map(|crash| crash.suspects());
         let runs: Vec<&CrashedRun> = runs.filter(|run| run.parts.contains(&part)).collect();
-        let requests: BTreeSet<u32> = runs.iter().map(|run| run.request).collect();
+        let requests: BTreeSet<RequestKey> = runs.iter().map(|run| run.key).collect();
         let depths = runs
             .iter()
             .map(|run| run.parts.iter().position(|p| *p == part));
@@ -318,7 +382,7 @@
     /// `answers` returns those that this instance knows of.
     pub fn best<'a>(
         &self,
-        explained: &BTreeSet<PartKey>,
+        explained: Explained<'_>,
         answers: impl FnOnce() -> Answers<'a>,
         options: &QuarantineOptions,
         now: Time,
@@ -327,7 +391,7 @@
         for crash in &self.crashes {
             let parts = crash.suspects().flat_map(|run| &run.parts);
             let parts: BTreeSet<PartKey> = parts.copied().collect();
-            for part in parts.difference(explained) {
+            for part in parts.difference(explained.parts) {
                 *crashes.entry(*part).or_default() += 1;
             }
         }
--- a/crates/fleet/src/quarantine/report.rs
+++ b/crates/fleet/src/quarantine/report.rs
@@ -1,4 +1,4 @@
-//! The datagram by which instances tell each other of crashes and withheld parts.
+//! The datagram by which instances tell each other of crashes and of what is withheld.
 
 use std::time::Duration;
 
@@ -8,7 +8,9 @@
 use thiserror::Error;
 
 use super::register::Entry;
-use crate::part_key::PartKey;
+use super::register::MAX_ENTRIES;
+use super::register::State;
+use super::subject::Subject;
 use crate::runs::CrashedRun;
 
 /// The version of the datagram's layout. It differs from those of heartbeats and notices,
@@ -18,28 +20,31 @@
 /// The largest number of crashes in a report.
 pub const MAX_CRASHES: usize = 8;
 
-/// The largest number of suspects of one crash in a report.
+/// The largest number of prompts among the suspects of one crash in a report.
 pub const MAX_RUNS: usize = 8;
 
+/// The largest number of suspects of one crash in a report that are no prompts.
+pub const MAX_PLAIN_RUNS: usize = 16;
+
 /// The largest number of survivals in a report.
 pub const MAX_SURVIVALS: usize = 64;
 
-/// The end of an engine's process, as one instance has seen it.
+/// The end of an upstream's process, as one instance has seen it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
     /// The hash of the process; see [`process_hash`](crate::heartbeat::process_hash).
     pub process: u64,
     /// The time since then in milliseconds.
     pub age_ms: u32,
-    /// The prompts that may have been the cause.
+    /// The requests that may have been the cause.
     pub runs: Vec<CrashedRun>,
 }
 
-/// The last time at which an answer on a part was well under way.
+/// The last time at which an answer on a part was well under way, or a request was answered.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SurvivalReport {
-    /// The part.
-    pub part: PartKey,
+    /// The part or the request.
+    pub subject: Subject,
     /// The time since then in milliseconds.
     pub age_ms: u32,
 }
@@ -47,10 +52,48 @@
 /// An entry of the quarantine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntryReport {
-    /// The entry.
-    pub entry: Entry,
-    /// The time since a prompt with the part was last refused, in milliseconds.
+    subject: Subject,
+    generation: u32,
+    state: State,
+    crashes: u32,
+    since_ms: u64,
+    trials: u32,
+    /// The time since the subject was last refused, in milliseconds.
     pub idle_ms: u32,
+    /// The time since it was last withheld or tried, in milliseconds.
+    pub held_ms: u32,
+}
+
+impl EntryReport {
+    /// Returns the report of an entry that was last needed, and last withheld or tried, such
+    /// times ago.
+    #[must_use]
+    pub fn new(entry: &Entry, idle: Duration, held: Duration) -> Self {
+        let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        Self {
+            subject: entry.subject,
+            generation: entry.generation,
+            state: entry.state,
+            crashes: entry.crashes,
+            since_ms: entry.since_ms,
+            trials: entry.trials,
+            idle_ms: millis(idle),
+            held_ms: millis(held),
+        }
+    }
+
+    /// Returns the entry.
+    #[must_use]
+    pub const fn entry(&self) -> Entry {
+        Entry {
+            subject: self.subject,
+            generation: self.generation,
+            state: self.state,
+            crashes: self.crashes,
+            since_ms: self.since_ms,
+            trials: self.trials,
+        }
+    }
 }
 
 /// What an instance reports to all others.
@@ -61,9 +104,9 @@
     pub sender: String,
     /// The crashes that the sender has seen lately.
     pub crashes: Vec<CrashReport>,
-    /// What the sender's prompts say for the parts that other instances suspect.
+    /// What the sender's answers say for what other instances suspect.
     pub survivals: Vec<SurvivalReport>,
-    /// The parts that are withheld or were released.
+    /// What is withheld or was released.
     pub entries: Vec<EntryReport>,
 }
 
@@ -132,12 +175,24 @@
     /// Returns [`ReportError`] if the bytes are not a report that an instance sends.
     pub fn decode(datagram: &[u8]) -> Result<Self, ReportError> {
         let report: Self = postcard::from_bytes(datagram)?;
-        let runs = report.crashes.iter().map(|crash| crash.runs.len()).max();
+        let runs = |are_plain: bool| {
+            let crashes = report.crashes.iter();
+            let runs = crashes.map(|crash| {
+                let runs = crash.runs.iter();
+                runs.filter(|run| run.parts.is_empty() == are_plain).count()
+            });
+            runs.max().unwrap_or_default()
+        };
+        let of_requests = |entry: &&EntryReport| matches!(entry.subject, Subject::Request(_));
+        let requests = report.entries.iter().filter(of_requests).count();
+        let parts = report.entries.len() - requests;
         let bounds = [
             (report.crashes.len(), MAX_CRASHES, "crashes"),
-            (runs.unwrap_or_default(), MAX_RUNS, "suspects of a crash"),
+            (runs(false), MAX_RUNS, "prompts of a crash"),
+            (runs(true), MAX_PLAIN_RUNS, "other suspects of a crash"),
             (report.survivals.len(), MAX_SURVIVALS, "survivals"),
-            (report.entries.len(), super::MAX_ENTRIES, "entries"),
+            (parts, MAX_ENTRIES, "entries"),
+            (requests, MAX_ENTRIES, "entries of requests"),
         ];
         match bounds.iter().find(|(items, max, _)| items > max) {
             Some(&(items, _, kind)) => Err(ReportError::Oversized { items, kind }),
--- a/crates/fleet/src/refusal.rs
+++ b/crates/fleet/src/refusal.rs
@@ -39,13 +39,15 @@
     DeadlineExceeded,
     /// Engines end when they answer on a part of the prompt, so it is withheld from them.
     WithheldPart,
+    /// Upstreams end under requests with the same content, so they are withheld.
+    WithheldRequest,
     /// The upstreams limit all instances together, and there is no permit.
     UpstreamLimit,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::BadRequest,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -63,6 +65,7 @@
         Self::UpstreamTimeout,
         Self::DeadlineExceeded,
         Self::WithheldPart,
+        Self::WithheldRequest,
         Self::UpstreamLimit,
     ];
 
@@ -87,6 +90,7 @@
             Self::UpstreamTimeout => "upstream_timeout",
             Self::DeadlineExceeded => "out_of_time",
             Self::WithheldPart => "withheld_part",
+            Self::WithheldRequest => "withheld_request",
             Self::UpstreamLimit => "upstream_limit",
         }
     }
@@ -113,6 +117,7 @@
             | Self::Rejected
             | Self::DeadlineExceeded
             | Self::WithheldPart
+            | Self::WithheldRequest
             | Self::UpstreamLimit => 503,
             Self::UpstreamFailed => 502,
             Self::UpstreamTimeout => 504,
--- a/crates/fleet/src/request_key.rs
+++ b/crates/fleet/src/request_key.rs
@@ -8,6 +8,10 @@
 use serde::Serialize;
 use thiserror::Error;
 
+/// The bytes at both ends of a body that its key depends on, beside its length: a digest of more
+/// would take milliseconds.
+const MAX_END_BYTES: usize = 256 * 1024;
+
 /// What two requests have in common if they are the same request, sent again.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestContent<'a> {
@@ -51,16 +55,30 @@
     /// Returns the key of a request's content.
     #[must_use]
     pub fn of(content: &RequestContent<'_>) -> Self {
+        let body = content.body;
+        let beginning = &body[..body.len().min(MAX_END_BYTES)];
+        let rest = &body[beginning.len()..];
+        let end = &rest[rest.len().saturating_sub(MAX_END_BYTES)..];
         let digest = Digest::of_parts(&[
             content.method.as_bytes(),
             content.host.as_bytes(),
             content.target.as_bytes(),
             content.team.as_bytes(),
-            content.body,
+            &body.len().to_le_bytes(),
+            beginning,
+            end,
         ]);
         let [bytes @ .., _, _, _, _, _, _, _, _, _, _, _, _, _, _, _, _] = *digest.as_bytes();
         Self(u128::from_be_bytes(bytes))
     }
+
+    /// Returns a place among `places` that begins elsewhere with each key.
+    #[must_use]
+    pub fn shifted(self, place: usize, places: usize) -> usize {
+        let [_, _, _, _, _, _, _, _, low @ ..] = self.0.to_be_bytes();
+        let shift = usize::try_from(u64::from_be_bytes(low) >> 32).unwrap_or_default();
+        (place + shift) % places.max(1)
+    }
 }
 
 impl fmt::Display for RequestKey {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -3,6 +3,7 @@
 //! When an upstream ends, they tell which requests it had just begun to answer, and which
 //! requests and parts of prompts upstreams have answered before and since.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -46,6 +47,9 @@
 /// The largest number of ended processes that are remembered.
 const MAX_CRASHED: usize = 256;
 
+/// The largest number of answers whose requests are remembered.
+const MAX_ANSWERED: usize = 4_096;
+
 /// The number of a run on this instance.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct RunId(u64);
@@ -90,6 +94,14 @@
     pub parts: Vec<PartKey>,
 }
 
+impl CrashedRun {
+    /// Returns whether the request is one of `keys`, and was not answered.
+    #[must_use]
+    pub fn is_cause(&self, keys: &BTreeSet<RequestKey>) -> bool {
+        !self.is_answered && keys.contains(&self.key)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Run {
     process: u64,
@@ -126,6 +138,30 @@
     end: RunEnd,
 }
 
+/// When each request was last answered, of the latest ones.
+#[derive(Debug, Default)]
+struct AnsweredRequests {
+    last: HashMap<RequestKey, Time>,
+    order: VecDeque<(RequestKey, Time)>,
+}
+
+impl AnsweredRequests {
+    fn record(&mut self, key: RequestKey, now: Time) {
+        self.last.insert(key, now);
+        self.order.push_back((key, now));
+        if self.order.len() > MAX_ANSWERED
+            && let Some((oldest, at)) = self.order.pop_front()
+            && self.last(oldest) == Some(at)
+        {
+            self.last.remove(&oldest);
+        }
+    }
+
+    fn last(&self, key: RequestKey) -> Option<Time> {
+        self.last.get(&key).copied()
+    }
+}
+
 /// The runs in progress and those that have ended lately.
 ///
 /// ```
@@ -164,6 +200,7 @@
     ended: VecDeque<EndedRun>,
     /// The ended runs of other requests, until the end of their upstreams would be known.
     ended_plain: VecDeque<EndedRun>,
+    answered: AnsweredRequests,
     /// The engines whose end was noticed lately, with the time of their end.
     crashed: VecDeque<(u64, Time)>,
 }
@@ -216,6 +253,10 @@
     /// Records the end of a run. A run that has ended stays as it is.
     pub fn end(&mut self, id: RunId, end: RunEnd, now: Time) {
         if let Some(run) = self.running.remove(&id) {
+            let under_way_at = run.under_way_at(&self.options);
+            if end == RunEnd::Complete || under_way_at.is_some_and(|at| at <= now) {
+                self.answered.record(run.key, now);
+            }
             let ended = match run.parts {
                 Some(_) => &mut self.ended,
                 None => &mut self.ended_plain,
@@ -286,6 +327,20 @@
         crashed
     }
 
+    /// Returns when a request with this content was last answered, as far as that is remembered.
+    #[must_use]
+    pub fn answered_at(&self, key: RequestKey) -> Option<Time> {
+        self.answered.last(key)
+    }
+
+    /// Returns the requests in progress whose answers are well under way, with the time since
+    /// when.
+    pub fn under_way(&self, now: Time) -> impl Iterator<Item = (RequestKey, Time)> {
+        let running = self.running.values();
+        let running = running.filter_map(|run| Some((run.key, run.under_way_at(&self.options)?)));
+        running.filter(move |(_, at)| *at <= now)
+    }
+
     /// Returns the number of ended runs of prompts that are remembered.
     #[must_use]
     pub fn ended_count(&self) -> usize {
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -206,16 +206,28 @@
     let mut instance = Instance::new();
     let parts = [part(HARMFUL)];
     instance.crash(0, &[HARMFUL]);
-    assert!(instance.quarantine.permits_repeat(&parts, at(10)));
+    assert!(
+        instance
+            .quarantine
+            .permits_repeat(request_key(0), &parts, at(10))
+    );
     instance.crash(1, &[HARMFUL]);
-    assert!(!instance.quarantine.permits_repeat(&parts, at(310)));
+    assert!(
+        !instance
+            .quarantine
+            .permits_repeat(request_key(0), &parts, at(310))
+    );
     // A part that engines answer is no reason.
     instance.answer(&["f0"], 100);
     for number in 2..6 {
         instance.crash(number, &["f0"]);
     }
     instance.review(1_510);
-    assert!(instance.quarantine.permits_repeat(&[part("f0")], at(1_510)));
+    assert!(
+        instance
+            .quarantine
+            .permits_repeat(request_key(0), &[part("f0")], at(1_510))
+    );
 }
 
 #[test]
@@ -363,7 +375,7 @@
     let changes = restarted
         .quarantine
         .review(&restarted.runs, 9, 7, at(4_500));
-    assert_eq!(changes[0].entry.part, part(HARMFUL));
+    assert_eq!(changes[0].entry.subject, part(HARMFUL).into());
     assert_eq!(changes[0].evidence.unwrap().absences, 0);
 }
 
@@ -442,7 +454,7 @@
     let hour = 3_600_000;
     instance
         .quarantine
-        .record_refusal(part(HARMFUL), at(hour / 2));
+        .record_refusal(part(HARMFUL).into(), at(hour / 2));
     instance.review(hour + 2_000);
     assert!(instance.withholds(HARMFUL));
     instance.review(hour + hour / 2 + 1);
@@ -470,11 +482,12 @@
     assert!(datagram.len() < 32 * 1024, "{} bytes", datagram.len());
     QuarantineReport::decode(&datagram).unwrap();
     let entry = |number: u64| Entry {
-        part: part(&format!("{number:x}")),
+        subject: part(&format!("{number:x}")).into(),
         generation: 1,
         state: State::Withheld,
         crashes: 5,
         since_ms: 0,
+        trials: 0,
     };
     for number in 0..1_000 {
         let record = QuarantineRecord {
@@ -508,7 +521,8 @@
         order in prop::collection::vec(any::<prop::sample::Index>(), 0..30),
     ) {
         let entry = |(id, generation, is_withheld): (u8, u32, bool)| Entry {
-            part: part(&format!("0{id}")),
+            subject: part(&format!("0{id}")).into(),
+            trials: 0,
             generation,
             state: if is_withheld { State::Withheld } else { State::Released },
             crashes: 5,
@@ -524,7 +538,7 @@
                 quarantine.apply_record(record, at(0));
             }
             let all = quarantine.entries(at(0));
-            all.map(|(e, _)| (e.part, e.generation, e.state)).collect::<Vec<_>>()
+            all.map(|(e, _)| (e.subject, e.generation, e.state)).collect::<Vec<_>>()
         };
         let expected = states(&mut records.iter());
         let shuffled = order.iter().map(|index| index.get(&records));
--- a/crates/fleet/tests/support/crash_sim.rs
+++ b/crates/fleet/tests/support/crash_sim.rs
@@ -12,10 +12,12 @@
 use limpetsaddle_fleet::quarantine::QuarantineRecord;
 use limpetsaddle_fleet::quarantine::QuarantineReport;
 use limpetsaddle_fleet::quarantine::State;
+use limpetsaddle_fleet::quarantine::Subject;
 use limpetsaddle_fleet::runs::RunEnd;
 use limpetsaddle_fleet::runs::RunId;
 use limpetsaddle_fleet::runs::RunLog;
 
+use super::request_key;
 use super::run_of;
 
 /// The length of a step of the simulation.
@@ -106,10 +108,10 @@
 /// The outcome of a simulation.
 #[derive(Debug)]
 pub struct Outcome {
-    /// The parts that any instance has withheld at any time.
-    pub withheld: BTreeSet<PartKey>,
-    /// The sound parts among these, with the time for which each was withheld.
-    pub sound_withheld: Vec<(PartKey, Duration)>,
+    /// The parts and requests that any instance has withheld at any time.
+    pub withheld: BTreeSet<Subject>,
+    /// The sound ones among these, with the time for which each was withheld.
+    pub sound_withheld: Vec<(Subject, Duration)>,
     /// For each harmful part, the prompts that were sent later than the bound.
     pub late: Vec<usize>,
     /// All crashes.
@@ -172,7 +174,7 @@
     crashes: Vec<Vec<Time>>,
     arrivals: Vec<Vec<Time>>,
     all_crashes: usize,
-    held: Vec<(PartKey, Duration)>,
+    held: Vec<(Subject, Duration)>,
     /// The record at the platform.
     stored: QuarantineRecord,
 }
@@ -421,7 +423,9 @@
         }
         for run in ended {
             let quarantine = &self.instances[run.instance].quarantine;
-            if run.attempts < 2 && quarantine.permits_repeat(&run.parts, now) {
+            if run.attempts < 2
+                && quarantine.permits_repeat(request_key(run.request), &run.parts, now)
+            {
                 let attempts = run.attempts + 1;
                 self.send(run.instance, run.request, run.parts, run.harmful, attempts);
             }
@@ -498,10 +502,13 @@
         let now = self.now;
         for instance in &self.instances {
             for (entry, _) in instance.quarantine.entries(now) {
-                let known = self.held.iter_mut().find(|(part, _)| *part == entry.part);
+                let known = self
+                    .held
+                    .iter_mut()
+                    .find(|(subject, _)| *subject == entry.subject);
                 match known {
                     Some((_, span)) if entry.state == State::Withheld => *span += STEP * 10,
-                    None => self.held.push((entry.part, Duration::ZERO)),
+                    None => self.held.push((entry.subject, Duration::ZERO)),
                     Some(_) => {}
                 }
             }
@@ -509,8 +516,9 @@
     }
 
     fn outcome(self) -> Outcome {
-        let harmful: Vec<PartKey> = (0..self.scenario.harmful_parts).map(harmful_key).collect();
-        let is_sound = |(part, _): &&(PartKey, Duration)| !harmful.contains(part);
+        let harmful = (0..self.scenario.harmful_parts).map(|part| harmful_key(part).into());
+        let harmful: Vec<Subject> = harmful.collect();
+        let is_sound = |(subject, _): &&(Subject, Duration)| !harmful.contains(subject);
         let late = self.crashes.iter().zip(&self.arrivals);
         let late = late.map(|(crashes, arrivals)| {
             let Some(fifth) = crashes.get(KNOWN_AFTER - 1) else {
@@ -520,7 +528,7 @@
             arrivals.iter().filter(|at| **at > bound).count()
         });
         Outcome {
-            withheld: self.held.iter().map(|(part, _)| *part).collect(),
+            withheld: self.held.iter().map(|(subject, _)| *subject).collect(),
             sound_withheld: self.held.iter().filter(is_sound).copied().collect(),
             late: late.collect(),
             crashes: self.all_crashes,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -129,6 +129,9 @@
     }
 }
 
+/// The size of a read that only awaits the end of a connection.
+const CLOSE_READ_BYTES: usize = 256;
+
 /// A connection over which nothing was sent yet.
 pub struct OpenConnection {
     options: Rc<ClientOptions>,
@@ -137,6 +140,14 @@
 }
 
 impl OpenConnection {
+    /// Waits until the server closes the connection, or fails it.
+    pub async fn closed(&mut self) {
+        // A server has nothing to say before it gets a request.
+        while matches!(self.stream.fill(CLOSE_READ_BYTES).await, Ok(n) if n > 0) {
+            self.stream.buf.clear();
+        }
+    }
+
     /// Sends `req` as [`Client::send`] does.
     ///
     /// # Errors
--- a/crates/router/src/fleet/attempts.rs
+++ b/crates/router/src/fleet/attempts.rs
@@ -236,7 +236,7 @@
     pub fn step_after(&self, failure: Failure) -> NextStep {
         let instance = self.instance;
         if failure == Failure::ConnectionLost {
-            self.has_lost_engine.set(true);
+            self.has_lost_upstream.set(true);
         }
         let permits_repeat = self.permits_repeat();
         let mut attempts = self.attempts.get();
@@ -255,15 +255,18 @@
         }
     }
 
-    /// Returns whether the prompt may be sent to another engine, as far as one that it was sent to
-    /// may have ended because of it.
+    /// Returns whether the request may be sent to another upstream, as far as one that it was
+    /// sent to may have ended because of it.
     pub fn permits_repeat(&self) -> bool {
-        if !self.has_lost_engine.get() {
+        if self.is_trial.get() {
+            return self.sent.get() == 0;
+        }
+        if !self.has_lost_upstream.get() {
             return true;
         }
-        let parts = self.prompt().map(Prompt::shared_keys);
+        let parts = self.prompt().map(Prompt::shared_keys).unwrap_or_default();
         let quarantine = self.instance.quarantine.borrow();
-        parts.is_none_or(|parts| quarantine.permits_repeat(&parts, self.instance.now()))
+        quarantine.permits_repeat(self.accepted.key, &parts, self.instance.now())
     }
 
     /// Returns the refusal after the last attempt.
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -1,7 +1,7 @@
 //! Detection of upstreams that end while they answer.
 //!
 //! A connection that is lost may have been reset alone. Only an upstream whose host refuses
-//! connections immediately afterwards has ended.
+//! connections immediately afterwards, or closes them before anything is sent, has ended.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -78,11 +78,16 @@
     ended
 }
 
+/// Returns what is known of a recipient after up to [`MAX_PROBES`] attempts to connect. A host
+/// that closes two connections in a row has no process behind it.
 async fn probe(instance: &FleetInstance, recipient: &Recipient) -> Probe {
+    let mut has_closed = false;
     for _ in 0..MAX_PROBES {
-        let result = instance.upstream_client.probe(instance, recipient).await;
-        if result != Probe::Unknown {
-            return result;
+        match instance.upstream_client.probe(instance, recipient).await {
+            Probe::Closing if has_closed => return Probe::Ended,
+            Probe::Closing => has_closed = true,
+            Probe::Unknown => (),
+            result @ (Probe::Listening | Probe::Ended) => return result,
         }
     }
     Probe::Unknown
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -23,12 +23,12 @@
 use limpetsaddle_fleet::directory::CacheUpdate;
 use limpetsaddle_fleet::health::RequestOutcome;
 use limpetsaddle_fleet::outage::StreamWaits;
-use limpetsaddle_fleet::part_key::PartKey;
 use limpetsaddle_fleet::placement;
 use limpetsaddle_fleet::placement::Placement;
 use limpetsaddle_fleet::placement::PlacementContext;
 use limpetsaddle_fleet::placement::PromptRequest;
 use limpetsaddle_fleet::prompt::Prompt;
+use limpetsaddle_fleet::quarantine::Subject;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_fleet::runs::RunContent;
@@ -60,8 +60,8 @@
 /// weights yet.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// The time after which a caller may retry a prompt with a withheld part.
-const WITHHELD_PART_RETRY_AFTER: Duration = Duration::from_mins(1);
+/// The time after which a caller may retry a request that is withheld.
+const WITHHELD_RETRY_AFTER: Duration = Duration::from_mins(1);
 
 /// The outcome of a request.
 pub enum ForwardOutcome {
@@ -130,6 +130,7 @@
         self.outcome = outcome;
         self.end_run(match failure {
             Failure::ConnectionLost => RunEnd::Broken,
+            Failure::UpstreamError => RunEnd::Complete,
             _ => RunEnd::Other,
         });
     }
@@ -210,9 +211,11 @@
     /// The waits for an upstream that can continue the stream.
     pub waits: Cell<StreamWaits>,
     /// Whether an upstream has ended the connection, perhaps because its process has ended.
-    pub has_lost_engine: Cell<bool>,
+    pub has_lost_upstream: Cell<bool>,
     /// Whether the next attempt needs a retry that the budget has not permitted yet.
     pub owes_retry: Cell<bool>,
+    /// Whether the request is withheld, and sent once nevertheless.
+    pub is_trial: Cell<bool>,
 }
 
 /// Forwards a request and relays the response to the caller.
@@ -239,8 +242,9 @@
         given_up: RefCell::default(),
         sent: Cell::new(0),
         waits: Cell::default(),
-        has_lost_engine: Cell::default(),
+        has_lost_upstream: Cell::default(),
         owes_retry: Cell::default(),
+        is_trial: Cell::default(),
     };
     let pending = {
         let send = std::pin::pin!(forwarder.send().fuse());
@@ -374,17 +378,22 @@
                 .get()
                 .give_up(Reason::DeadlineExceeded, Duration::ZERO));
         }
-        if let Some(part) = self.withheld_part() {
+        if let Some(subject) = self.withheld_subject()
+            && !self.begin_trial(subject)
+        {
             let mut quarantine = instance.quarantine.borrow_mut();
-            quarantine.record_refusal(part, now);
-            let attempts = self.attempts.get();
-            return Err(attempts.give_up(Reason::WithheldPart, WITHHELD_PART_RETRY_AFTER));
+            quarantine.record_refusal(subject, now);
+            let reason = match subject {
+                Subject::Part(_) => Reason::WithheldPart,
+                Subject::Request(_) => Reason::WithheldRequest,
+            };
+            return Err(self.attempts.get().give_up(reason, WITHHELD_RETRY_AFTER));
         }
         if !self.permits_repeat() {
             return Err(Refusal::new(Reason::UpstreamFailed));
         }
-        if self.prompt().is_some() && !instance.quarantine_record.is_listed.get() {
-            // Parts of the prompt may be withheld.
+        if !instance.quarantine_record.is_listed.get() {
+            // The request, or parts of its prompt, may be withheld.
             let attempts = self.attempts.get();
             return Err(attempts.give_up(Reason::NotReady, NO_TARGET_RETRY_AFTER));
         }
@@ -498,15 +507,42 @@
         target.outdated(weights?, self.instance.now())
     }
 
-    /// Returns the first part of the prompt that is withheld from engines.
-    pub fn withheld_part(&self) -> Option<PartKey> {
-        let parts = self.prompt()?.shared_keys();
-        self.instance.quarantine.borrow().withheld(&parts)
+    /// Returns what is withheld from upstreams: the first such part of the prompt, or the
+    /// request, unless it is a trial.
+    pub fn withheld_subject(&self) -> Option<Subject> {
+        let quarantine = self.instance.quarantine.borrow();
+        let parts = self.prompt().map(Prompt::shared_keys).unwrap_or_default();
+        if let Some(part) = quarantine.withheld(&parts) {
+            return Some(part.into());
+        }
+        let key = self.accepted.key;
+        (quarantine.withholds(key) && !self.is_trial.get()).then_some(key.into())
+    }
+
+    /// Returns whether a withheld request is sent nevertheless, once, to see whether it is
+    /// answered by now.
+    fn begin_trial(&self, subject: Subject) -> bool {
+        let Subject::Request(key) = subject else {
+            return false;
+        };
+        if self.sent.get() > 0 {
+            return false;
+        }
+        let now = self.instance.now();
+        let (rank, instances) = {
+            let peers = self.instance.peers.borrow();
+            (peers.rank(now), peers.peer_counts(now).live)
+        };
+        let rank = usize::try_from(rank).unwrap_or(usize::MAX);
+        let mut quarantine = self.instance.quarantine.borrow_mut();
+        self.is_trial
+            .set(quarantine.begin_trial(key, rank, instances, now));
+        self.is_trial.get()
     }
 
     /// Returns whether the request may still begin at an upstream.
     pub fn check_begin(&self, placement: &Placement) -> Waiting {
-        if self.withheld_part().is_some() {
+        if self.withheld_subject().is_some() {
             return Waiting::Withdraw;
         }
         let limit = self.instance.begin_limit;
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -47,7 +47,8 @@
     withheld_calls: Counter<u64>,
     ignored_notices: Counter<u64>,
     crashes: Counter<u64>,
-    quarantine_changes: Counter<u64>,
+    part_changes: Counter<u64>,
+    request_changes: Counter<u64>,
     first_event: Histogram<f64>,
     response_time: Histogram<f64>,
     outdated_weights: Histogram<f64>,
@@ -86,7 +87,8 @@
             withheld_calls: meter.u64_counter("limpetsaddle_withheld_calls").build(),
             ignored_notices: meter.u64_counter("limpetsaddle_ignored_notices").build(),
             crashes: meter.u64_counter("limpetsaddle_upstream_crashes").build(),
-            quarantine_changes: meter.u64_counter("limpetsaddle_part_changes").build(),
+            part_changes: meter.u64_counter("limpetsaddle_part_changes").build(),
+            request_changes: meter.u64_counter("limpetsaddle_request_changes").build(),
             first_event: times("limpetsaddle_first_event_seconds"),
             response_time: times("limpetsaddle_answer_seconds"),
             outdated_weights: meter
@@ -197,12 +199,21 @@
     }
 
     /// Counts a part of prompts that was withheld or released, by what that rests on.
-    pub fn record_quarantine_change(&self, state: &'static str, source: &'static str) {
+    pub fn record_part_change(&self, state: &'static str, source: &'static str) {
         let labels = [
             KeyValue::new("state", state),
             KeyValue::new("source", source),
         ];
-        self.quarantine_changes.add(1, &labels);
+        self.part_changes.add(1, &labels);
+    }
+
+    /// Counts a request that was withheld, tried or released, by what that rests on.
+    pub fn record_request_change(&self, state: &'static str, source: &'static str) {
+        let labels = [
+            KeyValue::new("state", state),
+            KeyValue::new("source", source),
+        ];
+        self.request_changes.add(1, &labels);
     }
 
     /// Returns all samples in the text format of Prometheus.
--- a/crates/router/src/fleet/outage.rs
+++ b/crates/router/src/fleet/outage.rs
@@ -66,7 +66,7 @@
             Ok(placement) => return Ok(placement),
             Err(refusal) => refusal,
         };
-        if forwarder.withheld_part().is_some() || !forwarder.permits_repeat() {
+        if forwarder.withheld_subject().is_some() || !forwarder.permits_repeat() {
             return Err(refusal);
         }
         let left = forwarder.accepted.deadline.since(forwarder.instance.now());
@@ -121,8 +121,8 @@
 }
 
 fn outage(forwarder: &Forwarder<'_>) -> Option<Outage> {
-    // No upstream will get the prompt, whether it rests or not.
-    if forwarder.withheld_part().is_some() {
+    // No upstream will get the request, whether it rests or not.
+    if forwarder.withheld_subject().is_some() {
         return None;
     }
     let instance = forwarder.instance;
--- a/crates/router/src/fleet/quarantine.rs
+++ b/crates/router/src/fleet/quarantine.rs
@@ -1,4 +1,4 @@
-//! The withheld parts of prompts: their review, log lines and record at the platform.
+//! What is withheld from upstreams: its review, log lines and record at the platform.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -10,6 +10,7 @@
 use limpetsaddle_fleet::quarantine::Entry;
 use limpetsaddle_fleet::quarantine::QuarantineRecord;
 use limpetsaddle_fleet::quarantine::State;
+use limpetsaddle_fleet::quarantine::Subject;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Object;
 use limpetsaddle_platform_wire::store::WriteResult;
@@ -106,16 +107,20 @@
 
 fn record_change(instance: &FleetInstance, change: &Change) {
     let Entry {
-        part,
+        subject,
         generation,
         crashes,
+        trials,
         ..
     } = change.entry;
     let source = change.source.code();
     let state = state_code(change.entry.state);
-    instance.metrics.record_quarantine_change(state, source);
-    match change.entry.state {
-        State::Withheld => {
+    match subject {
+        Subject::Part(_) => instance.metrics.record_part_change(state, source),
+        Subject::Request(_) => instance.metrics.record_request_change(state, source),
+    }
+    match (change.entry.state, subject) {
+        (State::Withheld, Subject::Part(part)) => {
             let requests = change.evidence.map(|evidence| evidence.requests);
             let absences = change.evidence.map(|evidence| evidence.absences);
             info!(
@@ -123,7 +128,18 @@
                 "prompt part withheld"
             );
         }
-        State::Released => info!(part:display, source, generation; "prompt part released"),
+        (State::Released, Subject::Part(part)) => {
+            info!(part:display, source, generation; "prompt part released");
+        }
+        (State::Withheld, Subject::Request(key)) if trials > 0 => {
+            info!(key:display, source, generation, trials; "withheld request tried");
+        }
+        (State::Withheld, Subject::Request(key)) => {
+            info!(key:display, source, generation, crashes; "request withheld");
+        }
+        (State::Released, Subject::Request(key)) => {
+            info!(key:display, source, generation, trials; "request released");
+        }
     }
 }
 
@@ -169,13 +185,13 @@
     let written = instance.store.put(kind, QUARANTINE_NAME, revision, &record);
     match written.await {
         Ok(WriteResult::Applied(object)) => {
-            let parts = record.parts.len();
+            let (parts, requests) = (record.parts.len(), record.requests.len());
             let revision = object.revision;
             store.revision.set(Some(revision));
             let mut quarantine = instance.quarantine.borrow_mut();
             quarantine.apply_record(&record, instance.now());
             store.record.replace(record);
-            info!(parts, revision; "record of withheld parts written");
+            info!(parts, requests, revision; "record of withheld parts written");
             true
         }
         Ok(WriteResult::Conflict(Some(object))) => {
@@ -194,23 +210,23 @@
     }
 }
 
-/// A withheld or released part, for operators.
+/// What is withheld or was released, for operators.
 #[derive(Serialize)]
-struct PartDocument<'a> {
+struct EntryDocument<'a> {
     #[serde(flatten)]
     entry: &'a Entry,
-    /// The time since a prompt with the part was last refused.
+    /// The time since such a request was last refused.
     idle_seconds: u64,
 }
 
-/// Returns the withheld and released parts as a JSON document.
+/// Returns what is withheld and was released as a JSON document.
 pub fn document(instance: &FleetInstance) -> bytes::Bytes {
     let quarantine = instance.quarantine.borrow();
     let entries = quarantine.entries(instance.now());
-    let entries = entries.map(|(entry, idle)| PartDocument {
+    let entries = entries.map(|(entry, idle)| EntryDocument {
         entry,
         idle_seconds: idle.as_secs(),
     });
-    let parts: Vec<PartDocument<'_>> = entries.collect();
-    crate::responses::json(&parts)
+    let entries: Vec<EntryDocument<'_>> = entries.collect();
+    crate::responses::json(&entries)
 }
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -107,6 +107,9 @@
     }
 }
 
+/// The time in which a host that accepts connections for a process that has ended closes them.
+const CLOSE_WAIT: Duration = Duration::from_millis(15);
+
 /// What a connection attempt shows of a recipient.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Probe {
@@ -114,6 +117,8 @@
     Listening,
     /// Its host refuses the connection, so its process has ended.
     Ended,
+    /// Its host closes the connection before anything is sent, as if its process had ended.
+    Closing,
     /// Nothing is known: it didn't respond in time, or may not be called.
     Unknown,
 }
@@ -184,7 +189,10 @@
             return Probe::Unknown;
         }
         match self.client.open(recipient.address()).await {
-            Ok(_) => Probe::Listening,
+            Ok(mut conn) => match monoio::time::timeout(CLOSE_WAIT, conn.closed()).await {
+                Ok(()) => Probe::Closing,
+                Err(_) => Probe::Listening,
+            },
             Err(error) if error.is_refused() => Probe::Ended,
             Err(_) => Probe::Unknown,
         }
--- a/crates/router/src/fleet/withdrawal.rs
+++ b/crates/router/src/fleet/withdrawal.rs
@@ -1,11 +1,12 @@
-//! Withdrawal of requests that wait at engines whose weights become too old, or whose prompts
-//! have a part that is withheld meanwhile.
+//! Withdrawal of requests that wait at engines whose weights become too old, or that are withheld
+//! meanwhile.
 
 use std::cell::Cell;
 
 use limpetsaddle_fleet::attempt::Failure;
 use limpetsaddle_fleet::begin_limit::Waiting;
 use limpetsaddle_fleet::placement::Placement;
+use limpetsaddle_fleet::quarantine::Subject;
 use limpetsaddle_fleet::runs::RunId;
 
 use super::forward::Forwarder;
@@ -13,7 +14,7 @@
 use super::relay::AttemptOutcome;
 use crate::clock::millis;
 
-/// Sends a request as [`relay::send_attempt`] does, and closes the connection if the engine
+/// Sends a request as [`relay::send_attempt`] does, and closes the connection if the upstream
 /// has not begun the request when it may no longer begin it.
 pub async fn send_attempt(
     forwarder: &Forwarder<'_>,
@@ -34,11 +35,8 @@
     }
 }
 
-/// Waits until the engine may no longer begin a request, and returns the cause for the log.
+/// Waits until the upstream may no longer begin a request, and returns the cause for the log.
 async fn until_withdrawn(forwarder: &Forwarder<'_>, placement: &Placement) -> (Failure, String) {
-    if forwarder.prompt().is_none() {
-        return std::future::pending().await;
-    }
     loop {
         match forwarder.check_begin(placement) {
             Waiting::Keep(span) => monoio::time::sleep(span).await,
@@ -48,8 +46,12 @@
 }
 
 fn cause(forwarder: &Forwarder<'_>, placement: &Placement) -> (Failure, String) {
-    if let Some(part) = forwarder.withheld_part() {
-        return (Failure::WithheldPart, format!("part {part} is withheld"));
+    if let Some(subject) = forwarder.withheld_subject() {
+        let failure = match subject {
+            Subject::Part(_) => Failure::WithheldPart,
+            Subject::Request(_) => Failure::WithheldRequest,
+        };
+        return (failure, format!("{} {subject} is withheld", subject.kind()));
     }
     let outdated = forwarder.outdated(placement.weights);
     let cause = outdated.map_or_else(String::new, |outdated| {
