--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crash_sim;
 pub mod permit_sim;
+pub mod request_sim;
 
 use std::rc::Rc;
 use std::time::Duration;
