Count the end of one process once among the crashes of a request

Cause: an instance that was suspended notices an end more than a second after others, and its report counted as another crash.

Change: crashes of a request are counted by their processes.

Measured: verify_the_end_of_one_process_counts_once fails without the change.

--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -30,7 +30,7 @@
 /// The end of an upstream's process.
 #[derive(Clone, Debug)]
 pub struct Crash {
-    process: u64,
+    pub process: u64,
     pub at: Time,
     /// The requests that may have been the cause.
     pub runs: Vec<CrashedRun>,
--- a/crates/fleet/src/quarantine/repeats.rs
+++ b/crates/fleet/src/quarantine/repeats.rs
@@ -94,6 +94,9 @@
         let counted = crashes.iter().filter(|crash| Some(crash.at) > survival);
         let counted = counted.filter_map(|crash| Some((*crash, run_of(crash, key)?)));
         let mut counted: Vec<(&Crash, &CrashedRun)> = counted.collect();
+        // An instance that was suspended may notice an end much later than others.
+        counted.sort_by_key(|(crash, _)| (crash.process, crash.at));
+        counted.dedup_by_key(|(crash, _)| crash.process);
         counted.sort_by_key(|(crash, _)| crash.at);
         let (first, last) = (counted.first()?.0.at, counted.last()?.0.at);
         let ages = || counted.iter().map(|(_, run)| run.age_ms);
--- a/crates/fleet/tests/repeats.rs
+++ b/crates/fleet/tests/repeats.rs
@@ -140,6 +140,18 @@
     assert!(!instance.withholds(8));
 }
 
+/// An instance that was suspended notices an end long after others.
+#[test]
+fn verify_the_end_of_one_process_counts_once() {
+    let mut instance = Instance::new();
+    for (process, millis) in [(1, 0), (2, 200), (1, 2_500), (2, 4_000)] {
+        let runs = vec![suspect(REPEATED, &[])];
+        instance.quarantine.record_crash(process, at(millis), runs);
+    }
+    instance.review(5_000);
+    assert!(!instance.withholds(REPEATED));
+}
+
 #[test]
 fn verify_answers_at_any_instance_clear_a_request() {
     let mut sees = Instance::new();
