Count no request that was sent after the end of a process among its suspects

Cause: hosts that accept connections for a process that has ended and close them made each request that was sent there later look like one that had just ended it. The log shows 20 lines 'upstream crashed' of eight ended processes in a second, each with a request 2 to 26 ms old.

Change: a process ends once. An instance that knows the end takes later losses for no second one, and the register of crashes drops suspects that were sent after the earliest known end, but for 50 ms by which instances may differ on it.

--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -21,9 +21,6 @@
 /// The largest number of suspects of one crash that are remembered.
 const MAX_RUNS: usize = 48;
 
-/// The time within which two reports tell of the same end of a process.
-const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
-
 /// The time between two answers before a crash that are both told to other instances.
 const SURVIVAL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -76,10 +73,16 @@
         all.any(|part| parts.contains(part))
     }
 
-    /// Adds the suspects that another instance has seen.
+    /// Adds the suspects that another instance has seen, but those that it has sent after the end.
     fn merge(&mut self, at: Time, runs: Vec<CrashedRun>) {
+        let later = at.since(self.at);
+        let earlier = self.at.since(at);
         self.at = self.at.min(at);
-        for run in runs {
+        self.runs.retain_mut(|run| run.move_end(earlier));
+        for mut run in runs {
+            if !run.move_end(later) {
+                continue;
+            }
             let known = self.runs.iter_mut().find(|r| r.request == run.request);
             match known {
                 Some(known) => known.begun_ms = known.begun_ms.or(run.begun_ms),
@@ -212,11 +215,8 @@
     /// Records the end of a process, or further suspects of it. Returns whether the log has
     /// changed.
     pub fn record(&mut self, process: u64, at: Time, runs: Vec<CrashedRun>) -> bool {
-        let is_same = |crash: &Crash| {
-            let apart = crash.at.since(at).max(at.since(crash.at));
-            crash.process == process && apart < SAME_CRASH_TIME
-        };
-        let known = self.crashes.iter().position(is_same);
+        let mut crashes = self.crashes.iter();
+        let known = crashes.position(|crash| crash.process == process);
         let index = match known {
             Some(index) => index,
             None if runs.is_empty() => return false,
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -50,6 +50,9 @@
 /// The largest number of answers whose requests are remembered.
 const MAX_ANSWERED: usize = 4_096;
 
+/// The time by which instances may differ on when a process has ended.
+const TIME_TOLERANCE: Duration = Duration::from_millis(50);
+
 /// The number of a run on this instance.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct RunId(u64);
@@ -100,6 +103,15 @@
     pub fn is_cause(&self, keys: &BTreeSet<RequestKey>) -> bool {
         !self.is_answered && keys.contains(&self.key)
     }
+
+    /// Takes the end of the upstream to have been `earlier` by this time. Returns whether the
+    /// request had been sent by then, as far as instances agree on the time.
+    pub(crate) fn move_end(&mut self, earlier: Duration) -> bool {
+        let age = Duration::from_millis(u64::from(self.age_ms));
+        let left = age.saturating_sub(earlier).as_millis();
+        self.age_ms = u16::try_from(left).unwrap_or(u16::MAX);
+        age + TIME_TOLERANCE >= earlier
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -269,14 +281,23 @@
     /// Records that an upstream's process has ended, and returns the requests that may have been
     /// the cause, and the time of its end.
     pub fn record_crash(&mut self, process: u64, now: Time) -> (Vec<CrashedRun>, Time) {
-        let options = self.options;
-        let is_recent = |ended: &&EndedRun| now.since(ended.at) < options.max_notice_delay;
-        let ended = self.ended_at(process).filter(is_recent);
-        let broken = ended.filter(|ended| ended.end == RunEnd::Broken);
-        let at = broken.map(|ended| ended.at).min().unwrap_or(now);
+        // A host may accept connections for a process that has ended. What is sent over them
+        // has not ended it.
+        let at = self.ended_since(process).unwrap_or_else(|| {
+            let is_recent = |ended: &&EndedRun| now.since(ended.at) < self.options.max_notice_delay;
+            let ended = self.ended_at(process).filter(is_recent);
+            let broken = ended.filter(|ended| ended.end == RunEnd::Broken);
+            broken.map(|ended| ended.at).min().unwrap_or(now)
+        });
         (self.suspects(process, at), at)
     }
 
+    /// Returns when a process has ended, if that was recorded.
+    fn ended_since(&self, process: u64) -> Option<Time> {
+        let known = self.crashed.iter().find(|(known, _)| *known == process);
+        known.map(|(_, at)| *at)
+    }
+
     /// Returns the ended runs at a process.
     fn ended_at(&self, process: u64) -> impl Iterator<Item = &EndedRun> {
         let all = self.ended.iter().chain(&self.ended_plain);
@@ -287,11 +308,7 @@
     /// returns the requests of this instance that may have been the cause. There are none if the
     /// end was known.
     pub fn record_reported_crash(&mut self, process: u64, at: Time) -> Vec<CrashedRun> {
-        let memory_time = self.options.max_notice_delay;
-        let is_known = self.crashed.iter().any(|(known, known_at)| {
-            *known == process && known_at.since(at).max(at.since(*known_at)) < memory_time
-        });
-        if is_known {
+        if self.ended_since(process).is_some() {
             return Vec::new();
         }
         self.suspects(process, at)
@@ -320,7 +337,9 @@
             .filter(|(run, _)| run.sent <= at && is_suspect(run))
             .map(|(run, is_answered)| run.to_crashed(at, is_answered));
         let crashed = crashed.collect();
-        self.crashed.push_back((process, at));
+        if self.ended_since(process).is_none() {
+            self.crashed.push_back((process, at));
+        }
         if self.crashed.len() > MAX_CRASHED {
             self.crashed.pop_front();
         }
--- a/crates/fleet/tests/repeats.rs
+++ b/crates/fleet/tests/repeats.rs
@@ -99,7 +99,7 @@
     }
 
     /// Returns the ranks of the instances that may try the request.
-    fn ranks_of_trial(&self, record: &QuarantineRecord, millis: u64) -> Vec<usize> {
+    fn ranks_of_trial(record: &QuarantineRecord, millis: u64) -> Vec<usize> {
         let may_try = |rank: &usize| {
             let mut other = Self::new();
             other.quarantine.apply_record(record, at(0));
@@ -152,6 +152,30 @@
     assert!(!instance.withholds(REPEATED));
 }
 
+/// Hosts accept connections for processes that have ended, and close them.
+#[test]
+fn verify_requests_sent_after_the_end_of_a_process_are_no_suspects() {
+    let mut sees = Instance::new();
+    let mut hears = Instance::new();
+    for process in 0..3 {
+        let millis = 10 * process;
+        let ended = sees.runs.start(process, &run_of(100, None), at(millis));
+        sees.runs.end(ended, RunEnd::Broken, at(millis + 5));
+        let (runs, end) = sees.runs.record_crash(process, at(millis + 6));
+        sees.quarantine.record_crash(process, end, runs);
+        for instance in [&mut sees, &mut hears] {
+            let sent = at(1_500 + millis);
+            let run = instance.runs.start(process, &run_of(REPEATED, None), sent);
+            instance.runs.end(run, RunEnd::Broken, sent);
+            let (runs, end) = instance.runs.record_crash(process, sent);
+            instance.quarantine.record_crash(process, end, runs);
+        }
+    }
+    sees.apply(&hears.report(1_600).unwrap(), 1_600);
+    sees.review(5_000);
+    assert!(!sees.withholds(REPEATED));
+}
+
 #[test]
 fn verify_answers_at_any_instance_clear_a_request() {
     let mut sees = Instance::new();
@@ -313,7 +337,7 @@
         .quarantine
         .record_to_write(&stored, &instance.runs, at(600))
         .unwrap();
-    let trials = |millis| instance.ranks_of_trial(&record, millis).len();
+    let trials = |millis| Instance::ranks_of_trial(&record, millis).len();
     assert_eq!(trials(59_000), 0);
     assert_eq!(trials(61_000), 1);
     assert_eq!(trials(71_000), 2);
