--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -1,8 +1,8 @@
 //! Requests, and parts of prompts, that are withheld from upstreams, as they end them.
 //!
-//! Each instance judges the crashes that the whole fleet has reported. A request is withheld
-//! once several processes have ended beside requests with the same content, none of which was
-//! answered since. A part is suspected as long as engines end shortly after they have begun to
+//! Each instance evaluates the crashes reported by all instances. A request is withheld once
+//! several processes have crashed while running requests with the same content, with no response
+//! to any of them since. A part is suspected as long as engines end shortly after they have begun to
 //! answer prompts with it, and none of these answers comes well under way. It is withheld once
 //! that is much likelier if the part ends engines than if it was caught in their ends by chance.
 //! Crashes that something withheld explains don't count.
@@ -141,8 +141,7 @@
         self.register.withheld_requests().contains(&key)
     }
 
-    /// Returns whether a withheld request is to be sent once, to see whether it is answered by
-    /// now. `rank` is this instance's among all `instances`, which are few enough at first that
+    /// Returns whether this instance sends a withheld request once as a trial. `rank` is this instance's among all `instances`, which are few enough at first that
     /// only one sends it.
     pub fn begin_trial(
         &mut self,
@@ -213,8 +212,8 @@
         }
     }
 
-    /// Returns the suspects that are reported to others: those that were present at most
-    /// crashes, then the most likely ones by what this instance knows of this crash.
+    /// Selects the suspects to report: first those with the most crashes, then those whose
+    /// response had started, then the youngest.
     fn runs_to_report(&self, mut runs: Vec<CrashedRun>) -> Vec<CrashedRun> {
         runs.sort_by_cached_key(|run| {
             let crashes = self.log.crashes_of_request(run.key);
--- a/crates/fleet/src/quarantine/change.rs
+++ b/crates/fleet/src/quarantine/change.rs
@@ -1,4 +1,4 @@
-//! Changes of what is withheld.
+//! State changes of quarantine entries.
 
 use super::evidence::Evidence;
 use super::register::Entry;
@@ -12,7 +12,7 @@
     Peer,
     /// By the record at the platform, which operators may edit.
     Record,
-    /// Nothing withheld was asked for in a long time.
+    /// No matching request has arrived for the release time.
     Unneeded,
     /// The request was answered after it had been withheld.
     Answer,
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -176,7 +176,7 @@
     (1.0 - fewer).max(f64::MIN_POSITIVE)
 }
 
-/// What is known of a suspect, or of a part of it.
+/// The latest crash and response of a suspect.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SuspectTimes {
     /// The last crash at which it was present.
@@ -245,7 +245,7 @@
         true
     }
 
-    /// Forgets old crashes, and what is known of suspects without one.
+    /// Removes expired crashes, and suspects without any crash left.
     pub fn forget(&mut self, options: &QuarantineOptions, now: Time) {
         self.crashes
             .retain(|crash| now.since(crash.at) < options.memory_time);
@@ -254,8 +254,8 @@
             .retain(|_, times| oldest.is_some_and(|oldest| times.last_crash >= oldest));
     }
 
-    /// Records that a suspect was answered. Returns whether that is news: a crash that was
-    /// outlived before stays so, and of earlier answers one suffices.
+    /// Records a response to a suspect. Returns whether other instances need to be told: not
+    /// after an earlier response since the last crash.
     pub fn record_survival(&mut self, subject: Subject, at: Time) -> bool {
         let times = self.suspects.get_mut(&subject);
         let Some(times) = times.filter(|times| times.is_open()) else {
--- a/crates/fleet/src/quarantine/news.rs
+++ b/crates/fleet/src/quarantine/news.rs
@@ -1,12 +1,12 @@
-//! News that an instance repeats to others.
+//! Updates that are sent to other instances several times.
 
-/// The number of reports in which an instance repeats its news, as datagrams may get lost.
+/// The number of reports that include each update, as datagrams may get lost.
 const REPEATS: u32 = 4;
 
 /// The largest number of crashes, and of answers, that wait to be reported.
 pub const MAX_NEWS: usize = 128;
 
-/// News that is sent a few times.
+/// An update and the number of reports left that include it.
 #[derive(Debug)]
 pub struct News<T> {
     pub item: T,
@@ -22,7 +22,7 @@
     }
 }
 
-/// Returns the next news of a kind, and drops those that were repeated often enough.
+/// Returns the next updates, and removes those that were sent [`REPEATS`] times.
 pub fn take_news<T: Clone>(news: &mut Vec<News<T>>, max: usize) -> Vec<T> {
     let due = news.iter_mut().take(max);
     let items = due.map(|news| {
--- a/crates/fleet/src/quarantine/options.rs
+++ b/crates/fleet/src/quarantine/options.rs
@@ -10,7 +10,7 @@
     /// The natural logarithm of how much likelier the crashes must be if a part causes them
     /// than if it was only caught in them.
     pub min_log_likelihood: f64,
-    /// The requests from which on a smaller logarithm suffices for a part that was not answered.
+    /// The number of requests above which the lower threshold applies to a part without responses.
     pub many_requests: usize,
     /// That smaller logarithm.
     pub min_log_likelihood_of_many: f64,
