--- a/crates/fleet/src/quarantine/news.rs
+++ b/crates/fleet/src/quarantine/news.rs
@@ -22,7 +22,7 @@
     }
 }
 
-/// Returns the next updates, and removes those that were sent [`REPEATS`] times.
+/// Returns the next updates, and removes those that were sent often enough.
 pub fn take_news<T: Clone>(news: &mut Vec<News<T>>, max: usize) -> Vec<T> {
     let due = news.iter_mut().take(max);
     let items = due.map(|news| {
