--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -5,7 +5,8 @@
 It prints a line of JSON for all that happens, the first of which names its address. Lines on
 standard input change its options: {"leaving": true}.
 
-Options: kind (engine | plain), framing (chunks | length | close), events, pause_ms (between two
+Options: kind (engine | plain), framing (chunks | length | close), events, first_ms (until the
+first event), pause_ms (between two
 events), work_ms (before a plain answer), hold_ms (silence between the halves of a plain answer),
 leaving (each answer says `Server-Leaving: 1`), version (of the weights).
 """
@@ -112,7 +113,7 @@
     if options["framing"] != "length":
         fields.update(framing_fields(0))
     first = int(head.get("last-event-id", "0")) + 1
-    time.sleep(0.02)
+    time.sleep(options.get("first_ms", 20) / 1000)
     send_head(conn, 200, fields)
     for event in range(first, options["events"] + 1):
         send_piece(conn, b"id: %d\ndata: piece %d of %s\n\n" % (event, event, name.encode()))
