Review case 4: a stream is given up for a silence while nothing replaces it

Cause: the end of the overlap with another upstream closes the silent one, also where the other attempt has not been sent.

--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -6,8 +6,8 @@
 standard input change its options: {"leaving": true}.
 
 Options: kind (engine | plain), framing (chunks | length | close), events, first_ms (until the
-first event), pause_ms (between two
-events), work_ms (before a plain answer), hold_ms (silence between the halves of a plain answer),
+first event), pause_ms (between two events), silence_after and silence_ms (a pause after the event
+of that number), full (new requests are rejected), work_ms (before a plain answer), hold_ms (silence between the halves of a plain answer),
 leaving (each answer says `Server-Leaving: 1`), version (of the weights).
 """
 
@@ -96,6 +96,11 @@
         standins.answer(conn, 202 if accepted else 409, fields=leaving)
         return True
     name = head.get("x-limpetsaddle-request-id")
+    if options.get("full"):
+        tell(rejects=name, after=head.get("last-event-id"))
+        standins.answer(conn, 503, fields=leaving | {"X-Limpetsaddle-Not-Executed": "1",
+                                                     "X-Limpetsaddle-Request-Id": name})
+        return True
     tell(runs=name, target=target, salt=head.get("x-limpetsaddle-cache-salt"),
          prefix=head.get("x-limpetsaddle-prompt-prefix"),
          tenant=head.get("x-limpetsaddle-tenant"), after=head.get("last-event-id"))
@@ -119,6 +124,9 @@
         send_piece(conn, b"id: %d\ndata: piece %d of %s\n\n" % (event, event, name.encode()))
         tell(event=event, of=name)
         time.sleep(options["pause_ms"] / 1000)
+        if event == options.get("silence_after"):
+            tell(silent=name, ms=options["silence_ms"])
+            time.sleep(options["silence_ms"] / 1000)
     end_body(conn)
     tell(ended=name)
     return options["framing"] != "close"
