--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
-"""A configuration isolates a tenant whose prompts are already cached; see claim.txt."""
+"""All machines are killed while the store comes back from a copy; see claim.txt."""
 
 import json
+import random
 import sys
 import time
 from pathlib import Path
@@ -8,61 +9,95 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib"))
 import standins as s  # noqa: E402
 
-APPLY_S = 2.0  # bounds.config_apply_ms
-SHARED = "5c1e07a2:2520,91bd3f06:3780"
+LEASE_S = 3.0  # bounds.lease_ms
+NAMES = ["front-a-1", "front-a-2", "front-a-3"]
+DOWN_S = 1.0  # herd_kill: for_s = 1.0
 
 
 def main(processes, record, trouble):
     store = s.Store()
+    store.era = 0  # the header stands in all answers
     store.put("config", "main", s.configuration(1))
     store.put("versions", "m", {"model": "m", "version": 1})
-    engines = [s.ReplicaProcess(processes, record, id=f"lm-{n}", ip="127.0.0.1", kind="engine",
-                                framing="chunks", events=5, pause_ms=20) for n in range(3)]
-    for engine in engines:
-        store.put("servers", engine.options["id"], engine.entry("lm"))
-    instance = s.Instance(processes, store, "front-a-1", "127.0.0.1")
-    instance.start()
-    instance.wait_ready()
-    s.wait_for(lambda: instance.log().count('"upstream registered"') >= 3, 10, "the replicas")
-
-    def send(name, team):
-        fields = s.prompt_fields(name, s.KEYS[team], 5000, f"{SHARED},{name}:2890", "9190,9")
-        got = s.request((instance.ip, instance.front), "POST", "/sort/x", fields, b"{}")
-        record.add(f"{team} sent {name} and got {got}")
-        if got.status != 200 or not got.complete:
-            raise s.CannotRun(f"{name} wasn't served")
+    engines = [s.ReplicaProcess(processes, record, id=f"lm-{n}", ip="127.0.0.1", framing="chunks",
+                                kind="engine", events=5, pause_ms=20, version=1) for n in range(4)]
 
-    def judge(isolated):
-        """Replays the requests on the caches of the replicas: parts lie there by salt, model and
-        prefix, as the pages say; nothing yields, as the memory is far from full."""
-        broken = False
+    def beat(seq):
+        """The replicas write their entries, which state their weights."""
         for engine in engines:
-            made = {}
-            for run in engine.told("runs"):
-                team, prefix = run["tenant"], run["prefix"].split(",")
-                for depth in range(1, len(prefix) + 1):
-                    part = (run["salt"], "m", *(p.split(":")[0] for p in prefix[:depth]))
-                    maker = made.setdefault(part, team)
-                    if maker != team and {maker, team} & isolated(run["runs"]):
-                        broken = True
-                        record.add(f"BROKEN {engine.options['id']}: {run['runs']} of {team} uses "
-                                   f"part {part[-1]} that {maker} made, under {run['salt']!r}")
-        return broken
+            orders = [e["order"] for e in engine.told("order") if e["accepted"]]
+            engine.options["version"] = orders[-1]["version"] if orders else 1
+            store.put("servers", engine.options["id"], engine.entry("lm", seq=seq))
+
+    beat(1)
+
+    def loaded(version):
+        return all(any(e["order"]["version"] == version for e in engine.told("order")
+                       if e["accepted"]) for engine in engines)
 
-    for n in range(6):
-        send(f"before{n}", "team-two")
+    net = f"127.{random.randrange(16, 250)}.{random.randrange(250)}"
+    fleet = [s.Instance(processes, store, name, f"{net}.{n + 1}") for n, name in enumerate(NAMES)]
+    # New weights were named while the fleet was down. All machines start within 0.3 s of each
+    # other, in any order.
+    store.put("versions", "m", {"model": "m", "version": 2})
+    copy = store.copy()
+    record.add("the store's copy is made")
+    copied = time.monotonic()
+    for instance in fleet[1:]:
+        instance.start()
+    time.sleep(0.29)
+    fleet[0].start()
+    s.wait_for(lambda: loaded(2), 20, "orders for version 2")
+    time.sleep(0.3)
+    beat(2)
+    time.sleep(0.7)
     if trouble:
-        record.add("version 2 of the configuration isolates team-two")
-        store.put("config", "main", s.configuration(2, isolated=["team-two"]))
-    s.wait_for(lambda: not trouble or '"version":2' in instance.log(), 5, "version 2")
-    time.sleep(APPLY_S + 0.5)
-    for n in range(6):
-        send(f"after{n}", "team-one")
-        send(f"own{n}", "team-two")
-    record.add(json.dumps([[r["runs"], r["tenant"], r["salt"], e.options["id"]]
-                           for e in engines for r in e.told("runs")]))
-    changed = {"team-two"} if trouble else set()
-    return judge(lambda name: set() if name.startswith("before") else changed)
+        record.add("all machines are killed; the store is away")
+        store.away = True
+        for instance in fleet:
+            instance.kill()
+        time.sleep(DOWN_S)
+        record.add(f"the store is back from a copy {time.monotonic() - copied:.1f} s old")
+        store.restore(copy)
+        store.away = False
+        # What the operator and the replicas wrote is written again.
+        store.put("config", "main", s.configuration(1))
+        store.put("versions", "m", {"model": "m", "version": 2})
+        beat(3)
+        for instance in fleet:
+            instance.start()
+    else:
+        time.sleep(DOWN_S)
+    for instance in fleet:
+        instance.wait_ready()
+    time.sleep(1.0)
+    record.add("version 3 is named")
+    store.put("versions", "m", {"model": "m", "version": 3})
+    s.wait_for(lambda: loaded(3), 30, "orders for version 3")
+    lease = store.objects.get(("limpetsaddle-tenures", "weights"))
+    record.add(f"the lease in the store: {json.dumps(lease)}")
+    return judge(record, engines)
+
+
+def judge(record, engines):
+    broken = False
+    for engine in engines:
+        orders = [e["order"] for e in engine.told("order")]
+        holders, highest = {}, 0
+        for order in orders:
+            token, holder = order["fence"], order["holder"]
+            first = holders.setdefault(token, holder)
+            if first != holder:
+                broken = True
+                record.add(f"BROKEN {engine.options['id']}: token {token} of {first} comes from "
+                           f"{holder} too")
+            if token < highest:
+                broken = True
+                record.add(f"BROKEN {engine.options['id']}: token {token} after {highest}")
+            highest = max(highest, token)
+        seen = [(order["holder"], order["fence"], order["version"]) for order in orders]
+        record.add(f"{engine.options['id']}: orders {seen}")
+    return broken
 
 
 s.run_case(main)
--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -8,10 +8,14 @@
 Options: kind (engine | plain), framing (chunks | length | close), events, first_ms (until the
 first event), pause_ms (between two events), silence_after and silence_ms (a pause after the event
 of that number), full (new requests are rejected), work_ms (before a plain answer), hold_ms (silence between the halves of a plain answer),
+harmful (prompts with this part end the process) and crash_ms (that long after their arrival),
+crash_begun (first the head and an event are sent),
 leaving (each answer says `Server-Leaving: 1`), version (of the weights).
 """
 
 import json
+import os
+import signal
 import sys
 import threading
 import time
@@ -113,6 +117,14 @@
 
 
 def stream(conn, head, name, fields):
+    parts = [part.split(":")[0] for part in head.get("x-limpetsaddle-prompt-prefix", "").split(",")]
+    if options.get("harmful") in parts[:-1]:
+        tell(harmed=name)
+        if options.get("crash_begun"):
+            send_head(conn, 200, fields | framing_fields(0) | {"Content-Type": "text/event-stream"})
+            send_piece(conn, b"id: 1\ndata: piece 1 of %s\n\n" % name.encode())
+        time.sleep(options["crash_ms"] / 1000)
+        os.kill(os.getpid(), signal.SIGKILL)
     fields["Content-Type"] = "text/event-stream"
     fields["X-Limpetsaddle-Weight-Versions"] = str(options.get("version", 1))
     if options["framing"] != "length":
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -483,12 +483,12 @@
 
     def read(self):
         for line in self.process.stdout:
-            event = json.loads(line)
+            event = json.loads(line) | {"at": time.monotonic()}
             if "address" in event:
                 self.born, self.address = event["born"], event["address"]
             self.events.append(event)
             if "event" not in event:
-                self.record.add(f"replica {self.options['id']}: {json.dumps(event)}")
+                self.record.add(f"replica {self.options['id']}: {line.strip()}")
 
     def change(self, **options):
         self.process.stdin.write(json.dumps(options) + "\n")
