--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -6,7 +6,7 @@
 
 import json
 import os
-import signal
+import random
 import socket
 import subprocess
 import sys
@@ -31,6 +31,11 @@
         return s.getsockname()[1]
 
 
+def loopback():
+    """A loopback address that hardly anything else uses: the port for metrics is fixed."""
+    return f"127.{random.randrange(16, 250)}.{random.randrange(250)}.1"
+
+
 class Record:
     """The record of a run: what was sent, answered and run."""
 
