--- a/crates/router/src/fleet/watch/confirmation.rs
+++ b/crates/router/src/fleet/watch/confirmation.rs
@@ -3,13 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::peers::CONFIRM_INTERVAL;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Consistency;
+use log::info;
 use log::warn;
 
 use super::RECHECK_INTERVAL;
 use super::configuration;
+use crate::clock::millis;
 use crate::fleet::call::CallError;
 use crate::fleet::instance::FleetInstance;
 use crate::shutdown::Stopping;
@@ -39,7 +42,7 @@
             stopping.pause(confirm_interval(&instance)).await;
         } else {
             failures += 1;
-            wait_for_store(&instance, &stopping, failures).await;
+            wait_for_store(&instance, &stopping, sent, failures).await;
         }
     }
 }
@@ -83,7 +86,7 @@
 
 /// Waits before the next call to a store that failed, until the backoff ends or
 /// a peer reports that the store has recovered.
-async fn wait_for_store(instance: &FleetInstance, stopping: &Stopping, failures: u32) {
+async fn wait_for_store(instance: &FleetInstance, stopping: &Stopping, sent: Time, failures: u32) {
     let failed = instance.now();
     let random = instance.random.draw();
     // If peers already reached the store before this call failed, it has
@@ -95,7 +98,19 @@
         let role = instance.peers.borrow().poll_role(now);
         let left = (failed + role.backoff(failures, random)).since(now);
         let recovered = !reached_before && instance.peers_reach_store();
-        if left.is_zero() || recovered || !stopping.pause(left.min(RECHECK_INTERVAL)).await {
+        if left.is_zero() || recovered {
+            info!(
+                failures,
+                role:? = role,
+                sent_before_ms = millis(now.since(sent)),
+                waited_ms = millis(now.since(failed)),
+                peers_reached_before = reached_before,
+                peers_reach = instance.peers_reach_store();
+                "polling the store again"
+            );
+            return;
+        }
+        if !stopping.pause(left.min(RECHECK_INTERVAL)).await {
             return;
         }
     }
