Take any read of the store by a peer as evidence that it answers

Callers saw: 404 and 401 as an older configuration says, and requests that were forwarded as it says, up to 3.8 s after a newer one was acknowledged, where 2 s are allowed.

Cause: after the store's return, an instance whose last poll was under way at that moment sat out the backoff of a follower, 1.5 to 3 s. Class: evidence that is thrown away counts as proof of the contrary. What the instance didn't find in its old configuration was refused with a final 401 or 404 meanwhile, although peers had named newer versions.

Change: each heartbeat says when the store last answered its sender, whatever the version; a read later than the sending of the last failed poll ends the pause. Polls that fail nevertheless have pauses that grow, so that an instance that alone is cut off polls at a bounded rate. What is missing in a configuration is final only if it was confirmed within its bound and no peer has named a newer one; a configuration that peers have replaced for half of its bound is not used any more, and the instance isn't ready.

Ruled out: a cut of the late instances (they made no call in that time).

--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -14,6 +14,8 @@
     pub stop: Duration,
     /// The time after which a leaving upstream gets no new requests.
     pub leaving: Duration,
+    /// The time after which a new version of the configuration is in force everywhere.
+    pub configuration: Duration,
     /// The time after which a withdrawn key no longer works.
     pub withdrawal: Duration,
     /// The retries permitted for each request of a service.
@@ -37,6 +39,7 @@
         Self {
             stop: Duration::from_secs(8),
             leaving: Duration::from_secs(2),
+            configuration: Duration::from_secs(2),
             withdrawal: Duration::from_secs(5),
             retry_ratio: 0.2,
             retry_slack: 50.0,
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -10,6 +10,7 @@
 use limpetsaddle_fleet::configuration::Configuration;
 use limpetsaddle_fleet::configuration::Route;
 use limpetsaddle_fleet::configuration::Team;
+use limpetsaddle_fleet::newer_versions::Reliance;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_fleet::request_key::RequestContent;
@@ -146,9 +147,15 @@
         headers::request_fields(req.headers()).map_err(|_| Refusal::new(Reason::BadRequest))?;
     let trusted = instance.freshness.borrow().trusts_keys(arrived);
     let stale = Refusal::new(Reason::StaleConfiguration).retry_after(NOT_READY_RETRY_AFTER);
-    // An instance that may have missed a change cannot be sure that a route or a
-    // key does not exist.
-    let missing = |reason| if trusted { Refusal::new(reason) } else { stale };
+    let reliance = instance.reliance();
+    if reliance == Reliance::Outdated {
+        return Err(stale);
+    }
+    // A route or a key that is missing here may exist in a newer configuration.
+    let missing = |reason| match reliance {
+        Reliance::Full if trusted => Refusal::new(reason),
+        Reliance::Full | Reliance::Partial | Reliance::Outdated => stale,
+    };
     let host = host(req).ok_or(Refusal::new(Reason::BadRequest))?;
     let route = configuration.route(&host, req.uri().path()).cloned();
     let route = route.ok_or_else(|| missing(Reason::NoRoute))?;
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -141,6 +141,7 @@
     let mut lease = instance.lease.borrow_mut();
     lease.observe_fencing(heartbeat.fencing);
     drop(lease);
+    apply_peer_read(instance, heartbeat);
     apply_confirmation(instance, heartbeat, echo_ms);
     for usage in &delta.teams {
         if let Some(team) = instance.team_name(usage.team) {
@@ -398,6 +399,10 @@
     let now = instance.now();
     if let Some((report, delay)) = heartbeat.read.zip(max_delay(echo_ms, now)) {
         let read = report.read(delay, now);
+        instance
+            .store_polls
+            .borrow_mut()
+            .record_peer_read(read.sent);
         instance.store.reads().borrow_mut().record(read);
     }
 }
@@ -447,15 +452,32 @@
     }
 }
 
+/// Records when the store has last answered a call of the peer, as far as the heartbeat shows.
+///
+/// The heartbeat may have been under way for long, which makes the call look later than it
+/// was. That costs one poll at most.
+fn apply_peer_read(instance: &FleetInstance, heartbeat: &Heartbeat) {
+    let now = instance.now();
+    let confirmed = heartbeat.configuration.age_ms.map(|age| {
+        let age = Duration::from_millis(u64::from(age));
+        Time::from_origin(now.since_origin().saturating_sub(age))
+    });
+    let read = heartbeat
+        .read
+        .map(|read| read.read(Duration::ZERO, now).sent);
+    if let Some(at) = confirmed.max(read) {
+        instance.store_polls.borrow_mut().record_peer_read(at);
+    }
+}
+
 /// Applies a peer's confirmation of the current configuration, or records that
 /// a newer one exists.
 fn apply_confirmation(instance: &FleetInstance, heartbeat: &Heartbeat, echo_ms: Option<u64>) {
     let report = heartbeat.configuration;
     let version = instance.configuration().map_or(0, |c| c.version);
-    if report.version > version {
+    let mut newer = instance.newer_versions.borrow_mut();
+    if newer.record(report.version, version, instance.now()) {
         instance.newer_configuration.set(true);
-        let reported = instance.reported_configuration.get().max(report.version);
-        instance.reported_configuration.set(reported);
         return;
     }
     let confirmed = echo_ms.zip(report.age_ms);
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -23,6 +23,8 @@
 use limpetsaddle_fleet::lease::OrderLease;
 use limpetsaddle_fleet::limits::Limits;
 use limpetsaddle_fleet::limits::TeamLimit;
+use limpetsaddle_fleet::newer_versions::NewerVersions;
+use limpetsaddle_fleet::newer_versions::Reliance;
 use limpetsaddle_fleet::patience::PatienceOptions;
 use limpetsaddle_fleet::peers::PeerOptions;
 use limpetsaddle_fleet::peers::Peers;
@@ -36,6 +38,7 @@
 use limpetsaddle_fleet::rollout::RolloutOptions;
 use limpetsaddle_fleet::runs::RunLog;
 use limpetsaddle_fleet::settings::FleetSettings;
+use limpetsaddle_fleet::store_polls::StorePolls;
 use limpetsaddle_fleet::upstreams::Upstreams;
 use limpetsaddle_fleet::weights::TargetWeights;
 use limpetsaddle_http::ClientOptions;
@@ -87,8 +90,10 @@
     pub configured_at: Cell<Option<Time>>,
     /// Whether a peer has reported a newer configuration.
     pub newer_configuration: Cell<bool>,
-    /// The newest configuration version that a peer has reported.
-    pub reported_configuration: Cell<u64>,
+    /// The newer versions of the configuration that peers have reported.
+    pub newer_versions: RefCell<NewerVersions>,
+    /// The failed polls of the store.
+    pub store_polls: RefCell<StorePolls>,
     /// The age of the configuration, on which the trust in keys depends.
     pub freshness: RefCell<Freshness>,
     pub upstreams: RefCell<Upstreams>,
@@ -164,7 +169,8 @@
             configuration: RefCell::new(None),
             configured_at: Cell::new(None),
             newer_configuration: Cell::new(false),
-            reported_configuration: Cell::new(0),
+            newer_versions: RefCell::default(),
+            store_polls: RefCell::default(),
             freshness: RefCell::new(Freshness::new(FreshnessOptions::for_withdrawal(
                 bounds.withdrawal,
             ))),
@@ -229,6 +235,8 @@
         self.team_names.replace(limits.iter().map(hashed).collect());
         self.limits.borrow_mut().configure(&limits, self.now());
         self.create_budgets(&configuration);
+        let version = configuration.version;
+        self.newer_versions.borrow_mut().record_applied(version);
         self.configuration.replace(Some(Rc::new(configuration)));
         self.configured_at.set(Some(self.now()));
     }
@@ -278,6 +286,7 @@
         !self.draining.is_closed()
             && self.configuration.borrow().is_some()
             && self.freshness.borrow().accepts_callers(now)
+            && self.reliance() != Reliance::Outdated
     }
 
     /// Passes the store's era to the lease.
@@ -296,14 +305,12 @@
         self.metrics.record_store_call(result.is_ok());
     }
 
-    /// Returns whether a peer has read the store since the current outage began
-    /// for this instance.
-    pub fn peers_reach_store(&self) -> bool {
-        let outage_start = self.store.failing_since();
-        let age = self.freshness.borrow().age(self.now());
-        outage_start
-            .zip(age)
-            .is_some_and(|(start, age)| age < self.now().since(start))
+    /// Returns how far this instance may rely on its configuration.
+    pub fn reliance(&self) -> Reliance {
+        let now = self.now();
+        let age = self.freshness.borrow().age(now);
+        let bound = self.settings.bounds.configuration;
+        Reliance::on(&self.newer_versions.borrow(), age, bound, now)
     }
 
     /// Charges a team's limit `cost` units, or returns the time after which the request may
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -222,11 +222,6 @@
         self.outages.get()
     }
 
-    /// Returns the beginning of the current outage.
-    pub const fn failing_since(&self) -> Option<Time> {
-        self.failing_since.get()
-    }
-
     /// Returns whether the last call failed.
     pub const fn is_failing(&self) -> bool {
         self.failing_since.get().is_some()
--- a/crates/router/src/fleet/watch/confirmation.rs
+++ b/crates/router/src/fleet/watch/confirmation.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::peers::CONFIRM_INTERVAL;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::store::Consistency;
@@ -28,7 +27,6 @@
 /// answered it. A linearizable read shows everything that was acknowledged
 /// before it was sent.
 pub async fn confirm(instance: Rc<FleetInstance>, stopping: Stopping) {
-    let mut failures = 0;
     while !stopping.is_closed() {
         if !reads_store_itself(&instance) {
             stopping.pause(RECHECK_INTERVAL).await;
@@ -38,11 +36,16 @@
         let result = read(&instance).await;
         instance.record_store_call(&result, sent);
         if result.is_ok() {
-            failures = 0;
+            instance.store_polls.borrow_mut().record_success();
             stopping.pause(confirm_interval(&instance)).await;
         } else {
-            failures += 1;
-            wait_for_store(&instance, &stopping, sent, failures).await;
+            let random = instance.random.draw();
+            let now = instance.now();
+            instance
+                .store_polls
+                .borrow_mut()
+                .record_failure(sent, now, random);
+            wait_for_store(&instance, &stopping).await;
         }
     }
 }
@@ -74,8 +77,8 @@
         configuration::apply(instance, object);
     }
     let version = instance.configuration().map_or(0, |c| c.version);
-    let reported = instance.reported_configuration.get();
-    if version < reported {
+    let newer = instance.newer_versions.borrow().newest();
+    if let Some(reported) = newer {
         // A store that has returned from an older copy confirms nothing.
         warn!(version, reported; "store holds an older configuration than a peer has applied");
         return Ok(());
@@ -84,33 +87,24 @@
     Ok(())
 }
 
-/// Waits before the next call to a store that failed, until the backoff ends or
-/// a peer reports that the store has recovered.
-async fn wait_for_store(instance: &FleetInstance, stopping: &Stopping, sent: Time, failures: u32) {
+/// Waits before the next call to a store that failed, until the backoff ends or peers show
+/// that the store answers.
+async fn wait_for_store(instance: &FleetInstance, stopping: &Stopping) {
     let failed = instance.now();
-    let random = instance.random.draw();
-    // If peers already reached the store before this call failed, it has
-    // recovered for them only.
-    let reached_before = instance.peers_reach_store();
     loop {
         let now = instance.now();
         // The role changes when pollers fail.
         let role = instance.peers.borrow().poll_role(now);
-        let left = (failed + role.backoff(failures, random)).since(now);
-        let recovered = !reached_before && instance.peers_reach_store();
-        if left.is_zero() || recovered {
-            info!(
-                failures,
-                role:? = role,
-                sent_before_ms = millis(now.since(sent)),
-                waited_ms = millis(now.since(failed)),
-                peers_reached_before = reached_before,
-                peers_reach = instance.peers_reach_store();
-                "polling the store again"
-            );
+        let polls = *instance.store_polls.borrow();
+        let wait = polls.wait(role, now);
+        if wait.is_zero() {
+            let failures = polls.failures();
+            let waited_ms = millis(now.since(failed));
+            let answers_peers = polls.answers_peers();
+            info!(failures, role:? = role, waited_ms, answers_peers; "polling the store again");
             return;
         }
-        if !stopping.pause(left.min(RECHECK_INTERVAL)).await {
+        if !stopping.pause(wait.min(RECHECK_INTERVAL)).await {
             return;
         }
     }
