Pass requests on through a peer when this instance reaches no upstream

Callers saw: at an instance that is cut off from all upstreams, every request was refused with 503 (or ended in 502 and 504 where connections were accepted and lost), while other instances served all.

Cause: nothing passed a request on to another instance, and nothing told a cut of this instance from a service that is down.

Change: each instance keeps what its calls show of its way to each service. Two different upstreams that fail or are silent without an answer in between make a service failing; heartbeats report which services an instance reaches or fails to reach. While a service fails here and a live peer reaches it, requests are passed on whole (key, deadline, prompt) to a peer over HTTP at the port of the heartbeats, which handles them like those of its callers and passes nothing on. Peers prove that they belong to the fleet by the recipient's secret, which stands in its registration at the platform. A peer that has not run a request says so, and another one is tried; a peer that is lost may have run it. The way back is looked for by connections without a request, then one request at a time.

Ruled out: copying a request by capnp (streams and cancellation come free with HTTP), and passing on attempts rather than requests (limits, permits, placement and weights would count at two instances).

--- a/crates/fleet/examples/heartbeat_cost.rs
+++ b/crates/fleet/examples/heartbeat_cost.rs
@@ -47,6 +47,7 @@
     let registration = |index: u64| Registration {
         name: Name::from(name(index)),
         address: ([10, 1, 0, 1], 9000).into(),
+        secret: None,
     };
     let mut peers = Peers::new("own".into(), PeerOptions::default(), Time::ZERO);
     peers.set_registrations((0..instances).map(registration).collect(), Time::ZERO);
--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -131,6 +131,7 @@
     let registration = |index: u32| Registration {
         name: Name::from(name(index)),
         address: ([10, 1, 0, 1], 9000).into(),
+        secret: None,
     };
     let mut peers = Peers::new("own".into(), PeerOptions::default(), Time::ZERO);
     peers.set_registrations((0..instances).map(registration).collect(), now);
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -16,6 +16,7 @@
 use crate::permit_messages::PermitMessage;
 use crate::quarantine::QuarantineReport;
 use crate::quarantine::ReportError;
+use crate::service_reach::ReachReport;
 use crate::store_era::StoreEra;
 use crate::store_reads::StoreRead;
 use crate::weights::VersionAge;
@@ -268,6 +269,10 @@
     /// The sender's last read of the store. It follows the ages.
     #[serde(skip)]
     pub read: Option<StoreReadReport>,
+    /// The services that the sender reaches or fails to reach. They follow the read, and are
+    /// left out without it.
+    #[serde(skip)]
+    pub reach: ReachReport,
 }
 
 /// The reason for which a heartbeat cannot be encoded or decoded.
@@ -318,7 +323,8 @@
     /// ```
     pub fn encode(&self) -> Result<EncodedHeartbeat, HeartbeatError> {
         let extension = match &self.read {
-            Some(read) => postcard::to_stdvec(&(&self.ages, read))?,
+            Some(read) if self.reach.is_empty() => postcard::to_stdvec(&(&self.ages, read))?,
+            Some(read) => postcard::to_stdvec(&(&self.ages, read, &self.reach))?,
             None if self.ages.is_empty() => Vec::new(),
             None => postcard::to_stdvec(&self.ages)?,
         };
@@ -345,7 +351,12 @@
             let (ages, rest) = postcard::take_from_bytes(extension)?;
             heartbeat.ages = ages;
             if !rest.is_empty() {
-                heartbeat.read = Some(postcard::from_bytes(rest)?);
+                let (read, rest) = postcard::take_from_bytes(rest)?;
+                heartbeat.read = Some(read);
+                if !rest.is_empty() {
+                    heartbeat.reach = postcard::from_bytes(rest)?;
+                    heartbeat.reach.truncate();
+                }
             }
         }
         Ok((heartbeat, echo_ms))
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -14,7 +14,10 @@
 use crate::heartbeat::UpstreamLoad;
 use crate::heartbeat::name_hash;
 use crate::limits::PeerCounts;
+use crate::relays::Relay;
 use crate::retry_budget::RequestCounts;
+use crate::service_reach::Reach;
+use crate::service_reach::ReachReport;
 use crate::store_polls::PollRole;
 
 /// Timing of heartbeats and of the timeouts of peers.
@@ -68,8 +71,10 @@
 pub struct Registration {
     /// The instance's name.
     pub name: Name,
-    /// The address for heartbeats.
+    /// The address for heartbeats, and for requests of other instances.
     pub address: SocketAddr,
+    /// The secret by which the instance recognizes others of the fleet, if it has one.
+    pub secret: Option<Name>,
 }
 
 /// The instance that issues the permits for a process.
@@ -88,6 +93,7 @@
     /// The hash by which issuers are chosen.
     hash: u64,
     address: SocketAddr,
+    secret: Option<Name>,
     registered: Time,
     incarnation: u64,
     sequence: u64,
@@ -96,6 +102,7 @@
     admitted: HashMap<u64, u64>,
     request_counts: HashMap<u64, RequestCounts>,
     upstream_loads: Vec<UpstreamLoad>,
+    reach: ReachReport,
     /// Whether the peer is part of [`Peers::live`].
     is_counted: bool,
 }
@@ -195,6 +202,7 @@
             let new_peer = || Peer {
                 hash: name_hash(&registration.name),
                 address: registration.address,
+                secret: None,
                 registered: now,
                 incarnation: 0,
                 sequence: 0,
@@ -203,6 +211,7 @@
                 admitted: HashMap::new(),
                 request_counts: HashMap::new(),
                 upstream_loads: Vec::new(),
+                reach: ReachReport::default(),
                 is_counted: false,
             };
             let mut peer = self
@@ -210,6 +219,7 @@
                 .remove(&registration.name)
                 .unwrap_or_else(new_peer);
             peer.address = registration.address;
+            peer.secret = registration.secret;
             kept.insert(registration.name, peer);
         }
         let missing = std::mem::replace(&mut self.others, kept);
@@ -298,6 +308,7 @@
             self.live.count += 1;
         }
         peer.upstream_loads.clone_from(&heartbeat.loads);
+        peer.reach.clone_from(&heartbeat.reach);
         self.live.add(&peer.upstream_loads);
         self.live.oldest_heartbeat.get_or_insert(now);
         HeartbeatDelta {
@@ -399,6 +410,33 @@
         self.others.get(name).map(|peer| peer.address)
     }
 
+    /// Returns the live peers that may pass requests on to the upstreams of a service: those
+    /// that don't fail to reach it.
+    #[must_use]
+    pub fn relays(&self, service: u64, now: Time) -> Vec<Relay> {
+        let live = self.others.iter();
+        let live = live.filter(|(_, peer)| self.is_live(peer, now));
+        let relays = live.filter_map(|(name, peer)| {
+            Some(Relay {
+                name: Name::clone(name),
+                address: peer.address,
+                secret: peer.secret.clone()?,
+                reach: peer.reach.of(service),
+                load: peer.upstream_loads.iter().map(|load| load.requests).sum(),
+            })
+        });
+        relays
+            .filter(|relay| relay.reach != Reach::Failing)
+            .collect()
+    }
+
+    /// Returns whether a live peer reaches a service and passes requests on.
+    #[must_use]
+    pub fn reach_service(&self, service: u64, now: Time) -> bool {
+        self.live_peers(now)
+            .any(|peer| peer.secret.is_some() && peer.reach.of(service) == Reach::Reached)
+    }
+
     /// Returns the numbers of registered and live instances, including this one.
     #[must_use]
     pub fn peer_counts(&self, now: Time) -> PeerCounts {
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -44,6 +44,7 @@
     let all = names.iter().zip(1..).map(|(name, port)| Registration {
         name: (*name).into(),
         address: ([10, 0, 0, 1], port).into(),
+        secret: None,
     });
     peers.set_registrations(all.collect(), at(0));
     peers
--- a/crates/fleet/tests/peer_sums.rs
+++ b/crates/fleet/tests/peer_sums.rs
@@ -45,6 +45,7 @@
     let registration = |peer: &u8| Registration {
         name: name(*peer).as_str().into(),
         address: ([10, 0, 0, *peer], 9_000).into(),
+        secret: None,
     };
     peers.set_registrations(names.iter().map(registration).collect(), now);
 }
--- a/crates/fleet/tests/placement_herd.rs
+++ b/crates/fleet/tests/placement_herd.rs
@@ -49,6 +49,7 @@
     let registration = |i: u16| Registration {
         name: format!("i{i}").as_str().into(),
         address: ([10, 0, 0, 1], i + 1).into(),
+        secret: None,
     };
     let own = u16::try_from(index).unwrap();
     let others = (0..REGISTERED).filter(|i| *i != own);
--- a/crates/fleet/tests/store_polls.rs
+++ b/crates/fleet/tests/store_polls.rs
@@ -21,6 +21,7 @@
     let all = PEERS.iter().zip(1..).map(|(name, port)| Registration {
         name: (*name).into(),
         address: ([10, 0, 0, 1], port).into(),
+        secret: None,
     });
     peers.set_registrations(all.collect(), at(0));
     for name in PEERS {
--- a/crates/fleet/tests/support/permit_sim.rs
+++ b/crates/fleet/tests/support/permit_sim.rs
@@ -177,6 +177,7 @@
         let all = (0..registered).map(|peer| Registration {
             name: name(peer).as_str().into(),
             address: address(peer),
+            secret: None,
         });
         peers.set_registrations(all.collect(), now);
         Instance {
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -24,6 +24,7 @@
 use super::forward;
 use super::forward::ForwardOutcome;
 use super::instance::FleetInstance;
+use super::peer_requests;
 use super::responses;
 use crate::clock::millis;
 
@@ -50,6 +51,16 @@
     pub deadline: Time,
     /// The units charged to the team's limit: requests or tokens.
     pub cost: u64,
+    /// Whether a peer has passed the request on.
+    pub from_peer: bool,
+}
+
+/// The sender of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Sender {
+    Caller,
+    /// An instance that doesn't reach the service.
+    Peer,
 }
 
 /// Handles a request whose first byte arrived at `begun`, and returns whether the connection
@@ -59,6 +70,7 @@
     conn: &mut Connection,
     req: Request,
     begun: Time,
+    sender: Sender,
 ) -> bool {
     instance.metrics.record_request();
     let arrived = instance.now();
@@ -66,10 +78,13 @@
         .ok()
         .and_then(|f| f.id);
     let accepted = match accept(instance, &req, begun, arrived) {
-        Ok(accepted) => accepted,
+        Ok(accepted) => AcceptedRequest {
+            from_peer: sender == Sender::Peer,
+            ..accepted
+        },
         Err(refusal) => {
             log_refusal(instance, id.as_deref(), None, &refusal, arrived);
-            return refuse(instance, conn, &refusal, id.as_deref()).await;
+            return refuse(instance, conn, &refusal, id.as_deref(), sender).await;
         }
     };
     match forward::forward(instance, conn, &req, &accepted).await {
@@ -84,7 +99,7 @@
                 limits.refund(&team.name, accepted.cost);
             }
             log_refusal(instance, id.as_deref(), Some(&accepted), &refusal, arrived);
-            refuse(instance, conn, &refusal, id.as_deref()).await
+            refuse(instance, conn, &refusal, id.as_deref(), sender).await
         }
     }
 }
@@ -94,9 +109,13 @@
     conn: &mut Connection,
     refusal: &Refusal,
     id: Option<&str>,
+    sender: Sender,
 ) -> bool {
     instance.metrics.record_refusal(refusal.reason);
-    let res = responses::refusal(refusal, id);
+    let mut res = responses::refusal(refusal, id);
+    if sender == Sender::Peer && peer_requests::is_of_this_instance(refusal.reason) {
+        peer_requests::mark_declined(instance, res.headers_mut());
+    }
     instance.announce_close(conn);
     conn.respond(res).await.is_ok()
 }
@@ -188,6 +207,7 @@
         fields,
         arrived,
         cost,
+        from_peer: false,
     })
 }
 
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -14,14 +14,11 @@
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::admission;
 use limpetsaddle_fleet::attempt::Attempts;
-use limpetsaddle_fleet::attempt::Failure;
 use limpetsaddle_fleet::begin_limit::Waiting;
 use limpetsaddle_fleet::configuration::KvStore;
 use limpetsaddle_fleet::configuration::Service;
 use limpetsaddle_fleet::configuration::share_hash;
 use limpetsaddle_fleet::configuration::store_hash;
-use limpetsaddle_fleet::directory::CacheUpdate;
-use limpetsaddle_fleet::health::RequestOutcome;
 use limpetsaddle_fleet::outage::StreamWaits;
 use limpetsaddle_fleet::placement;
 use limpetsaddle_fleet::placement::Placement;
@@ -32,10 +29,8 @@
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_fleet::runs::RunContent;
-use limpetsaddle_fleet::runs::RunEnd;
 use limpetsaddle_fleet::runs::RunId;
 use limpetsaddle_fleet::upstreams::RequestLoad;
-use limpetsaddle_fleet::upstreams::Ticket;
 use limpetsaddle_fleet::upstreams::Upstream;
 use limpetsaddle_fleet::weights::Outdated;
 use limpetsaddle_http::Connection;
@@ -46,8 +41,11 @@
 
 use super::exchange::AcceptedRequest;
 use super::instance::FleetInstance;
+use super::pass_on;
 use super::permits;
+use super::reach;
 use super::relay;
+use super::relay::PendingResponse;
 use crate::clock::millis;
 
 /// The shortest time that an upstream can be given, which is stated in whole milliseconds.
@@ -63,6 +61,9 @@
 /// The time after which a caller may retry a request that is withheld.
 const WITHHELD_RETRY_AFTER: Duration = Duration::from_mins(1);
 
+/// The time between two checks of whether a service has become unreachable.
+const UNREACHED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The outcome of a request.
 pub enum ForwardOutcome {
     /// The caller has the response of an upstream.
@@ -81,115 +82,6 @@
     },
 }
 
-/// Counts a request as in flight at an upstream until it is dropped.
-pub struct InFlightGuard {
-    instance: Rc<FleetInstance>,
-    ticket: Option<Ticket>,
-    /// The run, until it has ended.
-    run: Option<RunId>,
-    /// The outcome for the upstream's health; `None` if the caller disconnects
-    /// first.
-    outcome: Option<RequestOutcome>,
-}
-
-impl InFlightGuard {
-    pub fn new(
-        instance: &Rc<FleetInstance>,
-        placement: &Placement,
-        request_load: RequestLoad,
-        run: RunId,
-    ) -> Self {
-        let now = instance.now();
-        let mut upstreams = instance.upstreams.borrow_mut();
-        Self {
-            ticket: upstreams.start(&placement.upstream, request_load, now),
-            instance: Rc::clone(instance),
-            run: Some(run),
-            outcome: None,
-        }
-    }
-
-    /// Returns a guard that counts nothing, for a response that was read whole.
-    pub fn none(instance: &Rc<FleetInstance>) -> Self {
-        Self {
-            instance: Rc::clone(instance),
-            ticket: None,
-            run: None,
-            outcome: None,
-        }
-    }
-
-    /// Records that the upstream has sent the whole response.
-    pub fn complete(&mut self, outcome: RequestOutcome) {
-        self.outcome = Some(outcome);
-        self.end_run(RunEnd::Complete);
-    }
-
-    /// Records that the request failed at the upstream. Its health records `outcome`.
-    pub fn fail(&mut self, failure: Failure, outcome: Option<RequestOutcome>) {
-        self.outcome = outcome;
-        self.end_run(match failure {
-            Failure::ConnectionLost => RunEnd::Broken,
-            Failure::UpstreamError => RunEnd::Complete,
-            _ => RunEnd::Other,
-        });
-    }
-
-    fn end_run(&mut self, end: RunEnd) {
-        if let Some(run) = self.run.take() {
-            let now = self.instance.now();
-            self.instance.runs.borrow_mut().end(run, end, now);
-        }
-    }
-
-    /// Records the first event, and that the upstream and the KV store now cache
-    /// the prompt.
-    pub fn record_first_event(&mut self, placement: &Placement) {
-        let now = self.instance.now();
-        if let Some(run) = self.run {
-            let mut runs = self.instance.runs.borrow_mut();
-            runs.record_first_event(run, now);
-        }
-        let Some(ticket) = &mut self.ticket else {
-            return;
-        };
-        let mut upstreams = self.instance.upstreams.borrow_mut();
-        upstreams.record_first_event(ticket, now);
-        let Some(cache) = &placement.cache else {
-            return;
-        };
-        let keys = || placement.chain.iter().map(|link| link.key).collect();
-        let mut directory = self.instance.directory.borrow_mut();
-        if let Some(row) = upstreams.get(&placement.upstream) {
-            let report = CacheUpdate {
-                holder: row.hash,
-                keys: keys(),
-                new_tokens: u32::try_from(placement.new_tokens).unwrap_or(u32::MAX),
-            };
-            directory.record_read(report, now);
-        }
-        if let Some(store) = cache.save_to {
-            let report = CacheUpdate {
-                holder: store_hash(store),
-                keys: keys(),
-                new_tokens: u32::try_from(placement.new_tokens).unwrap_or(u32::MAX),
-            };
-            directory.record_read(report, now);
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.end_run(RunEnd::Other);
-        if let Some(ticket) = self.ticket.take() {
-            let now = self.instance.now();
-            let mut upstreams = self.instance.upstreams.borrow_mut();
-            upstreams.finish(&ticket, self.outcome, now);
-        }
-    }
-}
-
 /// Forwards one request, in one or more attempts.
 pub struct Forwarder<'a> {
     pub instance: &'a Rc<FleetInstance>,
@@ -218,6 +110,14 @@
     pub is_trial: Cell<bool>,
 }
 
+/// What happened first while a request was being sent.
+enum Pending {
+    CallerClosed,
+    Ended(Box<Result<PendingResponse, Refusal>>),
+    /// The service has become unreachable, while peers reach it.
+    Outlasted,
+}
+
 /// Forwards a request and relays the response to the caller.
 pub async fn forward(
     instance: &Rc<FleetInstance>,
@@ -246,26 +146,58 @@
         owes_retry: Cell::default(),
         is_trial: Cell::default(),
     };
+    if accepted.from_peer && reach::is_failing(instance, &forwarder.service) {
+        // The instance that has passed the request on tries another peer.
+        return ForwardOutcome::Refused {
+            refusal: forwarder
+                .attempts
+                .get()
+                .give_up(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER),
+            may_have_run: false,
+        };
+    }
+    if forwarder.leads_elsewhere()
+        && let Some(outcome) = pass_on::pass_on(&forwarder, conn).await
+    {
+        return outcome;
+    }
     let pending = {
-        let send = std::pin::pin!(forwarder.send().fuse());
-        let closed = std::pin::pin!(conn.closed().fuse());
+        let mut send = std::pin::pin!(forwarder.send().fuse());
+        let mut outlasted = std::pin::pin!(forwarder.outlasted().fuse());
+        let mut closed = std::pin::pin!(conn.closed().fuse());
         // Polled first, so that nothing more is sent for a caller that is known to have left.
-        match futures::future::select(closed, send).await {
-            futures::future::Either::Left(_) => None,
-            futures::future::Either::Right((pending, _)) => Some(pending),
+        futures::select_biased! {
+            () = closed => Pending::CallerClosed,
+            ended = send => Pending::Ended(Box::new(ended)),
+            () = outlasted => Pending::Outlasted,
         }
     };
-    match pending {
+    let sent = match pending {
+        Pending::CallerClosed => None,
+        Pending::Ended(ended) => Some(*ended),
+        Pending::Outlasted => match pass_on::pass_on(&forwarder, conn).await {
+            Some(outcome) => return outcome,
+            None => Some(Err(Refusal::new(Reason::UpstreamTimeout))),
+        },
+    };
+    match sent {
         None => {
             let after_ms = millis(instance.now().since(accepted.arrived));
             info!(id, route:display = route.name, sent = forwarder.sent(), after_ms; "caller disconnected");
             ForwardOutcome::Aborted
         }
         Some(Ok(pending)) => relay::relay(&forwarder, conn, pending).await,
-        Some(Err(refusal)) => ForwardOutcome::Refused {
-            refusal,
-            may_have_run: forwarder.attempts.get().may_have_run(),
-        },
+        Some(Err(refusal)) => {
+            if forwarder.may_pass_on()
+                && let Some(outcome) = pass_on::pass_on(&forwarder, conn).await
+            {
+                return outcome;
+            }
+            ForwardOutcome::Refused {
+                refusal,
+                may_have_run: forwarder.attempts.get().may_have_run(),
+            }
+        }
     }
 }
 
@@ -569,6 +501,49 @@
             .replace(Some(Name::clone(&placement.upstream)));
     }
 
+    /// Returns whether the request may be passed on to a peer, as this instance fails to
+    /// reach the service. One that a peer has passed on goes no further.
+    fn may_pass_on(&self) -> bool {
+        !self.accepted.from_peer
+            && !self.attempts.get().may_have_run()
+            && reach::is_failing(self.instance, &self.service)
+    }
+
+    /// Waits until the service is known to be unreachable from here though peers reach it, and
+    /// a peer may run the request once more. Otherwise it never returns.
+    async fn outlasted(&self) {
+        let instance = self.instance;
+        if self.accepted.from_peer || !self.accepted.route.kind.may_repeat() {
+            return std::future::pending().await;
+        }
+        loop {
+            monoio::time::sleep(UNREACHED_CHECK_INTERVAL).await;
+            let is_silent =
+                self.sent.get() > 0 && reach::is_silent_since(instance, self.accepted.arrived);
+            if is_silent
+                && reach::is_failing(instance, &self.service)
+                && reach::peers_reach(instance, &self.service)
+            {
+                break;
+            }
+        }
+        let mut attempts = self.attempts.get();
+        let permitted = self.permits_repeat()
+            && attempts.record_silence(instance.now(), || instance.withdraw_retry(&self.service));
+        self.attempts.set(attempts);
+        if !permitted {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Returns whether the request is passed on rather than attempted here.
+    pub fn leads_elsewhere(&self) -> bool {
+        let may_repeat = self.accepted.route.kind.may_repeat();
+        self.may_pass_on()
+            && reach::peers_reach(self.instance, &self.service)
+            && !reach::begin_trial(self.instance, &self.service, may_repeat)
+    }
+
     /// Returns the number of attempts so far.
     pub const fn sent(&self) -> u32 {
         self.sent.get()
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -26,6 +26,7 @@
 
 use super::instance::FleetInstance;
 use super::permits;
+use super::reach;
 use super::upstream_calls;
 use crate::clock::millis;
 use crate::errors::Error;
@@ -367,6 +368,7 @@
     heartbeat.weights = upstreams.weights_updates(now);
     let targets = instance.target_weights.borrow();
     heartbeat.ages = reported_ages(&targets, instance.settings.bounds.max_weights_age, now);
+    heartbeat.reach = reach::report(instance);
     heartbeat.read = instance.store.reads().borrow().report(now);
     let targets = targets.iter().map(|target| TargetWeightsUpdate {
         model: target.model_hash(),
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -48,8 +48,10 @@
 use super::call::CallError;
 use super::crashes::Probes;
 use super::metrics::Metrics;
+use super::pass_on::Relays;
 use super::permits::PermitDesk;
 use super::quarantine::QuarantineStore;
+use super::reach::Ways;
 use super::store::StoreClient;
 use super::upstream_calls::UpstreamClient;
 use crate::clock::Random;
@@ -107,6 +109,10 @@
     pub permits: PermitDesk,
     /// The probes in progress of engines that have closed a connection.
     pub probes: Probes,
+    /// The ways to the services.
+    pub ways: Ways,
+    /// The requests that are passed on to peers, and those of peers.
+    pub relays: Relays,
     /// The other instances.
     pub peers: RefCell<Peers>,
     /// The cached prompt prefixes of each engine and KV store.
@@ -180,6 +186,8 @@
             quarantine_record: QuarantineStore::default(),
             permits: PermitDesk::default(),
             probes: Probes::default(),
+            ways: Ways::default(),
+            relays: Relays::default(),
             peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default(), now)),
             kv_stores: RefCell::new(KvStoreMonitor::default()),
             directory: RefCell::new(PrefixDirectory::default()),
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -46,6 +46,8 @@
     permits: Counter<u64>,
     withheld_calls: Counter<u64>,
     ignored_notices: Counter<u64>,
+    passed_on: Counter<u64>,
+    peer_requests: Counter<u64>,
     crashes: Counter<u64>,
     part_changes: Counter<u64>,
     request_changes: Counter<u64>,
@@ -86,6 +88,8 @@
             permits: meter.u64_counter("limpetsaddle_permits").build(),
             withheld_calls: meter.u64_counter("limpetsaddle_withheld_calls").build(),
             ignored_notices: meter.u64_counter("limpetsaddle_ignored_notices").build(),
+            passed_on: meter.u64_counter("limpetsaddle_passed_on").build(),
+            peer_requests: meter.u64_counter("limpetsaddle_peer_requests").build(),
             crashes: meter.u64_counter("limpetsaddle_upstream_crashes").build(),
             part_changes: meter.u64_counter("limpetsaddle_part_changes").build(),
             request_changes: meter.u64_counter("limpetsaddle_request_changes").build(),
@@ -193,6 +197,17 @@
         self.ignored_notices.add(1, &[]);
     }
 
+    /// Counts a request that was passed on to a peer, by its result.
+    pub fn record_passed_on(&self, result: &'static str) {
+        self.passed_on.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a request of a peer, by whether it was accepted.
+    pub fn record_peer_request(&self, result: &'static str) {
+        self.peer_requests
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts an engine whose process has ended beside running prompts.
     pub fn record_crash(&self) {
         self.crashes.add(1, &[]);
--- a/crates/router/src/fleet/outage.rs
+++ b/crates/router/src/fleet/outage.rs
@@ -22,6 +22,9 @@
     if forwarder.attempts.get().has_begun() {
         return place_stream(forwarder).await;
     }
+    if forwarder.sent() > 0 && forwarder.leads_elsewhere() {
+        return Err(Refusal::new(Reason::NoUpstream));
+    }
     let mut waited = Duration::ZERO;
     let mut queued = None;
     loop {
--- /dev/null
+++ b/crates/router/src/fleet/reach.rs
@@ -0,0 +1,196 @@
+//! The ways of this instance to the services.
+//!
+//! Each call to an upstream shows something of them. While a service fails here and peers reach
+//! it, requests are passed on, and connections are opened now and then to find the way back.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::Either;
+use futures::future::join_all;
+use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::heartbeat::name_hash;
+use limpetsaddle_fleet::service_reach::Reach;
+use limpetsaddle_fleet::service_reach::ReachReport;
+use limpetsaddle_fleet::service_reach::ServiceReach;
+use limpetsaddle_fleet::upstreams::Upstream;
+use log::info;
+use log::warn;
+
+use super::instance::FleetInstance;
+use super::upstream_calls::Probe;
+use super::upstream_calls::Recipient;
+use crate::shutdown::Stopping;
+
+/// The time after which an upstream that has not begun to answer counts as failed. A sound one
+/// may be silent for a second.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// The time between two checks of whether to look for the way back.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The number of upstreams at which the way back is looked for.
+const LOOKED_AT: usize = 3;
+
+/// What this instance knows of its ways to the services.
+#[derive(Debug, Default)]
+pub struct Ways(RefCell<HashMap<Name, ServiceReach>>);
+
+impl Ways {
+    fn with<T>(&self, service: &str, operation: impl FnOnce(&mut ServiceReach) -> T) -> Option<T> {
+        self.0.borrow_mut().get_mut(service).map(operation)
+    }
+}
+
+/// Records that an upstream has answered a call that was begun at `begun`.
+pub fn record_answer(instance: &FleetInstance, recipient: &Recipient, begun: Time) {
+    let Some((service, _)) = service_of(instance, recipient) else {
+        return;
+    };
+    let now = instance.now();
+    let mut ways = instance.ways.0.borrow_mut();
+    let way = ways.entry(Name::clone(&service)).or_default();
+    if way.record_answer(begun, now) {
+        info!(service:display; "upstreams reached again");
+    }
+}
+
+/// Records that a call that was begun at `begun` got no answer.
+pub fn record_failure(instance: &FleetInstance, recipient: &Recipient, begun: Time) {
+    let Some((service, upstream)) = service_of(instance, recipient) else {
+        return;
+    };
+    let count = {
+        let upstreams = instance.upstreams.borrow();
+        let all = upstreams.iter();
+        all.filter(|row| row.entry.service == service).count()
+    };
+    let now = instance.now();
+    let has_begun = {
+        let mut ways = instance.ways.0.borrow_mut();
+        let way = ways.entry(Name::clone(&service)).or_default();
+        way.record_failure(upstream, count, begun, now)
+    };
+    if has_begun {
+        let peers_reach = peers_reach(instance, &service);
+        warn!(service:display, upstreams = count, peers_reach; "upstreams not reached");
+    }
+}
+
+/// Waits for the answer to a call, and records the upstream's silence if it lasts long.
+pub async fn watch<T>(
+    instance: &FleetInstance,
+    recipient: &Recipient,
+    sent: Time,
+    answer: impl Future<Output = T>,
+) -> T {
+    let answer = std::pin::pin!(answer);
+    let silence = std::pin::pin!(monoio::time::sleep(SILENCE));
+    match futures::future::select(answer, silence).await {
+        Either::Left((answer, _)) => answer,
+        Either::Right(((), answer)) => {
+            record_failure(instance, recipient, sent);
+            answer.await
+        }
+    }
+}
+
+/// Returns the service of an upstream and the hash of its id.
+fn service_of(instance: &FleetInstance, recipient: &Recipient) -> Option<(Name, u64)> {
+    let Recipient::Upstream { incarnation, .. } = recipient else {
+        return None;
+    };
+    let upstreams = instance.upstreams.borrow();
+    let row = upstreams.get(&incarnation.upstream)?;
+    let is_configured = instance
+        .configuration()
+        .is_some_and(|c| c.service(&row.entry.service).is_some());
+    is_configured.then(|| (Name::clone(&row.entry.service), row.hash))
+}
+
+/// Returns whether this instance fails to reach a service.
+pub fn is_failing(instance: &FleetInstance, service: &str) -> bool {
+    let now = instance.now();
+    instance.ways.with(service, |way| way.reach(now)) == Some(Reach::Failing)
+}
+
+/// Returns whether a request from `since` has been waiting for longer than a sound upstream is
+/// silent.
+pub fn is_silent_since(instance: &FleetInstance, since: Time) -> bool {
+    instance.now().since(since) >= SILENCE
+}
+
+/// Returns whether a request is to be sent to a failing service to see whether it is answered.
+pub fn begin_trial(instance: &FleetInstance, service: &str, may_repeat: bool) -> bool {
+    let now = instance.now();
+    let begun = instance
+        .ways
+        .with(service, |way| way.begin_trial(may_repeat, now));
+    begun == Some(true)
+}
+
+/// Returns whether a peer reaches a service.
+pub fn peers_reach(instance: &FleetInstance, service: &str) -> bool {
+    let peers = instance.peers.borrow();
+    peers.reach_service(name_hash(service), instance.now())
+}
+
+/// Returns what heartbeats report of the ways to the services.
+pub fn report(instance: &FleetInstance) -> ReachReport {
+    let now = instance.now();
+    let mut report = ReachReport::default();
+    for (service, way) in &*instance.ways.0.borrow() {
+        report.add(name_hash(service), way.reach(now));
+    }
+    report
+}
+
+/// Looks for the way back to failing services until the instance stops.
+pub async fn look(instance: Rc<FleetInstance>, stopping: Stopping) {
+    while stopping.pause(LOOK_INTERVAL).await {
+        forget_removed(&instance);
+        let now = instance.now();
+        let due: Vec<Name> = {
+            let ways = instance.ways.0.borrow();
+            let due = ways.iter().filter(|(_, way)| way.is_look_due(now));
+            due.map(|(service, _)| Name::clone(service)).collect()
+        };
+        for service in due {
+            let accepts = accepts_connections(&instance, &service).await;
+            let now = instance.now();
+            instance
+                .ways
+                .with(&service, |way| way.record_look(accepts, now));
+        }
+    }
+}
+
+/// Forgets services that the configuration doesn't name any more.
+fn forget_removed(instance: &FleetInstance) {
+    if let Some(configuration) = instance.configuration() {
+        let mut ways = instance.ways.0.borrow_mut();
+        ways.retain(|service, _| configuration.service(service).is_some());
+    }
+}
+
+/// Returns whether one of a few upstreams of a service accepts a connection.
+async fn accepts_connections(instance: &FleetInstance, service: &str) -> bool {
+    let recipients: Vec<Recipient> = {
+        let upstreams = instance.upstreams.borrow();
+        let of_service = |row: &&Upstream| &*row.entry.service == service;
+        let rows: Vec<&Upstream> = upstreams.iter().filter(of_service).collect();
+        let first = usize::try_from(instance.random.draw() % 1_024).unwrap_or(0);
+        let rows = rows.iter().cycle().skip(first % rows.len().max(1));
+        let recipient = |row: &&Upstream| Recipient::Upstream {
+            incarnation: row.entry.incarnation(),
+            address: row.entry.address,
+        };
+        rows.take(LOOKED_AT).map(recipient).collect()
+    };
+    let probe = |recipient| instance.upstream_client.probe(instance, recipient);
+    let probes = join_all(recipients.iter().map(probe)).await;
+    probes.contains(&Probe::Listening)
+}
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -18,7 +18,9 @@
 use super::instance::FleetInstance;
 use super::kv_store;
 use super::monitoring;
+use super::peer_requests;
 use super::quarantine;
+use super::reach;
 use super::rollout;
 use super::serve;
 use super::settings_file::SettingsFile;
@@ -116,6 +118,7 @@
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
     let metrics = listen(SocketAddr::from((settings.ip, METRICS_PORT)))?;
+    let peers = listen(SocketAddr::from((settings.ip, settings.heartbeat_port)))?;
     heartbeats::start(instance, ending)?;
     watch::start(instance, ending);
     monoio::spawn(rollout::run(Rc::clone(instance), ending.clone()));
@@ -128,6 +131,12 @@
             ending.clone(),
         ));
     }
+    monoio::spawn(peer_requests::serve(
+        Rc::clone(instance),
+        peers,
+        ending.clone(),
+    ));
+    monoio::spawn(reach::look(Rc::clone(instance), ending.clone()));
     monoio::spawn(serve_callers(Rc::clone(instance), callers, closed));
     info!(
         name:display = settings.name,
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -15,6 +15,7 @@
 use log::info;
 
 use super::exchange;
+use super::exchange::Sender;
 use super::instance::FleetInstance;
 use super::responses;
 use super::unfinished::IdleCloseCause;
@@ -45,7 +46,7 @@
         let Some(req) = read_request(&instance, &mut conn).await else {
             return;
         };
-        let reusable = exchange::handle(&instance, &mut conn, req, begun).await;
+        let reusable = exchange::handle(&instance, &mut conn, req, begun, Sender::Caller).await;
         drop(running);
         if !reusable || !conn.keep_alive() {
             return;
@@ -58,7 +59,8 @@
     configuration.map_or_else(CallerLimits::default, |c| c.limits)
 }
 
-fn options(instance: &FleetInstance) -> ServerOptions {
+/// Returns the limits on a connection of a caller.
+pub fn options(instance: &FleetInstance) -> ServerOptions {
     let limits = limits(instance);
     ServerOptions {
         max_head_bytes: limits.max_head_bytes,
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -33,6 +33,7 @@
 use super::call::CallError;
 use super::instance::FleetInstance;
 use super::permits;
+use super::reach;
 use super::response_limits::CallKind;
 use super::response_limits::ResponseBuffers;
 use super::response_limits::ResponseLimits;
@@ -158,10 +159,12 @@
         id: &str,
     ) -> Result<Response, SendError> {
         let permit = admit(instance, recipient, None)?;
+        let begun = instance.now();
         let conn = match self.client.open(recipient.address()).await {
             Ok(conn) => conn,
             Err(error) => {
                 give_back(instance, recipient, permit);
+                reach::record_failure(instance, recipient, begun);
                 return Err(error.into());
             }
         };
@@ -175,7 +178,14 @@
             instance.metrics.record_permits("used", 1);
         }
         let sent = instance.now();
-        let res = conn.send(req).await?;
+        let res = match reach::watch(instance, recipient, sent, conn.send(req)).await {
+            Ok(res) => res,
+            Err(error) => {
+                reach::record_failure(instance, recipient, begun);
+                return Err(error.into());
+            }
+        };
+        reach::record_answer(instance, recipient, begun);
         observe(instance, recipient, &res.head, sent, id);
         if let Some(permit) = permit {
             report_lifted(instance, recipient, permit);
--- a/crates/router/src/fleet/watch/instances.rs
+++ b/crates/router/src/fleet/watch/instances.rs
@@ -30,9 +30,12 @@
 use crate::shutdown::Stopping;
 
 /// The stored registration of an instance.
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct InstanceRecord {
     address: SocketAddr,
+    /// The secret by which the instance recognizes requests of others. It outlives restarts.
+    #[serde(default)]
+    secret: Option<Name>,
 }
 
 /// The pause after a registration was written. Stale reads may not show it for
@@ -76,6 +79,10 @@
             warn!(name = object.name.as_str(); "invalid registration");
             return;
         };
+        let record: InstanceRecord = record;
+        if object.name == *self.instance.settings.name {
+            self.instance.relays.adopt_secret(record.secret.as_ref());
+        }
         let mut registrations = self.registrations.borrow_mut();
         let registrations = registrations.get_or_insert_default();
         registrations.insert(object.name, (object.revision, record));
@@ -93,6 +100,7 @@
             .map(|(name, (_, record))| Registration {
                 name: name.as_str().into(),
                 address: record.address,
+                secret: record.secret.clone(),
             });
         let now = self.instance.now();
         let mut peers = self.instance.peers.borrow_mut();
@@ -156,16 +164,21 @@
         wait = RECHECK_INTERVAL;
         let own = registrations.borrow().as_ref().map(|registrations| {
             let own = registrations.get(&*instance.settings.name);
-            own.map(|(revision, record)| (*revision, record.address))
+            own.cloned()
         });
         // Nothing is written before the first list.
         let Some(own) = own else {
             continue;
         };
-        if own.is_some_and(|(_, address)| address == heartbeat_address(&instance)) {
+        let record = InstanceRecord {
+            address: heartbeat_address(&instance),
+            secret: Some(instance.relays.secret_or_new(&instance.random)),
+        };
+        if own.as_ref().is_some_and(|(_, own)| *own == record) {
             continue;
         }
-        if register(&instance, own.map(|(revision, _)| revision)).await {
+        let revision = own.map(|(revision, _)| revision);
+        if register(&instance, record, revision).await {
             failures = 0;
             wait = PROPAGATION_TIME;
         } else {
@@ -176,10 +189,7 @@
 }
 
 /// Writes this instance's registration, and returns whether it is stored.
-async fn register(instance: &FleetInstance, revision: Option<u64>) -> bool {
-    let record = InstanceRecord {
-        address: heartbeat_address(instance),
-    };
+async fn register(instance: &FleetInstance, record: InstanceRecord, revision: Option<u64>) -> bool {
     let name = &instance.settings.name;
     let kind = wire::store::INSTANCES;
     match instance.store.put(kind, name, revision, &record).await {
@@ -188,7 +198,7 @@
             true
         }
         // The list that was read was older than the registration.
-        Ok(WriteResult::Conflict(Some(object))) if address_of(&object) == Some(record.address) => {
+        Ok(WriteResult::Conflict(Some(object))) if record_of(&object).as_ref() == Some(&record) => {
             info!(name:display, revision = object.revision; "already registered");
             true
         }
@@ -203,9 +213,8 @@
     }
 }
 
-fn address_of(object: &Object) -> Option<SocketAddr> {
-    let record: InstanceRecord = serde_json::from_str(object.spec.as_ref()?.get()).ok()?;
-    Some(record.address)
+fn record_of(object: &Object) -> Option<InstanceRecord> {
+    serde_json::from_str(object.spec.as_ref()?.get()).ok()
 }
 
 /// Removes the registration of an instance that timed out long ago.
