Count no upstream as crashed that a cut of this instance hides

Cause: an upstream whose connection is lost and which then refuses connections counted as crashed, with all its requests as suspects. An instance that is cut off sees that of every upstream, so that sound requests were reported as the causes of crashes. Missing evidence of the process counted as evidence of its end. Change: a crash is recorded only if another upstream of any service accepts a connection, or a live peer fails to reach the service as well; peers have the time in which their reports are out of date.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -437,6 +437,13 @@
             .any(|peer| peer.secret.is_some() && peer.reach.of(service) == Reach::Reached)
     }
 
+    /// Returns whether there are live peers and none of them fails to reach a service.
+    #[must_use]
+    pub fn none_fails(&self, service: u64, now: Time) -> bool {
+        let mut live = self.live_peers(now).peekable();
+        live.peek().is_some() && live.all(|peer| peer.reach.of(service) != Reach::Failing)
+    }
+
     /// Returns the numbers of registered and live instances, including this one.
     #[must_use]
     pub fn peer_counts(&self, now: Time) -> PeerCounts {
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -16,6 +16,7 @@
 
 use super::forward::Forwarder;
 use super::instance::FleetInstance;
+use super::reach;
 use super::upstream_calls::Probe;
 use super::upstream_calls::Recipient;
 use crate::clock::millis;
@@ -70,7 +71,12 @@
     };
     monoio::spawn(async move {
         if probe(&instance, &recipient).await == Probe::Ended {
-            record_crash(&instance, &incarnation);
+            if reach::is_cut_off(&instance, &recipient).await {
+                let upstream = &incarnation.upstream;
+                info!(upstream:display; "connection lost by a cut of this instance");
+            } else {
+                record_crash(&instance, &incarnation);
+            }
         }
         instance.probes.running.borrow_mut().remove(&process);
         drop(stopper);
--- a/crates/router/src/fleet/reach.rs
+++ b/crates/router/src/fleet/reach.rs
@@ -32,6 +32,13 @@
 /// The time between two checks of whether to look for the way back.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The time for which a peer may report to reach a service that it doesn't reach any more, its
+/// heartbeats included.
+const REPORT_AGE: Duration = Duration::from_millis(2_500);
+
+/// The time between two checks of whether this instance is cut off.
+const CUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The number of upstreams at which the way back is looked for.
 const LOOKED_AT: usize = 3;
 
@@ -176,12 +183,51 @@
     }
 }
 
+/// Returns whether this instance, rather than the process of an upstream, is the reason why the
+/// upstream refuses connections: no other upstream of any service accepts one, and no peer fails
+/// to reach the service in the time in which all would notice the end of all upstreams.
+pub async fn is_cut_off(instance: &FleetInstance, refused: &Recipient) -> bool {
+    let Some((service, _)) = service_of(instance, refused) else {
+        return false;
+    };
+    let address = refused.address();
+    let is_other = |row: &Upstream| row.entry.address != address;
+    if !instance.upstreams.borrow().iter().any(is_other) {
+        return false;
+    }
+    let end = instance.now() + REPORT_AGE;
+    while none_fails(instance, &service) {
+        if accept_connections(instance, is_other).await {
+            return false;
+        }
+        if instance.now() >= end {
+            return true;
+        }
+        monoio::time::sleep(CUT_CHECK_INTERVAL).await;
+    }
+    false
+}
+
+/// Returns whether there are peers and none of them fails to reach a service.
+fn none_fails(instance: &FleetInstance, service: &str) -> bool {
+    let peers = instance.peers.borrow();
+    peers.none_fails(name_hash(service), instance.now())
+}
+
 /// Returns whether one of a few upstreams of a service accepts a connection.
 async fn accepts_connections(instance: &FleetInstance, service: &str) -> bool {
+    accept_connections(instance, |row| &*row.entry.service == service).await
+}
+
+/// Returns whether one of a few upstreams accepts a connection.
+async fn accept_connections(
+    instance: &FleetInstance,
+    is_candidate: impl Fn(&Upstream) -> bool,
+) -> bool {
     let recipients: Vec<Recipient> = {
         let upstreams = instance.upstreams.borrow();
-        let of_service = |row: &&Upstream| &*row.entry.service == service;
-        let rows: Vec<&Upstream> = upstreams.iter().filter(of_service).collect();
+        let rows = upstreams.iter().filter(|row| is_candidate(row));
+        let rows: Vec<&Upstream> = rows.collect();
         let first = usize::try_from(instance.random.draw() % 1_024).unwrap_or(0);
         let rows = rows.iter().cycle().skip(first % rows.len().max(1));
         let recipient = |row: &&Upstream| Recipient::Upstream {
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -62,7 +62,8 @@
         Self::KvStore { address, boot }
     }
 
-    const fn address(&self) -> SocketAddr {
+    /// Returns the recipient's address.
+    pub const fn address(&self) -> SocketAddr {
         match self {
             Self::Upstream { address, .. } | Self::KvStore { address, .. } => *address,
         }
