Take silent upstreams for a cut only while nothing arrives from any other

Missing answers counted as evidence of a cut though streams of the same service went on. Change: silence counts only if no byte of any answer of the service has arrived since the call was sent. Failures to connect count as before.

--- a/crates/fleet/src/service_reach.rs
+++ b/crates/fleet/src/service_reach.rs
@@ -106,6 +106,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServiceReach {
     answered: Option<Time>,
+    /// The time at which bytes of any answer last arrived.
+    heard: Option<Time>,
     /// The hashes of upstreams that have failed since the last answer.
     failed: Vec<u64>,
     outage: Option<Outage>,
@@ -119,13 +121,37 @@
             return false;
         }
         self.answered = Some(now);
+        self.heard = Some(now);
         self.failed.clear();
         self.outage.take().is_some()
     }
 
-    /// Records that a call that was sent at `sent` to one of `upstreams` upstreams could not
-    /// be established, was broken off before its answer, or has been silent for long. Returns
-    /// whether the service fails from now on.
+    /// Records that bytes of an answer have arrived from an upstream, which may have been
+    /// begun long before.
+    pub const fn record_bytes(&mut self, now: Time) {
+        self.heard = Some(now);
+    }
+
+    /// Records that an upstream has not begun to answer a call that was sent at `sent`, for
+    /// longer than a sound one is silent. Returns whether the service fails from now on.
+    ///
+    /// As long as bytes arrive from others, the upstream is only slow or overloaded.
+    pub fn record_silence(
+        &mut self,
+        upstream: u64,
+        upstreams: usize,
+        sent: Time,
+        now: Time,
+    ) -> bool {
+        if self.heard.is_some_and(|at| at > sent) {
+            return false;
+        }
+        self.record_failure(upstream, upstreams, sent, now)
+    }
+
+    /// Records that a call that was begun at `sent` to one of `upstreams` upstreams could not
+    /// be established or was broken off before its answer. Returns whether the service fails
+    /// from now on.
     pub fn record_failure(
         &mut self,
         upstream: u64,
--- a/crates/fleet/tests/service_reach.rs
+++ b/crates/fleet/tests/service_reach.rs
@@ -68,6 +68,19 @@
     assert_eq!(way.reach(at(1_300)), Reach::Reached);
 }
 
+/// Engines with long queues answer late, while earlier streams go on.
+#[test]
+fn verify_overloaded_upstreams_are_no_cut() {
+    let mut way = ServiceReach::default();
+    for round in 0..1_000_u64 {
+        way.record_bytes(at(round * 100));
+        let sent = at((round * 100).saturating_sub(1_200));
+        assert!(!way.record_silence(round, UPSTREAMS, sent, at(round * 100 + 10)));
+    }
+    assert!(!way.record_silence(1, UPSTREAMS, at(100_000), at(101_200)));
+    assert!(way.record_silence(2, UPSTREAMS, at(100_010), at(101_210)));
+}
+
 #[test]
 fn verify_one_trial_at_a_time_finds_the_way_back() {
     let mut way = ServiceReach::default();
--- a/crates/router/src/fleet/reach.rs
+++ b/crates/router/src/fleet/reach.rs
@@ -65,8 +65,25 @@
     }
 }
 
-/// Records that a call that was begun at `begun` got no answer.
+/// Records that bytes of an answer have arrived from an upstream of a service.
+pub fn record_bytes(instance: &FleetInstance, service: &str) {
+    let now = instance.now();
+    instance.ways.with(service, |way| way.record_bytes(now));
+}
+
+/// Records that a call that was begun at `begun` could not be established or was broken off
+/// before its answer.
 pub fn record_failure(instance: &FleetInstance, recipient: &Recipient, begun: Time) {
+    record(instance, recipient, begun, ServiceReach::record_failure);
+}
+
+/// Records what a call that was begun at `begun` shows.
+fn record(
+    instance: &FleetInstance,
+    recipient: &Recipient,
+    begun: Time,
+    kind: fn(&mut ServiceReach, u64, usize, Time, Time) -> bool,
+) {
     let Some((service, upstream)) = service_of(instance, recipient) else {
         return;
     };
@@ -79,7 +96,7 @@
     let has_begun = {
         let mut ways = instance.ways.0.borrow_mut();
         let way = ways.entry(Name::clone(&service)).or_default();
-        way.record_failure(upstream, count, begun, now)
+        kind(way, upstream, count, begun, now)
     };
     if has_begun {
         let peers_reach = peers_reach(instance, &service);
@@ -99,7 +116,7 @@
     match futures::future::select(answer, silence).await {
         Either::Left((answer, _)) => answer,
         Either::Right(((), answer)) => {
-            record_failure(instance, recipient, sent);
+            record(instance, recipient, sent, ServiceReach::record_silence);
             answer.await
         }
     }
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -33,6 +33,7 @@
 use super::forward::buffered_response;
 use super::forward::elapsed_ms;
 use super::in_flight::InFlightGuard;
+use super::reach;
 use super::resume;
 use super::unfinished::CutOffCause;
 use super::unfinished::record_cut_off;
@@ -353,6 +354,7 @@
             }
             match self.res.next().await? {
                 Some(bytes) => {
+                    reach::record_bytes(forwarder.instance, &forwarder.service);
                     self.events.push(&bytes);
                     self.reservation.resize(self.events.buffered())?;
                 }
