Start the fencing numbers of each era above those of all earlier ones

Class: what isn't known counted as not being there. Change: the first number of an era is the era times 2^32. Engines that hold a smaller number accept it, as numbers only rise; at ten drills it is 4e10, and two million eras fit in the 53 bits of JSON numbers. Measured: verify_no_fencing_number_is_given_out_twice_when_all_restart_beside_a_drill fails without the change (1 after 3 in era 1), passes with it.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -47,6 +47,11 @@
     }
 }
 
+/// The first fencing number of an era is this many times the era, so that no number is given out
+/// again after a return from a copy which lacks the lease. Numbers of two million eras fit in
+/// the 53 bits that all readers of JSON take.
+const FENCING_PER_ERA: u64 = 1 << 32;
+
 /// The record of the holder at the platform.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -291,7 +296,7 @@
         }
         let Some(observed) = self.observed.clone() else {
             let waits = self.defers_to_others(has_orders, rank, now.since(self.started), now);
-            let fencing = self.max_fencing + 1;
+            let fencing = self.next_fencing();
             return (has_orders && !waits).then(|| self.record(fencing, 0, false));
         };
         let last = &observed.record;
@@ -308,7 +313,7 @@
         if now < free_at || self.defers_to_others(has_orders, rank, now.since(free_at), now) {
             return None;
         }
-        Some(self.record(self.max_fencing + 1, renewals, false))
+        Some(self.record(self.next_fencing(), renewals, false))
     }
 
     /// Returns the record that acquires the lease after the store has returned from an older
@@ -330,7 +335,7 @@
         if waits || self.defers_to_others(has_orders, rank, now.since(free_at), now) {
             return None;
         }
-        Some(self.record(self.max_fencing + 1, renewals, false))
+        Some(self.record(self.next_fencing(), renewals, false))
     }
 
     fn renewal_or_release(
@@ -354,12 +359,19 @@
             let fencing = if remembers_lease && is_newest {
                 last.fencing
             } else {
-                self.max_fencing + 1
+                self.next_fencing()
             };
             self.record(fencing, renewals, false)
         })
     }
 
+    /// Returns a fencing number above all that this instance knows and all of earlier eras.
+    fn next_fencing(&self) -> u64 {
+        let StoreEra(era) = self.era.unwrap_or_default();
+        let first = era.saturating_mul(FENCING_PER_ERA);
+        self.max_fencing.max(first) + 1
+    }
+
     fn remaining_at_renewal(&self) -> Duration {
         self.options
             .duration
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -105,6 +105,36 @@
     assert!(acquire(&mut first, &mut store, at(600)));
 }
 
+/// Returns the fencing number of the instance `name`, which has just started and knows nothing
+/// but the era.
+fn first_fencing(store: &mut Store, name: &str, era: u64, now: u64) -> u64 {
+    let mut lease = instance(name);
+    lease.observe_era(StoreEra(era), at(now));
+    for ms in (now..now + 20_000).step_by(50) {
+        if acquire(&mut lease, store, at(ms)) {
+            return lease.max_fencing();
+        }
+    }
+    panic!("{name} acquires no lease");
+}
+
+#[test]
+fn verify_no_fencing_number_is_given_out_twice_when_all_restart_beside_a_drill() {
+    let mut last = 0;
+    let mut now = 0;
+    for era in 0..10 {
+        // The copy lacks the lease.
+        let mut store = Store::default();
+        for name in NAMES {
+            let fencing = first_fencing(&mut store, name, era, now);
+            assert!(fencing > last, "{fencing} after {last} in era {era}");
+            last = fencing;
+            now += 20_000;
+        }
+    }
+    assert!(last < 1 << 53);
+}
+
 #[test]
 fn verify_a_restarted_holder_uses_a_higher_fencing_number() {
     let mut store = Store::default();
