Deliver an unframed answer as complete only if its upstream lives on

Cause: the end of the connection counted as the end of the answer unless a probe found that the process had ended. No probe is made of an upstream that leaves, rests or is gone, and none was waited for beyond 30 ms. A missing answer of a probe counted as proof of a whole response. Change: an answer without framing is whole only if a connection shows that the process lives on, whether the upstream takes requests or not; up to three attempts within 0.7 s. Otherwise it is broken off. Left: a host that accepts connections for a process that has ended can't be told from a live one without a request.

--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -26,6 +26,9 @@
 /// The longest time for which a request waits for the result of a probe.
 const PROBE_WAIT: Duration = Duration::from_millis(30);
 
+/// The longest wait for a sign of life of an upstream whose answer has ended with its connection.
+const LIFE_SIGN_WAIT: Duration = Duration::from_millis(700);
+
 /// The number of attempts to connect, as a lost packet makes one time out.
 const MAX_PROBES: u32 = 3;
 
@@ -47,11 +50,13 @@
     let _ = monoio::time::timeout(PROBE_WAIT, ended.closed()).await;
 }
 
-/// Returns whether an upstream's process has ended, as far as that shows within a short time.
-pub async fn has_ended(instance: &FleetInstance, recipient: &Recipient) -> bool {
-    let probe = instance.upstream_client.probe(instance, recipient);
-    let result = monoio::time::timeout(PROBE_WAIT, probe).await;
-    result.is_ok_and(|probe| probe == Probe::Ended)
+/// Returns whether an upstream's process is known to live on, whether it takes requests or not.
+///
+/// Without an answer nothing is known of it.
+pub async fn lives_on(instance: &FleetInstance, recipient: &Recipient) -> bool {
+    let probe = probe(|| instance.upstream_client.connect(recipient));
+    let result = monoio::time::timeout(LIFE_SIGN_WAIT, probe).await;
+    result.is_ok_and(|probe| probe == Probe::Listening)
 }
 
 /// Starts a probe of an upstream, unless one is running, and returns its end.
@@ -70,7 +75,8 @@
         address: placement.address,
     };
     monoio::spawn(async move {
-        if probe(&instance, &recipient).await == Probe::Ended {
+        let connect = || instance.upstream_client.probe(&instance, &recipient);
+        if probe(connect).await == Probe::Ended {
             if reach::is_cut_off(&instance, &recipient).await {
                 let upstream = &incarnation.upstream;
                 info!(upstream:display; "connection lost by a cut of this instance");
@@ -86,10 +92,10 @@
 
 /// Returns what is known of a recipient after up to [`MAX_PROBES`] attempts to connect. A host
 /// that closes two connections in a row has no process behind it.
-async fn probe(instance: &FleetInstance, recipient: &Recipient) -> Probe {
+async fn probe<F: Future<Output = Probe>>(connect: impl Fn() -> F) -> Probe {
     let mut has_closed = false;
     for _ in 0..MAX_PROBES {
-        match instance.upstream_client.probe(instance, recipient).await {
+        match connect().await {
             Probe::Closing if has_closed => return Probe::Ended,
             Probe::Closing => has_closed = true,
             Probe::Unknown => (),
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -199,6 +199,11 @@
         if check(instance, recipient).is_err() {
             return Probe::Unknown;
         }
+        self.connect(recipient).await
+    }
+
+    /// Connects to a recipient, whether it may be called or not, and sends nothing.
+    pub async fn connect(&self, recipient: &Recipient) -> Probe {
         match self.client.open(recipient.address()).await {
             Ok(mut conn) => match monoio::time::timeout(CLOSE_WAIT, conn.closed()).await {
                 Ok(()) => Probe::Closing,
