--- a/crates/fleet/src/service_reach.rs
+++ b/crates/fleet/src/service_reach.rs
@@ -10,8 +10,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// The number of different upstreams that must fail without an answer in between.
-const MIN_FAILED: usize = 2;
+/// The number of different upstreams that must fail without an answer in between, or all if a
+/// service has fewer. One request attempts that many.
+const MIN_FAILED: usize = 3;
 
 /// The time for which an answer shows that the service is reached.
 const REACHED_TIME: Duration = Duration::from_secs(2);
