Report the ways to services without a read of the store as well

Cause: heartbeats carried them only beside the sender's own read of the store, which just the instances that confirm the configuration make. Where exactly these were cut off, no peer was known to reach a service, and requests were attempted directly. Change: a marker stands for the missing read; older instances take it for a read of long ago. Of peers that know nothing of a service one at most is tried.

--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -146,6 +146,14 @@
 }
 
 impl StoreReadReport {
+    /// Stands for no read where something follows it. Instances that don't know it take it for
+    /// a read of long ago, which changes nothing.
+    const NONE: Self = Self {
+        era: StoreEra(0),
+        revision: 0,
+        age_ms: u32::MAX,
+    };
+
     /// Returns a report of a read at `now`.
     #[must_use]
     pub fn new(read: &StoreRead, now: Time) -> Self {
@@ -269,8 +277,7 @@
     /// The sender's last read of the store. It follows the ages.
     #[serde(skip)]
     pub read: Option<StoreReadReport>,
-    /// The services that the sender reaches or fails to reach. They follow the read, and are
-    /// left out without it.
+    /// The services that the sender reaches or fails to reach. They follow the read.
     #[serde(skip)]
     pub reach: ReachReport,
 }
@@ -322,11 +329,14 @@
     /// # Ok::<(), limpetsaddle_fleet::heartbeat::HeartbeatError>(())
     /// ```
     pub fn encode(&self) -> Result<EncodedHeartbeat, HeartbeatError> {
-        let extension = match &self.read {
+        let extension = match self.read {
             Some(read) if self.reach.is_empty() => postcard::to_stdvec(&(&self.ages, read))?,
-            Some(read) => postcard::to_stdvec(&(&self.ages, read, &self.reach))?,
-            None if self.ages.is_empty() => Vec::new(),
-            None => postcard::to_stdvec(&self.ages)?,
+            read if !self.reach.is_empty() => {
+                let read = read.unwrap_or(StoreReadReport::NONE);
+                postcard::to_stdvec(&(&self.ages, read, &self.reach))?
+            }
+            _ if self.ages.is_empty() => Vec::new(),
+            _ => postcard::to_stdvec(&self.ages)?,
         };
         Ok(EncodedHeartbeat {
             shared: postcard::to_stdvec(self)?,
@@ -352,7 +362,7 @@
             heartbeat.ages = ages;
             if !rest.is_empty() {
                 let (read, rest) = postcard::take_from_bytes(rest)?;
-                heartbeat.read = Some(read);
+                heartbeat.read = Some(read).filter(|read| *read != StoreReadReport::NONE);
                 if !rest.is_empty() {
                     heartbeat.reach = postcard::from_bytes(rest)?;
                     heartbeat.reach.truncate();
--- a/crates/fleet/tests/service_reach.rs
+++ b/crates/fleet/tests/service_reach.rs
@@ -5,6 +5,7 @@
 use limpetsaddle_core::hash::mix;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::heartbeat::Heartbeat;
+use limpetsaddle_fleet::heartbeat::StoreReadReport;
 use limpetsaddle_fleet::peers::PeerOptions;
 use limpetsaddle_fleet::peers::Peers;
 use limpetsaddle_fleet::peers::Registration;
@@ -12,6 +13,8 @@
 use limpetsaddle_fleet::service_reach::Reach;
 use limpetsaddle_fleet::service_reach::ReachReport;
 use limpetsaddle_fleet::service_reach::ServiceReach;
+use limpetsaddle_fleet::store_era::StoreEra;
+use limpetsaddle_fleet::store_reads::StoreRead;
 use support::at;
 use yare::parameterized;
 
@@ -149,6 +152,27 @@
     assert!(heartbeat.reach.reached.len() + heartbeat.reach.failing.len() <= 128);
 }
 
+/// Only a few instances read the store.
+#[test]
+fn verify_an_instance_that_reads_no_store_reports_its_ways() {
+    for has_read in [false, true] {
+        let mut heartbeat = Heartbeat::new("a", 1, 1);
+        if has_read {
+            let read = StoreRead {
+                era: StoreEra(1),
+                revision: 9,
+                sent: at(0),
+            };
+            heartbeat.read = Some(StoreReadReport::new(&read, at(10)));
+        }
+        heartbeat.reach.add(SERVICE, Reach::Reached);
+        heartbeat.reach.add(SERVICE + 1, Reach::Failing);
+        let datagram = heartbeat.encode().unwrap().for_recipient(Some(5)).unwrap();
+        let (decoded, echo_ms) = Heartbeat::decode(&datagram).unwrap();
+        assert_eq!((decoded, echo_ms), (heartbeat, Some(5)));
+    }
+}
+
 /// An instance of a simulated fleet.
 struct Instance {
     peers: Peers,
--- a/crates/router/src/fleet/pass_on.rs
+++ b/crates/router/src/fleet/pass_on.rs
@@ -20,6 +20,7 @@
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_fleet::relays;
 use limpetsaddle_fleet::relays::Relay;
+use limpetsaddle_fleet::service_reach::Reach;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
 use limpetsaddle_http::Connection;
@@ -157,6 +158,10 @@
     let mut excluded: Vec<Name> = Vec::new();
     while excluded.len() < MAX_PEERS {
         let relay = choose(forwarder, &excluded)?;
+        // Peers that know nothing of the service may take long to find out.
+        if relay.reach == Reach::Unknown && !excluded.is_empty() {
+            break;
+        }
         let bytes = forwarder.req.body().len();
         let outstanding = Outstanding::begin(instance, &relay.name, bytes)?;
         excluded.push(Name::clone(&relay.name));
