--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -146,8 +146,8 @@
 }
 
 impl StoreReadReport {
-    /// Stands for no read where something follows it. Instances that don't know it take it for
-    /// a read of long ago, which changes nothing.
+    /// Encodes a missing read before a report. Older instances decode it as a read of long ago,
+    /// which has no effect.
     const NONE: Self = Self {
         era: StoreEra(0),
         revision: 0,
--- a/crates/fleet/src/newer_versions.rs
+++ b/crates/fleet/src/newer_versions.rs
@@ -66,8 +66,8 @@
     /// Returns how far a configuration may be relied on whose last confirmation has the age
     /// `age`. `bound` is the time within which a new version must be in force everywhere.
     ///
-    /// Peers report a version with a delay, so half of the bound has to be enough after the
-    /// first report.
+    /// Peers report a version with a delay, so only half of the bound remains after the first
+    /// report.
     ///
     /// ```
     /// use std::time::Duration;
--- a/crates/fleet/src/relays.rs
+++ b/crates/fleet/src/relays.rs
@@ -14,13 +14,14 @@
     pub address: SocketAddr,
     /// The secret by which the peer recognizes instances of its fleet.
     pub secret: Name,
-    /// What it knows of its way to the service.
+    /// Whether it reaches the service.
     pub reach: Reach,
     /// Its requests in progress at upstreams.
     pub load: u32,
 }
 
-/// Returns one of the peers that reach the service, or else of those that know nothing of it.
+/// Returns one of the peers that reach the service, or else of those without recent requests
+/// to it.
 /// The less loaded one of two random peers is chosen, so that the load is shared though
 /// reports of it are late.
 ///
--- a/crates/fleet/src/service_reach.rs
+++ b/crates/fleet/src/service_reach.rs
@@ -17,7 +17,7 @@
 /// The time for which an answer shows that the service is reached.
 const REACHED_TIME: Duration = Duration::from_secs(2);
 
-/// The pause before the first look for the way back; it doubles after each look in vain.
+/// The pause before the first check of a failing service; it doubles after each failed check.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 
 /// The longest such pause.
@@ -29,19 +29,19 @@
 /// The time after which a trial that has shown nothing is replaced by another.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// What this instance knows of its way to a service.
+/// Whether an instance reaches the upstreams of a service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reach {
     /// An upstream has answered recently.
     Reached,
-    /// Nothing is known, as there were no requests recently.
+    /// There were no requests recently.
     Unknown,
     /// Several upstreams have failed, and none has answered since.
     Failing,
 }
 
 /// The services that an instance reaches, and those that it fails to reach, by the hashes of
-/// their names. Services of which it knows nothing are in neither list.
+/// their names. Services without recent requests are in neither list.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReachReport {
     /// The services of which an upstream has answered recently.
@@ -54,7 +54,7 @@
 const MAX_SERVICES: usize = 64;
 
 impl ReachReport {
-    /// Adds what is known of a service, as long as the report has room.
+    /// Adds a service unless the report is full.
     pub fn add(&mut self, service: u64, reach: Reach) {
         let list = match reach {
             Reach::Reached => &mut self.reached,
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Returns what the report says of a service.
+    /// Returns whether the sender of the report reaches a service.
     #[must_use]
     pub fn of(&self, service: u64) -> Reach {
         if self.failing.contains(&service) {
@@ -186,7 +186,7 @@
         true
     }
 
-    /// Returns what is known of the way to the service.
+    /// Returns whether the service is reached.
     #[must_use]
     pub fn reach(&self, now: Time) -> Reach {
         if self.outage.is_some() {
@@ -198,7 +198,7 @@
         }
     }
 
-    /// Returns whether to see now whether an upstream accepts connections again.
+    /// Returns whether to check now if an upstream accepts connections again.
     #[must_use]
     pub fn is_look_due(&self, now: Time) -> bool {
         let outage = self.outage.filter(|outage| outage.accepted.is_none());
@@ -216,8 +216,8 @@
         }
     }
 
-    /// Returns whether a request is to be sent to an upstream of a failing service to see
-    /// whether it is answered. One is at a time; it should be one that may run twice.
+    /// Starts a trial of a failing service and returns true, if an upstream accepts connections
+    /// again and no other trial is running. Requests that may run twice are preferred.
     pub fn begin_trial(&mut self, may_repeat: bool, now: Time) -> bool {
         let Some(outage) = &mut self.outage else {
             return false;
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -52,7 +52,7 @@
 
 /// Returns whether an upstream's process is known to live on, whether it takes requests or not.
 ///
-/// Without an answer nothing is known of it.
+/// A host that does not respond in time proves nothing.
 pub async fn lives_on(instance: &FleetInstance, recipient: &Recipient) -> bool {
     let probe = probe(|| instance.upstream_client.connect(recipient));
     let result = monoio::time::timeout(LIFE_SIGN_WAIT, probe).await;
--- a/crates/router/src/fleet/reach.rs
+++ b/crates/router/src/fleet/reach.rs
@@ -1,7 +1,7 @@
-//! The ways of this instance to the services.
+//! Detection of services whose upstreams this instance doesn't reach.
 //!
-//! Each call to an upstream shows something of them. While a service fails here and peers reach
-//! it, requests are passed on, and connections are opened now and then to find the way back.
+//! Each call to an upstream is evidence. While a service fails here and peers reach it, requests
+//! are passed on, and connections are opened periodically to detect the recovery.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -29,7 +29,7 @@
 /// may be silent for a second.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
-/// The time between two checks of whether to look for the way back.
+/// The time between two rounds of checks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The time for which a peer may report to reach a service that it doesn't reach any more, its
@@ -39,10 +39,10 @@
 /// The time between two checks of whether this instance is cut off.
 const CUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The number of upstreams at which the way back is looked for.
+/// The number of upstreams that a check connects to.
 const LOOKED_AT: usize = 3;
 
-/// What this instance knows of its ways to the services.
+/// The evidence for each service.
 #[derive(Debug, Default)]
 pub struct Ways(RefCell<HashMap<Name, ServiceReach>>);
 
@@ -77,7 +77,7 @@
     record(instance, recipient, begun, ServiceReach::record_failure);
 }
 
-/// Records what a call that was begun at `begun` shows.
+/// Records the failure or silence of a call that was begun at `begun`.
 fn record(
     instance: &FleetInstance,
     recipient: &Recipient,
@@ -147,7 +147,7 @@
     instance.now().since(since) >= SILENCE
 }
 
-/// Returns whether a request is to be sent to a failing service to see whether it is answered.
+/// Starts a trial of a failing service with a request, and returns true if one is due.
 pub fn begin_trial(instance: &FleetInstance, service: &str, may_repeat: bool) -> bool {
     let now = instance.now();
     let begun = instance
@@ -162,7 +162,7 @@
     peers.reach_service(name_hash(service), instance.now())
 }
 
-/// Returns what heartbeats report of the ways to the services.
+/// Returns the services that heartbeats report as reached or failing.
 pub fn report(instance: &FleetInstance) -> ReachReport {
     let now = instance.now();
     let mut report = ReachReport::default();
@@ -172,7 +172,7 @@
     report
 }
 
-/// Looks for the way back to failing services until the instance stops.
+/// Checks failing services periodically until the instance stops.
 pub async fn look(instance: Rc<FleetInstance>, stopping: Stopping) {
     while stopping.pause(LOOK_INTERVAL).await {
         forget_removed(&instance);
