Call no request unrun that a lost peer may have run, once no other peer is left

Cause: by reading; if a peer was lost with a request that may run twice and no other peer could be chosen, the refusal from before was given, a 503 that says it has not run. Change: such a request gets 502. No play of mine reaches the one that was mended.

--- a/crates/router/src/fleet/pass_on.rs
+++ b/crates/router/src/fleet/pass_on.rs
@@ -152,20 +152,28 @@
     CallerClosed,
 }
 
-/// Passes a request on, and relays the answer. Returns `None` if no peer has taken it.
+/// Passes a request on, and relays the answer. Returns `None` if no peer has taken it, so that
+/// it has not run at any.
 pub async fn pass_on(forwarder: &Forwarder<'_>, conn: &mut Connection) -> Option<ForwardOutcome> {
     let instance = forwarder.instance;
     let mut excluded: Vec<Name> = Vec::new();
     while excluded.len() < MAX_PEERS {
-        let relay = choose(forwarder, &excluded)?;
+        let Some(relay) = choose(forwarder, &excluded) else {
+            break;
+        };
         // Peers that know nothing of the service may take long to find out.
         if relay.reach == Reach::Unknown && !excluded.is_empty() {
             break;
         }
         let bytes = forwarder.req.body().len();
-        let outstanding = Outstanding::begin(instance, &relay.name, bytes)?;
+        let Some(outstanding) = Outstanding::begin(instance, &relay.name, bytes) else {
+            break;
+        };
         excluded.push(Name::clone(&relay.name));
-        match attempt(forwarder, conn, &relay, excluded.len()).await? {
+        let Some(result) = attempt(forwarder, conn, &relay, excluded.len()).await else {
+            break;
+        };
+        match result {
             Attempt::Answered(res) => {
                 refund(forwarder);
                 let outcome = relay_answer(forwarder, conn, &relay, *res).await;
