Suspect prompts that end an engine before the first byte of their answers

Cause: if the engine had begun any answer, only begun prompts were suspects of its end. A busy engine nearly always has, so a prompt that ended it before a byte had arrived was cleared by the others. Class: missing evidence counted as proof of the contrary. Evidence: in a trial with the instances' logs kept, "upstream crashed" is logged for each end and names the harmful prompt as not begun, beside begun sound ones; the judgement left it out. Change: each part is judged for two onsets, from the beginning of the answer and from the arrival on, the latter with all unanswered prompts as suspects and always with the higher threshold. Reports keep the prompts that were sent or begun last, where begun ones displaced all others. Of a part that engines may not have begun to answer, a prompt is not sent again after three moments of crashes.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -26,6 +26,7 @@
 use self::answers::Answers;
 use self::evidence::CrashLog;
 use self::evidence::Explained;
+use self::evidence::Onset;
 use self::news::MAX_NEWS;
 use self::news::News;
 use self::news::take_news;
@@ -182,11 +183,15 @@
         }
         !parts.iter().any(|part| {
             let answers = Answers::default();
-            let evidence = self
-                .log
-                .evidence(*part, explained, &answers, &self.options, now);
-            evidence.is_some_and(|evidence| {
-                evidence.moments > self.options.max_repeated_moments && !evidence.was_answered
+            Onset::ALL.into_iter().any(|onset| {
+                let evidence =
+                    self.log
+                        .evidence(*part, onset, explained, &answers, &self.options, now);
+                let max_moments = match onset {
+                    Onset::Answer => self.options.max_repeated_moments,
+                    Onset::Arrival => self.options.max_repeated_moments_of_arrival,
+                };
+                evidence.is_some_and(|e| e.moments > max_moments && !e.was_answered)
             })
         })
     }
@@ -212,12 +217,12 @@
         }
     }
 
-    /// Selects the suspects to report: first those with the most crashes, then those whose
-    /// response had started, then the youngest.
+    /// Selects the suspects to report: first those with the most crashes, then those that were
+    /// sent, or whose response had started, last.
     fn runs_to_report(&self, mut runs: Vec<CrashedRun>) -> Vec<CrashedRun> {
         runs.sort_by_cached_key(|run| {
             let crashes = self.log.crashes_of_request(run.key);
-            (Reverse(crashes), run.begun_ms.is_none(), run.age_ms)
+            (Reverse(crashes), run.since_progress_ms())
         });
         let (mut plain, mut prompts): (Vec<_>, Vec<_>) =
             runs.into_iter().partition(|run| run.parts.is_empty());
@@ -373,8 +378,14 @@
         let answers = Answers::default();
         let evidence = |part: PartKey, parts: &BTreeSet<PartKey>| {
             let explained = Explained { parts, requests };
-            self.log
-                .evidence(part, explained, &answers, &self.options, now)
+            self.log.evidence(
+                part,
+                Onset::Arrival,
+                explained,
+                &answers,
+                &self.options,
+                now,
+            )
         };
         let moments = |part, explained: &BTreeSet<PartKey>| {
             evidence(part, explained).map_or(0, |evidence| evidence.moments)
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -33,13 +33,38 @@
     pub runs: Vec<CrashedRun>,
 }
 
-impl Crash {
-    /// Returns the suspects among prompts: those that the engine had begun to answer, if there
+/// When a part is taken to end its engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Onset {
+    /// Once the engine has begun to answer: the prompts that it had begun are suspects, if there
     /// are any.
-    fn suspects(&self) -> impl Iterator<Item = &CrashedRun> {
+    Answer,
+    /// At any time after the arrival of the prompt: all prompts are suspects, also those of which
+    /// no byte of an answer has arrived.
+    Arrival,
+}
+
+impl Onset {
+    /// All onsets.
+    pub const ALL: [Self; 2] = [Self::Answer, Self::Arrival];
+
+    /// Returns the time for which a prompt had been at the engine, or been answered, when the
+    /// engine ended, in milliseconds.
+    const fn elapsed_ms(self, run: &CrashedRun) -> Option<u16> {
+        match self {
+            Self::Answer => run.begun_ms,
+            Self::Arrival => Some(run.age_ms),
+        }
+    }
+}
+
+impl Crash {
+    /// Returns the prompts that may be the cause.
+    fn suspects(&self, onset: Onset) -> impl Iterator<Item = &CrashedRun> {
         let any_begun = self.runs.iter().any(|run| run.begun_ms.is_some());
+        let begun_only = onset == Onset::Answer && any_begun;
         let runs = self.runs.iter();
-        runs.filter(move |run| run.begun_ms.is_some() || !any_begun)
+        runs.filter(move |run| run.begun_ms.is_some() || !begun_only)
     }
 
     /// Returns whether the crash says something of a part beside `earlier` ones. A withheld
@@ -64,12 +89,18 @@
         self.runs.iter().any(|run| run.is_cause(keys))
     }
 
-    fn involves(&self, part: PartKey) -> bool {
-        self.suspects().any(|run| run.parts.contains(&part))
+    fn involves(&self, part: PartKey, onset: Onset) -> bool {
+        let mut suspects = self.suspects(onset);
+        suspects.any(|run| run.parts.contains(&part))
     }
 
+    /// Returns whether any of these parts was present.
     pub fn involves_any(&self, parts: &BTreeSet<PartKey>) -> bool {
-        let mut all = self.suspects().flat_map(|run| &run.parts);
+        self.is_explained_by(parts, Onset::Arrival)
+    }
+
+    fn is_explained_by(&self, parts: &BTreeSet<PartKey>, onset: Onset) -> bool {
+        let mut all = self.suspects(onset).flat_map(|run| &run.parts);
         all.any(|part| parts.contains(part))
     }
 
@@ -89,7 +120,7 @@
                 None => self.runs.push(run),
             }
         }
-        self.runs.sort_by_key(|run| run.begun_ms.is_none());
+        self.runs.sort_by_key(CrashedRun::since_progress_ms);
         self.runs.truncate(MAX_RUNS);
     }
 }
@@ -127,11 +158,13 @@
     pub may_be_busy: bool,
     /// The answers of this instance on other prompts since the first crash.
     pub others: usize,
-    /// Whether the engines ended at nearly the same time after they had begun to answer on the
-    /// part.
+    /// Whether the engines ended at nearly the same time after they had got the part, or had
+    /// begun to answer on it.
     pub is_regular: bool,
     /// The logarithm of how unlikely that is by chance.
     pub regularity: f64,
+    /// When the part is taken to end engines.
+    onset: Onset,
     /// The place in the prompt.
     depth: usize,
 }
@@ -149,7 +182,8 @@
     /// Returns whether the crashes suffice to withhold the part.
     fn suffices(&self, options: &QuarantineOptions, now: Time) -> bool {
         let requests = self.moments.min(self.requests);
-        let min_log_likelihood = if requests >= options.many_requests && !self.may_be_busy {
+        let is_many = requests >= options.many_requests && !self.may_be_busy;
+        let min_log_likelihood = if is_many && self.onset == Onset::Answer {
             options.min_log_likelihood_of_many
         } else {
             options.min_log_likelihood
@@ -234,7 +268,7 @@
         };
         let crash = &mut self.crashes[index];
         crash.merge(at, runs);
-        let parts = crash.suspects().flat_map(|run| &run.parts);
+        let parts = crash.runs.iter().flat_map(|run| &run.parts);
         let parts = parts.map(|part| Subject::Part(*part));
         let requests = crash.runs.iter().filter(|run| !run.is_answered);
         let requests = requests.map(|run| Subject::Request(run.key));
@@ -279,7 +313,7 @@
             Subject::Request(_) => _ = self.suspects.remove(&subject),
         }
         let is_present = |crash: &Crash| match subject {
-            Subject::Part(part) => crash.involves(part),
+            Subject::Part(part) => crash.involves(part, Onset::Arrival),
             Subject::Request(key) => crash.involves_request(&BTreeSet::from([key])),
         };
         self.crashes.retain(|crash| !is_present(crash));
@@ -305,11 +339,12 @@
         })
     }
 
-    /// Returns what the crashes say of a part, apart from those that are `explained`, or `None`
-    /// if there are none.
+    /// Returns what the crashes say of a part that ends engines from an `onset` on, apart from
+    /// those that are `explained`, or `None` if there are none.
     pub fn evidence(
         &self,
         part: PartKey,
+        onset: Onset,
         explained: Explained<'_>,
         answers: &Answers<'_>,
         options: &QuarantineOptions,
@@ -318,9 +353,9 @@
         let survival = self.suspects.get(&Subject::Part(part))?.last_survival;
         let open = || {
             let crashes = self.crashes.iter().filter(|crash| crash.involves_parts());
-            crashes.filter(|crash| !crash.involves_any(explained.parts))
+            crashes.filter(|crash| !crash.is_explained_by(explained.parts, onset))
         };
-        let is_counted = |crash: &&Crash| Some(crash.at) > survival && crash.involves(part);
+        let is_counted = |crash: &&Crash| Some(crash.at) > survival && crash.involves(part, onset);
         let mut counted: Vec<&Crash> = Vec::new();
         for crash in open().filter(is_counted) {
             if crash.adds_to(part, explained.requests, &counted) {
@@ -331,17 +366,18 @@
         let is_near = |crash: &&Crash| {
             first.since(crash.at) < options.answered_time && crash.at >= self.complete_from
         };
-        let is_absent =
-            |crash: &&Crash| !crash.involves(part) && !crash.involves_request(explained.requests);
+        let is_absent = |crash: &&Crash| {
+            !crash.involves(part, onset) && !crash.involves_request(explained.requests)
+        };
         let absent = open().filter(is_near).filter(is_absent);
         let absent: Vec<&Crash> = absent.collect();
-        let runs = counted.iter().flat_map(|crash| crash.suspects());
+        let runs = counted.iter().flat_map(|crash| crash.suspects(onset));
         let runs: Vec<&CrashedRun> = runs.filter(|run| run.parts.contains(&part)).collect();
         let requests: BTreeSet<RequestKey> = runs.iter().map(|run| run.key).collect();
         let depths = runs
             .iter()
             .map(|run| run.parts.iter().position(|p| *p == part));
-        let moments = moments(part, &counted, options.moment);
+        let moments = moments(part, onset, &counted, options.moment);
         let other_cause = other_cause(absent.len(), moments.len());
         let until = time_before(now, options.report_time);
         let others = answers.others(part, first, until);
@@ -357,8 +393,8 @@
         };
         let presence: f64 = moments.iter().map(for_presence).sum();
         let absence = other_cause.ln() * as_f64(absent.len());
-        let suspects = counted.iter().flat_map(|crash| crash.suspects());
-        let longest = suspects.filter_map(|run| run.begun_ms).max();
+        let suspects = counted.iter().flat_map(|crash| crash.suspects(onset));
+        let longest = suspects.filter_map(|run| onset.elapsed_ms(run)).max();
         let times = moments.iter().filter_map(Moment::regular_ms);
         let regularity = regularity(times, longest.unwrap_or_default());
         Some(Evidence {
@@ -374,6 +410,7 @@
             others,
             is_regular: regularity >= options.min_regularity,
             regularity,
+            onset,
             depth: depths.flatten().max().unwrap_or_default(),
         })
     }
@@ -389,7 +426,7 @@
     ) -> Option<Evidence> {
         let mut crashes: HashMap<PartKey, usize> = HashMap::new();
         for crash in &self.crashes {
-            let parts = crash.suspects().flat_map(|run| &run.parts);
+            let parts = crash.runs.iter().flat_map(|run| &run.parts);
             let parts: BTreeSet<PartKey> = parts.copied().collect();
             for part in parts.difference(explained.parts) {
                 *crashes.entry(*part).or_default() += 1;
@@ -400,8 +437,12 @@
             return None;
         }
         let answers = answers();
-        let all = crashes.keys();
-        let all = all.filter_map(|part| self.evidence(*part, explained, &answers, options, now));
+        let all = crashes
+            .keys()
+            .flat_map(|part| Onset::ALL.map(|onset| (*part, onset)));
+        let all = all.filter_map(|(part, onset)| {
+            self.evidence(part, onset, explained, &answers, options, now)
+        });
         all.filter(|evidence| evidence.suffices(options, now))
             .max_by(Evidence::cmp)
     }
@@ -426,8 +467,8 @@
 /// other by chance, where each could lie anywhere up to `longest`.
 ///
 /// Times close to zero count for nothing: short answers are caught at short times.
-fn regularity(begun_ms: impl Iterator<Item = u16>, longest: u16) -> f64 {
-    let mut times: Vec<f64> = begun_ms.map(f64::from).collect();
+fn regularity(times_ms: impl Iterator<Item = u16>, longest: u16) -> f64 {
+    let mut times: Vec<f64> = times_ms.map(f64::from).collect();
     times.sort_by(f64::total_cmp);
     if times.len() < MIN_TIMES {
         return 0.0;
@@ -463,29 +504,29 @@
     suspects: usize,
     /// The suspects with a part.
     with_part: usize,
-    /// For how long an engine had answered on the part.
-    begun_ms: Option<u16>,
+    /// The time from the onset on the part to the end of the engine.
+    elapsed_ms: Option<u16>,
 }
 
 impl Moment {
-    /// Returns for how long the engine had answered on the part, unless several prompts had it:
-    /// the longest of several times is closer to others by chance.
+    /// Returns the time from the onset on the part to the end of the engine, unless several
+    /// prompts had it: the longest of several times is closer to others by chance.
     fn regular_ms(&self) -> Option<u16> {
-        self.begun_ms.filter(|_| self.with_part <= 2)
+        self.elapsed_ms.filter(|_| self.with_part <= 2)
     }
 }
 
 /// Returns the moments of some crashes, which are at least `span` apart.
-fn moments(part: PartKey, crashes: &[&Crash], span: Duration) -> Vec<Moment> {
+fn moments(part: PartKey, onset: Onset, crashes: &[&Crash], span: Duration) -> Vec<Moment> {
     let mut crashes = crashes.to_vec();
     crashes.sort_by_key(|crash| crash.at);
     let mut moments: Vec<Moment> = Vec::new();
     for crash in crashes {
         let has_part = |run: &&CrashedRun| run.parts.contains(&part);
-        let suspects = crash.suspects().count();
-        let with_part = crash.suspects().filter(has_part).count();
-        let begun_ms = crash.suspects().filter(has_part);
-        let begun_ms = begun_ms.filter_map(|run| run.begun_ms).max();
+        let suspects = crash.suspects(onset).count();
+        let with_part = crash.suspects(onset).filter(has_part).count();
+        let elapsed_ms = crash.suspects(onset).filter(has_part);
+        let elapsed_ms = elapsed_ms.filter_map(|run| onset.elapsed_ms(run)).max();
         match moments.last_mut() {
             Some(last) if crash.at.since(last.at) < span => {
                 last.suspects += suspects;
@@ -495,7 +536,7 @@
                 at: crash.at,
                 suspects,
                 with_part,
-                begun_ms,
+                elapsed_ms,
             }),
         }
     }
--- a/crates/fleet/src/quarantine/options.rs
+++ b/crates/fleet/src/quarantine/options.rs
@@ -16,8 +16,11 @@
     pub min_log_likelihood_of_many: f64,
     /// The most that the crashes of one moment can add, as prompts are alike in bursts.
     pub max_log_likelihood_of_moment: f64,
-    /// The moments of crashes after which a prompt with the part is not sent again.
+    /// The moments of crashes after which a prompt with the part is not sent again, if the
+    /// engines had begun to answer on it.
     pub max_repeated_moments: usize,
+    /// The same for a part on which the engines may not have begun to answer.
+    pub max_repeated_moments_of_arrival: usize,
     /// The answers on other prompts that an instance must have got since the first crash to
     /// judge a part on which answers came well under way shortly before.
     pub min_others: usize,
@@ -61,6 +64,7 @@
             min_log_likelihood_of_many: 8.0,
             max_log_likelihood_of_moment: 4.0,
             max_repeated_moments: 1,
+            max_repeated_moments_of_arrival: 2,
             min_others: 8,
             min_regularity: 4.0,
             sufficient_regularity: 8.0,
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -104,6 +104,12 @@
         !self.is_answered && keys.contains(&self.key)
     }
 
+    /// Returns the time from the beginning of the answer, or else the sending of the request, to
+    /// the end of the upstream in milliseconds.
+    pub(crate) fn since_progress_ms(&self) -> u16 {
+        self.begun_ms.unwrap_or(self.age_ms)
+    }
+
     /// Takes the end of the upstream to have been `earlier` by this time. Returns whether the
     /// request had been sent by then, as far as instances agree on the time.
     pub(crate) fn move_end(&mut self, earlier: Duration) -> bool {
--- a/crates/fleet/tests/quarantine_sim.rs
+++ b/crates/fleet/tests/quarantine_sim.rs
@@ -5,6 +5,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use support::crash_sim::Harm;
 use support::crash_sim::OrdinaryCrashes;
 use support::crash_sim::Scenario;
 use support::crash_sim::run;
@@ -24,6 +25,7 @@
     harmful_from: Duration::from_secs(5),
     harmful_rate: 0,
     harmful_parts: 1,
+    harm: Harm::AfterHead,
     place: 1,
     served_before: false,
     first_parts: 4,
@@ -80,6 +82,35 @@
     verify_seeds(scenario, SEEDS);
 }
 
+const EARLY: Scenario = Scenario {
+    harm: Harm::AfterArrival(40),
+    ..HARMFUL
+};
+
+/// Guards against a part that ends engines before the first byte of its answers, and isn't
+/// suspected as its engine has begun other answers.
+#[parameterized(
+    second_part = { EARLY },
+    at_once = { Scenario { harm: Harm::AfterArrival(20), ..EARLY } },
+    late = { Scenario { harm: Harm::AfterArrival(200), ..EARLY } },
+    before_or_after_the_head = { Scenario { harm: Harm::Either(40), ..EARLY } },
+    first_part = { Scenario { place: 0, ..EARLY } },
+    few_other_parts = { Scenario { first_parts: 1, second_parts: 4, ..EARLY } },
+    two_parts = { Scenario { harmful_parts: 2, ..EARLY } },
+    rare = { Scenario { harmful_rate: 1, duration: Duration::from_mins(1), ..EARLY } },
+    storm = { Scenario { harmful_rate: 100, ..EARLY } },
+    beside_ordinary_crashes = { Scenario { ordinary: OrdinaryCrashes::OneIn(200), ..EARLY } },
+    few_engines = { Scenario { engines: 4, sound_rate: 30, ..EARLY } },
+    lossy_reports = { Scenario { loss: 3, ..EARLY } },
+    large_fleet = { Scenario { instances: 295, engines: 160, sound_rate: 100, harmful_rate: 10, duration: Duration::from_secs(12), ..EARLY } },
+    sixty_instances = { Scenario { instances: 60, engines: 30, sound_rate: 100, harmful_rate: 10, duration: Duration::from_secs(15), ..EARLY } },
+)]
+fn verify_a_part_that_ends_engines_before_their_first_byte_is_withheld_and_no_other(
+    scenario: Scenario,
+) {
+    verify_seeds(scenario, SEEDS);
+}
+
 /// Runs all seeds, and checks that the harmful parts are withheld in time and no other.
 fn verify_seeds(scenario: Scenario, seeds: Range<u64>) {
     let mut failed = Vec::new();
--- a/crates/fleet/tests/support/crash_sim.rs
+++ b/crates/fleet/tests/support/crash_sim.rs
@@ -32,12 +32,38 @@
 /// The time from the beginning of an answer on a harmful part to the end of its engine.
 const CRASH_DELAY_MS: u64 = 80;
 
+/// The most by which the time to the end of an engine differs from its mean.
+const CRASH_SPREAD_MS: u64 = 15;
+
 /// The platform's `stable_window_ms`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 
 /// The crashes after which a harmful part must be withheld.
 const KNOWN_AFTER: usize = 5;
 
+/// When a harmful part ends its engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Harm {
+    /// Shortly after the head of the answer.
+    AfterHead,
+    /// This many milliseconds after the arrival of the prompt, before the head of the answer.
+    AfterArrival(u64),
+    /// By turns before and after the head of the answer.
+    Either(u64),
+}
+
+impl Harm {
+    /// Returns the time from the arrival of a prompt to the end of its engine in milliseconds, or
+    /// `None` if the engine ends after the head of the answer.
+    const fn after_arrival_ms(self, request: u32) -> Option<u64> {
+        match self {
+            Self::AfterArrival(millis) => Some(millis),
+            Self::Either(millis) if request.is_multiple_of(2) => Some(millis),
+            Self::AfterHead | Self::Either(_) => None,
+        }
+    }
+}
+
 /// The ordinary crashes of a simulation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrdinaryCrashes {
@@ -64,6 +90,8 @@
     pub harmful_rate: u64,
     /// The number of harmful parts, by turns.
     pub harmful_parts: usize,
+    /// When harmful parts end their engines.
+    pub harm: Harm,
     /// The place of a harmful part in its prompts.
     pub place: usize,
     /// Whether harmful parts are sound before.
@@ -92,6 +120,7 @@
             harmful_from: Duration::from_secs(5),
             harmful_rate: 0,
             harmful_parts: 1,
+            harm: Harm::AfterHead,
             place: 1,
             served_before: false,
             first_parts: 4,
@@ -156,6 +185,8 @@
     head: Time,
     first_event: Time,
     end: Time,
+    /// When the engine ends before the head of the answer.
+    crash: Option<Time>,
     has_head: bool,
     has_event: bool,
 }
@@ -300,16 +331,26 @@
         let id = self.instances[instance]
             .runs
             .start(process, &run_of(request, Some(&parts)), now);
+        let crash = self.scenario.harm.after_arrival_ms(request);
+        let crash = crash.filter(|_| harmful.is_some() && self.is_harmful_time());
         let mut millis =
             |least, most| Duration::from_millis(least + self.random.below(most - least + 1));
-        let head = now + millis(10, 250);
-        let first_event = head + millis(0, 30);
+        let mut head = now + millis(10, 250);
+        let mut first_event = head + millis(0, 30);
         let least = if harmful.is_some() {
             2 * CRASH_DELAY_MS
         } else {
             20
         };
-        let end = first_event + millis(least, 700);
+        let mut end = first_event + millis(least, 700);
+        let crash =
+            crash.map(|delay| now + millis(delay - CRASH_SPREAD_MS, delay + CRASH_SPREAD_MS));
+        if let Some(at) = crash {
+            self.engines[engine].ends_at.get_or_insert(at);
+            head = at + STEP;
+            first_event = head;
+            end = head;
+        }
         self.runs.push(Run {
             instance,
             engine,
@@ -321,6 +362,7 @@
             head,
             first_event,
             end,
+            crash,
             has_head: false,
             has_event: false,
         });
@@ -405,7 +447,7 @@
         let now = self.now;
         let parts: BTreeSet<usize> = ended
             .iter()
-            .filter(|run| run.has_head)
+            .filter(|run| run.has_head || run.crash.is_some_and(|at| at <= now))
             .filter_map(|run| run.harmful)
             .collect();
         for part in parts {
