--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod limited_demand;
 pub mod limits;
 pub mod load_pace;
+pub mod loss;
 pub mod newer_versions;
 pub mod outage;
 pub mod part_key;
--- /dev/null
+++ b/crates/fleet/src/loss.rs
@@ -0,0 +1,164 @@
+//! What is known of a process after a connection to it was lost.
+//!
+//! A connection may be reset alone, and a host may accept connections for a process that has
+//! ended. So neither a lost connection nor an accepted one is conclusive: only an answer that was
+//! requested after the loss shows that the process lives on, and only a refusal, or another
+//! process in its place, that it has ended. Until then it is suspected to have ended.
+
+use std::time::Duration;
+
+use limpetsaddle_core::units::Time;
+
+/// Options for how a process is checked after a loss.
+///
+/// ```
+/// use limpetsaddle_fleet::loss::LossOptions;
+///
+/// let options = LossOptions::default();
+/// assert!(options.max_silence < options.watch_time);
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LossOptions {
+    /// The time without a sign of life after which the process is suspected to have ended.
+    pub doubt_time: Duration,
+    /// The longest silence of a sound process.
+    pub max_silence: Duration,
+    /// The time from the first check to the second. It doubles with each further check.
+    pub check_interval: Duration,
+    /// The time after the loss in which the process is checked. One that closes its connections
+    /// may end some time later.
+    pub watch_time: Duration,
+}
+
+impl Default for LossOptions {
+    fn default() -> Self {
+        Self {
+            doubt_time: Duration::from_millis(25),
+            max_silence: Duration::from_millis(1_200),
+            check_interval: Duration::from_millis(60),
+            watch_time: Duration::from_secs(4),
+        }
+    }
+}
+
+/// What a check shows of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LifeSign {
+    /// The process has answered a request that was sent during the check.
+    Answered,
+    /// A connection from before the loss has delivered more of an answer since.
+    Continued,
+    /// The process has ended: its host refuses connections, or another process answers.
+    Ended,
+    /// Neither, be it that the host accepts connections or not.
+    Missing,
+}
+
+impl LifeSign {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Continued => "continued",
+            Self::Ended => "ended",
+            Self::Missing => "missing",
+        }
+    }
+}
+
+/// What is newly known of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LossChange {
+    /// It is suspected to have ended.
+    Suspected,
+    /// It has ended.
+    Confirmed,
+    /// It lives on, though it was suspected to have ended.
+    Withdrawn,
+}
+
+/// The state of a process since its first lost connection.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use limpetsaddle_core::units::Time;
+/// use limpetsaddle_fleet::loss::LifeSign;
+/// use limpetsaddle_fleet::loss::Loss;
+/// use limpetsaddle_fleet::loss::LossChange;
+/// use limpetsaddle_fleet::loss::LossOptions;
+///
+/// let mut loss = Loss::new(LossOptions::default(), Time::ZERO);
+/// assert_eq!(loss.record(LifeSign::Missing), Some(LossChange::Suspected));
+/// assert_eq!(loss.record(LifeSign::Answered), Some(LossChange::Withdrawn));
+/// // Its host may only have outlasted its connections.
+/// assert!(loss.next_check(Time::ZERO).is_some());
+/// assert_eq!(loss.record(LifeSign::Ended), Some(LossChange::Confirmed));
+/// assert_eq!(loss.next_check(Time::ZERO), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Loss {
+    options: LossOptions,
+    at: Time,
+    checks: u32,
+    is_suspected: bool,
+    is_settled: bool,
+}
+
+impl Loss {
+    /// Returns the state after a loss at `at`, before any check.
+    #[must_use]
+    pub const fn new(options: LossOptions, at: Time) -> Self {
+        Self {
+            options,
+            at,
+            checks: 0,
+            is_suspected: false,
+            is_settled: false,
+        }
+    }
+
+    /// Returns when the connection was lost.
+    #[must_use]
+    pub const fn at(&self) -> Time {
+        self.at
+    }
+
+    /// Records what a check, or a part of it, has shown, and returns what is newly known.
+    pub const fn record(&mut self, sign: LifeSign) -> Option<LossChange> {
+        match sign {
+            _ if self.is_settled => None,
+            LifeSign::Ended => {
+                self.is_settled = true;
+                Some(LossChange::Confirmed)
+            }
+            LifeSign::Missing if self.is_suspected => None,
+            LifeSign::Missing => {
+                self.is_suspected = true;
+                Some(LossChange::Suspected)
+            }
+            LifeSign::Answered | LifeSign::Continued => {
+                self.is_settled = matches!(sign, LifeSign::Continued);
+                let was_suspected = std::mem::replace(&mut self.is_suspected, false);
+                if was_suspected {
+                    Some(LossChange::Withdrawn)
+                } else {
+                    None
+                }
+            }
+        }
+    }
+
+    /// Returns the time of the check after one that has ended at `now`, or `None` if there is
+    /// none.
+    pub fn next_check(&mut self, now: Time) -> Option<Time> {
+        if self.is_settled {
+            return None;
+        }
+        let interval = self.options.check_interval * 2_u32.saturating_pow(self.checks);
+        self.checks += 1;
+        let next = now + interval.min(self.options.watch_time);
+        (next.since(self.at) <= self.options.watch_time).then_some(next)
+    }
+}
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -9,12 +9,14 @@
 
 mod answers;
 mod change;
+mod crash;
 mod evidence;
 mod news;
 mod options;
 mod register;
 mod repeats;
 mod report;
+mod standing;
 mod subject;
 
 use std::cmp::Reverse;
@@ -24,9 +26,9 @@
 use limpetsaddle_core::units::Time;
 
 use self::answers::Answers;
+use self::crash::Onset;
 use self::evidence::CrashLog;
 use self::evidence::Explained;
-use self::evidence::Onset;
 use self::news::MAX_NEWS;
 use self::news::News;
 use self::news::take_news;
@@ -54,12 +56,14 @@
 pub use self::register::State;
 pub use self::report::QuarantineReport;
 pub use self::report::ReportError;
+pub use self::standing::Standing;
 pub use self::subject::Subject;
 
-/// A crash that this instance has seen itself.
+/// A crash that this instance has seen or suspects itself, or a sign of life after one.
 #[derive(Clone, Debug)]
 struct OwnCrash {
     process: u64,
+    standing: Standing,
     at: Time,
     runs: Vec<CrashedRun>,
 }
@@ -176,7 +180,9 @@
     #[must_use]
     pub fn permits_repeat(&self, key: RequestKey, parts: &[PartKey], now: Time) -> bool {
         let explained = self.explained();
-        let requests = self.log.request_evidence(key, explained, &self.options);
+        let requests = self
+            .log
+            .request_evidence(key, explained, &self.options, now);
         let max_crashes = self.options.requests.max_repeated_crashes;
         if requests.is_some_and(|e| !e.was_answered && e.crashes > max_crashes) {
             return false;
@@ -206,14 +212,50 @@
     /// Records the end of an upstream that this instance has seen, with the requests that may be
     /// the cause.
     pub fn record_crash(&mut self, process: u64, at: Time, runs: Vec<CrashedRun>) {
-        if self.log.record(process, at, runs.clone()) {
+        self.record(process, at, runs, Standing::Confirmed);
+    }
+
+    /// Records that this instance suspects an upstream to have ended, as
+    /// [`record_crash`](Self::record_crash) does. That keeps requests from being sent to another
+    /// upstream. Nothing is withheld unless some upstreams have ended, or been silent for longer
+    /// than a sound one.
+    pub fn record_suspicion(&mut self, process: u64, at: Time, runs: Vec<CrashedRun>) {
+        self.record(process, at, runs, Standing::Suspected);
+    }
+
+    fn record(&mut self, process: u64, at: Time, runs: Vec<CrashedRun>, standing: Standing) {
+        let is_confirmed = standing == Standing::Confirmed;
+        if self.log.record(process, at, runs.clone(), is_confirmed) {
             self.is_stale = true;
             let runs = self.runs_to_report(runs);
-            let crash = OwnCrash { process, at, runs };
-            self.own_crashes.push(News::new(crash));
-            if self.own_crashes.len() > MAX_NEWS {
-                self.own_crashes.remove(0);
-            }
+            self.report(OwnCrash {
+                process,
+                standing,
+                at,
+                runs,
+            });
+        }
+    }
+
+    fn report(&mut self, crash: OwnCrash) {
+        self.own_crashes.push(News::new(crash));
+        if self.own_crashes.len() > MAX_NEWS {
+            self.own_crashes.remove(0);
+        }
+    }
+
+    /// Records that a process lived at `at`, and withdraws the suspicion that it had ended before.
+    pub fn record_life(&mut self, process: u64, at: Time) {
+        if self.log.record_life(process, at) {
+            self.is_stale = true;
+            self.own_crashes
+                .retain(|News { item, .. }| item.process != process || item.at >= at);
+            self.report(OwnCrash {
+                process,
+                standing: Standing::Withdrawn,
+                at,
+                runs: Vec::new(),
+            });
         }
     }
 
@@ -235,12 +277,7 @@
     /// Takes over what another instance reports. [`review`](Self::review) returns the changes.
     pub fn apply_report(&mut self, report: &QuarantineReport, runs: &mut RunLog, now: Time) {
         for crash in &report.crashes {
-            let at = time_of(crash.age_ms, now);
-            let own = runs.record_reported_crash(crash.process, at);
-            if !own.is_empty() {
-                self.record_crash(crash.process, at, own);
-            }
-            self.is_stale |= self.log.record(crash.process, at, crash.runs.clone());
+            self.apply_crash(crash, runs, now);
         }
         for survival in &report.survivals {
             let at = time_of(survival.age_ms, now);
@@ -252,6 +289,23 @@
         }
     }
 
+    fn apply_crash(&mut self, crash: &CrashReport, runs: &mut RunLog, now: Time) {
+        let (process, at) = (crash.process, time_of(crash.age_ms, now));
+        let is_confirmed = crash.standing == Standing::Confirmed;
+        match crash.standing {
+            Standing::Withdrawn => self.is_stale |= self.log.record_life(process, at),
+            Standing::Suspected if runs.alive_since(process, at).is_some() => (),
+            Standing::Suspected | Standing::Confirmed => {
+                let own = runs.record_reported_crash(process, at);
+                if !own.is_empty() {
+                    self.record(process, at, own, crash.standing);
+                }
+                let reported = crash.runs.clone();
+                self.is_stale |= self.log.record(process, at, reported, is_confirmed);
+            }
+        }
+    }
+
     /// Takes over the record at the platform. [`review`](Self::review) returns the changes.
     pub fn apply_record(&mut self, record: &QuarantineRecord, now: Time) {
         for entry in record.entries() {
@@ -280,6 +334,7 @@
         now: Time,
     ) -> Vec<Change> {
         self.log.forget(&self.options, now);
+        self.collect_life(runs);
         self.collect_survivals(runs, now);
         self.release_answered(runs, now);
         while let Some(best) = self.log.best_request(self.explained(), &self.options, now) {
@@ -346,6 +401,17 @@
         !self.changes.is_empty() || self.log.has_open_suspects() || !self.register.is_empty()
     }
 
+    /// Records which processes this instance's answers show to have lived on, or to have come
+    /// back, after a crash.
+    fn collect_life(&mut self, runs: &RunLog) {
+        let crashes = self.log.crashes.iter();
+        let alive = crashes.filter_map(|c| Some((c.process, runs.alive_since(c.process, c.at)?)));
+        let alive: Vec<(u64, Time)> = alive.collect();
+        for (process, at) in alive {
+            self.record_life(process, at);
+        }
+    }
+
     /// Records which suspects this instance's answers clear, and tells others what they may not
     /// know.
     fn collect_survivals(&mut self, runs: &RunLog, now: Time) {
@@ -454,6 +520,7 @@
         let crashes = take_news(&mut self.own_crashes, report::MAX_CRASHES).into_iter();
         let crashes = crashes.map(|crash| CrashReport {
             process: crash.process,
+            standing: crash.standing,
             age_ms: age_ms(crash.at, now),
             runs: crash.runs,
         });
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -9,6 +9,8 @@
 use limpetsaddle_core::units::Time;
 
 use super::answers::Answers;
+use super::crash::Crash;
+use super::crash::Onset;
 use super::options::QuarantineOptions;
 use super::subject::Subject;
 use crate::part_key::PartKey;
@@ -18,113 +20,12 @@
 /// The largest number of crashes that are remembered.
 const MAX_CRASHES: usize = 64;
 
-/// The largest number of suspects of one crash that are remembered.
-const MAX_RUNS: usize = 48;
+/// The largest number of processes whose signs of life are remembered.
+const MAX_ALIVE: usize = 256;
 
 /// The time between two answers before a crash that are both told to other instances.
 const SURVIVAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The end of an upstream's process.
-#[derive(Clone, Debug)]
-pub struct Crash {
-    pub process: u64,
-    pub at: Time,
-    /// The requests that may have been the cause.
-    pub runs: Vec<CrashedRun>,
-}
-
-/// When a part is taken to end its engines.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Onset {
-    /// Once the engine has begun to answer: the prompts that it had begun are suspects, if there
-    /// are any.
-    Answer,
-    /// At any time after the arrival of the prompt: all prompts are suspects, also those of which
-    /// no byte of an answer has arrived.
-    Arrival,
-}
-
-impl Onset {
-    /// All onsets.
-    pub const ALL: [Self; 2] = [Self::Answer, Self::Arrival];
-
-    /// Returns the time for which a prompt had been at the engine, or been answered, when the
-    /// engine ended, in milliseconds.
-    const fn elapsed_ms(self, run: &CrashedRun) -> Option<u16> {
-        match self {
-            Self::Answer => run.begun_ms,
-            Self::Arrival => Some(run.age_ms),
-        }
-    }
-}
-
-impl Crash {
-    /// Returns the prompts that may be the cause.
-    fn suspects(&self, onset: Onset) -> impl Iterator<Item = &CrashedRun> {
-        let any_begun = self.runs.iter().any(|run| run.begun_ms.is_some());
-        let begun_only = onset == Onset::Answer && any_begun;
-        let runs = self.runs.iter();
-        runs.filter(move |run| run.begun_ms.is_some() || !begun_only)
-    }
-
-    /// Returns whether the crash says something of a part beside `earlier` ones. A withheld
-    /// request explains it, and counts once for its own parts.
-    fn adds_to(&self, part: PartKey, withheld: &BTreeSet<RequestKey>, earlier: &[&Self]) -> bool {
-        let was_seen = |key: RequestKey| {
-            let mut runs = earlier.iter().flat_map(|crash| &crash.runs);
-            runs.any(|run| run.key == key)
-        };
-        let runs = self.runs.iter();
-        let mut causes = runs.filter(|run| run.is_cause(withheld)).peekable();
-        causes.peek().is_none() || causes.any(|run| run.parts.contains(&part) && !was_seen(run.key))
-    }
-
-    /// Returns whether any prompt was present that shares parts with others.
-    fn involves_parts(&self) -> bool {
-        self.runs.iter().any(|run| !run.parts.is_empty())
-    }
-
-    /// Returns whether a request was present that was not answered.
-    pub fn involves_request(&self, keys: &BTreeSet<RequestKey>) -> bool {
-        self.runs.iter().any(|run| run.is_cause(keys))
-    }
-
-    fn involves(&self, part: PartKey, onset: Onset) -> bool {
-        let mut suspects = self.suspects(onset);
-        suspects.any(|run| run.parts.contains(&part))
-    }
-
-    /// Returns whether any of these parts was present.
-    pub fn involves_any(&self, parts: &BTreeSet<PartKey>) -> bool {
-        self.is_explained_by(parts, Onset::Arrival)
-    }
-
-    fn is_explained_by(&self, parts: &BTreeSet<PartKey>, onset: Onset) -> bool {
-        let mut all = self.suspects(onset).flat_map(|run| &run.parts);
-        all.any(|part| parts.contains(part))
-    }
-
-    /// Adds the suspects that another instance has seen, but those that it has sent after the end.
-    fn merge(&mut self, at: Time, runs: Vec<CrashedRun>) {
-        let later = at.since(self.at);
-        let earlier = self.at.since(at);
-        self.at = self.at.min(at);
-        self.runs.retain_mut(|run| run.move_end(earlier));
-        for mut run in runs {
-            if !run.move_end(later) {
-                continue;
-            }
-            let known = self.runs.iter_mut().find(|r| r.request == run.request);
-            match known {
-                Some(known) => known.begun_ms = known.begun_ms.or(run.begun_ms),
-                None => self.runs.push(run),
-            }
-        }
-        self.runs.sort_by_key(CrashedRun::since_progress_ms);
-        self.runs.truncate(MAX_RUNS);
-    }
-}
-
 /// What is withheld already, and explains the crashes at which it was present.
 #[derive(Clone, Copy, Debug)]
 pub struct Explained<'a> {
@@ -143,7 +44,9 @@
     pub first: Time,
     /// The crashes at which the part was present.
     pub crashes: usize,
-    /// The moments of these crashes.
+    /// Those of them at which the process has certainly ended.
+    pub certain: usize,
+    /// The moments of all these crashes.
     pub moments: usize,
     /// The requests with the part in these crashes, by their contents.
     pub requests: usize,
@@ -190,7 +93,7 @@
         };
         let is_likely = self.log_likelihood >= min_log_likelihood
             && (!self.may_be_busy || self.others >= options.min_others || self.is_regular);
-        requests >= options.min_requests
+        requests.min(self.certain) >= options.min_requests
             && (is_likely || self.regularity >= options.sufficient_regularity)
             && now.since(self.first) >= options.settle_time
     }
@@ -232,6 +135,8 @@
 pub struct CrashLog {
     pub crashes: VecDeque<Crash>,
     pub suspects: HashMap<Subject, SuspectTimes>,
+    /// The processes that have shown a sign of life after a crash, with the last one.
+    alive: VecDeque<(u64, Time)>,
     /// From when on the absence of a part from a crash tells something: prompts that ran before
     /// this instance started may be unknown.
     complete_from: Time,
@@ -248,10 +153,24 @@
 
     /// Records the end of a process, or further suspects of it. Returns whether the log has
     /// changed.
-    pub fn record(&mut self, process: u64, at: Time, runs: Vec<CrashedRun>) -> bool {
+    pub fn record(
+        &mut self,
+        process: u64,
+        at: Time,
+        runs: Vec<CrashedRun>,
+        is_confirmed: bool,
+    ) -> bool {
+        let alive = self.alive_at(process);
+        if !is_confirmed && alive >= Some(at) {
+            return false;
+        }
         let mut crashes = self.crashes.iter();
-        let known = crashes.position(|crash| crash.process == process);
-        let index = match known {
+        // A process that was alive in between has ended again.
+        let is_known = |crash: &Crash| {
+            let has_lived = alive > Some(crash.at.min(at)) && alive < Some(crash.at.max(at));
+            crash.process == process && !has_lived
+        };
+        let index = match crashes.position(is_known) {
             Some(index) => index,
             None if runs.is_empty() => return false,
             None => {
@@ -261,12 +180,14 @@
                 self.crashes.push_back(Crash {
                     process,
                     at,
+                    is_confirmed,
                     runs: Vec::new(),
                 });
                 self.crashes.len() - 1
             }
         };
         let crash = &mut self.crashes[index];
+        crash.is_confirmed |= is_confirmed;
         crash.merge(at, runs);
         let parts = crash.runs.iter().flat_map(|run| &run.parts);
         let parts = parts.map(|part| Subject::Part(*part));
@@ -279,6 +200,30 @@
         true
     }
 
+    /// Records that a process lived at `at`: it had not ended before, if it was suspected to.
+    /// Returns whether such a crash was known.
+    pub fn record_life(&mut self, process: u64, at: Time) -> bool {
+        if self.alive_at(process) >= Some(at) {
+            return false;
+        }
+        self.alive.retain(|(known, _)| *known != process);
+        if self.alive.len() == MAX_ALIVE {
+            self.alive.pop_front();
+        }
+        self.alive.push_back((process, at));
+        let known = self.crashes.len();
+        self.crashes
+            .retain(|crash| crash.is_confirmed || crash.process != process || crash.at >= at);
+        self.crashes.len() < known
+    }
+
+    fn alive_at(&self, process: u64) -> Option<Time> {
+        let mut alive = self.alive.iter();
+        alive
+            .find(|(known, _)| *known == process)
+            .map(|(_, at)| *at)
+    }
+
     /// Removes expired crashes, and suspects without any crash left.
     pub fn forget(&mut self, options: &QuarantineOptions, now: Time) {
         self.crashes
@@ -401,6 +346,10 @@
             part,
             first,
             crashes: counted.len(),
+            certain: counted
+                .iter()
+                .filter(|crash| crash.is_certain(options, now))
+                .count(),
             moments: moments.len(),
             requests: requests.len(),
             absences: absent.len(),
--- a/crates/fleet/src/quarantine/options.rs
+++ b/crates/fleet/src/quarantine/options.rs
@@ -42,6 +42,9 @@
     /// The time from the first crash to a decision, in which instances hear of each other's
     /// crashes.
     pub settle_time: Duration,
+    /// The longest silence of a sound process: one that is suspected to have ended counts as ended
+    /// afterwards.
+    pub max_silence: Duration,
     /// The time after which an answer at any instance is known to all.
     pub report_time: Duration,
     /// For how long before the first crash with a part other crashes and answers on the part
@@ -73,6 +76,7 @@
             sample_growth: 2,
             moment: Duration::from_millis(50),
             settle_time: Duration::from_millis(400),
+            max_silence: Duration::from_millis(1_200),
             report_time: Duration::from_millis(600),
             answered_time: Duration::from_secs(10),
             memory_time: Duration::from_mins(10),
--- a/crates/fleet/src/quarantine/repeats.rs
+++ b/crates/fleet/src/quarantine/repeats.rs
@@ -11,7 +11,7 @@
 
 use limpetsaddle_core::units::Time;
 
-use super::evidence::Crash;
+use super::crash::Crash;
 use super::evidence::CrashLog;
 use super::evidence::Explained;
 use super::options::QuarantineOptions;
@@ -30,6 +30,8 @@
     pub last: Time,
     /// The processes that have ended beside the request.
     pub crashes: usize,
+    /// Those that have certainly ended.
+    certain: usize,
     /// The most of them that came one after the other: each began to run the request after the
     /// end before.
     pub in_turn: usize,
@@ -43,13 +45,12 @@
     /// Returns whether the crashes suffice to withhold the request.
     fn suffices(&self, options: &QuarantineOptions, now: Time) -> bool {
         let requests = &options.requests;
-        let is_cause = if self.was_answered {
-            self.in_turn >= requests.min_crashes_of_answered
-                && self.last.since(self.first) >= requests.min_span_of_answered
-        } else {
-            self.crashes >= requests.min_crashes
-        };
-        is_cause && now.since(self.first) >= options.settle_time
+        let is_cause = !self.was_answered
+            || self.in_turn >= requests.min_crashes_of_answered
+                && self.last.since(self.first) >= requests.min_span_of_answered;
+        is_cause
+            && self.certain >= requests.min_crashes
+            && now.since(self.first) >= options.settle_time
     }
 
     /// Orders evidence by its strength. Of two requests that were present at the same crashes,
@@ -72,9 +73,10 @@
         key: RequestKey,
         explained: Explained<'_>,
         options: &QuarantineOptions,
+        now: Time,
     ) -> Option<RequestEvidence> {
         let open: Vec<&Crash> = self.unexplained(explained).collect();
-        self.evidence_within(key, &open, options)
+        self.evidence_within(key, &open, options, now)
     }
 
     fn unexplained<'a>(&'a self, explained: Explained<'a>) -> impl Iterator<Item = &'a Crash> {
@@ -89,6 +91,7 @@
         key: RequestKey,
         crashes: &[&Crash],
         options: &QuarantineOptions,
+        now: Time,
     ) -> Option<RequestEvidence> {
         let survival = self.suspects.get(&Subject::Request(key))?.last_survival;
         let counted = crashes.iter().filter(|crash| Some(crash.at) > survival);
@@ -107,6 +110,10 @@
             first,
             last,
             crashes: counted.len(),
+            certain: counted
+                .iter()
+                .filter(|(crash, _)| crash.is_certain(options, now))
+                .count(),
             in_turn: in_turn(&counted),
             was_answered,
             spread_ms: ages().max()?.saturating_sub(ages().min()?),
@@ -127,7 +134,7 @@
         }
         crashes.retain(|_, crashes| *crashes >= options.requests.min_crashes);
         let all = crashes.into_keys();
-        let all = all.filter_map(|key| self.evidence_within(key, &open, options));
+        let all = all.filter_map(|key| self.evidence_within(key, &open, options, now));
         all.filter(|evidence| evidence.suffices(options, now))
             .max_by_key(RequestEvidence::strength)
     }
--- a/crates/fleet/src/quarantine/report.rs
+++ b/crates/fleet/src/quarantine/report.rs
@@ -10,12 +10,13 @@
 use super::register::Entry;
 use super::register::MAX_ENTRIES;
 use super::register::State;
+use super::standing::Standing;
 use super::subject::Subject;
 use crate::runs::CrashedRun;
 
 /// The version of the datagram's layout. It differs from those of heartbeats and notices,
 /// which arrive at the same port.
-const LAYOUT: u8 = 131;
+const LAYOUT: u8 = 132;
 
 /// The largest number of crashes in a report.
 pub const MAX_CRASHES: usize = 8;
@@ -29,12 +30,15 @@
 /// The largest number of survivals in a report.
 pub const MAX_SURVIVALS: usize = 64;
 
-/// The end of an upstream's process, as one instance has seen it.
+/// The end of an upstream's process, as one instance has seen or suspects it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
     /// The hash of the process; see [`process_hash`](crate::heartbeat::process_hash).
     pub process: u64,
-    /// The time since then in milliseconds.
+    /// How certain the end is.
+    pub standing: Standing,
+    /// The time since then in milliseconds, or since the sign of life that shows that the process
+    /// has not ended.
     pub age_ms: u32,
     /// The requests that may have been the cause.
     pub runs: Vec<CrashedRun>,
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -53,6 +53,9 @@
 /// The time by which instances may differ on when a process has ended.
 const TIME_TOLERANCE: Duration = Duration::from_millis(50);
 
+/// The time for which bytes that a process has sent before its end may take to be read.
+const READ_DELAY: Duration = Duration::from_millis(50);
+
 /// The number of a run on this instance.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct RunId(u64);
@@ -129,9 +132,19 @@
     sent: Time,
     head: Option<Time>,
     first_event: Option<Time>,
+    /// When more of the answer was last read.
+    read: Option<Time>,
 }
 
 impl Run {
+    /// Returns the time at which the process certainly lived after `at`, if the answer shows one.
+    fn alive_since(&self, at: Time) -> Option<Time> {
+        if self.sent > at {
+            return self.head.map(|_| self.sent);
+        }
+        self.read.filter(|read| *read >= at + READ_DELAY)
+    }
+
     fn under_way_at(&self, options: &RunOptions) -> Option<Time> {
         self.first_event.map(|at| at + options.under_way_after)
     }
@@ -248,6 +261,7 @@
             sent: now,
             head: None,
             first_event: None,
+            read: None,
         };
         self.running.insert(id, run);
         id
@@ -257,6 +271,7 @@
     pub fn record_head(&mut self, id: RunId, now: Time) {
         if let Some(run) = self.running.get_mut(&id) {
             run.head.get_or_insert(now);
+            run.read = Some(now);
         }
     }
 
@@ -265,12 +280,23 @@
         if let Some(run) = self.running.get_mut(&id) {
             run.head.get_or_insert(now);
             run.first_event.get_or_insert(now);
+            run.read = Some(now);
+        }
+    }
+
+    /// Records that more of an answer was read.
+    pub fn record_bytes(&mut self, id: RunId, now: Time) {
+        if let Some(run) = self.running.get_mut(&id) {
+            run.read = Some(now);
         }
     }
 
     /// Records the end of a run. A run that has ended stays as it is.
     pub fn end(&mut self, id: RunId, end: RunEnd, now: Time) {
-        if let Some(run) = self.running.remove(&id) {
+        if let Some(mut run) = self.running.remove(&id) {
+            if end == RunEnd::Complete {
+                run.read = Some(now);
+            }
             let under_way_at = run.under_way_at(&self.options);
             if end == RunEnd::Complete || under_way_at.is_some_and(|at| at <= now) {
                 self.answered.record(run.key, now);
@@ -287,21 +313,79 @@
     /// Records that an upstream's process has ended, and returns the requests that may have been
     /// the cause, and the time of its end.
     pub fn record_crash(&mut self, process: u64, now: Time) -> (Vec<CrashedRun>, Time) {
+        self.record_crash_after(process, now, now)
+    }
+
+    /// Records that an upstream's process has ended, as [`record_crash`](Self::record_crash)
+    /// does. The first of its connections was lost at `lost`; the process may have lived on since.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use limpetsaddle_core::units::Time;
+    /// use limpetsaddle_fleet::runs::RunLog;
+    ///
+    /// let lost = Time::from_origin(Duration::from_secs(1));
+    /// let now = Time::from_origin(Duration::from_secs(3));
+    /// let (_, at) = RunLog::default().record_crash_after(7, lost, now);
+    /// assert_eq!(at, lost);
+    /// ```
+    pub fn record_crash_after(
+        &mut self,
+        process: u64,
+        lost: Time,
+        now: Time,
+    ) -> (Vec<CrashedRun>, Time) {
         // A host may accept connections for a process that has ended. What is sent over them
         // has not ended it.
         let at = self.ended_since(process).unwrap_or_else(|| {
-            let is_recent = |ended: &&EndedRun| now.since(ended.at) < self.options.max_notice_delay;
+            let has_lived_on = self.alive_since(process, lost).is_some();
+            let noticed = if has_lived_on { now } else { lost };
+            let is_recent =
+                |ended: &&EndedRun| noticed.since(ended.at) < self.options.max_notice_delay;
             let ended = self.ended_at(process).filter(is_recent);
             let broken = ended.filter(|ended| ended.end == RunEnd::Broken);
-            broken.map(|ended| ended.at).min().unwrap_or(now)
+            let broken = broken.map(|ended| ended.at);
+            let last_alive = |at: &Time| self.alive_since(process, *at).is_none();
+            broken.filter(last_alive).min().unwrap_or(noticed)
         });
-        (self.suspects(process, at), at)
+        (self.suspects(process, at, lost), at)
     }
 
-    /// Returns when a process has ended, if that was recorded.
+    /// Returns when a process has ended, if that was recorded and it has not answered since.
     fn ended_since(&self, process: u64) -> Option<Time> {
-        let known = self.crashed.iter().find(|(known, _)| *known == process);
-        known.map(|(_, at)| *at)
+        let mut known = self.crashed.iter().rev();
+        let known = known.find(|(known, _)| *known == process)?.1;
+        self.alive_since(process, known).is_none().then_some(known)
+    }
+
+    /// Returns the last time after `at` at which a process certainly lived, if its answers show
+    /// one: to a request that was sent later, or over a connection from before on which more was
+    /// read.
+    #[must_use]
+    pub fn alive_since(&self, process: u64, at: Time) -> Option<Time> {
+        let running = self.running.values().filter(|run| run.process == process);
+        let ended = self.ended_at(process).map(|ended| &ended.run);
+        running
+            .chain(ended)
+            .filter_map(|run| run.alive_since(at))
+            .max()
+    }
+
+    /// Returns whether a connection to a process from before `at` has delivered more of an answer
+    /// since.
+    #[must_use]
+    pub fn has_continued(&self, process: u64, at: Time) -> bool {
+        let running = self.running.values().filter(|run| run.process == process);
+        let mut running = running.filter(|run| run.sent <= at);
+        running.any(|run| run.alive_since(at).is_some())
+    }
+
+    /// Returns the number of requests in progress at a process that were sent until `at`.
+    #[must_use]
+    pub fn running_since(&self, process: u64, at: Time) -> usize {
+        let running = self.running.values().filter(|run| run.process == process);
+        running.filter(|run| run.sent <= at).count()
     }
 
     /// Returns the ended runs at a process.
@@ -317,17 +401,28 @@
         if self.ended_since(process).is_some() {
             return Vec::new();
         }
-        self.suspects(process, at)
+        self.suspects(process, at, at)
     }
 
-    /// Records the end of a process, and returns the requests that may have been the cause.
-    fn suspects(&mut self, process: u64, at: Time) -> Vec<CrashedRun> {
+    /// Records the end of a process, and returns the requests that may have been the cause: also
+    /// those whose connections were lost from `lost` on.
+    fn suspects(&mut self, process: u64, at: Time, lost: Time) -> Vec<CrashedRun> {
         let options = self.options;
         let is_near = |ended: &&EndedRun| {
             let apart = at.since(ended.at).max(ended.at.since(at));
-            apart < options.max_notice_delay
+            let was_lost = ended.end == RunEnd::Broken
+                && lost.since(ended.at) < TIME_TOLERANCE
+                && ended.at <= at;
+            apart < options.max_notice_delay || was_lost
+        };
+        let is_suspect = |run: &Run, end: Time| {
+            let under_way_at = run.under_way_at(&options);
+            run.sent <= at && under_way_at.is_none_or(|time| time > end)
+        };
+        let end_of = |ended: &EndedRun| match ended.end {
+            RunEnd::Broken => ended.at.min(at),
+            RunEnd::Complete | RunEnd::Other => at,
         };
-        let is_suspect = |run: &Run| run.under_way_at(&options).is_none_or(|time| time > at);
         let ended = self.ended_at(process).filter(is_near);
         let ended = ended.filter(|ended| match ended.end {
             RunEnd::Broken => true,
@@ -335,13 +430,13 @@
             RunEnd::Complete => ended.run.first_event.is_some() && ended.run.parts.is_some(),
             RunEnd::Other => false,
         });
-        let ended = ended.map(|ended| (&ended.run, ended.end == RunEnd::Complete));
+        let ended = ended.map(|ended| (&ended.run, end_of(ended), ended.end == RunEnd::Complete));
         // The end of these has not been read yet.
         let running = self.running.values().filter(|run| run.process == process);
-        let all = ended.chain(running.map(|run| (run, false)));
+        let all = ended.chain(running.map(|run| (run, at, false)));
         let crashed = all
-            .filter(|(run, _)| run.sent <= at && is_suspect(run))
-            .map(|(run, is_answered)| run.to_crashed(at, is_answered));
+            .filter(|(run, end, _)| is_suspect(run, *end))
+            .map(|(run, _, is_answered)| run.to_crashed(at, is_answered));
         let crashed = crashed.collect();
         if self.ended_since(process).is_none() {
             self.crashed.push_back((process, at));
--- /dev/null
+++ b/crates/fleet/tests/loss.rs
@@ -0,0 +1,70 @@
+//! What is known of a process after a connection to it was lost.
+
+use std::time::Duration;
+
+use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::loss::LifeSign;
+use limpetsaddle_fleet::loss::Loss;
+use limpetsaddle_fleet::loss::LossChange;
+use limpetsaddle_fleet::loss::LossOptions;
+use yare::parameterized;
+
+const LOST: Time = Time::from_origin(Duration::from_secs(10));
+
+fn after(millis: u64) -> Time {
+    LOST + Duration::from_millis(millis)
+}
+
+/// Returns the times of all checks of a process that shows the same sign in each, which takes
+/// `took`.
+fn checks(sign: LifeSign, took: Duration) -> Vec<Duration> {
+    let mut loss = Loss::new(LossOptions::default(), LOST);
+    let mut checks = vec![Duration::ZERO];
+    loss.record(sign);
+    while let Some(next) = loss.next_check(LOST + checks[checks.len() - 1] + took) {
+        checks.push(next.since(LOST));
+        assert!(checks.len() < 20, "the checks end");
+        loss.record(sign);
+    }
+    checks
+}
+
+/// Guards against a process that counts as alive as its host accepts a connection.
+#[test]
+fn verify_a_process_without_a_sign_of_life_is_suspected() {
+    let mut loss = Loss::new(LossOptions::default(), LOST);
+    assert_eq!(loss.record(LifeSign::Missing), Some(LossChange::Suspected));
+    assert_eq!(loss.record(LifeSign::Missing), None);
+    assert_eq!(loss.record(LifeSign::Ended), Some(LossChange::Confirmed));
+    assert_eq!(loss.next_check(after(100)), None);
+}
+
+#[test]
+fn verify_a_sign_of_life_withdraws_the_suspicion() {
+    for sign in [LifeSign::Answered, LifeSign::Continued] {
+        let mut loss = Loss::new(LossOptions::default(), LOST);
+        assert_eq!(loss.record(sign), None);
+        let mut loss = Loss::new(LossOptions::default(), LOST);
+        loss.record(LifeSign::Missing);
+        assert_eq!(loss.record(sign), Some(LossChange::Withdrawn));
+    }
+}
+
+/// Guards against a process that closes its connections, answers for a while, and ends.
+#[parameterized(
+    answers = { LifeSign::Answered, Duration::from_millis(2) },
+    is_silent = { LifeSign::Missing, Duration::from_millis(1_225) },
+)]
+fn verify_a_process_is_checked_for_some_seconds(sign: LifeSign, took: Duration) {
+    let checks = checks(sign, took);
+    let last = checks[checks.len() - 1];
+    assert!(last >= Duration::from_secs(2), "{checks:?}");
+    assert!(last <= Duration::from_secs(4), "{checks:?}");
+    assert!(checks.len() <= 8, "{checks:?}");
+}
+
+#[test]
+fn verify_a_connection_that_goes_on_ends_the_checks() {
+    let checks = checks(LifeSign::Continued, Duration::from_millis(2));
+    assert_eq!(checks, [Duration::ZERO]);
+}
--- a/crates/fleet/tests/quarantine_sim.rs
+++ b/crates/fleet/tests/quarantine_sim.rs
@@ -5,9 +5,10 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use support::crash_sim::Harm;
-use support::crash_sim::OrdinaryCrashes;
-use support::crash_sim::Scenario;
+use support::crash_scenario::AfterEnd;
+use support::crash_scenario::Harm;
+use support::crash_scenario::OrdinaryCrashes;
+use support::crash_scenario::Scenario;
 use support::crash_sim::run;
 use yare::parameterized;
 
@@ -26,6 +27,8 @@
     harmful_rate: 0,
     harmful_parts: 1,
     harm: Harm::AfterHead,
+    after_end: AfterEnd::Refuses,
+    resets: 0,
     place: 1,
     served_before: false,
     first_parts: 4,
@@ -111,6 +114,55 @@
     verify_seeds(scenario, SEEDS);
 }
 
+const FLEET_OF_295: Scenario = Scenario {
+    instances: 295,
+    engines: 160,
+    sound_rate: 100,
+    harmful_rate: 10,
+    duration: Duration::from_secs(12),
+    ..EARLY
+};
+
+/// Guards against an engine that has ended and counts as alive, as its host accepts connections.
+#[parameterized(
+    accepts = { Scenario { after_end: AfterEnd::Accepts, ..EARLY } },
+    accepts_after_the_head = { Scenario { after_end: AfterEnd::Accepts, ..HARMFUL } },
+    answers_shortly = { Scenario { after_end: AfterEnd::Answers(50), ..EARLY } },
+    answers_for_up_to_a_second = { Scenario { after_end: AfterEnd::Answers(1_000), ..EARLY } },
+    answers_for_up_to_two_seconds = { Scenario { after_end: AfterEnd::Answers(2_000), ..EARLY } },
+    two_parts = { Scenario { after_end: AfterEnd::Accepts, harmful_parts: 2, ..EARLY } },
+    rare = { Scenario { after_end: AfterEnd::Accepts, harmful_rate: 1, duration: Duration::from_mins(1), ..EARLY } },
+    beside_resets = { Scenario { after_end: AfterEnd::Accepts, resets: 50, ..EARLY } },
+    lossy_reports = { Scenario { after_end: AfterEnd::Accepts, loss: 3, ..EARLY } },
+    large_fleet = { Scenario { after_end: AfterEnd::Accepts, ..FLEET_OF_295 } },
+    large_fleet_answers = { Scenario { after_end: AfterEnd::Answers(1_000), ..FLEET_OF_295 } },
+)]
+fn verify_a_harmful_part_is_withheld_whatever_hosts_do_after_the_end(scenario: Scenario) {
+    verify_seeds(scenario, SEEDS);
+}
+
+/// Guards against sound parts that are withheld for single connections that were reset.
+#[parameterized(
+    now_and_then = { Scenario { resets: 100, ..SMALL } },
+    often = { Scenario { resets: 10, ..SMALL } },
+    few_parts = { Scenario { resets: 20, first_parts: 1, second_parts: 4, ..SMALL } },
+    few_engines = { Scenario { resets: 20, engines: 3, sound_rate: 30, ..SMALL } },
+    lossy_reports = { Scenario { resets: 20, loss: 3, ..SMALL } },
+    beside_crashes = { Scenario {
+        resets: 50,
+        ordinary: OrdinaryCrashes::OneIn(100),
+        after_end: AfterEnd::Accepts,
+        ..SMALL
+    } },
+    large_fleet = { Scenario { resets: 10, harmful_rate: 0, ..FLEET_OF_295 } },
+)]
+fn verify_resets_at_engines_that_live_on_withhold_no_part(scenario: Scenario) {
+    for seed in SEEDS {
+        let outcome = run(Scenario { seed, ..scenario });
+        assert!(outcome.withheld.is_empty(), "seed {seed}: {outcome:?}");
+    }
+}
+
 /// Runs all seeds, and checks that the harmful parts are withheld in time and no other.
 fn verify_seeds(scenario: Scenario, seeds: Range<u64>) {
     let mut failed = Vec::new();
--- a/crates/fleet/tests/support/crash_sim.rs
+++ b/crates/fleet/tests/support/crash_sim.rs
@@ -17,6 +17,9 @@
 use limpetsaddle_fleet::runs::RunId;
 use limpetsaddle_fleet::runs::RunLog;
 
+use super::crash_scenario::AfterEnd;
+use super::crash_scenario::OrdinaryCrashes;
+use super::crash_scenario::Scenario;
 use super::request_key;
 use super::run_of;
 
@@ -41,98 +44,8 @@
 /// The crashes after which a harmful part must be withheld.
 const KNOWN_AFTER: usize = 5;
 
-/// When a harmful part ends its engine.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Harm {
-    /// Shortly after the head of the answer.
-    AfterHead,
-    /// This many milliseconds after the arrival of the prompt, before the head of the answer.
-    AfterArrival(u64),
-    /// By turns before and after the head of the answer.
-    Either(u64),
-}
-
-impl Harm {
-    /// Returns the time from the arrival of a prompt to the end of its engine in milliseconds, or
-    /// `None` if the engine ends after the head of the answer.
-    const fn after_arrival_ms(self, request: u32) -> Option<u64> {
-        match self {
-            Self::AfterArrival(millis) => Some(millis),
-            Self::Either(millis) if request.is_multiple_of(2) => Some(millis),
-            Self::AfterHead | Self::Either(_) => None,
-        }
-    }
-}
-
-/// The ordinary crashes of a simulation.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrdinaryCrashes {
-    None,
-    /// One in this many steps.
-    OneIn(u64),
-    /// All engines at the same moment, every this many steps.
-    All(u64),
-    /// All engines one after the other, this many steps apart, from the same step on.
-    Rolling(u64),
-}
-
-/// A simulation.
-#[derive(Clone, Copy, Debug)]
-pub struct Scenario {
-    pub seed: u64,
-    pub instances: usize,
-    pub engines: usize,
-    /// The sound prompts a second.
-    pub sound_rate: u64,
-    /// The time from which on harmful parts are sent, or do harm.
-    pub harmful_from: Duration,
-    /// The harmful prompts a second from then on.
-    pub harmful_rate: u64,
-    /// The number of harmful parts, by turns.
-    pub harmful_parts: usize,
-    /// When harmful parts end their engines.
-    pub harm: Harm,
-    /// The place of a harmful part in its prompts.
-    pub place: usize,
-    /// Whether harmful parts are sound before.
-    pub served_before: bool,
-    /// The first parts that all prompts share.
-    pub first_parts: u64,
-    /// The second parts.
-    pub second_parts: u64,
-    pub ordinary: OrdinaryCrashes,
-    /// The time at which all instances restart and have forgotten their answers.
-    pub restart_at: Option<Duration>,
-    /// One in this many reports is lost.
-    pub loss: u64,
-    /// The time between two reports of an instance, in steps.
-    pub report_steps: u64,
-    pub duration: Duration,
-}
-
-impl Default for Scenario {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            instances: 9,
-            engines: 9,
-            sound_rate: 50,
-            harmful_from: Duration::from_secs(5),
-            harmful_rate: 0,
-            harmful_parts: 1,
-            harm: Harm::AfterHead,
-            place: 1,
-            served_before: false,
-            first_parts: 4,
-            second_parts: 80,
-            ordinary: OrdinaryCrashes::None,
-            restart_at: None,
-            loss: 20,
-            report_steps: 12,
-            duration: Duration::from_secs(30),
-        }
-    }
-}
+/// The time after which an instance suspects an engine that doesn't answer.
+const DOUBT_TIME: Duration = Duration::from_millis(30);
 
 /// The outcome of a simulation.
 #[derive(Debug)]
@@ -167,6 +80,17 @@
     lacking_since: Option<Time>,
 }
 
+/// What an instance is about to notice of an engine.
+#[derive(Clone, Copy, Debug)]
+enum Notice {
+    /// It has ended, after connections were lost at this time.
+    Ended(Time),
+    /// It may have ended.
+    Suspected(Time),
+    /// It lives on.
+    Alive,
+}
+
 struct Engine {
     process: u64,
     up_at: Time,
@@ -198,6 +122,8 @@
     instances: Vec<Instance>,
     engines: Vec<Engine>,
     runs: Vec<Run>,
+    /// What instances are about to notice of processes, with the times.
+    notices: Vec<(Time, usize, u64, Notice)>,
     in_flight: Vec<(Time, usize, QuarantineReport)>,
     requests: u32,
     processes: u64,
@@ -233,6 +159,7 @@
         instances: (0..scenario.instances).map(|_| instance()).collect(),
         engines: (0..scenario.engines).map(engine).collect(),
         runs: Vec::new(),
+        notices: Vec::new(),
         in_flight: Vec::new(),
         requests: 0,
         processes: 1_000,
@@ -275,6 +202,8 @@
         self.progress();
         self.crash_ordinarily(step);
         self.end_engines();
+        self.reset_connection();
+        self.notice();
         self.exchange(step);
     }
 
@@ -388,6 +317,9 @@
                 run.has_event = true;
                 log.record_first_event(run.id, now);
             }
+            if run.has_event {
+                log.record_bytes(run.id, now);
+            }
             if run.end <= now {
                 log.end(run.id, RunEnd::Complete, now);
             }
@@ -459,10 +391,15 @@
             log.end(run.id, RunEnd::Broken, now);
         }
         for instance in seen {
-            let instance = &mut self.instances[instance];
-            let (runs, at) = instance.runs.record_crash(process, now);
-            instance.quarantine.record_crash(process, at, runs);
+            let (delay, notice) = match self.scenario.after_end {
+                AfterEnd::Refuses => (0, Notice::Ended(now)),
+                AfterEnd::Accepts => (0, Notice::Suspected(now)),
+                AfterEnd::Answers(most) => (self.random.below(most + 1), Notice::Ended(now)),
+            };
+            let due = now + Duration::from_millis(delay);
+            self.notices.push((due, instance, process, notice));
         }
+        self.notice();
         for run in ended {
             let quarantine = &self.instances[run.instance].quarantine;
             if run.attempts < 2
@@ -474,6 +411,48 @@
         }
     }
 
+    /// Resets the connection of a prompt at a silent engine that lives on, now and then.
+    fn reset_connection(&mut self) {
+        let (now, resets) = (self.now, self.scenario.resets);
+        if resets == 0 || self.runs.is_empty() || self.random.below(resets) > 0 {
+            return;
+        }
+        let index = self.random.index(self.runs.len());
+        let run = self.runs.swap_remove(index);
+        let process = self.engines[run.engine].process;
+        let log = &mut self.instances[run.instance].runs;
+        log.end(run.id, RunEnd::Broken, now);
+        let silence = Duration::from_millis(self.random.below(1_000));
+        let suspected = (now + DOUBT_TIME, Notice::Suspected(now));
+        for (due, notice) in [suspected, (now + DOUBT_TIME + silence, Notice::Alive)] {
+            self.notices.push((due, run.instance, process, notice));
+        }
+    }
+
+    /// Lets instances notice what is due.
+    fn notice(&mut self) {
+        let now = self.now;
+        let all = std::mem::take(&mut self.notices).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) = all.partition(|(at, ..)| *at <= now);
+        self.notices = later;
+        for (_, instance, process, notice) in due {
+            let Instance {
+                runs, quarantine, ..
+            } = &mut self.instances[instance];
+            match notice {
+                Notice::Ended(lost) => {
+                    let (runs, at) = runs.record_crash_after(process, lost, now);
+                    quarantine.record_crash(process, at, runs);
+                }
+                Notice::Suspected(lost) => {
+                    let (runs, at) = runs.record_crash_after(process, lost, now);
+                    quarantine.record_suspicion(process, at, runs);
+                }
+                Notice::Alive => quarantine.record_life(process, now),
+            }
+        }
+    }
+
     fn exchange(&mut self, step: u64) {
         let now = self.now;
         let scenario = self.scenario;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -14,6 +14,7 @@
 mod in_flight;
 mod instance;
 mod kv_store;
+mod life_signs;
 mod metrics;
 mod monitoring;
 mod outage;
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -1,126 +1,189 @@
 //! Detection of upstreams that end while they answer.
 //!
-//! A connection that is lost may have been reset alone. Only an upstream whose host refuses
-//! connections immediately afterwards, or closes them before anything is sent, has ended.
+//! After a lost connection the upstream's process is checked for signs of life, and suspected to
+//! have ended until it shows one; see [`limpetsaddle_fleet::loss`].
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::StreamExt as _;
+use futures::channel::mpsc;
+use futures::channel::oneshot;
+use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::attempt::Failure;
-use limpetsaddle_fleet::availability::Incarnation;
+use limpetsaddle_fleet::loss::LifeSign;
+use limpetsaddle_fleet::loss::Loss;
+use limpetsaddle_fleet::loss::LossChange;
+use limpetsaddle_fleet::loss::LossOptions;
 use limpetsaddle_fleet::placement::Placement;
 use limpetsaddle_fleet::runs::CrashedRun;
+use log::debug;
 use log::info;
 
 use super::forward::Forwarder;
 use super::instance::FleetInstance;
+use super::life_signs;
+use super::life_signs::Process;
 use super::reach;
-use super::upstream_calls::Probe;
 use super::upstream_calls::Recipient;
 use crate::clock::millis;
-use crate::shutdown::Stopping;
-use crate::shutdown::channel;
 
-/// The longest time for which a request waits for the result of a probe.
-const PROBE_WAIT: Duration = Duration::from_millis(30);
+/// The longest time for which a request waits until it is known whether its upstream has ended.
+const CHECK_WAIT: Duration = Duration::from_millis(30);
 
 /// The longest wait for a sign of life of an upstream whose answer has ended with its connection.
 const LIFE_SIGN_WAIT: Duration = Duration::from_millis(700);
 
-/// The number of attempts to connect, as a lost packet makes one time out.
-const MAX_PROBES: u32 = 3;
+/// The losses that wait for the next check of a process.
+type Waiting = Vec<oneshot::Sender<()>>;
 
-/// The probes in progress, by the hashes of the upstreams' processes.
+/// The processes to which connections were lost, by their hashes.
 #[derive(Debug, Default)]
-pub struct Probes {
-    running: RefCell<HashMap<u64, Stopping>>,
+pub struct Losses {
+    /// The processes that are being checked, with the channel for further losses. Closing it ends
+    /// the checks.
+    checked: RefCell<HashMap<u64, mpsc::UnboundedSender<oneshot::Sender<()>>>>,
 }
 
 /// Finds out whether the upstream of a request has ended, if its connection was lost.
 ///
-/// The result is recorded when this returns, unless the probe takes long.
+/// What is known by then is recorded when this returns; the checks go on by themselves.
 pub async fn check_after(forwarder: &Forwarder<'_>, placement: &Placement, failure: Failure) {
     if failure != Failure::ConnectionLost {
         return;
     }
-    let ended = start_probe(forwarder.instance, placement);
-    // A probe that takes longer goes on by itself.
-    let _ = monoio::time::timeout(PROBE_WAIT, ended.closed()).await;
+    let recipient = Recipient::Upstream {
+        incarnation: placement.incarnation(),
+        address: placement.address,
+    };
+    let Some(process) = Process::of(&recipient) else {
+        return;
+    };
+    let checked = report_loss(forwarder.instance, process);
+    // Both results, the end of a check and the timeout, end the wait.
+    let _ = monoio::time::timeout(CHECK_WAIT, checked).await;
 }
 
-/// Returns whether an upstream's process is known to live on, whether it takes requests or not.
-///
-/// A host that does not respond in time proves nothing.
+/// Returns whether an upstream accepts connections, whether it takes requests or not.
 pub async fn lives_on(instance: &FleetInstance, recipient: &Recipient) -> bool {
-    let probe = probe(|| instance.upstream_client.connect(recipient));
-    let result = monoio::time::timeout(LIFE_SIGN_WAIT, probe).await;
-    result.is_ok_and(|probe| probe == Probe::Listening)
+    let accepts = instance.upstream_client.accepts(recipient);
+    let accepts = monoio::time::timeout(LIFE_SIGN_WAIT, accepts).await;
+    matches!(accepts, Ok(true))
 }
 
-/// Starts a probe of an upstream, unless one is running, and returns its end.
-fn start_probe(instance: &Rc<FleetInstance>, placement: &Placement) -> Stopping {
-    let incarnation = placement.incarnation();
-    let process = incarnation.process();
-    let mut running = instance.probes.running.borrow_mut();
-    if let Some(ended) = running.get(&process) {
-        return ended.clone();
+/// Has a process checked after a loss, and returns the end of the first check.
+fn report_loss(instance: &Rc<FleetInstance>, process: Process) -> oneshot::Receiver<()> {
+    let (checked, end) = oneshot::channel();
+    let hash = process.hash();
+    // The end of one that leaves is planned.
+    if process.is_leaving(instance) {
+        return end;
+    }
+    let mut all = instance.losses.checked.borrow_mut();
+    if let Some(tx) = all.get(&hash) {
+        if tx.unbounded_send(checked).is_err() {
+            let upstream = &process.incarnation.upstream;
+            debug!(upstream:display; "the checks of an upstream have just ended");
+        }
+        return end;
     }
-    let (stopper, ended) = channel();
-    running.insert(process, ended.clone());
+    let (tx, rx) = mpsc::unbounded();
+    all.insert(hash, tx);
     let instance = Rc::clone(instance);
-    let recipient = Recipient::Upstream {
-        incarnation: incarnation.clone(),
-        address: placement.address,
-    };
     monoio::spawn(async move {
-        let connect = || instance.upstream_client.probe(&instance, &recipient);
-        if probe(connect).await == Probe::Ended {
-            if reach::is_cut_off(&instance, &recipient).await {
-                let upstream = &incarnation.upstream;
-                info!(upstream:display; "connection lost by a cut of this instance");
-            } else {
-                record_crash(&instance, &incarnation);
-            }
-        }
-        instance.probes.running.borrow_mut().remove(&process);
-        drop(stopper);
+        watch(&instance, &process, vec![checked], rx).await;
+        instance.losses.checked.borrow_mut().remove(&hash);
     });
-    ended
+    end
 }
 
-/// Returns what is known of a recipient after up to [`MAX_PROBES`] attempts to connect. A host
-/// that closes two connections in a row has no process behind it.
-async fn probe<F: Future<Output = Probe>>(connect: impl Fn() -> F) -> Probe {
-    let mut has_closed = false;
-    for _ in 0..MAX_PROBES {
-        match connect().await {
-            Probe::Closing if has_closed => return Probe::Ended,
-            Probe::Closing => has_closed = true,
-            Probe::Unknown => (),
-            result @ (Probe::Listening | Probe::Ended) => return result,
+/// Checks a process until it is known whether it lives on, or for the longest time.
+async fn watch(
+    instance: &FleetInstance,
+    process: &Process,
+    mut waiting: Waiting,
+    mut losses: mpsc::UnboundedReceiver<oneshot::Sender<()>>,
+) {
+    let mut loss = Loss::new(LossOptions::default(), instance.now());
+    loop {
+        check(instance, process, &mut loss, waiting).await;
+        let now = instance.now();
+        let Some(next) = loss.next_check(now) else {
+            return;
+        };
+        // A further loss is checked at once.
+        let further = monoio::time::timeout(next.since(now), losses.next()).await;
+        waiting = further.ok().flatten().into_iter().collect();
+    }
+}
+
+/// Checks a process once. The senders are dropped as soon as something is recorded.
+async fn check(instance: &FleetInstance, process: &Process, loss: &mut Loss, waiting: Waiting) {
+    let options = LossOptions::default();
+    let mut asked = std::pin::pin!(life_signs::ask(instance, process, loss.at()));
+    let early = monoio::time::timeout(options.doubt_time, &mut asked).await;
+    let sign = if let Ok(sign) = early {
+        sign
+    } else {
+        record(instance, process, loss, LifeSign::Missing).await;
+        drop(waiting);
+        let late = monoio::time::timeout(options.max_silence, asked).await;
+        late.unwrap_or(LifeSign::Missing)
+    };
+    record(instance, process, loss, sign).await;
+}
+
+/// Records what a check has shown.
+async fn record(instance: &FleetInstance, process: &Process, loss: &mut Loss, sign: LifeSign) {
+    let upstream = &process.incarnation.upstream;
+    let hash = process.hash();
+    match loss.record(sign) {
+        Some(change @ (LossChange::Suspected | LossChange::Confirmed)) => {
+            if reach::is_cut_off(instance, &process.recipient).await {
+                info!(upstream:display; "connection lost by a cut of this instance");
+                return;
+            }
+            record_crash(instance, process, loss.at(), change);
+        }
+        Some(LossChange::Withdrawn) => {
+            let now = instance.now();
+            info!(upstream:display, sign = sign.code(); "upstream has not crashed");
+            let mut quarantine = instance.quarantine.borrow_mut();
+            quarantine.record_life(hash, now);
         }
+        None => (),
     }
-    Probe::Unknown
 }
 
-/// Records that an upstream's process has ended, and logs the requests that may be the cause.
-fn record_crash(instance: &FleetInstance, incarnation: &Incarnation) {
+/// Records that an upstream's process has ended, or is suspected to, and logs the requests that
+/// may be the cause.
+fn record_crash(instance: &FleetInstance, process: &Process, lost: Time, change: LossChange) {
     let now = instance.now();
-    let process = incarnation.process();
-    let (runs, at) = instance.runs.borrow_mut().record_crash(process, now);
-    instance.metrics.record_crash();
+    let incarnation = &process.incarnation;
+    let hash = process.hash();
+    let (runs, at) = {
+        let mut runs = instance.runs.borrow_mut();
+        runs.record_crash_after(hash, lost, now)
+    };
     let suspects = describe(&runs);
     let mut quarantine = instance.quarantine.borrow_mut();
-    quarantine.record_crash(process, at, runs);
+    let message = if change == LossChange::Confirmed {
+        instance.metrics.record_crash();
+        quarantine.record_crash(hash, at, runs);
+        "upstream crashed"
+    } else {
+        quarantine.record_suspicion(hash, at, runs);
+        "upstream suspected to have crashed"
+    };
     drop(quarantine);
     info!(
         upstream:display = incarnation.upstream,
         born_ms = incarnation.born_ms,
         noticed_after_ms = millis(now.since(at)),
         suspects = suspects.as_str();
-        "upstream crashed"
+        "{message}"
     );
 }
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -46,7 +46,7 @@
 use log::info;
 
 use super::call::CallError;
-use super::crashes::Probes;
+use super::crashes::Losses;
 use super::metrics::Metrics;
 use super::pass_on::Relays;
 use super::permits::PermitDesk;
@@ -107,8 +107,8 @@
     pub quarantine_record: QuarantineStore,
     /// The permits for upstreams that limit all instances together.
     pub permits: PermitDesk,
-    /// The probes in progress of engines that have closed a connection.
-    pub probes: Probes,
+    /// The upstreams to which connections were lost, and that are being checked.
+    pub losses: Losses,
     /// The ways to the services.
     pub ways: Ways,
     /// The requests that are passed on to peers, and those of peers.
@@ -185,7 +185,7 @@
             quarantine: RefCell::new(Quarantine::new(QuarantineOptions::default(), now)),
             quarantine_record: QuarantineStore::default(),
             permits: PermitDesk::default(),
-            probes: Probes::default(),
+            losses: Losses::default(),
             ways: Ways::default(),
             relays: Relays::default(),
             peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default(), now)),
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -49,6 +49,7 @@
     passed_on: Counter<u64>,
     peer_requests: Counter<u64>,
     crashes: Counter<u64>,
+    life_checks: Counter<u64>,
     part_changes: Counter<u64>,
     request_changes: Counter<u64>,
     first_event: Histogram<f64>,
@@ -91,6 +92,7 @@
             passed_on: meter.u64_counter("limpetsaddle_passed_on").build(),
             peer_requests: meter.u64_counter("limpetsaddle_peer_requests").build(),
             crashes: meter.u64_counter("limpetsaddle_upstream_crashes").build(),
+            life_checks: meter.u64_counter("limpetsaddle_life_checks").build(),
             part_changes: meter.u64_counter("limpetsaddle_part_changes").build(),
             request_changes: meter.u64_counter("limpetsaddle_request_changes").build(),
             first_event: times("limpetsaddle_first_event_seconds"),
@@ -213,6 +215,11 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts a check of an upstream for signs of life, by its result.
+    pub fn record_life_check(&self, sign: &'static str) {
+        self.life_checks.add(1, &[KeyValue::new("sign", sign)]);
+    }
+
     /// Counts a part of prompts that was withheld or released, by what that rests on.
     pub fn record_part_change(&self, state: &'static str, source: &'static str) {
         let labels = [
--- a/crates/router/src/fleet/reach.rs
+++ b/crates/router/src/fleet/reach.rs
@@ -13,6 +13,7 @@
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::heartbeat::name_hash;
+use limpetsaddle_fleet::runs::RunId;
 use limpetsaddle_fleet::service_reach::Reach;
 use limpetsaddle_fleet::service_reach::ReachReport;
 use limpetsaddle_fleet::service_reach::ServiceReach;
@@ -21,7 +22,6 @@
 use log::warn;
 
 use super::instance::FleetInstance;
-use super::upstream_calls::Probe;
 use super::upstream_calls::Recipient;
 use crate::shutdown::Stopping;
 
@@ -65,9 +65,10 @@
     }
 }
 
-/// Records that bytes of an answer have arrived from an upstream of a service.
-pub fn record_bytes(instance: &FleetInstance, service: &str) {
+/// Records that bytes of a run's answer have arrived from an upstream of a service.
+pub fn record_bytes(instance: &FleetInstance, service: &str, run: RunId) {
     let now = instance.now();
+    instance.runs.borrow_mut().record_bytes(run, now);
     instance.ways.with(service, |way| way.record_bytes(now));
 }
 
@@ -253,7 +254,7 @@
         };
         rows.take(LOOKED_AT).map(recipient).collect()
     };
-    let probe = |recipient| instance.upstream_client.probe(instance, recipient);
-    let probes = join_all(recipients.iter().map(probe)).await;
-    probes.contains(&Probe::Listening)
+    let reach = |recipient| instance.upstream_client.reaches(instance, recipient);
+    let reached = join_all(recipients.iter().map(reach)).await;
+    reached.contains(&true)
 }
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -93,6 +93,7 @@
 pub struct Stream {
     head: Response<()>,
     res: limpetsaddle_http::Response,
+    run: RunId,
     events: NewEvents,
     /// The upstream, if only the end of its connection shows the end of the stream.
     unframed: Option<Recipient>,
@@ -198,7 +199,7 @@
         return AttemptOutcome::failed(Failure::InvalidResponse);
     }
     if status.is_success() && streams {
-        return open_stream(forwarder, res, recipient).await;
+        return open_stream(forwarder, res, recipient, run).await;
     }
     has_begun.set(true);
     read_buffered(forwarder, res, recipient).await
@@ -313,6 +314,7 @@
     forwarder: &Forwarder<'_>,
     res: limpetsaddle_http::Response,
     recipient: Recipient,
+    run: RunId,
 ) -> AttemptOutcome {
     let (head, res) = split(res);
     let mut head = Response::from_parts(head, ());
@@ -323,6 +325,7 @@
         unframed: res.ends_with_connection.then_some(recipient),
         has_event: false,
         res,
+        run,
         events: NewEvents::new(EventLimits::default()),
         reservation: buffers.relayed.reservation(),
         next: None,
@@ -354,7 +357,7 @@
             }
             match self.res.next().await? {
                 Some(bytes) => {
-                    reach::record_bytes(forwarder.instance, &forwarder.service);
+                    reach::record_bytes(forwarder.instance, &forwarder.service, self.run);
                     self.events.push(&bytes);
                     self.reservation.resize(self.events.buffered())?;
                 }
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -26,12 +26,14 @@
 use limpetsaddle_http::Response;
 use limpetsaddle_platform_wire as wire;
 use limpetsaddle_platform_wire::headers;
+use log::debug;
 use log::info;
 use log::warn;
 use thiserror::Error as ThisError;
 
 use super::call::CallError;
 use super::instance::FleetInstance;
+use super::life_signs::Process;
 use super::permits;
 use super::reach;
 use super::response_limits::CallKind;
@@ -109,22 +111,30 @@
     }
 }
 
-/// The time in which a host that accepts connections for a process that has ended closes them.
-const CLOSE_WAIT: Duration = Duration::from_millis(15);
+/// The cause for which a process was not asked or has not answered.
+#[derive(Debug, ThisError)]
+pub enum AskError {
+    /// The HTTP exchange failed.
+    #[error(transparent)]
+    Http(#[from] limpetsaddle_http::Error),
+    /// The request cannot be encoded.
+    #[error(transparent)]
+    Wire(#[from] wire::Error),
+}
 
-/// What a connection attempt shows of a recipient.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Probe {
-    /// It listens.
-    Listening,
-    /// Its host refuses the connection, so its process has ended.
-    Ended,
-    /// Its host closes the connection before anything is sent, as if its process had ended.
-    Closing,
-    /// Nothing is known: it didn't respond in time, or may not be called.
-    Unknown,
+impl AskError {
+    /// Returns whether the host has refused the connection.
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Self::Http(error) => error.is_refused(),
+            Self::Wire(_) => false,
+        }
+    }
 }
 
+/// The time in which a host that accepts connections for a process that has ended closes them.
+const CLOSE_WAIT: Duration = Duration::from_millis(15);
+
 /// The client for upstreams and KV stores.
 pub struct UpstreamClient {
     client: Client,
@@ -194,23 +204,66 @@
         Ok(res)
     }
 
-    /// Connects to a recipient and sends nothing.
-    pub async fn probe(&self, instance: &FleetInstance, recipient: &Recipient) -> Probe {
-        if check(instance, recipient).is_err() {
-            return Probe::Unknown;
+    /// Asks a process for its report, whether it takes requests of callers or not. Returns `None`
+    /// if it accepts a connection but is to get no request now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be established or the exchange fails.
+    pub async fn ask(
+        &self,
+        instance: &FleetInstance,
+        process: &Process,
+    ) -> Result<Option<Response>, AskError> {
+        let recipient = &process.recipient;
+        let conn = self.client.open(recipient.address()).await?;
+        let req = wire::engine::report_request(&process.incarnation.upstream)?;
+        let permit = match recipient.availability(instance, instance.now()) {
+            Availability::Resting { .. } => return Ok(None),
+            Availability::Leaving | Availability::Gone => None,
+            Availability::Serving | Availability::Limited { .. } => {
+                match admit(instance, recipient, None) {
+                    Ok(permit) => permit,
+                    Err(_) => return Ok(None),
+                }
+            }
+        };
+        if permit.is_some() {
+            instance.metrics.record_permits("used", 1);
+        }
+        let sent = instance.now();
+        let res = conn.send(req).await?;
+        observe(
+            instance,
+            recipient,
+            &res.head,
+            sent,
+            CallKind::Report.code(),
+        );
+        if let Some(permit) = permit {
+            report_lifted(instance, recipient, permit);
         }
-        self.connect(recipient).await
+        Ok(Some(res))
+    }
+
+    /// Returns whether a recipient that may be called is reached: its host accepts a connection
+    /// and leaves it open, be its process alive or not. Sends nothing.
+    pub async fn reaches(&self, instance: &FleetInstance, recipient: &Recipient) -> bool {
+        check(instance, recipient).is_ok() && self.accepts(recipient).await
     }
 
-    /// Connects to a recipient, whether it may be called or not, and sends nothing.
-    pub async fn connect(&self, recipient: &Recipient) -> Probe {
+    /// Returns whether the host of a recipient accepts a connection and leaves it open.
+    pub async fn accepts(&self, recipient: &Recipient) -> bool {
         match self.client.open(recipient.address()).await {
-            Ok(mut conn) => match monoio::time::timeout(CLOSE_WAIT, conn.closed()).await {
-                Ok(()) => Probe::Closing,
-                Err(_) => Probe::Listening,
-            },
-            Err(error) if error.is_refused() => Probe::Ended,
-            Err(_) => Probe::Unknown,
+            Ok(mut conn) => {
+                let closed = monoio::time::timeout(CLOSE_WAIT, conn.closed()).await;
+                closed.is_err()
+            }
+            Err(error) => {
+                let address = recipient.address();
+                debug!(address:display, error:display; "upstream not reached");
+                false
+            }
         }
     }
 
