Deliver an unframed answer as complete only after a sign of life of its upstream

Cause: the check of whether the upstream lives on took an accepted connection for life, as the check after a lost connection did. Its own fault, as callers get a wrong answer rather than a late judgement.

Change: the process is asked for its report after the end of the answer. One that has closed several connections at once, or leaves and has no other open, is asked for two seconds more, as it may answer while it ends. AnswerEnd::judge decides, without a network. Ruled out: holding every unframed answer (a service that sends no other would be slower by as much); retrying instead (may have run).

--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -162,3 +162,91 @@
         (next.since(self.at) <= self.options.watch_time).then_some(next)
     }
 }
+
+/// What is known of the process whose answer has ended together with its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerEnd {
+    /// The time since then.
+    pub age: Duration,
+    /// The time that the request had left then.
+    pub left: Duration,
+    /// Whether the process leaves, so that its end is near.
+    pub is_leaving: bool,
+    /// The number of other connections from before that are still open.
+    pub open: usize,
+    /// The number of other connections that have ended at about the same time.
+    pub ended: usize,
+}
+
+/// Whether such an answer is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Completeness {
+    /// It is complete.
+    Complete,
+    /// It isn't, or that can't be told.
+    BrokenOff,
+    /// The process is to be asked again after this time.
+    AskAgain(Duration),
+}
+
+/// The time for which a process that has closed all its connections may answer before it ends.
+const CLOSING_TIME: Duration = Duration::from_secs(2);
+
+/// The longest wait for a sign of life.
+const LIFE_SIGN_TIME: Duration = Duration::from_millis(1_500);
+
+/// The time between two checks while an answer is held.
+const HOLD_INTERVAL: Duration = Duration::from_millis(250);
+
+impl AnswerEnd {
+    /// The time in which a process that ends closes all its connections. Checks begin afterwards.
+    pub const CLOSING_SPREAD: Duration = Duration::from_millis(20);
+
+    /// The longest time for which a check may take.
+    pub const CHECK_TIME: Duration = LIFE_SIGN_TIME;
+
+    /// Returns whether the answer is complete after a check that has shown `sign`.
+    ///
+    /// A process that closes the connection of one complete answer keeps the others open. One
+    /// that has closed several, or leaves, may be ending, and is asked until that would be over. The
+    /// single answer of one that leaves is held for at most half of the time that the request had
+    /// left.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use limpetsaddle_fleet::loss::AnswerEnd;
+    /// use limpetsaddle_fleet::loss::Completeness;
+    /// use limpetsaddle_fleet::loss::LifeSign;
+    ///
+    /// let end = AnswerEnd {
+    ///     age: Duration::from_millis(25),
+    ///     left: Duration::from_secs(4),
+    ///     is_leaving: false,
+    ///     open: 0,
+    ///     ended: 0,
+    /// };
+    /// assert_eq!(end.judge(LifeSign::Answered), Completeness::Complete);
+    /// assert_eq!(end.judge(LifeSign::Missing), Completeness::BrokenOff);
+    /// let end = AnswerEnd { ended: 4, ..end };
+    /// assert!(matches!(end.judge(LifeSign::Answered), Completeness::AskAgain(_)));
+    /// ```
+    #[must_use]
+    pub fn judge(&self, sign: LifeSign) -> Completeness {
+        let may_be_ending = self.open == 0 && (self.is_leaving || self.ended > 0);
+        let hold_time = if self.ended > 0 {
+            CLOSING_TIME
+        } else {
+            CLOSING_TIME.min(self.left / 2)
+        };
+        match sign {
+            LifeSign::Ended | LifeSign::Missing => Completeness::BrokenOff,
+            LifeSign::Continued => Completeness::Complete,
+            LifeSign::Answered if !may_be_ending || self.age >= hold_time => Completeness::Complete,
+            LifeSign::Answered => {
+                let pause = hold_time.saturating_sub(self.age);
+                Completeness::AskAgain(pause.min(HOLD_INTERVAL))
+            }
+        }
+    }
+}
--- a/crates/fleet/tests/loss.rs
+++ b/crates/fleet/tests/loss.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::loss::AnswerEnd;
+use limpetsaddle_fleet::loss::Completeness;
 use limpetsaddle_fleet::loss::LifeSign;
 use limpetsaddle_fleet::loss::Loss;
 use limpetsaddle_fleet::loss::LossChange;
@@ -68,3 +70,37 @@
     let checks = checks(LifeSign::Continued, Duration::from_millis(2));
     assert_eq!(checks, [Duration::ZERO]);
 }
+
+const END: AnswerEnd = AnswerEnd {
+    age: Duration::from_millis(25),
+    left: Duration::from_secs(5),
+    is_leaving: false,
+    open: 0,
+    ended: 0,
+};
+
+/// Guards against an answer that was broken off by the end of its process and counts as complete.
+#[parameterized(
+    ended = { END, LifeSign::Ended, Some(Completeness::BrokenOff) },
+    silent = { END, LifeSign::Missing, Some(Completeness::BrokenOff) },
+    silent_beside_others = { AnswerEnd { open: 3, ..END }, LifeSign::Missing, Some(Completeness::BrokenOff) },
+    answers = { END, LifeSign::Answered, Some(Completeness::Complete) },
+    leaves_and_keeps_others_open = { AnswerEnd { is_leaving: true, open: 1, ..END }, LifeSign::Answered, Some(Completeness::Complete) },
+    leaves_and_has_closed_all = { AnswerEnd { is_leaving: true, ..END }, LifeSign::Answered, None },
+    has_closed_several = { AnswerEnd { ended: 1, ..END }, LifeSign::Answered, None },
+    another_goes_on = { AnswerEnd { ended: 1, is_leaving: true, ..END }, LifeSign::Continued, Some(Completeness::Complete) },
+    has_little_time_left = { AnswerEnd { age: Duration::from_millis(500), left: Duration::from_secs(1), is_leaving: true, ..END }, LifeSign::Answered, Some(Completeness::Complete) },
+    has_little_time_left_and_has_closed_several = { AnswerEnd { age: Duration::from_millis(900), left: Duration::from_secs(1), is_leaving: true, ended: 1, ..END }, LifeSign::Answered, None },
+    lives_on_for_long = { AnswerEnd { age: Duration::from_secs(2), is_leaving: true, ..END }, LifeSign::Answered, Some(Completeness::Complete) },
+)]
+fn verify_an_answer_is_complete_only_if_its_process_lives_on(
+    end: AnswerEnd,
+    sign: LifeSign,
+    expected: Option<Completeness>,
+) {
+    let judged = end.judge(sign);
+    match expected {
+        Some(expected) => assert_eq!(judged, expected),
+        None => assert!(matches!(judged, Completeness::AskAgain(pause) if !pause.is_zero())),
+    }
+}
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -13,6 +13,8 @@
 use futures::channel::oneshot;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::attempt::Failure;
+use limpetsaddle_fleet::loss::AnswerEnd;
+use limpetsaddle_fleet::loss::Completeness;
 use limpetsaddle_fleet::loss::LifeSign;
 use limpetsaddle_fleet::loss::Loss;
 use limpetsaddle_fleet::loss::LossChange;
@@ -33,9 +35,6 @@
 /// The longest time for which a request waits until it is known whether its upstream has ended.
 const CHECK_WAIT: Duration = Duration::from_millis(30);
 
-/// The longest wait for a sign of life of an upstream whose answer has ended with its connection.
-const LIFE_SIGN_WAIT: Duration = Duration::from_millis(700);
-
 /// The losses that wait for the next check of a process.
 type Waiting = Vec<oneshot::Sender<()>>;
 
@@ -45,6 +44,40 @@
     /// The processes that are being checked, with the channel for further losses. Closing it ends
     /// the checks.
     checked: RefCell<HashMap<u64, mpsc::UnboundedSender<oneshot::Sender<()>>>>,
+    /// The number of answers of each process that have ended with their connections, and are held
+    /// until it is known whether they are complete.
+    held: RefCell<HashMap<u64, usize>>,
+}
+
+/// Counts an answer as held until it is dropped.
+struct Held<'a> {
+    losses: &'a Losses,
+    process: u64,
+}
+
+impl<'a> Held<'a> {
+    fn new(losses: &'a Losses, process: u64) -> Self {
+        *losses.held.borrow_mut().entry(process).or_default() += 1;
+        Self { losses, process }
+    }
+
+    /// Returns the number of other answers of the process that are held.
+    fn others(&self) -> usize {
+        let held = self.losses.held.borrow();
+        held.get(&self.process).map_or(0, |held| held - 1)
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        let mut held = self.losses.held.borrow_mut();
+        if let Some(left) = held.get_mut(&self.process) {
+            *left -= 1;
+            if *left == 0 {
+                held.remove(&self.process);
+            }
+        }
+    }
 }
 
 /// Finds out whether the upstream of a request has ended, if its connection was lost.
@@ -66,11 +99,35 @@
     let _ = monoio::time::timeout(CHECK_WAIT, checked).await;
 }
 
-/// Returns whether an upstream accepts connections, whether it takes requests or not.
-pub async fn lives_on(instance: &FleetInstance, recipient: &Recipient) -> bool {
-    let accepts = instance.upstream_client.accepts(recipient);
-    let accepts = monoio::time::timeout(LIFE_SIGN_WAIT, accepts).await;
-    matches!(accepts, Ok(true))
+/// Returns whether an answer that has ended with its connection is complete: only if its upstream
+/// is known to live on, whether it takes requests or not.
+pub async fn is_complete(forwarder: &Forwarder<'_>, recipient: &Recipient) -> bool {
+    let instance = forwarder.instance;
+    let Some(process) = Process::of(recipient) else {
+        return false;
+    };
+    let hash = process.hash();
+    let held = Held::new(&instance.losses, hash);
+    let ended = instance.now();
+    monoio::time::sleep(AnswerEnd::CLOSING_SPREAD).await;
+    loop {
+        let asked = life_signs::ask(instance, &process, ended);
+        let sign = monoio::time::timeout(AnswerEnd::CHECK_TIME, asked).await;
+        let running = instance.runs.borrow().running_since(hash, ended);
+        let is_checked = instance.losses.checked.borrow().contains_key(&hash);
+        let end = AnswerEnd {
+            age: instance.now().since(ended),
+            left: forwarder.accepted.deadline.since(ended),
+            is_leaving: process.is_leaving(instance),
+            open: running.saturating_sub(held.others() + 1),
+            ended: held.others() + usize::from(is_checked),
+        };
+        match end.judge(sign.unwrap_or(LifeSign::Missing)) {
+            Completeness::Complete => return true,
+            Completeness::BrokenOff => return false,
+            Completeness::AskAgain(pause) => monoio::time::sleep(pause).await,
+        }
+    }
 }
 
 /// Has a process checked after a loss, and returns the end of the first check.
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -263,7 +263,7 @@
         Err(error) => return AttemptOutcome::caused(read_failure(&error), &error),
     };
     if let Some(upstream) = unframed
-        && !crashes::lives_on(forwarder.instance, &upstream).await
+        && !crashes::is_complete(forwarder, &upstream).await
     {
         return AttemptOutcome::caused(Failure::ConnectionLost, &StreamError::BrokenOff);
     }
@@ -379,7 +379,7 @@
         };
         // A stream that is resumed after its last event has no further one.
         let is_resumed = forwarder.last_event.borrow().is_some();
-        (!self.has_event && !is_resumed) || !crashes::lives_on(forwarder.instance, upstream).await
+        (!self.has_event && !is_resumed) || !crashes::is_complete(forwarder, upstream).await
     }
 
     /// Returns the next event, or `None` at the end of the stream.
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -249,11 +249,9 @@
     /// Returns whether a recipient that may be called is reached: its host accepts a connection
     /// and leaves it open, be its process alive or not. Sends nothing.
     pub async fn reaches(&self, instance: &FleetInstance, recipient: &Recipient) -> bool {
-        check(instance, recipient).is_ok() && self.accepts(recipient).await
-    }
-
-    /// Returns whether the host of a recipient accepts a connection and leaves it open.
-    pub async fn accepts(&self, recipient: &Recipient) -> bool {
+        if check(instance, recipient).is_err() {
+            return false;
+        }
         match self.client.open(recipient.address()).await {
             Ok(mut conn) => {
                 let closed = monoio::time::timeout(CLOSE_WAIT, conn.closed()).await;
