Count no answer as well under way of which nothing more was read

Cause: a run counted as well under way 500 ms after its first event, whether or not anything arrived afterwards. So the silence of an engine that had ended cleared the prompt that had ended it, and kept it out of the suspects: missing evidence taken for proof of the contrary.

Change: more of the answer must have been read after that time, or the answer be complete.

Two tests said that a run is well under way without recording any bytes after the first event; they now record them, and the new verify_an_answer_of_which_nothing_more_is_read_proves_nothing fails with the old code (the part "01" is among the survivors).

--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -134,6 +134,7 @@
     first_event: Option<Time>,
     /// When more of the answer was last read.
     read: Option<Time>,
+    is_complete: bool,
 }
 
 impl Run {
@@ -145,8 +146,10 @@
         self.read.filter(|read| *read >= at + READ_DELAY)
     }
 
+    /// Returns when the answer was well under way, if more of it was read since or it is complete.
     fn under_way_at(&self, options: &RunOptions) -> Option<Time> {
-        self.first_event.map(|at| at + options.under_way_after)
+        let at = self.first_event? + options.under_way_after;
+        (self.is_complete || self.read >= Some(at)).then_some(at)
     }
 
     fn to_crashed(&self, at: Time, is_answered: bool) -> CrashedRun {
@@ -262,6 +265,7 @@
             head: None,
             first_event: None,
             read: None,
+            is_complete: false,
         };
         self.running.insert(id, run);
         id
@@ -296,6 +300,7 @@
         if let Some(mut run) = self.running.remove(&id) {
             if end == RunEnd::Complete {
                 run.read = Some(now);
+                run.is_complete = true;
             }
             let under_way_at = run.under_way_at(&self.options);
             if end == RunEnd::Complete || under_way_at.is_some_and(|at| at <= now) {
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -54,6 +54,7 @@
     let old = start(&mut runs, "01", 0, Some(100));
     let young = start(&mut runs, "02", 700, Some(100));
     let waiting = start(&mut runs, "03", 800, None);
+    runs.record_bytes(old, at(890));
     for run in [old, young, waiting] {
         runs.end(run, RunEnd::Broken, at(900));
     }
@@ -92,6 +93,23 @@
     assert_eq!(survivors(&runs, 510), [part("01")]);
 }
 
+/// Guards against a part that counts as survived as its engine, which is silent, has not been
+/// noticed to have ended.
+#[test]
+fn verify_an_answer_of_which_nothing_more_is_read_proves_nothing() {
+    let mut runs = RunLog::default();
+    let silent = start(&mut runs, "01", 0, Some(10));
+    let other = start(&mut runs, "02", 0, Some(10));
+    runs.record_bytes(silent, at(500));
+    runs.record_bytes(other, at(510));
+    assert_eq!(survivors(&runs, 2_000), [part("02")]);
+    let keys: Vec<_> = runs.under_way(at(2_000)).collect();
+    assert_eq!(keys.len(), 1);
+    runs.end(silent, RunEnd::Broken, at(3_000));
+    assert_eq!(survivors(&runs, 4_000), [part("02")]);
+    assert_eq!(crash_suspects(&mut runs, 3_005), [(part("01"), true)]);
+}
+
 #[test]
 fn verify_answers_given_up_early_prove_nothing() {
     let mut runs = RunLog::default();
@@ -106,7 +124,8 @@
 fn verify_a_later_process_with_the_same_hash_has_survivors() {
     let mut runs = RunLog::default();
     runs.record_crash(ENGINE, at(0));
-    start(&mut runs, "01", 1_000, Some(10));
+    let run = start(&mut runs, "01", 1_000, Some(10));
+    runs.record_bytes(run, at(1_520));
     assert_eq!(survivors(&runs, 1_600), [part("01")]);
 }
 
