Ask upstreams that are silent while they owe an answer

Cause: only a lost connection led to a check. A host that drops everything loses none, so its end was noticed seconds later, when the prompt that had caused it was no suspect any more.

Change: an upstream from which nothing has arrived for longer than a sound one is silent, and that owes an answer, is asked for its report, at most every two seconds, and suspected without an answer. Ruled out: taking silence alone for the end (a long prefill is silent too), starting its runs again elsewhere.

--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -1,4 +1,4 @@
-//! What is known of a process after a connection to it was lost.
+//! What is known of a process after a connection to it was lost, or while it is silent.
 //!
 //! A connection may be reset alone, and a host may accept connections for a process that has
 //! ended. So neither a lost connection nor an accepted one is conclusive: only an answer that was
@@ -25,6 +25,8 @@
     pub max_silence: Duration,
     /// The time from the first check to the second. It doubles with each further check.
     pub check_interval: Duration,
+    /// The time between two checks of a process that is silent for long.
+    pub silence_interval: Duration,
     /// The time after the loss in which the process is checked. One that closes its connections
     /// may end some time later.
     pub watch_time: Duration,
@@ -36,6 +38,7 @@
             doubt_time: Duration::from_millis(25),
             max_silence: Duration::from_millis(1_200),
             check_interval: Duration::from_millis(60),
+            silence_interval: Duration::from_secs(2),
             watch_time: Duration::from_secs(4),
         }
     }
@@ -101,6 +104,8 @@
 pub struct Loss {
     options: LossOptions,
     at: Time,
+    /// Whether any sign of life ends the checks.
+    is_silence: bool,
     checks: u32,
     is_suspected: bool,
     is_settled: bool,
@@ -113,12 +118,34 @@
         Self {
             options,
             at,
+            is_silence: false,
             checks: 0,
             is_suspected: false,
             is_settled: false,
         }
     }
 
+    /// Returns the state of a process that is found to be silent at `at`, though no connection to it
+    /// was lost.
+    ///
+    /// ```
+    /// use limpetsaddle_core::units::Time;
+    /// use limpetsaddle_fleet::loss::LifeSign;
+    /// use limpetsaddle_fleet::loss::Loss;
+    /// use limpetsaddle_fleet::loss::LossOptions;
+    ///
+    /// let mut loss = Loss::of_silence(LossOptions::default(), Time::ZERO);
+    /// assert_eq!(loss.record(LifeSign::Answered), None);
+    /// assert_eq!(loss.next_check(Time::ZERO), None);
+    /// ```
+    #[must_use]
+    pub const fn of_silence(options: LossOptions, at: Time) -> Self {
+        Self {
+            is_silence: true,
+            ..Self::new(options, at)
+        }
+    }
+
     /// Returns when the connection was lost.
     #[must_use]
     pub const fn at(&self) -> Time {
@@ -139,7 +166,7 @@
                 Some(LossChange::Suspected)
             }
             LifeSign::Answered | LifeSign::Continued => {
-                self.is_settled = matches!(sign, LifeSign::Continued);
+                self.is_settled = self.is_silence || matches!(sign, LifeSign::Continued);
                 let was_suspected = std::mem::replace(&mut self.is_suspected, false);
                 if was_suspected {
                     Some(LossChange::Withdrawn)
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -386,6 +386,20 @@
         running.any(|run| run.alive_since(at).is_some())
     }
 
+    /// Returns the processes that owe an answer and have shown no sign of life for `silence`.
+    #[must_use]
+    pub fn silent(&self, silence: Duration, now: Time) -> BTreeSet<u64> {
+        let running = self.running.values();
+        let waiting = running.filter(|run| {
+            let progress = run.read.map_or(run.sent, |read| read.max(run.sent));
+            now.since(progress) >= silence
+        });
+        let processes: BTreeSet<u64> = waiting.map(|run| run.process).collect();
+        let since = Time::from_origin(now.since_origin().saturating_sub(silence));
+        let is_silent = |process: &u64| self.alive_since(*process, since).is_none();
+        processes.into_iter().filter(is_silent).collect()
+    }
+
     /// Returns the number of requests in progress at a process that were sent until `at`.
     #[must_use]
     pub fn running_since(&self, process: u64, at: Time) -> usize {
--- a/crates/fleet/tests/loss.rs
+++ b/crates/fleet/tests/loss.rs
@@ -71,6 +71,17 @@
     assert_eq!(checks, [Duration::ZERO]);
 }
 
+#[test]
+fn verify_any_sign_of_life_ends_the_checks_of_a_silent_process() {
+    for sign in [LifeSign::Answered, LifeSign::Continued] {
+        let mut loss = Loss::of_silence(LossOptions::default(), LOST);
+        assert_eq!(loss.record(LifeSign::Missing), Some(LossChange::Suspected));
+        assert!(loss.next_check(LOST).is_some());
+        assert_eq!(loss.record(sign), Some(LossChange::Withdrawn));
+        assert_eq!(loss.next_check(LOST), None);
+    }
+}
+
 const END: AnswerEnd = AnswerEnd {
     age: Duration::from_millis(25),
     left: Duration::from_secs(5),
--- a/crates/fleet/tests/suspicion.rs
+++ b/crates/fleet/tests/suspicion.rs
@@ -236,3 +236,24 @@
     assert!(runs.has_continued(7, at(100)));
     assert_eq!(runs.running_since(7, at(100)), 1);
 }
+
+#[test]
+fn verify_a_process_is_silent_only_if_nothing_arrives_from_it() {
+    let silence = Duration::from_millis(MAX_SILENCE);
+    let mut runs = RunLog::default();
+    let waiting = runs.start(7, &run_of(1, None), at(0));
+    let other = runs.start(8, &run_of(2, None), at(0));
+    assert!(runs.silent(silence, at(1_190)).is_empty());
+    assert_eq!(runs.silent(silence, at(1_210)).len(), 2);
+    runs.record_head(other, at(1_205));
+    assert!(runs.silent(silence, at(1_210)).contains(&7));
+    assert!(!runs.silent(silence, at(1_210)).contains(&8));
+    // An answer to a later request shows that the process lives, though the first one waits.
+    let later = runs.start(7, &run_of(3, None), at(1_500));
+    runs.record_head(later, at(1_520));
+    assert!(!runs.silent(silence, at(1_600)).contains(&7));
+    runs.end(later, RunEnd::Complete, at(1_530));
+    assert!(runs.silent(silence, at(2_800)).contains(&7));
+    runs.end(waiting, RunEnd::Complete, at(2_810));
+    assert!(!runs.silent(silence, at(2_820)).contains(&7));
+}
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -47,6 +47,8 @@
     /// The number of answers of each process that have ended with their connections, and are held
     /// until it is known whether they are complete.
     held: RefCell<HashMap<u64, usize>>,
+    /// When processes that are silent were last checked.
+    silent: RefCell<HashMap<u64, Time>>,
 }
 
 /// Counts an answer as held until it is dropped.
@@ -138,7 +140,7 @@
     if process.is_leaving(instance) {
         return end;
     }
-    let mut all = instance.losses.checked.borrow_mut();
+    let all = instance.losses.checked.borrow();
     if let Some(tx) = all.get(&hash) {
         if tx.unbounded_send(checked).is_err() {
             let upstream = &process.incarnation.upstream;
@@ -146,24 +148,58 @@
         }
         return end;
     }
+    drop(all);
+    let loss = Loss::new(LossOptions::default(), instance.now());
+    start_watch(instance, process, loss, vec![checked]);
+    end
+}
+
+/// Checks the upstreams that owe an answer and have been silent for longer than a sound one. One
+/// whose host drops everything loses no connection.
+pub fn check_silent(instance: &Rc<FleetInstance>) {
+    let options = LossOptions::default();
+    let now = instance.now();
+    let silent = instance.runs.borrow().silent(options.max_silence, now);
+    let mut known = instance.losses.silent.borrow_mut();
+    known.retain(|_, at| now.since(*at) < options.silence_interval);
+    for hash in silent {
+        let is_checked = instance.losses.checked.borrow().contains_key(&hash);
+        if is_checked || known.contains_key(&hash) {
+            continue;
+        }
+        known.insert(hash, now);
+        let process = Process::find(instance, hash);
+        if let Some(process) = process.filter(|process| !process.is_leaving(instance)) {
+            start_watch(
+                instance,
+                process,
+                Loss::of_silence(options, now),
+                Vec::new(),
+            );
+        }
+    }
+}
+
+/// Starts the checks of a process, which has none.
+fn start_watch(instance: &Rc<FleetInstance>, process: Process, loss: Loss, waiting: Waiting) {
+    let hash = process.hash();
     let (tx, rx) = mpsc::unbounded();
-    all.insert(hash, tx);
+    instance.losses.checked.borrow_mut().insert(hash, tx);
     let instance = Rc::clone(instance);
     monoio::spawn(async move {
-        watch(&instance, &process, vec![checked], rx).await;
+        watch(&instance, &process, loss, waiting, rx).await;
         instance.losses.checked.borrow_mut().remove(&hash);
     });
-    end
 }
 
 /// Checks a process until it is known whether it lives on, or for the longest time.
 async fn watch(
     instance: &FleetInstance,
     process: &Process,
+    mut loss: Loss,
     mut waiting: Waiting,
     mut losses: mpsc::UnboundedReceiver<oneshot::Sender<()>>,
 ) {
-    let mut loss = Loss::new(LossOptions::default(), instance.now());
     loop {
         check(instance, process, &mut loss, waiting).await;
         let now = instance.now();
--- a/crates/router/src/fleet/life_signs.rs
+++ b/crates/router/src/fleet/life_signs.rs
@@ -31,6 +31,17 @@
         })
     }
 
+    /// Returns the registered process with a hash.
+    pub fn find(instance: &FleetInstance, hash: u64) -> Option<Self> {
+        let upstreams = instance.upstreams.borrow();
+        let mut rows = upstreams.iter();
+        let row = rows.find(|row| row.entry.incarnation().process() == hash)?;
+        Self::of(&Recipient::Upstream {
+            incarnation: row.entry.incarnation(),
+            address: row.entry.address,
+        })
+    }
+
     /// Returns the hash by which the fleet names the process.
     pub fn hash(&self) -> u64 {
         self.incarnation.process()
--- a/crates/router/src/fleet/quarantine.rs
+++ b/crates/router/src/fleet/quarantine.rs
@@ -18,6 +18,7 @@
 use log::warn;
 use serde::Serialize;
 
+use super::crashes;
 use super::instance::FleetInstance;
 use crate::clock::millis;
 use crate::clock::time_of_day;
@@ -82,6 +83,7 @@
 /// Reviews the evidence, and writes the record, until the instance stops.
 pub async fn run(instance: Rc<FleetInstance>, stopping: Stopping) {
     while stopping.pause(REVIEW_INTERVAL).await {
+        crashes::check_silent(&instance);
         review(&instance);
         if is_write_due(&instance) && !write(&instance).await {
             stopping.pause(WRITE_RETRY_PAUSE).await;
