Check a process once for all connections that it loses at one moment

Cause (found by reading): each lost connection had the process asked anew, so that a grey upstream that resets many would get as many requests for reports, and each such check doubled the pause to the next one, so that the checks for a later end became few.

Change: connections that were lost since the last check share the next one, and the pause between two checks follows from the time since the first loss. A closed channel ends the checks.

verify_a_process_is_checked_for_some_seconds holds as before: seven checks of a process that answers, in four seconds.

--- a/.ci/weaken.py
+++ b/.ci/weaken.py
@@ -213,7 +213,7 @@
      "let may_be_ending = self.open == 0 &&", "let may_be_ending = self.open == usize::MAX &&",
      "platform-wire", "unframed", "whatever_its_host_does"),
     ("a process without a sign of life lives on", FLEET + "loss.rs",
-     "LifeSign::Missing if self.is_suspected => None,", "LifeSign::Missing if self.checks < 99 => None,",
+     "LifeSign::Missing if self.is_suspected => None,", "LifeSign::Missing if self.at >= Time::ZERO => None,",
      "platform-wire", "crashing_prompts", "whatever_their_hosts_do::hang"),
     ("silence is no reason to ask", FLEET + "runs.rs",
      "now.since(progress) >= silence", "now.since(progress) >= silence * 99",
--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -23,7 +23,7 @@
     pub doubt_time: Duration,
     /// The longest silence of a sound process.
     pub max_silence: Duration,
-    /// The time from the first check to the second. It doubles with each further check.
+    /// The least time between two checks, unless another connection is lost.
     pub check_interval: Duration,
     /// The time between two checks of a process that is silent for long.
     pub silence_interval: Duration,
@@ -106,7 +106,6 @@
     at: Time,
     /// Whether any sign of life ends the checks.
     is_silence: bool,
-    checks: u32,
     is_suspected: bool,
     is_settled: bool,
 }
@@ -119,7 +118,6 @@
             options,
             at,
             is_silence: false,
-            checks: 0,
             is_suspected: false,
             is_settled: false,
         }
@@ -178,15 +176,12 @@
     }
 
     /// Returns the time of the check after one that has ended at `now`, or `None` if there is
-    /// none.
-    pub fn next_check(&mut self, now: Time) -> Option<Time> {
-        if self.is_settled {
-            return None;
-        }
-        let interval = self.options.check_interval * 2_u32.saturating_pow(self.checks);
-        self.checks += 1;
-        let next = now + interval.min(self.options.watch_time);
-        (next.since(self.at) <= self.options.watch_time).then_some(next)
+    /// none. The time since the loss doubles from one check to the next.
+    #[must_use]
+    pub fn next_check(&self, now: Time) -> Option<Time> {
+        let next = now + now.since(self.at).max(self.options.check_interval);
+        let is_due = !self.is_settled && next.since(self.at) <= self.options.watch_time;
+        is_due.then_some(next)
     }
 }
 
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -206,9 +206,18 @@
         let Some(next) = loss.next_check(now) else {
             return;
         };
-        // A further loss is checked at once.
-        let further = monoio::time::timeout(next.since(now), losses.next()).await;
-        waiting = further.ok().flatten().into_iter().collect();
+        waiting = match monoio::time::timeout(next.since(now), losses.next()).await {
+            // Further losses are checked at once, all together.
+            Ok(Some(first)) => {
+                let mut all = vec![first];
+                while let Ok(another) = losses.try_recv() {
+                    all.push(another);
+                }
+                all
+            }
+            Ok(None) => return,
+            Err(_) => Vec::new(),
+        };
     }
 }
 
