--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -311,8 +311,11 @@
         let is_near = |crash: &&Crash| {
             first.since(crash.at) < options.answered_time && crash.at >= self.complete_from
         };
+        // An upstream that is only suspected to have ended is no evidence of another cause.
         let is_absent = |crash: &&Crash| {
-            !crash.involves(part, onset) && !crash.involves_request(explained.requests)
+            crash.is_certain(options, now)
+                && !crash.involves(part, onset)
+                && !crash.involves_request(explained.requests)
         };
         let absent = open().filter(is_near).filter(is_absent);
         let absent: Vec<&Crash> = absent.collect();
