Take the first upstream that is reached as the answer to whether this instance is cut off

Cause (by reading): the check waited for all three connections, so that one host that drops them held up the record of another's end by the time limit to connect.

Change: the first connection that stays open decides.

--- a/crates/router/src/fleet/reach.rs
+++ b/crates/router/src/fleet/reach.rs
@@ -8,8 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::StreamExt as _;
 use futures::future::Either;
-use futures::future::join_all;
+use futures::stream::FuturesUnordered;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::heartbeat::name_hash;
@@ -255,6 +256,12 @@
         rows.take(LOOKED_AT).map(recipient).collect()
     };
     let reach = |recipient| instance.upstream_client.reaches(instance, recipient);
-    let reached = join_all(recipients.iter().map(reach)).await;
-    reached.contains(&true)
+    let mut reached: FuturesUnordered<_> = recipients.iter().map(reach).collect();
+    // A host that drops connections must not hold up the others.
+    while let Some(is_reached) = reached.next().await {
+        if is_reached {
+            return true;
+        }
+    }
+    false
 }
