Let an end outweigh what is read late from earlier connections

Cause (by reading): bytes that an older connection delivered 50 ms after the loss were taken for life, and ended the checks before the upstream was asked at all. An instance with little processor time reads what was sent before an end as late as that: missing evidence of the end taken for proof of life once more, by the mend itself.

Change: the upstream is always asked, and a refusal outweighs all else. Late bytes count from 250 ms on, and alone they only withdraw a suspicion; the checks go on, so that a later refusal still confirms the end.

verify_an_answer_from_before_the_loss_withdraws_nothing (bytes read after 200 ms) and verify_a_process_is_alive_only_by_what_was_sent_after fail on; verify_an_end_outweighs_what_is_read_from_earlier_connections needs the new function.

--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -47,9 +47,10 @@
 /// What a check shows of a process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LifeSign {
-    /// The process has answered a request that was sent during the check.
+    /// The process has answered a request that was sent during the check, or gone on with an
+    /// earlier answer.
     Answered,
-    /// A connection from before the loss has delivered more of an answer since.
+    /// It has done both.
     Continued,
     /// The process has ended: its host refuses connections, or another process answers.
     Ended,
@@ -58,6 +59,25 @@
 }
 
 impl LifeSign {
+    /// Returns what the result of a request shows if a connection from before the loss `goes_on`.
+    ///
+    /// An end outweighs what is read from such a connection, which may have been sent before.
+    ///
+    /// ```
+    /// use limpetsaddle_fleet::loss::LifeSign;
+    ///
+    /// assert_eq!(LifeSign::Missing.beside(true), LifeSign::Answered);
+    /// assert_eq!(LifeSign::Ended.beside(true), LifeSign::Ended);
+    /// ```
+    #[must_use]
+    pub const fn beside(self, goes_on: bool) -> Self {
+        match self {
+            Self::Answered if goes_on => Self::Continued,
+            Self::Missing if goes_on => Self::Answered,
+            Self::Answered | Self::Continued | Self::Ended | Self::Missing => self,
+        }
+    }
+
     /// Returns the name in logs and metrics.
     #[must_use]
     pub const fn code(self) -> &'static str {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -53,8 +53,9 @@
 /// The time by which instances may differ on when a process has ended.
 const TIME_TOLERANCE: Duration = Duration::from_millis(50);
 
-/// The time for which bytes that a process has sent before its end may take to be read.
-const READ_DELAY: Duration = Duration::from_millis(50);
+/// The time for which bytes that a process has sent before its end may take to be read, by an
+/// instance that gets little processor time.
+const READ_DELAY: Duration = Duration::from_millis(250);
 
 /// The number of a run on this instance.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/crates/fleet/tests/loss.rs
+++ b/crates/fleet/tests/loss.rs
@@ -65,6 +65,20 @@
     assert!(checks.len() <= 8, "{checks:?}");
 }
 
+/// Guards against bytes from before an end that outweigh the end.
+#[test]
+fn verify_an_end_outweighs_what_is_read_from_earlier_connections() {
+    for goes_on in [false, true] {
+        assert_eq!(LifeSign::Ended.beside(goes_on), LifeSign::Ended);
+    }
+    let mut loss = Loss::new(LossOptions::default(), LOST);
+    loss.record(LifeSign::Missing);
+    let change = loss.record(LifeSign::Missing.beside(true));
+    assert_eq!(change, Some(LossChange::Withdrawn));
+    assert!(loss.next_check(LOST).is_some(), "it may have ended still");
+    assert_eq!(loss.record(LifeSign::Ended), Some(LossChange::Confirmed));
+}
+
 #[test]
 fn verify_a_connection_that_goes_on_ends_the_checks() {
     let checks = checks(LifeSign::Continued, Duration::from_millis(2));
--- a/crates/fleet/tests/suspicion.rs
+++ b/crates/fleet/tests/suspicion.rs
@@ -137,6 +137,8 @@
     }
 }
 
+/// Guards against an instance with little processor time that reads what was sent before an end
+/// after it has noticed the end, and takes that for a sign of life.
 #[test]
 fn verify_an_answer_from_before_the_loss_withdraws_nothing() {
     let mut instance = Instance::new();
@@ -147,7 +149,7 @@
         let run = instance
             .runs
             .start(process, &run_of(50, None), at(0).min(at(lost)));
-        instance.runs.record_head(run, at(lost + 20));
+        instance.runs.record_head(run, at(lost + 200));
     }
     instance.review(4_000);
     assert!(instance.withholds());
@@ -231,8 +233,10 @@
     runs.record_head(new, at(130));
     assert_eq!(runs.alive_since(7, at(100)), Some(at(120)));
     assert!(!runs.has_continued(7, at(100)));
-    runs.record_bytes(old, at(160));
-    assert_eq!(runs.alive_since(7, at(100)), Some(at(160)));
+    runs.record_bytes(old, at(340));
+    assert!(!runs.has_continued(7, at(100)));
+    runs.record_bytes(old, at(360));
+    assert_eq!(runs.alive_since(7, at(100)), Some(at(360)));
     assert!(runs.has_continued(7, at(100)));
     assert_eq!(runs.running_since(7, at(100)), 1);
 }
--- a/crates/router/src/fleet/life_signs.rs
+++ b/crates/router/src/fleet/life_signs.rs
@@ -55,15 +55,12 @@
     }
 }
 
-/// Asks a process for its report, unless a connection from before `lost` has delivered more of an
-/// answer since. Waits for the answer without a limit.
+/// Asks a process for its report after a connection was lost at `lost`. Waits for the answer without
+/// a limit.
 ///
 /// A process that rests, or that limits all instances and has no permit for this one, gets no
 /// request: a connection to it shows no more than whether its host refuses it.
 pub async fn ask(instance: &FleetInstance, process: &Process, lost: Time) -> LifeSign {
-    if has_continued(instance, process, lost) {
-        return LifeSign::Continued;
-    }
     let asked = instance.upstream_client.ask(instance, process).await;
     let sign = match asked {
         Ok(Some(res)) => read(instance, process, res).await,
@@ -76,18 +73,13 @@
             LifeSign::Missing
         }
     };
-    let sign = match sign {
-        LifeSign::Missing | LifeSign::Answered if has_continued(instance, process, lost) => {
-            LifeSign::Continued
-        }
-        _ => sign,
-    };
+    let sign = sign.beside(has_continued(instance, process, lost));
     instance.metrics.record_life_check(sign.code());
     sign
 }
 
 /// Returns whether a connection to a process from before `lost` has delivered more since.
-pub fn has_continued(instance: &FleetInstance, process: &Process, lost: Time) -> bool {
+fn has_continued(instance: &FleetInstance, process: &Process, lost: Time) -> bool {
     let runs = instance.runs.borrow();
     runs.has_continued(process.hash(), lost)
 }
