--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -1,4 +1,4 @@
-//! What is known of a process after a connection to it was lost, or while it is silent.
+//! Evidence of whether a process lives on after a connection to it was lost, or while it is silent.
 //!
 //! A connection may be reset alone, and a host may accept connections for a process that has
 //! ended. So neither a lost connection nor an accepted one is conclusive: only an answer that was
@@ -205,7 +205,7 @@
     }
 }
 
-/// What is known of the process whose answer has ended together with its connection.
+/// Evidence of whether a process lives on whose answer has ended together with its connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AnswerEnd {
     /// The time since then.
@@ -227,7 +227,7 @@
     Complete,
     /// It isn't, or that can't be told.
     BrokenOff,
-    /// The process is to be asked again after this time.
+    /// The process must be asked again after this time.
     AskAgain(Duration),
 }
 
--- a/crates/fleet/tests/loss.rs
+++ b/crates/fleet/tests/loss.rs
@@ -1,4 +1,4 @@
-//! What is known of a process after a connection to it was lost.
+//! Evidence of whether a process lives on after a connection to it was lost.
 
 use std::time::Duration;
 
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -205,7 +205,7 @@
     }
 
     /// Asks a process for its report, whether it takes requests of callers or not. Returns `None`
-    /// if it accepts a connection but is to get no request now.
+    /// if it accepts a connection but may not be called now.
     ///
     /// # Errors
     ///
