Name team and route in the log of refusals before placement

Cause: a refusal of accept() carried only its reason, so the log line of a request over its team's limit had an empty team and route, and operators could not tell who was refused. Change: such refusals carry route and team as far as they are known by then. Result: verify_the_log_of_a_refusal_over_the_limit_names_team_and_route failed before (empty team) and passes.

--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -82,8 +82,13 @@
             from_peer: sender == Sender::Peer,
             ..accepted
         },
-        Err(refusal) => {
-            log_refusal(instance, id.as_deref(), None, &refusal, arrived);
+        Err(Declined {
+            refusal,
+            route,
+            team,
+        }) => {
+            let names = Names::new(route.as_deref(), team.as_deref());
+            log_refusal(instance, id.as_deref(), &names, &refusal, arrived);
             return refuse(instance, conn, &refusal, id.as_deref(), sender).await;
         }
     };
@@ -98,7 +103,8 @@
                 let mut limits = instance.limits.borrow_mut();
                 limits.refund(&team.name, accepted.cost);
             }
-            log_refusal(instance, id.as_deref(), Some(&accepted), &refusal, arrived);
+            let names = Names::new(Some(&accepted.route), accepted.team.as_deref());
+            log_refusal(instance, id.as_deref(), &names, &refusal, arrived);
             refuse(instance, conn, &refusal, id.as_deref(), sender).await
         }
     }
@@ -120,10 +126,44 @@
     conn.respond(res).await.is_ok()
 }
 
+/// A request that is refused before it is forwarded.
+struct Declined {
+    refusal: Refusal,
+    /// The route, if it is known by then.
+    route: Option<Rc<Route>>,
+    /// The team, if it is known by then.
+    team: Option<Rc<Team>>,
+}
+
+impl From<Refusal> for Declined {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            route: None,
+            team: None,
+        }
+    }
+}
+
+/// The names of a request's route and team in logs; empty if they are unknown.
+struct Names<'a> {
+    route: &'a str,
+    team: &'a str,
+}
+
+impl<'a> Names<'a> {
+    fn new(route: Option<&'a Route>, team: Option<&'a Team>) -> Self {
+        Self {
+            route: route.map_or("", |route| &route.name),
+            team: team.map_or("", |team| &team.name),
+        }
+    }
+}
+
 fn log_refusal(
     instance: &FleetInstance,
     id: Option<&str>,
-    accepted: Option<&AcceptedRequest>,
+    names: &Names<'_>,
     refusal: &Refusal,
     arrived: Time,
 ) {
@@ -131,16 +171,13 @@
     let configuration = instance.configuration().map_or(0, |c| c.version);
     let age = instance.freshness.borrow().age(now);
     let age_ms = age.map_or(u64::MAX, millis);
-    let route = accepted.map_or("", |a| &a.route.name);
-    let team = accepted.and_then(|a| a.team.as_ref());
-    let team = team.map_or("", |team| &team.name);
     info!(
         id = id.unwrap_or_default(),
         reason = refusal.reason.code(),
         status = refusal.reason.status(),
         retry_after_ms = millis(refusal.retry_after.unwrap_or_default()),
-        route,
-        team,
+        route = names.route,
+        team = names.team,
         configuration,
         configuration_age_ms = age_ms,
         after_ms = millis(now.since(arrived));
@@ -155,12 +192,14 @@
     req: &Request,
     begun: Time,
     arrived: Time,
-) -> Result<AcceptedRequest, Refusal> {
+) -> Result<AcceptedRequest, Declined> {
     if instance.remaining_accept_time().is_zero() {
-        return Err(Refusal::new(Reason::Stopping).retry_after(STOPPING_RETRY_AFTER));
+        let refusal = Refusal::new(Reason::Stopping).retry_after(STOPPING_RETRY_AFTER);
+        return Err(refusal.into());
     }
     let Some(configuration) = instance.configuration() else {
-        return Err(Refusal::new(Reason::NotReady).retry_after(NOT_READY_RETRY_AFTER));
+        let refusal = Refusal::new(Reason::NotReady).retry_after(NOT_READY_RETRY_AFTER);
+        return Err(refusal.into());
     };
     let fields =
         headers::request_fields(req.headers()).map_err(|_| Refusal::new(Reason::BadRequest))?;
@@ -168,7 +207,7 @@
     let stale = Refusal::new(Reason::StaleConfiguration).retry_after(NOT_READY_RETRY_AFTER);
     let reliance = instance.reliance();
     if reliance == Reliance::Outdated {
-        return Err(stale);
+        return Err(stale.into());
     }
     // A route or a key that is missing here may exist in a newer configuration.
     let missing = |reason| match reliance {
@@ -178,15 +217,20 @@
     let host = host(req).ok_or(Refusal::new(Reason::BadRequest))?;
     let route = configuration.route(&host, req.uri().path()).cloned();
     let route = route.ok_or_else(|| missing(Reason::NoRoute))?;
+    let decline = |refusal, team| Declined {
+        refusal,
+        route: Some(Rc::clone(&route)),
+        team,
+    };
     let needs_key = configuration.has_teams() && !route.public;
     let key = fields.key.as_deref();
     let team = key.and_then(|key| configuration.team_of(key)).cloned();
     if needs_key {
         if team.is_none() {
-            return Err(missing(Reason::UnknownKey));
+            return Err(decline(missing(Reason::UnknownKey), None));
         }
         if !trusted {
-            return Err(stale);
+            return Err(decline(stale, team));
         }
     }
     // A key on a public route is charged to its team only while it is trusted.
@@ -194,7 +238,10 @@
     let cost = team.as_ref().map_or(0, |team| cost(team, &fields));
     if let Some(team) = &team {
         let charged = instance.charge(team, cost, arrived);
-        charged.map_err(|wait| Refusal::new(Reason::OverLimit).retry_after(wait))?;
+        charged.map_err(|wait| {
+            let refusal = Refusal::new(Reason::OverLimit).retry_after(wait);
+            decline(refusal, Some(Rc::clone(team)))
+        })?;
     }
     let timeout = fields.timeout.unwrap_or(route.timeout);
     Ok(AcceptedRequest {
