Read contracts and resources, and let heartbeats carry sections

Cause: optional behaviour needs switches, bounds and the memory and descriptors of an instance, none of which were read, and several parts need to add reports to heartbeats. Change: settings hold the features that contracts ask for, the bounds of canary rollouts and the instance's resources. A heartbeat ends with tagged sections of at most 4 KiB, which instances without them ignore. Nothing uses them yet.

--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -3,6 +3,8 @@
 //! It repeats totals since the sender's start, so lost or duplicated datagrams are
 //! harmless.
 
+mod section;
+
 use std::time::Duration;
 
 use limpetsaddle_core::hash::stable_hash;
@@ -21,6 +23,10 @@
 use crate::store_reads::StoreRead;
 use crate::weights::VersionAge;
 
+pub use self::section::MAX_SECTION_BYTES;
+pub use self::section::SectionKind;
+pub use self::section::Sections;
+
 /// The version of the message's layout; heartbeats with another layout are dropped.
 const LAYOUT: u8 = 10;
 
@@ -280,6 +286,9 @@
     /// The services that the sender reaches or fails to reach. They follow the read.
     #[serde(skip)]
     pub reach: ReachReport,
+    /// The reports of optional behaviour. They follow the reached services.
+    #[serde(skip)]
+    pub sections: Sections,
 }
 
 /// The reason for which a heartbeat cannot be encoded or decoded.
@@ -294,6 +303,14 @@
         /// The sender's layout.
         layout: u8,
     },
+    /// A section is too long.
+    #[error("section {kind} of the heartbeat has {bytes} bytes, more than {MAX_SECTION_BYTES}")]
+    OversizedSection {
+        /// The number of the section's kind.
+        kind: u8,
+        /// The size of its content.
+        bytes: usize,
+    },
     /// The datagram is an invalid report of crashes.
     #[error(transparent)]
     Report(#[from] ReportError),
@@ -330,6 +347,10 @@
     /// ```
     pub fn encode(&self) -> Result<EncodedHeartbeat, HeartbeatError> {
         let extension = match self.read {
+            read if !self.sections.is_empty() => {
+                let read = read.unwrap_or(StoreReadReport::NONE);
+                postcard::to_stdvec(&(&self.ages, read, &self.reach, &self.sections))?
+            }
             Some(read) if self.reach.is_empty() => postcard::to_stdvec(&(&self.ages, read))?,
             read if !self.reach.is_empty() => {
                 let read = read.unwrap_or(StoreReadReport::NONE);
@@ -364,8 +385,13 @@
                 let (read, rest) = postcard::take_from_bytes(rest)?;
                 heartbeat.read = Some(read).filter(|read| *read != StoreReadReport::NONE);
                 if !rest.is_empty() {
-                    heartbeat.reach = postcard::from_bytes(rest)?;
+                    let (reach, rest) = postcard::take_from_bytes(rest)?;
+                    heartbeat.reach = reach;
                     heartbeat.reach.truncate();
+                    if !rest.is_empty() {
+                        heartbeat.sections = postcard::from_bytes(rest)?;
+                        heartbeat.sections.truncate();
+                    }
                 }
             }
         }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -32,6 +32,47 @@
     pub max_weights_age: Duration,
     /// The time after an instance's start in which bounds on time don't hold for it.
     pub start_grace: Duration,
+    /// The limits for canary rollouts.
+    pub canary: CanaryBounds,
+}
+
+/// The limits for the canary rollout of a service's software.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CanaryBounds {
+    /// The fraction of a service's requests that a version may get before it is judged.
+    pub exposure_share: f64,
+    /// The requests that it may get beyond that, at all instances together.
+    pub exposure_slack: f64,
+    /// The time after the evidence against a version from which it gets no requests.
+    pub rollback: Duration,
+}
+
+impl Default for CanaryBounds {
+    fn default() -> Self {
+        Self {
+            exposure_share: 0.1,
+            exposure_slack: 50.0,
+            rollback: Duration::from_secs(5),
+        }
+    }
+}
+
+/// The optional behaviour that the operators have switched on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Features {
+    /// Operators order rollouts of the software of services.
+    pub rollouts: bool,
+    /// Requests compete for the room at upstreams, and both sides may read slowly.
+    pub pressure: bool,
+}
+
+/// The resources of an instance, where its platform states them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Resources {
+    /// The memory in bytes beyond which the process is killed.
+    pub memory_bytes: Option<u64>,
+    /// The number of file descriptors that the process may have open.
+    pub max_descriptors: Option<u64>,
 }
 
 impl Default for Bounds {
@@ -48,6 +89,7 @@
             order_handover: Duration::from_secs(3),
             max_weights_age: Duration::from_secs(6),
             start_grace: Duration::from_secs(3),
+            canary: CanaryBounds::default(),
         }
     }
 }
@@ -71,4 +113,8 @@
     pub store: SocketAddr,
     /// The limits for the fleet's behaviour.
     pub bounds: Bounds,
+    /// The optional behaviour that is switched on.
+    pub features: Features,
+    /// The resources of the instance.
+    pub resources: Resources,
 }
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -16,6 +16,8 @@
 use limpetsaddle_fleet::health::RequestOutcome;
 use limpetsaddle_fleet::heartbeat::Datagram;
 use limpetsaddle_fleet::heartbeat::Heartbeat;
+use limpetsaddle_fleet::heartbeat::HeartbeatError;
+use limpetsaddle_fleet::heartbeat::SectionKind;
 use limpetsaddle_fleet::heartbeat::ServiceUsage;
 use limpetsaddle_fleet::heartbeat::TeamUsage;
 use limpetsaddle_fleet::heartbeat::WeightsNotice;
@@ -30,6 +32,7 @@
 use limpetsaddle_fleet::retry_budget::RequestCounts;
 use limpetsaddle_fleet::retry_budget::RetryBudget;
 use limpetsaddle_fleet::retry_budget::RetryBudgetOptions;
+use limpetsaddle_fleet::service_reach::Reach;
 use limpetsaddle_fleet::upstreams::Phase;
 use limpetsaddle_fleet::upstreams::UpstreamEntry;
 use proptest::prelude::*;
@@ -154,6 +157,28 @@
     assert!(!other.get("e2").unwrap().is_paused(at(200)));
 }
 
+/// Guards against sections that change what instances without them read, and against reports
+/// that swell heartbeats.
+#[test]
+fn verify_sections_follow_what_other_instances_read() {
+    let mut plain = Heartbeat::new("a-1", 7, 1);
+    plain.reach.add(9, Reach::Reached);
+    let mut extended = plain.clone();
+    extended
+        .sections
+        .add(SectionKind::Speed, &vec![1_u8])
+        .unwrap();
+    let plain = plain.encode().unwrap().for_recipient(None).unwrap();
+    let bytes = extended.encode().unwrap().for_recipient(None).unwrap();
+    assert!(bytes.starts_with(&plain) && bytes.len() > plain.len());
+    assert_eq!(Heartbeat::decode(&bytes).unwrap().0, extended);
+    let oversized = extended.sections.add(SectionKind::Room, &vec![0_u8; 5_000]);
+    assert!(matches!(
+        oversized,
+        Err(HeartbeatError::OversizedSection { kind: 2, .. })
+    ));
+}
+
 #[test]
 fn verify_a_heartbeat_round_trips_and_other_datagrams_are_rejected() {
     let sent = heartbeat(3, 9);
