Rank requests by the priorities of team and route where room is scarce

Cause: a team's priority takes precedence over its routes', and where all teams have the same one, engines got the same priority for every request. In a burst of long prompts, short streams queued behind them and ran three times slower. Ruled out: slots in calm (26% in use) and processor time of instances. Change: where the contract pressure is in force, requests are ordered by the pair of both priorities, as a rank from 0 to 9 that engines get.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration: routes, services, teams and limits on callers.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -188,8 +189,16 @@
     keys: HashMap<Name, Rc<Team>>,
     hosts: HashMap<Name, Vec<Rc<Route>>>,
     kv_stores: Vec<KvStore>,
+    /// The distinct priorities of requests, the most urgent first.
+    priorities: Vec<RequestPriority>,
 }
 
+/// The priority of a request: that of its team or else of its route, then that of its route.
+type RequestPriority = (u8, u8);
+
+/// The highest rank of a request, which is the least urgent one.
+const MAX_RANK: usize = 9;
+
 impl Configuration {
     /// Returns a configuration with its lookup tables.
     ///
@@ -207,6 +216,7 @@
         services: Vec<Service>,
         teams: Vec<(Team, Vec<Name>)>,
     ) -> Self {
+        let priorities = request_priorities(&routes, &teams);
         let mut hosts: HashMap<Name, Vec<Rc<Route>>> = HashMap::new();
         for route in routes {
             let host_routes = hosts.entry(Rc::clone(&route.host)).or_default();
@@ -234,6 +244,7 @@
             keys: by_key,
             hosts,
             kv_stores,
+            priorities,
         }
     }
 
@@ -244,6 +255,19 @@
         host_routes.iter().find(|r| path.starts_with(&*r.prefix))
     }
 
+    /// Returns the position of a request among the priorities of all requests, from 0 for the
+    /// most urgent ones to 9.
+    ///
+    /// A team's priority takes precedence over the route's. Among requests of teams with the
+    /// same priority, the route's decides.
+    #[must_use]
+    pub fn rank(&self, route: &Route, team: Option<&Team>) -> u8 {
+        let priority = request_priority(route.priority, team.and_then(|team| team.priority));
+        let position = self.priorities.partition_point(|other| *other < priority);
+        let max = self.priorities.len().saturating_sub(1).max(MAX_RANK);
+        u8::try_from(position * MAX_RANK / max).unwrap_or(u8::MAX)
+    }
+
     /// Returns a service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Rc<Service>> {
@@ -286,6 +310,23 @@
     }
 }
 
+fn request_priority(route: u8, team: Option<u8>) -> RequestPriority {
+    (team.unwrap_or(route), route)
+}
+
+/// Returns the distinct priorities of requests, the most urgent first.
+fn request_priorities(routes: &[Route], teams: &[(Team, Vec<Name>)]) -> Vec<RequestPriority> {
+    let routes: BTreeSet<u8> = routes.iter().map(|route| route.priority).collect();
+    let teams = teams.iter().map(|(team, _)| team.priority);
+    let teams: BTreeSet<Option<u8>> = teams.chain([None]).collect();
+    let of_route = |route: &u8| {
+        let route = *route;
+        teams.iter().map(move |team| request_priority(route, *team))
+    };
+    let all: BTreeSet<RequestPriority> = routes.iter().flat_map(of_route).collect();
+    all.into_iter().collect()
+}
+
 /// Returns the hash of a KV store's address in heartbeats.
 #[must_use]
 pub fn store_hash(address: SocketAddr) -> u64 {
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -207,9 +207,14 @@
         self.accepted.fields.prompt.as_ref()
     }
 
-    /// Returns the priority of the team, or else of the route.
+    /// Returns the priority of the team, or else of the route. Where requests compete for the
+    /// room at upstreams, it is the request's rank, by which requests of one team differ.
     fn priority(&self) -> u8 {
         let team = self.accepted.team.as_ref();
+        if self.instance.settings.features.pressure {
+            let configuration = &self.accepted.configuration;
+            return configuration.rank(&self.accepted.route, team.map(|team| &**team));
+        }
         let priority = team.and_then(|team| team.priority);
         priority.unwrap_or(self.accepted.route.priority)
     }
