Let requests contend for team limits where pressure is in force

Cause: priorities didn't count for team limits, the interval of reports was the intended one though instances with little processor time report late, and refused callers of one moment were told one time, often longer than they wait. Change: where the contract pressure is in force, teams are charged by priority, with the observed interval of reports, and an instance of which two reports are missing counts as not live for limits. Retry-After follows from the backlog and is spread within the third of the remaining time that callers honour.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use limpetsaddle_core::hash::mix;
+
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 
@@ -42,6 +44,43 @@
     Err(Refusal::new(Reason::Overloaded).retry_after(excess))
 }
 
+/// The fraction of a caller's remaining time up to which it waits before it retries.
+const HONOURED_FRACTION: f64 = 1.0 / 3.0;
+
+/// The fraction of a wait by which it is spread.
+const SPREAD_FRACTION: f64 = 0.5;
+
+/// The part of the time that a caller waits at most from which on callers are spread.
+const LATEST_FRACTION: f64 = 0.7;
+
+/// Returns the time after which a refused caller best returns, where `wait` is the time until
+/// there is room, `left` the time to the caller's deadline, and `random` spreads callers.
+///
+/// A caller waits for at most a third of the time it has left, and returns once. Where room
+/// comes later, the end of that third is the best time.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use limpetsaddle_fleet::admission::spread_retry_after;
+///
+/// let after = spread_retry_after(Duration::from_secs(1), Duration::from_secs(9), 7);
+/// assert!(after >= Duration::from_secs(1) && after <= Duration::from_millis(1_500));
+/// let after = spread_retry_after(Duration::from_secs(9), Duration::from_secs(3), 7);
+/// assert!(after >= Duration::from_millis(700) && after <= Duration::from_secs(1));
+/// ```
+#[must_use]
+pub fn spread_retry_after(wait: Duration, left: Duration, random: u64) -> Duration {
+    let honoured = left.mul_f64(HONOURED_FRACTION);
+    let least = wait
+        .max(MIN_RETRY_AFTER)
+        .min(honoured.mul_f64(LATEST_FRACTION));
+    let most = wait.max(MIN_RETRY_AFTER).mul_f64(1.0 + SPREAD_FRACTION);
+    let span = most.min(honoured).saturating_sub(least);
+    let draw = u32::try_from(mix(random) >> 40).unwrap_or(0);
+    least + span.mul_f64(f64::from(draw) / f64::from(1_u32 << 24))
+}
+
 /// The requests per slot from which a plain upstream rejects more: its queue holds about
 /// four times its slots.
 const MAX_REQUESTS_PER_SLOT: u32 = 4;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,5 +1,7 @@
 //! The other instances of the fleet, as their heartbeats report them.
 
+mod reports;
+
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -177,6 +179,8 @@
     started: Time,
     others: BTreeMap<Name, Peer>,
     live: LiveSums,
+    /// The moving average of the time between two heartbeats of a peer, in seconds.
+    mean_gap: f64,
 }
 
 impl Peers {
@@ -189,6 +193,7 @@
             started: now,
             others: BTreeMap::new(),
             live: LiveSums::default(),
+            mean_gap: 0.0,
         }
     }
 
@@ -299,7 +304,7 @@
         }
         peer.incarnation = heartbeat.incarnation;
         peer.sequence = heartbeat.sequence;
-        peer.last_heartbeat = Some(now);
+        let previous = peer.last_heartbeat.replace(now);
         peer.stamp_ms = heartbeat.stamp_ms;
         if peer.is_counted {
             self.live.subtract(&peer.upstream_loads);
@@ -311,11 +316,13 @@
         peer.reach.clone_from(&heartbeat.reach);
         self.live.add(&peer.upstream_loads);
         self.live.oldest_heartbeat.get_or_insert(now);
-        HeartbeatDelta {
+        let delta = HeartbeatDelta {
             teams: team_deltas(peer, heartbeat, was_known),
             services: service_deltas(peer, heartbeat, was_known),
             is_new: true,
-        }
+        };
+        self.record_gap(previous, now);
+        delta
     }
 
     /// Returns the time between two heartbeats in a fleet of this size.
--- a/crates/fleet/tests/limits_contention.rs
+++ b/crates/fleet/tests/limits_contention.rs
@@ -5,6 +5,7 @@
 use limpetsaddle_core::hash::mix;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::admission::spread_retry_after;
 use limpetsaddle_fleet::limits::Demand;
 use limpetsaddle_fleet::limits::LimitOptions;
 use limpetsaddle_fleet::limits::Limits;
@@ -384,3 +385,27 @@
     distinct.dedup();
     assert!(distinct.len() > 200, "{} times", distinct.len());
 }
+
+/// A caller honours a time only up to a third of what it has left; one that is told more
+/// returns with all others at the end of that third.
+#[test]
+fn verify_retry_after_is_spread_within_what_callers_honour() {
+    for (wait_ms, left_ms) in [(200, 15_000), (1_500, 5_000), (9_000, 5_000), (9_000, 300)] {
+        let wait = Duration::from_millis(wait_ms);
+        let honoured = Duration::from_millis(left_ms) / 3;
+        let left = Duration::from_millis(left_ms);
+        let spread = (0..200).map(|draw| spread_retry_after(wait, left, draw));
+        let spread: Vec<_> = spread.collect();
+        let least = spread.iter().min().copied().unwrap_or_default();
+        let most = spread.iter().max().copied().unwrap_or_default();
+        assert!(most <= honoured, "{most:?} of {left:?}");
+        assert!(
+            least >= wait.min(honoured.mul_f64(0.7)),
+            "{least:?} for {wait:?}"
+        );
+        assert!(
+            most.saturating_sub(least) >= honoured.min(wait).mul_f64(0.25),
+            "{least:?} to {most:?}"
+        );
+    }
+}
--- a/crates/fleet/tests/peer_sums.rs
+++ b/crates/fleet/tests/peer_sums.rs
@@ -122,3 +122,30 @@
         assert!(directory.len() <= in_use * 2 + 1, "{}", directory.len());
     }
 }
+
+/// Instances with little processor time send heartbeats late, and what others have admitted
+/// meanwhile is underestimated if the intended interval is taken for the real one.
+#[test]
+fn verify_the_report_interval_follows_late_heartbeats() {
+    let mut peers = Peers::new("self".into(), PeerOptions::default(), at(0));
+    let registration = |peer: u8| Registration {
+        name: name(peer).into(),
+        address: ([127, 0, 0, 1], 9_000 + u16::from(peer)).into(),
+        secret: None,
+    };
+    peers.set_registrations((1..3).map(registration).collect(), at(0));
+    let intended = peers.report_interval();
+    assert_eq!(intended, peers.heartbeat_interval());
+    for round in 1..200_u64 {
+        for peer in 1..3 {
+            let heartbeat = Heartbeat::new(&name(peer), 1, round);
+            peers.record_heartbeat(&heartbeat, at(round * 1_200));
+        }
+    }
+    assert!(peers.report_interval().as_millis() >= 1_100);
+    // One of them misses two heartbeats.
+    let heartbeat = Heartbeat::new(&name(1), 1, 200);
+    peers.record_heartbeat(&heartbeat, at(199 * 1_200 + 2_000));
+    assert_eq!(peers.reporting_counts(at(199 * 1_200 + 2_000)).live, 3);
+    assert_eq!(peers.reporting_counts(at(199 * 1_200 + 2_800)).live, 2);
+}
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -6,10 +6,12 @@
 use http::header;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
+use limpetsaddle_fleet::admission;
 use limpetsaddle_fleet::configuration::Charge;
 use limpetsaddle_fleet::configuration::Configuration;
 use limpetsaddle_fleet::configuration::Route;
 use limpetsaddle_fleet::configuration::Team;
+use limpetsaddle_fleet::limits::Demand;
 use limpetsaddle_fleet::newer_versions::Reliance;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
@@ -236,17 +238,20 @@
     // A key on a public route is charged to its team only while it is trusted.
     let team = team.filter(|_| trusted);
     let cost = team.as_ref().map_or(0, |team| cost(team, &fields));
+    let timeout = fields.timeout.unwrap_or(route.timeout).min(route.timeout);
     if let Some(team) = &team {
-        let charged = instance.charge(team, cost, arrived);
+        let priority = priority(&route, Some(team));
+        let charged = instance.charge(team, Demand { cost, priority }, arrived);
         charged.map_err(|wait| {
+            let left = (begun + timeout).since(arrived);
+            let wait = spread(instance, wait, left);
             let refusal = Refusal::new(Reason::OverLimit).retry_after(wait);
             decline(refusal, Some(Rc::clone(team)))
         })?;
     }
-    let timeout = fields.timeout.unwrap_or(route.timeout);
     Ok(AcceptedRequest {
         // The caller waits from when it sent the request, whose body may take long.
-        deadline: begun + timeout.min(route.timeout),
+        deadline: begun + timeout,
         key: content_key(req, &host, team.as_deref()),
         configuration,
         route,
@@ -258,6 +263,20 @@
     })
 }
 
+/// Returns the priority of a team's request, or else of its route.
+pub fn priority(route: &Route, team: Option<&Team>) -> u8 {
+    let priority = team.and_then(|team| team.priority);
+    priority.unwrap_or(route.priority)
+}
+
+/// Returns the time after which a refused caller best returns, where requests contend.
+fn spread(instance: &FleetInstance, wait: Duration, left: Duration) -> Duration {
+    if !instance.settings.features.pressure {
+        return wait;
+    }
+    admission::spread_retry_after(wait, left, instance.random.draw())
+}
+
 fn content_key(req: &Request, host: &str, team: Option<&Team>) -> RequestKey {
     let target = req.uri().path_and_query();
     RequestKey::of(&RequestContent {
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -39,6 +39,7 @@
 use limpetsaddle_platform_wire::headers::UpstreamFields;
 use log::info;
 
+use super::exchange;
 use super::exchange::AcceptedRequest;
 use super::instance::FleetInstance;
 use super::pass_on;
@@ -209,9 +210,7 @@
 
     /// Returns the priority of the team, or else of the route.
     fn priority(&self) -> u8 {
-        let team = self.accepted.team.as_ref();
-        let priority = team.and_then(|team| team.priority);
-        priority.unwrap_or(self.accepted.route.priority)
+        exchange::priority(&self.accepted.route, self.accepted.team.as_deref())
     }
 
     /// Returns the KV store for the prompt's shared parts, if it is up.
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -144,12 +144,14 @@
     drop(lease);
     apply_peer_read(instance, heartbeat);
     apply_confirmation(instance, heartbeat, echo_ms);
+    let sender = name_hash(&heartbeat.sender);
     for usage in &delta.teams {
         if let Some(team) = instance.team_name(usage.team) {
             let mut limits = instance.limits.borrow_mut();
-            limits.charge_remote(&team, usage.used);
+            limits.charge_report(sender, &team, usage.used, now);
         }
     }
+    instance.limits.borrow_mut().record_heard(sender, now);
     for usage in &delta.services {
         instance.record_peer_requests(usage);
     }
@@ -197,7 +199,7 @@
         peers.expire(now);
         peers.peer_counts(now)
     };
-    instance.limits.borrow_mut().set_peer_counts(counts, now);
+    instance.update_limits(now);
     if counts.live != previous {
         let registered = counts.registered;
         info!(live = counts.live, registered; "number of live instances changed");
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -21,6 +21,7 @@
 use limpetsaddle_fleet::kv_store_monitor::KvStoreStatus;
 use limpetsaddle_fleet::lease::LeaseOptions;
 use limpetsaddle_fleet::lease::OrderLease;
+use limpetsaddle_fleet::limits::Demand;
 use limpetsaddle_fleet::limits::Limits;
 use limpetsaddle_fleet::limits::TeamLimit;
 use limpetsaddle_fleet::newer_versions::NewerVersions;
@@ -191,7 +192,11 @@
             peers: RefCell::new(Peers::new(Name::clone(&name), PeerOptions::default(), now)),
             kv_stores: RefCell::new(KvStoreMonitor::default()),
             directory: RefCell::new(PrefixDirectory::default()),
-            limits: RefCell::new(Limits::new(bounds.limits)),
+            limits: RefCell::new(if settings.features.pressure {
+                Limits::with_contention(bounds.limits)
+            } else {
+                Limits::new(bounds.limits)
+            }),
             target_weights: RefCell::new(Vec::new()),
             has_listed_weights: Cell::new(false),
             lease: RefCell::new(OrderLease::new(
@@ -326,11 +331,27 @@
     ///
     /// The share of the limit depends on the peers that are live now: they may have timed out
     /// while the machine was suspended.
-    pub fn charge(&self, team: &Team, cost: u64, now: Time) -> std::result::Result<(), Duration> {
-        let counts = self.peers.borrow().peer_counts(now);
+    pub fn charge(
+        &self,
+        team: &Team,
+        demand: Demand,
+        now: Time,
+    ) -> std::result::Result<(), Duration> {
+        self.update_limits(now);
         let mut limits = self.limits.borrow_mut();
-        limits.set_peer_counts(counts, now);
-        limits.charge(&team.name, cost, now)
+        limits.charge_demand(&team.name, demand, now)
+    }
+
+    /// Tells the limits of teams which instances report and how often.
+    pub fn update_limits(&self, now: Time) {
+        let peers = self.peers.borrow();
+        let mut limits = self.limits.borrow_mut();
+        if self.settings.features.pressure {
+            limits.set_report_interval(peers.report_interval());
+            limits.set_peer_counts(peers.reporting_counts(now), now);
+        } else {
+            limits.set_peer_counts(peers.peer_counts(now), now);
+        }
     }
 
     /// Counts the first attempt of a request to a service.
