--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -89,6 +89,9 @@
             route,
             team,
         }) => {
+            if let Some(route) = &route {
+                count_by_priority(instance, route, team.as_deref(), refusal.reason);
+            }
             let names = Names::new(route.as_deref(), team.as_deref());
             log_refusal(instance, id.as_deref(), &names, &refusal, arrived);
             return refuse(instance, conn, &refusal, id.as_deref(), sender).await;
@@ -105,7 +108,9 @@
                 let mut limits = instance.limits.borrow_mut();
                 limits.refund(&team.name, accepted.cost);
             }
-            let names = Names::new(Some(&accepted.route), accepted.team.as_deref());
+            let team = accepted.team.as_deref();
+            count_by_priority(instance, &accepted.route, team, refusal.reason);
+            let names = Names::new(Some(&accepted.route), team);
             log_refusal(instance, id.as_deref(), &names, &refusal, arrived);
             refuse(instance, conn, &refusal, id.as_deref(), sender).await
         }
@@ -263,6 +268,18 @@
     })
 }
 
+/// Counts a refusal for want of a limit or of room, where requests contend for them.
+fn count_by_priority(instance: &FleetInstance, route: &Route, team: Option<&Team>, reason: Reason) {
+    let is_contended = matches!(
+        reason,
+        Reason::OverLimit | Reason::Overloaded | Reason::Rejected
+    );
+    if is_contended && instance.settings.features.pressure {
+        let priority = priority(route, team);
+        instance.metrics.record_contention_refusal(reason, priority);
+    }
+}
+
 /// Returns the priority of a team's request, or else of its route.
 pub fn priority(route: &Route, team: Option<&Team>) -> u8 {
     let priority = team.and_then(|team| team.priority);
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -27,6 +27,9 @@
 /// limits on the use of old ones.
 const AGE_BUCKETS: [f64; 9] = [0.5, 1.5, 3.0, 4.0, 5.0, 5.5, 6.0, 8.0, 12.0];
 
+/// The lowest priority that is counted apart.
+const LOWEST_PRIORITY: u8 = 9;
+
 /// The metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -37,6 +40,7 @@
     cut_offs: Counter<u64>,
     idle_closes: Counter<u64>,
     refusals: Counter<u64>,
+    contention_refusals: Counter<u64>,
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     store_restores: Counter<u64>,
@@ -80,6 +84,9 @@
             cut_offs: meter.u64_counter("limpetsaddle_cut_off_answers").build(),
             idle_closes: meter.u64_counter("limpetsaddle_idle_closes").build(),
             refusals: meter.u64_counter("limpetsaddle_refusals").build(),
+            contention_refusals: meter
+                .u64_counter("limpetsaddle_contention_refusals")
+                .build(),
             retries: meter.u64_counter("limpetsaddle_retries").build(),
             store_calls: meter.u64_counter("limpetsaddle_store_calls").build(),
             store_restores: meter.u64_counter("limpetsaddle_store_restores").build(),
@@ -148,6 +155,13 @@
         self.refusals.add(1, &[reason]);
     }
 
+    /// Counts a refusal of a request that contended for a limit or for room.
+    pub fn record_contention_refusal(&self, reason: Reason, priority: u8) {
+        let reason = KeyValue::new("reason", reason.code());
+        let priority = KeyValue::new("priority", i64::from(priority.min(LOWEST_PRIORITY)));
+        self.contention_refusals.add(1, &[reason, priority]);
+    }
+
     /// Counts a retry by the failure that it follows.
     pub fn record_retry(&self, after: Failure) {
         self.retries.add(1, &[KeyValue::new("after", after.code())]);
