--- a/crates/fleet/src/limits/contention.rs
+++ b/crates/fleet/src/limits/contention.rs
@@ -159,8 +159,8 @@
     offered: [Decaying; PRIORITIES],
     admitted: [Decaying; PRIORITIES],
     refused: [Decaying; PRIORITIES],
-    /// The cost of a large request; one must be able to save it up.
-    largest: Decaying,
+    /// The cost of a large request by priority; an instance must be able to save it up.
+    largest: [Decaying; PRIORITIES],
     /// What each priority may use beyond the credit, so that none starves.
     guaranteed: [f64; PRIORITIES],
     /// What this instance may admit while the limit is contended.
@@ -185,7 +185,7 @@
             offered: [Decaying::new(DEMAND_SPAN); PRIORITIES],
             admitted: [Decaying::new(DEMAND_SPAN); PRIORITIES],
             refused: [Decaying::new(REFUSED_SPAN); PRIORITIES],
-            largest: Decaying::new(USUAL_SPAN),
+            largest: [Decaying::new(USUAL_SPAN); PRIORITIES],
             guaranteed: [0.0; PRIORITIES],
             credit: None,
             contended_since: None,
@@ -250,7 +250,7 @@
         let cost = demand.units();
         let estimate = self.advance(budget, now);
         self.offered[class].sum += cost;
-        self.largest.sum = self.largest.sum.max(cost);
+        self.largest[class].sum = self.largest[class].sum.max(cost);
         self.update_state(estimate, cost, budget);
         let Some(credit) = self.credit else {
             self.record_admission(class, cost);
@@ -334,14 +334,18 @@
     fn advance(&mut self, budget: &Budget, now: Time) -> f64 {
         let seconds = now.since(self.updated).as_secs_f64();
         self.updated = now;
-        let classes = [&mut self.offered, &mut self.admitted, &mut self.refused];
+        let classes = [
+            &mut self.offered,
+            &mut self.admitted,
+            &mut self.refused,
+            &mut self.largest,
+        ];
         let classes = classes.into_iter().flatten();
         let totals = [
             &mut self.own,
             &mut self.others,
             &mut self.own_recent,
             &mut self.own_usual,
-            &mut self.largest,
         ];
         for sum in classes.chain(totals) {
             sum.decay(seconds);
@@ -364,10 +368,11 @@
     /// Adds to what each priority is guaranteed, and returns the rest.
     fn guarantee(&mut self, mut added: f64) -> f64 {
         let offered: f64 = self.offered.iter().map(|sum| sum.sum).sum();
+        let largest = self.largest_cost();
         let guaranteed = added * GUARANTEED_FRACTION;
         for (level, sum) in self.guaranteed.iter_mut().zip(&self.offered) {
             let part = guaranteed * sum.sum / offered.max(1.0);
-            let filled = (*level + part).min(self.largest.sum * 2.0);
+            let filled = (*level + part).min(largest * 2.0);
             added -= (filled - *level).max(0.0);
             *level = filled.max(*level);
         }
@@ -417,13 +422,23 @@
 
     fn max_credit(&self, estimate: f64, budget: &Budget) -> f64 {
         let shared = self.share(budget) * (budget.refill * CREDIT_SECONDS + estimate.max(0.0));
-        shared.max((self.largest.sum * 1.5).min(budget.capacity))
+        shared.max((self.largest_cost() * 1.5).min(budget.capacity))
     }
 
     /// Returns the units that are kept for requests that are more urgent than `class`.
     fn reserve_before(&self, class: usize) -> f64 {
-        let urgent: f64 = self.offered[..class].iter().map(Decaying::rate).sum();
-        urgent * RESERVE_SECONDS
+        let urgent = self.offered[..class].iter().zip(&self.largest);
+        let reserves = urgent.map(|(offered, largest)| {
+            let mean = offered.rate() * RESERVE_SECONDS;
+            // The standard deviation, if all requests are large.
+            mean + (mean * largest.sum).sqrt()
+        });
+        reserves.sum()
+    }
+
+    fn largest_cost(&self) -> f64 {
+        let largest = self.largest.iter().map(|cost| cost.sum);
+        largest.fold(0.0, f64::max)
     }
 
     /// Returns the units beyond its credit that the most urgent class may use.
