Limit what all callers together make an instance hold

Bodies of legal size, sent by many callers at once, took an instance over its memory, and idle connections took the descriptors of upstream calls.

One budget now holds connections, heads, bodies and responses that wait for their caller. When memory or descriptors are short, connections with nothing to lose end first, then bodies that cannot end in time at their pace, the slowest first; a request for which that is not enough gets 503 instance_full and has not run. Connections are accepted only when there is room. After a refusal at most 256 KiB are read. Heads and bodies are written without a joined copy. Log lines about requests that cannot be read are limited to ten a second.

--- a/crates/fleet/src/refusal.rs
+++ b/crates/fleet/src/refusal.rs
@@ -43,11 +43,13 @@
     WithheldRequest,
     /// The upstreams limit all instances together, and there is no permit.
     UpstreamLimit,
+    /// This instance has no memory or descriptors left for the request.
+    InstanceFull,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -67,6 +69,7 @@
         Self::WithheldPart,
         Self::WithheldRequest,
         Self::UpstreamLimit,
+        Self::InstanceFull,
     ];
 
     /// Returns the code in logs, metrics and responses.
@@ -92,6 +95,7 @@
             Self::WithheldPart => "withheld_part",
             Self::WithheldRequest => "withheld_request",
             Self::UpstreamLimit => "upstream_limit",
+            Self::InstanceFull => "instance_full",
         }
     }
 
@@ -118,7 +122,8 @@
             | Self::DeadlineExceeded
             | Self::WithheldPart
             | Self::WithheldRequest
-            | Self::UpstreamLimit => 503,
+            | Self::UpstreamLimit
+            | Self::InstanceFull => 503,
             Self::UpstreamFailed => 502,
             Self::UpstreamTimeout => 504,
         }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -73,6 +73,10 @@
     pub memory_bytes: Option<u64>,
     /// The number of file descriptors that the process may have open.
     pub max_descriptors: Option<u64>,
+    /// The memory in bytes that all callers may use, in place of a part of the whole.
+    pub caller_memory_bytes: Option<u64>,
+    /// The number of connections of callers, in place of a part of the descriptors.
+    pub caller_connections: Option<u64>,
 }
 
 impl Default for Bounds {
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -11,6 +11,7 @@
 use monoio::net::TcpListener;
 use monoio::net::TcpStream;
 
+use crate::callers::CallerBudget;
 use crate::server::Connection;
 use crate::server::ServerOptions;
 
@@ -65,6 +66,35 @@
 pub async fn serve<F, R>(
     listener: TcpListener,
     options: ServerOptions,
+    shutdown: oneshot::Receiver<()>,
+    handler: F,
+) where
+    F: Fn(Connection) -> R,
+    R: Future<Output = ()> + 'static,
+{
+    accept_all(listener, options, None, shutdown, handler).await;
+}
+
+/// Does what [`serve`] does within a budget: accepts no connection before there is room for it.
+///
+/// Ends connections of callers for that which have nothing to lose or are too slow.
+pub async fn serve_within<F, R>(
+    listener: TcpListener,
+    options: ServerOptions,
+    budget: CallerBudget,
+    shutdown: oneshot::Receiver<()>,
+    handler: F,
+) where
+    F: Fn(Connection) -> R,
+    R: Future<Output = ()> + 'static,
+{
+    accept_all(listener, options, Some(budget), shutdown, handler).await;
+}
+
+async fn accept_all<F, R>(
+    listener: TcpListener,
+    options: ServerOptions,
+    budget: Option<CallerBudget>,
     mut shutdown: oneshot::Receiver<()>,
     handler: F,
 ) where
@@ -72,7 +102,11 @@
     R: Future<Output = ()> + 'static,
 {
     let start = |stream: TcpStream| {
-        let task = handler(Connection::new(stream, options.clone()));
+        let mut conn = Connection::new(stream, options.clone());
+        if let Some(budget) = &budget {
+            conn.set_budget(budget);
+        }
+        let task = handler(conn);
         // The panic hook reports the panic; unwinding drops the connection.
         monoio::spawn(AssertUnwindSafe(task).catch_unwind().map(drop));
     };
@@ -80,7 +114,16 @@
         let accept = std::pin::pin!(listener.accept());
         match futures::future::select(&mut shutdown, accept).await {
             Either::Left(_) => break,
-            Either::Right((Ok((stream, _)), _)) => start(stream),
+            Either::Right((Ok((stream, _)), _)) => {
+                if let Some(budget) = &budget {
+                    let room = std::pin::pin!(budget.make_room());
+                    if let Either::Left(_) = futures::future::select(&mut shutdown, room).await {
+                        start(stream);
+                        break;
+                    }
+                }
+                start(stream);
+            }
             Either::Right((Err(_), _)) => monoio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -26,6 +26,8 @@
 /// The unread rest of a message body.
 pub struct Body {
     state: State,
+    /// The size from which a part of a chunk is a piece of its own.
+    max_piece: usize,
 }
 
 enum State {
@@ -44,11 +46,18 @@
             BodyLength::Chunked => State::Chunked(ChunkReader::default()),
             BodyLength::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            max_piece: MAX_READ_BYTES,
+        }
     }
 
-    pub const fn is_done(&self) -> bool {
-        matches!(self.state, State::Done)
+    /// Returns a reader that buffers no more of a chunk than a read takes.
+    pub fn in_small_pieces(length: BodyLength) -> Self {
+        Self {
+            max_piece: READ_BYTES,
+            ..Self::new(length)
+        }
     }
 
     /// Reads the next piece of the body, or returns `None` at its end. Cancel-safe.
@@ -56,7 +65,7 @@
         let piece = match &mut self.state {
             State::Done => None,
             State::Fixed(remaining) => Some(next_fixed(stream, remaining).await?),
-            State::Chunked(chunks) => chunks.next(stream).await?,
+            State::Chunked(chunks) => chunks.next(stream, self.max_piece).await?,
             State::UntilClose => next_until_close(stream).await?,
         };
         if piece.is_none() || matches!(self.state, State::Fixed(0)) {
@@ -103,9 +112,13 @@
 
 impl ChunkReader {
     /// Returns the next piece: a whole chunk, or a part of a large one.
-    async fn next(&mut self, stream: &mut BufferedStream) -> Result<Option<Bytes>> {
+    async fn next(
+        &mut self,
+        stream: &mut BufferedStream,
+        max_piece: usize,
+    ) -> Result<Option<Bytes>> {
         loop {
-            if let Some(piece) = self.take_piece(&mut stream.buf)? {
+            if let Some(piece) = self.take_piece(&mut stream.buf, max_piece)? {
                 return Ok(Some(piece).filter(|piece| !piece.is_empty()));
             }
             stream.fill_more(READ_BYTES, Phase::Body).await?;
@@ -114,7 +127,7 @@
 
     /// Takes a piece out of `buf`, which is empty at the end of the body, or returns `None` if
     /// more bytes are needed.
-    fn take_piece(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>> {
+    fn take_piece(&mut self, buf: &mut BytesMut, max_piece: usize) -> Result<Option<Bytes>> {
         loop {
             match self {
                 Self::SizeLine => {
@@ -130,7 +143,7 @@
                 }
                 Self::Data(remaining) => {
                     let wanted = usize::try_from(*remaining).unwrap_or(usize::MAX);
-                    if buf.len() < wanted.min(MAX_READ_BYTES) {
+                    if buf.len() < wanted.min(max_piece) {
                         return Ok(None);
                     }
                     let piece = buf.split_to(wanted.min(buf.len())).freeze();
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -9,14 +9,18 @@
 use crate::error::Error;
 use crate::error::Result;
 
-/// The size in bytes up to which a body does not count, so that small ones are read also while
-/// the budget is used up.
-const FREE_BYTES: usize = 32 * 1024;
+/// The size in bytes up to which something may use the reserve, so that small bodies are read
+/// also while large ones have used up the rest.
+const SMALL_BYTES: usize = 64 * 1024;
+
+/// The part of a budget that is the reserve, as a divisor.
+const RESERVE_PART: usize = 8;
 
 /// The memory for bodies that are buffered at once.
 ///
 /// A body may grow to as many bytes as are left once it has them, so that the largest bodies
-/// are the first that fail and never use the budget up. Clones share the budget.
+/// are the first that fail and never use the budget up; one that is alone may have all but a
+/// reserve for small ones. Clones share the budget.
 ///
 /// ```
 /// use limpetsaddle_http::BufferBudget;
@@ -34,6 +38,8 @@
 pub struct BufferBudget {
     limit: usize,
     used: Arc<AtomicUsize>,
+    /// The budget of which this one is a part.
+    whole: Option<Arc<Self>>,
 }
 
 impl BufferBudget {
@@ -43,6 +49,28 @@
         Self {
             limit,
             used: Arc::default(),
+            whole: None,
+        }
+    }
+
+    /// Returns a budget of up to `limit` bytes of this one.
+    ///
+    /// ```
+    /// use limpetsaddle_http::BufferBudget;
+    ///
+    /// let whole = BufferBudget::new(8 << 20);
+    /// let part = whole.part(2 << 20);
+    /// let mut reservation = part.reservation();
+    /// assert!(reservation.resize(3 << 20).is_err());
+    /// reservation.resize(1 << 20).unwrap();
+    /// assert_eq!(whole.used(), 1 << 20);
+    /// ```
+    #[must_use]
+    pub fn part(&self, limit: usize) -> Self {
+        Self {
+            limit,
+            used: Arc::default(),
+            whole: Some(Arc::new(self.clone())),
         }
     }
 
@@ -60,6 +88,44 @@
             bytes: 0,
         }
     }
+
+    /// Returns whether `bytes` more bytes could be reserved now.
+    #[must_use]
+    pub fn holds(&self, bytes: usize) -> bool {
+        self.permits(self.used(), bytes) && self.whole.as_ref().is_none_or(|w| w.holds(bytes))
+    }
+
+    /// Returns whether `bytes` bytes could be reserved if nothing else were.
+    #[must_use]
+    pub fn could_hold(&self, bytes: usize) -> bool {
+        self.permits(0, bytes) && self.whole.as_ref().is_none_or(|w| w.could_hold(bytes))
+    }
+
+    fn permits(&self, others: usize, bytes: usize) -> bool {
+        let sum = others.saturating_add(bytes);
+        let reserve = self.limit / RESERVE_PART;
+        if bytes <= SMALL_BYTES {
+            return sum <= self.limit;
+        }
+        let is_alone = others <= reserve;
+        let leaves_as_much = sum.saturating_add(bytes) <= self.limit;
+        sum <= self.limit - reserve && (is_alone || leaves_as_much)
+    }
+
+    /// Returns whether a part of `held` bytes may have `bytes` bytes.
+    fn permits_change(&self, held: usize, bytes: usize) -> bool {
+        let whole = self.whole.as_ref();
+        self.permits(self.used().saturating_sub(held), bytes)
+            && whole.is_none_or(|whole| whole.permits_change(held, bytes))
+    }
+
+    fn change(&self, held: usize, bytes: usize) {
+        self.used.fetch_add(bytes, Ordering::Relaxed);
+        self.used.fetch_sub(held, Ordering::Relaxed);
+        if let Some(whole) = &self.whole {
+            whole.change(held, bytes);
+        }
+    }
 }
 
 /// A part of a budget, which is returned when it is dropped.
@@ -70,22 +136,22 @@
 }
 
 impl Reservation {
+    /// Returns the size in bytes.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Changes the size of the reservation.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::OversizedBody`] and keeps the size when fewer than `bytes` bytes would
-    /// be left.
+    /// Returns [`Error::OversizedBody`] and keeps the size when the budget has no more for it.
     pub fn resize(&mut self, bytes: usize) -> Result<()> {
-        let bytes = if bytes <= FREE_BYTES { 0 } else { bytes };
-        if bytes > self.bytes {
-            let others = self.budget.used() - self.bytes;
-            if bytes.saturating_mul(2).saturating_add(others) > self.budget.limit {
-                return Err(Error::OversizedBody);
-            }
+        if bytes > self.bytes && !self.budget.permits_change(self.bytes, bytes) {
+            return Err(Error::OversizedBody);
         }
-        self.budget.used.fetch_add(bytes, Ordering::Relaxed);
-        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.change(self.bytes, bytes);
         self.bytes = bytes;
         Ok(())
     }
@@ -93,7 +159,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.change(self.bytes, 0);
     }
 }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -161,14 +161,14 @@
         } = self;
         remove_hop_by_hop(req.headers_mut());
         let (head, body) = req.into_parts();
-        let mut bytes = encode::request_head(
+        let bytes = encode::request_head(
             &head,
             &address.to_string(),
             declared_length(&head.method, &body),
         );
-        bytes.extend_from_slice(&body);
-
-        let sent = stream.write(bytes.freeze(), options.write_timeout).await;
+        let sent = stream
+            .write_parts([bytes.freeze(), body], options.write_timeout)
+            .await;
         match sent {
             Ok(()) => read_response(stream, &options, &head.method).await,
             Err(e) if stream.written() == 0 => Err(not_sent(e)),
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -64,14 +64,10 @@
     dst
 }
 
-/// Encodes `data` as one chunk.
-pub fn chunk(data: &[u8]) -> Bytes {
+/// Returns the parts of a chunk with the content `data`.
+pub fn chunk(data: Bytes) -> [Bytes; 3] {
     let size = format!("{:x}\r\n", data.len());
-    let mut dst = BytesMut::with_capacity(size.len() + data.len() + 2);
-    dst.put_slice(size.as_bytes());
-    dst.put_slice(data);
-    dst.put_slice(b"\r\n");
-    dst.freeze()
+    [size.into(), data, Bytes::from_static(b"\r\n")]
 }
 
 /// Returns whether `version` supports chunked responses.
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -44,6 +44,9 @@
     /// The body exceeds its size limit, or its part of the memory for all bodies.
     #[error("the message body exceeds its size limit or its part of the memory for bodies")]
     OversizedBody,
+    /// The memory or descriptors for requests of callers are used up.
+    #[error("the memory or descriptors for requests are used up")]
+    OverBudget,
     /// A message has both `Content-Length` and `Transfer-Encoding`.
     #[error("message has both content-length and transfer-encoding")]
     ConflictingLengths,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,16 +8,23 @@
 mod accept;
 mod body;
 mod budget;
+mod callers;
 mod client;
 mod encode;
 mod error;
 mod framing;
 mod server;
+mod slots;
 mod stream;
 
 pub use accept::serve;
+pub use accept::serve_within;
 pub use budget::BufferBudget;
 pub use budget::Reservation;
+pub use callers::CallerBudget;
+pub use callers::CallerBudgetOptions;
+pub use callers::CallerEnd;
+pub use callers::CallerEnds;
 pub use client::Client;
 pub use client::ClientOptions;
 pub use client::OpenConnection;
@@ -28,6 +35,9 @@
 pub use framing::remove_hop_by_hop;
 pub use server::Connection;
 pub use server::ServerOptions;
+pub use slots::Shortage;
+pub use slots::SlotState;
+pub use slots::Slots;
 
 /// A request with its complete body.
 pub type Request = http::Request<bytes::Bytes>;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use futures::channel::oneshot;
+use futures::future::Either;
 use http::HeaderMap;
 use http::Method;
 use http::Response;
@@ -18,6 +20,10 @@
 
 use crate::Request;
 use crate::body::Body;
+use crate::budget::Reservation;
+use crate::budget::ReservedBody;
+use crate::callers::CallerBudget;
+use crate::callers::CallerSlot;
 use crate::encode;
 use crate::encode::DeclaredLength;
 use crate::error::Error;
@@ -25,6 +31,7 @@
 use crate::error::Result;
 use crate::framing;
 use crate::framing::BodyLength;
+use crate::slots::SlotState;
 use crate::stream::BufferedStream;
 use crate::stream::READ_BYTES;
 use crate::stream::with_timeout;
@@ -33,6 +40,13 @@
 /// connection is dropped.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The maximum number of bytes that are read and discarded meanwhile. A caller that goes on
+/// sending more may lose the response.
+const MAX_LINGER_BYTES: usize = 256 * 1024;
+
+/// The memory of the buffer of a connection that reads a chunked body, in bytes.
+const CHUNK_BUFFER_BYTES: usize = 4 * READ_BYTES;
+
 /// The time in which the runtime reports bytes that have already arrived.
 const LAST_LOOK_TIME: Duration = Duration::from_millis(1);
 
@@ -118,6 +132,10 @@
     request_failed: bool,
     peer_closed: bool,
     response: ResponseState,
+    /// The part in the budget for callers, if there is one.
+    slot: Option<CallerSlot>,
+    /// The signal that the connection has to end, as something is short.
+    ended: Option<oneshot::Receiver<()>>,
 }
 
 impl Connection {
@@ -133,9 +151,18 @@
             request_failed: false,
             peer_closed: false,
             response: ResponseState::Complete,
+            slot: None,
+            ended: None,
         }
     }
 
+    /// Takes what the connection holds out of `budget`, from the next request on.
+    pub fn set_budget(&mut self, budget: &CallerBudget) {
+        let (slot, ended) = CallerSlot::open(budget);
+        self.slot = Some(slot);
+        self.ended = Some(ended);
+    }
+
     /// Replaces the limits, from the next request on.
     pub const fn set_options(&mut self, options: ServerOptions) {
         self.options = options;
@@ -197,7 +224,8 @@
     /// # Errors
     ///
     /// Returns an error when the request is malformed, ambiguous in length, too large, too
-    /// slow or truncated. The request is then not accepted.
+    /// slow or truncated, and [`Error::OverBudget`] when its budget has no room for it. The
+    /// request is then not accepted.
     pub async fn next_request(&mut self) -> Result<Option<Request>> {
         if !self.ready().await {
             return Ok(None);
@@ -205,10 +233,21 @@
         self.response = ResponseState::Pending;
         self.method = Method::GET;
         self.version = Version::HTTP_11;
-        let read = self.read_request().await;
+        let mut ended = self.ended.take();
+        let read = unless_ended(&mut ended, self.read_request()).await;
+        // A request that was read in time is answered, but no further one.
+        self.keep_alive &= !ended
+            .as_mut()
+            .is_some_and(|ended| !matches!(ended.try_recv(), Ok(None)));
+        self.ended = ended;
+        let read = read.unwrap_or(Err(Error::OverBudget));
         if read.is_err() {
             self.request_failed = true;
             self.keep_alive = false;
+            // What was read of the request is not needed any more.
+            self.stream.buf = BytesMut::new();
+        } else {
+            self.set_state(SlotState::Busy);
         }
         read.map(Some)
     }
@@ -230,11 +269,12 @@
         } else {
             DeclaredLength::Fixed(body.len())
         };
-        let mut bytes = self.head_bytes(head.status, &head.headers, declared);
+        let bytes = self.head_bytes(head.status, &head.headers, declared);
         if declared != DeclaredLength::None && self.method != Method::HEAD {
-            bytes.extend_from_slice(&body);
+            self.write_parts([bytes.freeze(), body]).await?;
+        } else {
+            self.write(bytes.freeze()).await?;
         }
-        self.write(bytes.freeze()).await?;
         self.end_response().await;
         Ok(())
     }
@@ -279,7 +319,7 @@
             return Ok(());
         }
         match form {
-            BodyFraming::Chunked => self.write(encode::chunk(&chunk)).await,
+            BodyFraming::Chunked => self.write_parts(encode::chunk(chunk)).await,
             BodyFraming::UntilClose => self.write(chunk).await,
             BodyFraming::Omitted => Ok(()),
         }
@@ -331,11 +371,28 @@
         if self.peer_closed {
             return false;
         }
-        matches!(self.stream.fill(READ_BYTES).await, Ok(n) if n > 0)
+        let filled = unless_ended(&mut self.ended, self.stream.fill(READ_BYTES)).await;
+        let Some(filled) = filled else {
+            self.keep_alive = false;
+            return false;
+        };
+        matches!(filled, Ok(n) if n > 0)
+    }
+
+    fn set_state(&mut self, state: SlotState) {
+        if let Some(slot) = &mut self.slot {
+            slot.set_state(state);
+        }
     }
 
     async fn read_request(&mut self) -> Result<Request> {
         let limit = self.options.max_head_bytes;
+        self.set_state(SlotState::Head);
+        if let Some(slot) = &mut self.slot
+            && !self.stream.has_head()
+        {
+            slot.reserve_head(limit).await?;
+        }
         let mut decoder = RequestHeadDecoder;
         let read = self.stream.read_head(&mut decoder, limit);
         let head = with_timeout(self.options.head_timeout, Phase::Head, read).await?;
@@ -359,16 +416,71 @@
         if matches!(length, BodyLength::Fixed(length) if length > limit as u64) {
             return Err(Error::OversizedBody);
         }
-        let mut body = Body::new(length);
-        if !body.is_done() && self.stream.buf.is_empty() && expects_continue(headers) {
+        let expected = match length {
+            BodyLength::Fixed(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            _ => limit,
+        };
+        let mut reservation = None;
+        if let Some(slot) = &mut self.slot {
+            slot.begin_request(expected, self.options.body_timeout)
+                .await?;
+            let bytes = match length {
+                BodyLength::Fixed(_) => expected,
+                _ => CHUNK_BUFFER_BYTES,
+            };
+            let reserved = reservation.insert(slot.body_reservation());
+            slot.reserve_body(reserved, bytes).await?;
+        }
+        if length == BodyLength::Fixed(0) {
+            return Ok(Bytes::new());
+        }
+        if self.stream.buf.is_empty() && expects_continue(headers) {
             self.write(Bytes::from_static(encode::CONTINUE)).await?;
         }
+        let body = match length {
+            BodyLength::Fixed(_) => {
+                let slot = &self.slot;
+                let record = |bytes| slot.iter().for_each(|slot| slot.record_bytes(bytes));
+                self.stream.read_whole(expected, record).await?
+            }
+            _ => self.collect(length, &mut reservation).await?,
+        };
+        Ok(match reservation {
+            Some(reservation) => ReservedBody::join(body, reservation),
+            None => body,
+        })
+    }
+
+    /// Reads a body of unknown length, into memory that is reserved before.
+    async fn collect(
+        &mut self,
+        length: BodyLength,
+        reservation: &mut Option<Reservation>,
+    ) -> Result<Bytes> {
+        let limit = self.options.max_body_bytes;
+        let mut body = Body::in_small_pieces(length);
         let mut collected = BytesMut::new();
         while let Some(piece) = body.next(&mut self.stream).await? {
-            if collected.len() + piece.len() > limit {
+            let length = collected.len() + piece.len();
+            if length > limit {
                 return Err(Error::OversizedBody);
             }
+            if length > collected.capacity() {
+                let doubled = collected.capacity().saturating_mul(2);
+                let capacity = doubled.max(READ_BYTES).min(limit).max(length);
+                if let Some((slot, reservation)) = self.slot.as_ref().zip(reservation.as_mut()) {
+                    let bytes = capacity + CHUNK_BUFFER_BYTES;
+                    slot.reserve_body(reservation, bytes).await?;
+                }
+                collected.reserve(capacity - collected.len());
+            }
             collected.extend_from_slice(&piece);
+            if let Some(slot) = &self.slot {
+                slot.record_bytes(piece.len());
+            }
+        }
+        if let Some(reservation) = reservation {
+            reservation.resize(collected.capacity())?;
         }
         Ok(collected.freeze())
     }
@@ -384,7 +496,12 @@
     async fn end_response(&mut self) {
         self.response = ResponseState::Complete;
         if self.request_failed {
-            self.stream.linger(LINGER_TIMEOUT).await;
+            self.set_state(SlotState::Lingering);
+            let linger = self.stream.linger(LINGER_TIMEOUT, MAX_LINGER_BYTES);
+            // The connection closes in any case.
+            let _ = unless_ended(&mut self.ended, linger).await;
+        } else {
+            self.set_state(SlotState::Idle);
         }
     }
 
@@ -398,7 +515,12 @@
     }
 
     async fn write(&mut self, bytes: Bytes) -> Result<()> {
-        let written = self.stream.write(bytes, self.options.write_timeout).await;
+        self.write_parts([bytes]).await
+    }
+
+    async fn write_parts<const N: usize>(&mut self, parts: [Bytes; N]) -> Result<()> {
+        let limit = self.options.write_timeout;
+        let written = self.stream.write_parts(parts, limit).await;
         if written.is_err() {
             self.keep_alive = false;
         }
@@ -406,6 +528,21 @@
     }
 }
 
+/// Returns the result of `future`, or `None` if the connection has to end before.
+async fn unless_ended<T>(
+    ended: &mut Option<oneshot::Receiver<()>>,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let Some(ended) = ended else {
+        return Some(future.await);
+    };
+    let future = std::pin::pin!(future);
+    match futures::future::select(future, ended).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right(_) => None,
+    }
+}
+
 fn check_host(head: &request::Parts) -> Result<()> {
     let hosts = head.headers.get_all(header::HOST).iter().count();
     let named = hosts == 1 || (hosts == 0 && head.version == Version::HTTP_10);
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -24,6 +24,9 @@
 /// The default size of a read in bytes.
 pub const READ_BYTES: usize = 4096;
 
+/// The maximum size in bytes of a part of a message that is copied to be written with others.
+const MAX_COPY_BYTES: usize = 16 * 1024;
+
 /// The time for which bytes of a socket that always has more are read and handled before
 /// other tasks run.
 const MAX_READ_BURST: Duration = Duration::from_millis(1);
@@ -103,6 +106,11 @@
         }
     }
 
+    /// Returns whether the end of a head is in the buffer.
+    pub fn has_head(&self) -> bool {
+        find(&self.buf, HEAD_END).is_some()
+    }
+
     /// Reads the head of a message and decodes it with `decoder`.
     pub async fn read_head<D: Decoder>(
         &mut self,
@@ -154,14 +162,69 @@
         Ok(())
     }
 
-    /// Shuts down the write side and discards input for up to `limit`, because closing with
-    /// unread input would send a reset, and the peer could lose the last response.
-    pub async fn linger(&mut self, limit: Duration) {
+    /// Writes `parts` one after the other, as [`write`](Self::write) does.
+    ///
+    /// Small parts are joined, so that they need one call; large ones aren't copied, as the
+    /// peer may take them slowly.
+    pub async fn write_parts<const N: usize>(
+        &mut self,
+        parts: [Bytes; N],
+        limit: Duration,
+    ) -> Result<()> {
+        let mut joined = BytesMut::new();
+        for part in parts {
+            if part.len() <= MAX_COPY_BYTES {
+                joined.extend_from_slice(&part);
+                continue;
+            }
+            self.write(joined.split().freeze(), limit).await?;
+            self.write(part, limit).await?;
+        }
+        self.write(joined.freeze(), limit).await
+    }
+
+    /// Reads a body of `length` bytes into memory of its own size, and passes the number of
+    /// bytes of each read to `record`. The bytes that follow stay in the buffer.
+    pub async fn read_whole(
+        &mut self,
+        length: usize,
+        mut record: impl FnMut(usize),
+    ) -> Result<Bytes> {
+        let mut body = BytesMut::with_capacity(length);
+        let buffered = length.min(self.buf.len());
+        body.extend_from_slice(&self.buf[..buffered]);
+        self.buf.advance(buffered);
+        if buffered == length {
+            return Ok(body.freeze());
+        }
+        record(buffered);
+        self.buf = body;
+        while self.buf.len() < length {
+            let before = self.buf.len();
+            self.fill_more(length - before, Phase::Body).await?;
+            record(self.buf.len() - before);
+        }
+        // A copy, as a part of the buffer would keep the memory of the body.
+        let rest = BytesMut::from(&self.buf[length..]);
+        let mut body = std::mem::replace(&mut self.buf, rest);
+        body.truncate(length);
+        Ok(body.freeze())
+    }
+
+    /// Shuts down the write side and discards up to `max_bytes` of input for up to `limit`,
+    /// because closing with unread input would send a reset, and the peer could lose the last
+    /// response.
+    pub async fn linger(&mut self, limit: Duration, max_bytes: usize) {
         if self.stream.shutdown().await.is_err() {
             return;
         }
         let drain = async {
-            while matches!(self.fill(READ_BYTES).await, Ok(n) if n > 0) {
+            let mut left = max_bytes;
+            while let Ok(n) = self.fill(READ_BYTES).await
+                && n > 0
+                && n < left
+            {
+                left -= n;
                 self.buf.clear();
             }
         };
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -9,6 +9,7 @@
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::begin_limit::BeginLimit;
+use limpetsaddle_fleet::caller_resources::CallerResources;
 use limpetsaddle_fleet::configuration::Configuration;
 use limpetsaddle_fleet::configuration::Team;
 use limpetsaddle_fleet::directory::PrefixDirectory;
@@ -38,9 +39,12 @@
 use limpetsaddle_fleet::rollout::RolloutOptions;
 use limpetsaddle_fleet::runs::RunLog;
 use limpetsaddle_fleet::settings::FleetSettings;
+use limpetsaddle_fleet::settings::Resources;
 use limpetsaddle_fleet::store_polls::StorePolls;
 use limpetsaddle_fleet::upstreams::Upstreams;
 use limpetsaddle_fleet::weights::TargetWeights;
+use limpetsaddle_http::CallerBudget;
+use limpetsaddle_http::CallerBudgetOptions;
 use limpetsaddle_http::ClientOptions;
 use limpetsaddle_http::Connection;
 use log::info;
@@ -52,6 +56,7 @@
 use super::permits::PermitDesk;
 use super::quarantine::QuarantineStore;
 use super::reach::Ways;
+use super::serve::UnreadLog;
 use super::store::StoreClient;
 use super::upstream_calls::UpstreamClient;
 use crate::clock::Random;
@@ -82,6 +87,10 @@
     /// A number that differs at each start.
     pub incarnation: u64,
     pub metrics: Metrics,
+    /// The memory and descriptors that callers may use.
+    pub callers: CallerBudget,
+    /// The limit on log lines about requests that cannot be read.
+    pub unread_log: UnreadLog,
     /// The client for the platform's store.
     pub store: StoreClient,
     /// The client for every call to upstreams and KV stores.
@@ -165,13 +174,16 @@
             idle_timeout: Duration::MAX,
             ..ClientOptions::default()
         };
+        let callers = caller_budget(&settings);
         Ok(Rc::new(Self {
             clock,
             random: Random::from_seed(seed),
             incarnation: seed | 1,
-            metrics: Metrics::new()?,
+            metrics: Metrics::new(callers.ends())?,
             store: StoreClient::new(settings.store, now),
-            upstream_client: UpstreamClient::new(client_options),
+            upstream_client: UpstreamClient::new(client_options, callers.memory()),
+            callers,
+            unread_log: UnreadLog::default(),
             configuration: RefCell::new(None),
             configured_at: Cell::new(None),
             newer_configuration: Cell::new(false),
@@ -416,3 +428,18 @@
         &self.running
     }
 }
+
+fn caller_budget(settings: &FleetSettings) -> CallerBudget {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    let stated = settings.resources.max_descriptors;
+    let resources = CallerResources::of(&Resources {
+        max_descriptors: stated.into_iter().chain(limit).min(),
+        ..settings.resources
+    });
+    let size = |number: u64| usize::try_from(number).unwrap_or(usize::MAX);
+    CallerBudget::new(CallerBudgetOptions {
+        memory: size(resources.memory),
+        connections: size(resources.connections),
+        descriptors: size(resources.descriptors),
+    })
+}
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -4,6 +4,8 @@
 
 use limpetsaddle_fleet::attempt::Failure;
 use limpetsaddle_fleet::refusal::Reason;
+use limpetsaddle_http::CallerEnd;
+use limpetsaddle_http::CallerEnds;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
@@ -58,12 +60,12 @@
 }
 
 impl Metrics {
-    /// Returns metrics whose counters are zero.
+    /// Returns metrics whose counters are zero, but for those in `caller_ends`.
     ///
     /// # Errors
     ///
     /// Returns [`MetricsError::Exporter`] when the exporter cannot be registered.
-    pub fn new() -> Result<Self, MetricsError> {
+    pub fn new(caller_ends: &CallerEnds) -> Result<Self, MetricsError> {
         let (registry, provider) = metrics::collector()?;
         let meter = provider.meter("limpetsaddle");
         let times = |name: &'static str| {
@@ -74,6 +76,15 @@
             .u64_observable_counter("limpetsaddle_lost_log_lines")
             .with_callback(|observer| observer.observe(logging::lost_lines(), &[]))
             .build();
+        let ends = caller_ends.clone();
+        meter
+            .u64_observable_counter("limpetsaddle_caller_shortages")
+            .with_callback(move |observer| {
+                for cause in CallerEnd::ALL {
+                    observer.observe(ends.get(cause), &[KeyValue::new("cause", cause.code())]);
+                }
+            })
+            .build();
         Ok(Self {
             requests: meter.u64_counter("limpetsaddle_requests").build(),
             responses: meter.u64_counter("limpetsaddle_answers").build(),
--- a/crates/router/src/fleet/peer_requests.rs
+++ b/crates/router/src/fleet/peer_requests.rs
@@ -92,6 +92,7 @@
     mut conn: Connection,
     requests: &Rc<Cell<u32>>,
 ) {
+    conn.set_budget(&instance.callers);
     conn.set_options(ServerOptions {
         idle_timeout: IDLE_TIMEOUT,
         ..serve::options(instance)
@@ -105,7 +106,9 @@
         Ok(Some(req)) => req,
         Ok(None) => return,
         Err(error) => {
-            info!(error:display; "cannot read request of peer");
+            if let Some(suppressed) = instance.unread_log.permit(instance.now()) {
+                info!(error:display, suppressed; "cannot read request of peer");
+            }
             return;
         }
     };
--- a/crates/router/src/fleet/response_limits.rs
+++ b/crates/router/src/fleet/response_limits.rs
@@ -67,11 +67,12 @@
 }
 
 impl ResponseBuffers {
-    /// Returns buffers with the limits in `limits`.
-    pub fn new(limits: ResponseLimits) -> Self {
+    /// Returns buffers with the limits in `limits`, of which those for responses to callers'
+    /// requests are a part of `callers`.
+    pub fn new(limits: ResponseLimits, callers: &BufferBudget) -> Self {
         Self {
             limits,
-            relayed: BufferBudget::new(limits.all_relayed),
+            relayed: callers.part(limits.all_relayed),
             calls: BufferBudget::new(limits.all_calls),
         }
     }
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -155,8 +155,10 @@
     listener: TcpListener,
     closed: oneshot::Receiver<()>,
 ) {
+    let budget = instance.callers.clone();
+    let options = ServerOptions::default();
     let handler = move |conn: Connection| serve::serve_connection(Rc::clone(&instance), conn);
-    limpetsaddle_http::serve(listener, ServerOptions::default(), closed, handler).await;
+    limpetsaddle_http::serve_within(listener, options, budget, closed, handler).await;
 }
 
 /// Reads the settings file after reload signals, and logs whether it has changed.
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -1,5 +1,6 @@
 //! Serving of callers' connections.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +38,40 @@
 /// The longest time in which a caller accepts no byte of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The time after which a caller may retry when the memory or descriptors are used up: bodies
+/// that stall are ended after half a second.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// The number of log lines a second about requests that cannot be read.
+const MAX_UNREAD_LINES: u32 = 10;
+
+/// Limits the log lines about requests that cannot be read, of which strangers can send any
+/// number.
+#[derive(Default)]
+pub struct UnreadLog {
+    since: Cell<Option<Time>>,
+    lines: Cell<u32>,
+    suppressed: Cell<u64>,
+}
+
+impl UnreadLog {
+    /// Returns the number of lines that were left out before, or `None` if this one is to be
+    /// left out too.
+    pub fn permit(&self, now: Time) -> Option<u64> {
+        let since = self.since.get();
+        if since.is_none_or(|since| now.since(since) >= Duration::from_secs(1)) {
+            self.since.set(Some(now));
+            self.lines.set(0);
+        }
+        if self.lines.get() >= MAX_UNREAD_LINES {
+            self.suppressed.set(self.suppressed.get() + 1);
+            return None;
+        }
+        self.lines.set(self.lines.get() + 1);
+        Some(self.suppressed.take())
+    }
+}
+
 /// Serves the requests of one connection, one after the other.
 pub async fn serve_connection(instance: Rc<FleetInstance>, mut conn: Connection) {
     conn.set_options(options(&instance));
@@ -145,13 +180,20 @@
         HttpError::OversizedHead => Reason::HeadTooLarge,
         HttpError::OversizedBody => Reason::BodyTooLarge,
         HttpError::Timeout { .. } => Reason::RequestTimeout,
+        HttpError::OverBudget => Reason::InstanceFull,
         HttpError::ClosedEarly { .. } | HttpError::Io { .. } => return None,
         _ => Reason::BadRequest,
     };
     instance.metrics.record_request();
     instance.metrics.record_refusal(reason);
-    info!(reason = reason.code(), error:display; "cannot read request");
-    let res = responses::refusal(&Refusal::new(reason), None);
+    if let Some(suppressed) = instance.unread_log.permit(instance.now()) {
+        info!(reason = reason.code(), error:display, suppressed; "cannot read request");
+    }
+    let refusal = match reason {
+        Reason::InstanceFull => Refusal::new(reason).retry_after(FULL_RETRY_AFTER),
+        _ => Refusal::new(reason),
+    };
+    let res = responses::refusal(&refusal, None);
     // The connection is closed in any case, as its framing is uncertain.
     if let Err(error) = conn.respond(res).await {
         log::debug!(error:display; "cannot write refusal");
--- a/crates/router/src/fleet/upstream_calls.rs
+++ b/crates/router/src/fleet/upstream_calls.rs
@@ -20,6 +20,7 @@
 use limpetsaddle_fleet::configuration::store_hash;
 use limpetsaddle_fleet::permits::Permit;
 use limpetsaddle_fleet::upstream_limit::LimitNotice;
+use limpetsaddle_http::BufferBudget;
 use limpetsaddle_http::Client;
 use limpetsaddle_http::ClientOptions;
 use limpetsaddle_http::Request;
@@ -143,11 +144,12 @@
 }
 
 impl UpstreamClient {
-    /// Returns a client with the limits in `options`.
-    pub fn new(options: ClientOptions) -> Self {
+    /// Returns a client with the limits in `options`, whose responses to callers' requests take
+    /// memory of `callers`.
+    pub fn new(options: ClientOptions, callers: &BufferBudget) -> Self {
         Self {
             client: Client::new(options),
-            buffers: ResponseBuffers::new(ResponseLimits::default()),
+            buffers: ResponseBuffers::new(ResponseLimits::default(), callers),
         }
     }
 
