Place requests by the observed speed of upstreams that differ

Cause: each instance kept one moving average of observed over expected times, which converges to the square root of an engine's slowness, and plain services were placed by the utilization of slots alone. Engines of 0.55 to 1.2 of the mean speed got queues at the slow ones.

Where a service's upstreams differ beyond the uncertainty, requests go by the finishing time at the estimated speed, among a sample of upstreams. Where they don't, decisions stay as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod runs;
 pub mod service_reach;
 pub mod settings;
+pub mod speed;
 pub mod store_era;
 pub mod store_polls;
 pub mod store_reads;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -21,6 +21,8 @@
 use crate::directory::PrefixDirectory;
 use crate::peers::Peers;
 use crate::prompt::CacheDirectives;
+use crate::speed::Work;
+use crate::speed::WorkKind;
 use crate::upstreams::Upstream;
 use crate::upstreams::Upstreams;
 
@@ -31,7 +33,8 @@
 /// The cost model by which engines are compared.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementOptions {
-    /// The prompt tokens that an engine of ordinary speed prefills per millisecond.
+    /// The prompt tokens that an engine of ordinary speed prefills per millisecond, as long
+    /// as no difference between the service's engines was observed.
     pub prefill_per_ms: f64,
     /// The time to the first event at an idle engine, without prefill.
     pub base_latency: Duration,
@@ -78,6 +81,8 @@
     pub chain: Vec<ChainedPart>,
     /// The expected time to the first event.
     pub expected_latency: Duration,
+    /// The work to which the time to the first event is attributed.
+    pub work: Option<Work>,
 }
 
 impl Placement {
@@ -133,15 +138,16 @@
     }
 }
 
-/// Selects the upstream of a plain service with the lowest utilization of its slots.
+/// Selects the upstream of a plain service that is expected to finish the request first, or
+/// the one with the lowest utilization of its slots if all are equally fast.
 #[must_use]
 pub fn place_plain(service: &str, cx: &PlacementContext<'_>) -> Option<Placement> {
-    let candidates = cx.candidates(service);
     let loads = cx.peers.remote_loads(cx.now);
-    let scored = candidates.into_iter().map(|row| {
-        let remote = loads.get(&row.hash).map_or(0, |load| load.requests);
-        (plain_cost(row, remote, cx), row)
-    });
+    let remote = |row: &Upstream| loads.get(&row.hash).map_or(0, |load| load.requests);
+    let candidates = spread_plain(cx.candidates(service), remote, cx);
+    let scored = candidates
+        .into_iter()
+        .map(|row| (plain_cost(row, remote(row), cx), row));
     let (_, row) = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(Placement {
         upstream: Name::clone(&row.entry.id),
@@ -153,13 +159,58 @@
         new_tokens: 0,
         chain: Vec::new(),
         expected_latency: Duration::ZERO,
+        work: plain_work(row, remote(row)),
     })
 }
 
+/// Returns the work of a plain request. Its time says nothing of the upstream's speed if it
+/// may wait for a slot.
+fn plain_work(row: &Upstream, remote: u32) -> Option<Work> {
+    let requests = row.local_load.requests + remote;
+    (requests < row.entry.slots).then_some(Work {
+        kind: WorkKind::Plain,
+        own: 1.0,
+        found: 0.0,
+        overhead: Duration::ZERO,
+        confidence: 1.0,
+    })
+}
+
+/// Draws a sample of upstreams that differ in speed, of which all instances would otherwise
+/// select the fastest between two heartbeats.
+fn spread_plain<'a>(
+    rows: Vec<&'a Upstream>,
+    remote: impl Fn(&Upstream) -> u32,
+    cx: &PlacementContext<'_>,
+) -> Vec<&'a Upstream> {
+    let unit_ms = |row: &&Upstream| row.speed(WorkKind::Plain).map(|speed| speed.unit_ms);
+    let known: Vec<f64> = rows.iter().filter_map(unit_ms).collect();
+    let Ok(count) = u32::try_from(known.len()) else {
+        return rows;
+    };
+    if count == 0 {
+        return rows;
+    }
+    // As many requests begin in a second as run divided by the time of each.
+    let mean_ms = known.iter().sum::<f64>() / f64::from(count);
+    let requests: u32 = rows
+        .iter()
+        .map(|row| row.local_load.requests + remote(row))
+        .sum();
+    let rate = f64::from(requests) / mean_ms * 1_000.0;
+    let size = sample::uneven_sample_size(rows.len(), rate, cx.peers.heartbeat_interval());
+    sample::sample(rows, size, cx.random, |_| false)
+}
+
 fn plain_cost(row: &Upstream, remote: u32, cx: &PlacementContext<'_>) -> f64 {
     let requests = f64::from(row.local_load.requests + remote);
-    let utilization = requests / f64::from(row.entry.slots.max(1));
-    utilization
+    let slots = f64::from(row.entry.slots.max(1));
+    let finish = match row.speed(WorkKind::Plain) {
+        // The request itself takes longer at a slow upstream, too.
+        Some(speed) => (requests + 1.0) / slots * speed.relative,
+        None => requests / slots,
+    };
+    finish
         + row.health.failure_rate() * 4.0
         + crosses_domains(row, cx) * 0.05
         + jitter(row, cx) * 0.1
--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -16,6 +16,7 @@
 use super::millis;
 use super::sample::sample;
 use super::sample::sample_size;
+use super::sample::uneven_sample_size;
 use crate::Name;
 use crate::configuration::Engine;
 use crate::configuration::KvStore;
@@ -28,6 +29,8 @@
 use crate::prompt::CacheDirectives;
 use crate::prompt::CacheSalt;
 use crate::prompt::Prompt;
+use crate::speed::Work;
+use crate::speed::WorkKind;
 use crate::upstreams::LONG_PROMPT_TOKENS;
 use crate::upstreams::Upstream;
 use crate::weights::TargetWeights;
@@ -245,6 +248,7 @@
     let save_to = salted.as_ref().and_then(|chain| save_to(req, chain));
     let (salt, chain) = salted.map_or((None, Vec::new()), |c| (Some(c.salt), c.parts));
     let tail = req.prompt.input_tokens.saturating_sub(chosen.cached_tokens);
+    let work = prefill_work(&chosen, req, options);
     Some(Placement {
         upstream: Name::clone(&chosen.row.entry.id),
         address: chosen.row.entry.address,
@@ -259,6 +263,7 @@
         new_tokens: tail + req.prompt.max_output_tokens,
         chain,
         expected_latency: Duration::try_from_secs_f64(expected / 1_000.0).unwrap_or_default(),
+        work,
     })
 }
 
@@ -272,7 +277,14 @@
 ) -> Vec<&'a Upstream> {
     let rows = cx.candidates(req.service);
     let report_age = cx.peers.heartbeat_interval();
-    let size = sample_size(rows.len(), req.rate, report_age);
+    let is_uneven = rows
+        .iter()
+        .any(|row| row.speed(WorkKind::Prefill).is_some());
+    let size = if is_uneven {
+        uneven_sample_size(rows.len(), req.rate, report_age)
+    } else {
+        sample_size(rows.len(), req.rate, report_age)
+    };
     if rows.len() <= size {
         return rows;
     }
@@ -392,7 +404,13 @@
     }
     let unknown = shared.saturating_sub(candidate.cached_tokens + candidate.fetched_tokens);
     if unknown > 0 && preferred != Some(candidate.row.hash) {
-        extra += NOT_PREFERRED_FACTOR * to_f64(unknown) / options.prefill_per_ms;
+        let prefill = candidate
+            .row
+            .speed(WorkKind::Prefill)
+            .map_or(to_f64(unknown) / options.prefill_per_ms, |speed| {
+                to_f64(unknown) * speed.unit_ms
+            });
+        extra += NOT_PREFERRED_FACTOR * prefill;
     }
     extra
 }
@@ -446,10 +464,54 @@
     // as long as their prefill takes.
     let overflow = needed.saturating_sub(req.engine.memory_tokens);
     let tokens = waiting + uncached + overflow;
-    let prefill = to_f64(tokens) / options.prefill_per_ms * row.slowness;
+    let prefill = row.speed(WorkKind::Prefill).map_or(
+        to_f64(tokens) / options.prefill_per_ms * row.slowness,
+        |speed| to_f64(tokens) * speed.unit_ms,
+    );
     prefill + fetch_ms(candidate, req) + millis(options.base_latency)
 }
 
+/// The tokens that a prompt prefills from which its time counts in full: with fewer, most of
+/// the time is that of anything else.
+const FULL_SAMPLE_TOKENS: f64 = 2_000.0;
+
+/// The tokens below which the time says nothing of the speed of prefill.
+const MIN_SAMPLE_TOKENS: u64 = 500;
+
+/// How much the time of a prompt with a fetch counts: transfers wait for each other.
+const FETCH_CONFIDENCE: f64 = 0.25;
+
+/// Returns the work of a prompt, whose time shows the engine's speed if little else delays it.
+fn prefill_work(
+    candidate: &Candidate<'_>,
+    req: &PromptRequest<'_>,
+    options: &PlacementOptions,
+) -> Option<Work> {
+    let row = candidate.row;
+    let present = candidate.cached_tokens + candidate.fetched_tokens;
+    let own = req.prompt.input_tokens.saturating_sub(present);
+    let held = row
+        .local_load
+        .held_tokens
+        .saturating_add(candidate.remote.held_tokens);
+    let fits = u64::from(held) + req.prompt.charged_tokens() <= req.engine.memory_tokens;
+    if own < MIN_SAMPLE_TOKENS || !fits {
+        return None;
+    }
+    let found =
+        u64::from(row.local_load.waiting_tokens) + u64::from(candidate.remote.waiting_tokens);
+    let fetch = fetch_ms(candidate, req);
+    let fetched = if fetch > 0.0 { FETCH_CONFIDENCE } else { 1.0 };
+    let overhead = fetch + millis(options.base_latency);
+    Some(Work {
+        kind: WorkKind::Prefill,
+        own: to_f64(own),
+        found: to_f64(found),
+        overhead: Duration::try_from_secs_f64(overhead / 1_000.0).unwrap_or_default(),
+        confidence: (to_f64(own) / FULL_SAMPLE_TOKENS).min(1.0) * fetched,
+    })
+}
+
 fn fetch_ms(candidate: &Candidate<'_>, req: &PromptRequest<'_>) -> f64 {
     let Some(source) = candidate.source.filter(|_| candidate.fetched_tokens > 0) else {
         return 0.0;
--- a/crates/fleet/src/placement/sample.rs
+++ b/crates/fleet/src/placement/sample.rs
@@ -46,6 +46,21 @@
     truncate(size).clamp(MIN_SAMPLE.min(engines), engines)
 }
 
+/// The fraction of the upstreams, times the requests per upstream between two heartbeats, that
+/// is compared if upstreams differ in speed. Then there are no ties that spread the requests
+/// among idle upstreams: the fastest idle one is the same for all instances.
+const UNEVEN_SAMPLE_FACTOR: f64 = 0.2;
+
+/// Returns the number of upstreams to compare for a request if they differ in speed.
+#[must_use]
+pub fn uneven_sample_size(upstreams: usize, rate: f64, report_age: Duration) -> usize {
+    let count = f64::from(u32::try_from(upstreams).unwrap_or(u32::MAX));
+    let unseen = rate * report_age.as_secs_f64() / count.max(1.0);
+    let size = truncate((count * UNEVEN_SAMPLE_FACTOR / unseen).min(count));
+    let size = size.clamp(MIN_SAMPLE.min(upstreams), upstreams);
+    size.min(sample_size(upstreams, rate, report_age))
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod limits;
+mod speed;
 mod weights;
 
 use std::collections::BTreeMap;
@@ -11,6 +12,8 @@
 
 use limpetsaddle_core::units::Time;
 
+use self::speed::ServiceSpeed;
+pub use self::speed::SpeedChange;
 use self::weights::raise_version;
 use crate::Name;
 use crate::availability::Availability;
@@ -26,6 +29,8 @@
 use crate::heartbeat::process_hash;
 use crate::permits::PermitPool;
 use crate::reachability::DomainReachability;
+use crate::speed::SpeedRecord;
+use crate::speed::Work;
 
 /// The phase of an upstream's life, as the upstream reports it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -90,7 +95,9 @@
     is_long_prompt: bool,
     waiting_tokens: u32,
     held_tokens: u32,
+    born_ms: u64,
     started: Time,
+    work: Option<Work>,
 }
 
 /// The number of uncached tokens from which a prompt counts as long: during its
@@ -123,6 +130,8 @@
     pub local_load: UpstreamLoad,
     /// The moving average of the ratio of observed to expected time to the first event.
     pub slowness: f64,
+    /// What all instances have observed of its speed.
+    speed: SpeedRecord,
     /// What the upstream, its entries and other instances said of its availability.
     record: AvailabilityRecord,
     /// The permits for its limit.
@@ -201,6 +210,8 @@
     marked: Vec<Incarnation>,
     changes: Vec<AvailabilityChange>,
     reachability: DomainReachability,
+    speeds: HashMap<Name, ServiceSpeed>,
+    speed_changes: Vec<SpeedChange>,
 }
 
 impl Upstreams {
@@ -217,6 +228,8 @@
             marked: Vec::new(),
             changes: Vec::new(),
             reachability: DomainReachability::default(),
+            speeds: HashMap::new(),
+            speed_changes: Vec::new(),
         }
     }
 
@@ -268,6 +281,7 @@
             health: Health::default(),
             local_load: UpstreamLoad::default(),
             slowness: 1.0,
+            speed: SpeedRecord::default(),
             record,
             permits: PermitPool::default(),
             paused_until: None,
@@ -278,7 +292,9 @@
             entry,
         };
         self.ids.insert(process, Name::clone(&row.entry.id));
-        self.rows.insert(Name::clone(&row.entry.id), row);
+        let id = Name::clone(&row.entry.id);
+        self.rows.insert(Name::clone(&id), row);
+        self.estimate_new(&id);
     }
 
     /// Removes an upstream whose entry was removed.
@@ -387,7 +403,9 @@
             is_long_prompt,
             waiting_tokens,
             held_tokens,
+            born_ms: row.entry.born_ms,
             started: now,
+            work: None,
         })
     }
 
@@ -407,6 +425,7 @@
             let ratio = ratio.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
             row.slowness += (ratio - row.slowness) * SLOWNESS_SMOOTHING;
         }
+        self.record_speed(ticket, now);
     }
 
     /// Ends a request; `outcome` is `None` if the caller disconnected first.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crash_scenario;
 pub mod crash_sim;
+pub mod pace_sim;
 pub mod permit_sim;
 pub mod request_sim;
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod monitoring;
 mod outage;
+mod pace;
 mod pass_on;
 mod peer_requests;
 mod permits;
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -25,6 +25,7 @@
 use monoio::net::udp::UdpSocket;
 
 use super::instance::FleetInstance;
+use super::pace;
 use super::permits;
 use super::reach;
 use super::upstream_calls;
@@ -156,6 +157,7 @@
     for report in &heartbeat.stores {
         instance.observe_kv_store(*report);
     }
+    pace::apply(instance, heartbeat, now);
     let mut upstreams = instance.upstreams.borrow_mut();
     for report in &heartbeat.weights {
         upstreams.apply_weights(report, now);
@@ -382,6 +384,8 @@
         heartbeat.stores = instance.kv_stores.borrow().statuses(now);
     }
     heartbeat.cached = instance.directory.borrow_mut().take_updates();
+    drop(upstreams);
+    pace::report(instance, &mut heartbeat);
     heartbeat
 }
 
--- a/crates/router/src/fleet/in_flight.rs
+++ b/crates/router/src/fleet/in_flight.rs
@@ -34,8 +34,12 @@
     ) -> Self {
         let now = instance.now();
         let mut upstreams = instance.upstreams.borrow_mut();
+        let mut ticket = upstreams.start(&placement.upstream, request_load, now);
+        if let Some(ticket) = &mut ticket {
+            ticket.attribute(placement.work);
+        }
         Self {
-            ticket: upstreams.start(&placement.upstream, request_load, now),
+            ticket,
             instance: Rc::clone(instance),
             run: Some(run),
             outcome: None,
