Give upstreams that have started or failed a window of concurrent work

Cause: an upstream that had just started, or had failed and recovered, was placed at like any other: with no known load and a slowness of 1.0, whatever the others' is.

Change: a window, as a fraction of the mean load of the service's other upstreams, grows with responses in time and shrinks with late, failed or rejected ones of all instances. Each instance has a part of it; the parts sum up. The hint cold_remaining_ms halves the first window, repeated failures halve it again. A new upstream takes its slowness from the others. Loads of weights and rest begin no window.

The test of the start also passes without the gate, at 0.6 and 0.95: it shows that the window neither overloads nor starves the upstream, not that placement before did.

--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -123,6 +123,7 @@
             model: MODEL.into(),
             version: 1,
         }],
+        cold: None,
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod loss;
 pub mod newer_versions;
 pub mod outage;
+pub mod pace;
 pub mod part_key;
 pub mod patience;
 pub mod peers;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -118,7 +118,8 @@
 impl<'a> PlacementContext<'a> {
     /// Returns the upstreams that may be selected.
     ///
-    /// Avoided and paused upstreams are left out as long as others remain.
+    /// Avoided and paused upstreams, and those with a full window, are left out as long as
+    /// others remain.
     fn candidates(&self, service: &str) -> Vec<&'a Upstream> {
         let not_attempted = |row: &&Upstream| !self.attempted.contains(&row.entry.id);
         let all: Vec<_> = self
@@ -127,7 +128,10 @@
             .filter(not_attempted)
             .collect();
         let usable = |row: &&&Upstream| {
-            !self.upstreams.is_avoided(row, self.now) && !row.is_paused(self.now)
+            let remote = || self.peers.remote_load(row.hash, self.now).requests;
+            !self.upstreams.is_avoided(row, self.now)
+                && !row.is_paused(self.now)
+                && row.is_within_window(remote)
         };
         let usable_rows: Vec<_> = all.iter().filter(usable).copied().collect();
         if usable_rows.is_empty() {
@@ -199,7 +203,7 @@
         .sum();
     let rate = f64::from(requests) / mean_ms * 1_000.0;
     let size = sample::uneven_sample_size(rows.len(), rate, cx.peers.heartbeat_interval());
-    sample::sample(rows, size, cx.random, |_| false)
+    sample::sample(rows, size, cx.random, |row| row.window().is_some())
 }
 
 fn plain_cost(row: &Upstream, remote: u32, cx: &PlacementContext<'_>) -> f64 {
--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -293,7 +293,10 @@
     let chain = chain_for(newest, model, req, cx, chains);
     let holder = chain.and_then(|chain| chain.sure.first());
     let holder = holder.map(|holder| holder.row.hash);
-    let keep = |row: &Upstream| Some(row.hash) == preferred || Some(row.hash) == holder;
+    // Few instances may send anything to an upstream with a window.
+    let keep = |row: &Upstream| {
+        Some(row.hash) == preferred || Some(row.hash) == holder || row.window().is_some()
+    };
     sample(rows, size, cx.random, keep)
 }
 
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -322,6 +322,14 @@
     }
 }
 
+/// Returns the mean time of a unit in milliseconds over all evidence, if there is enough.
+#[must_use]
+pub fn typical_ms(evidence: &[Evidence]) -> Option<f64> {
+    let weight: f64 = evidence.iter().map(|e| e.weight).sum();
+    let sum: f64 = evidence.iter().map(|e| e.sum).sum();
+    (weight >= MIN_COMPARED_WEIGHT).then(|| (sum / weight).exp())
+}
+
 /// Returns the variance of the mean of some evidence.
 fn uncertainty(evidence: &Evidence, within: f64) -> f64 {
     within / evidence.weight + SYSTEMATIC_DEVIATION.powi(2)
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod limits;
+mod pace;
 mod speed;
 mod weights;
 
@@ -12,6 +13,7 @@
 
 use limpetsaddle_core::units::Time;
 
+pub use self::pace::PaceChange;
 use self::speed::ServiceSpeed;
 pub use self::speed::SpeedChange;
 use self::weights::raise_version;
@@ -27,6 +29,9 @@
 use crate::heartbeat::UpstreamLoad;
 use crate::heartbeat::name_hash;
 use crate::heartbeat::process_hash;
+use crate::pace::PaceCause;
+use crate::pace::PaceUpdate;
+use crate::pace::Window;
 use crate::permits::PermitPool;
 use crate::reachability::DomainReachability;
 use crate::speed::SpeedRecord;
@@ -71,6 +76,8 @@
     pub sequence: u64,
     /// The weights that it has loaded.
     pub weights: Vec<Weights>,
+    /// How much longer it is slow after its start, if it says so.
+    pub cold: Option<Duration>,
 }
 
 impl UpstreamEntry {
@@ -132,6 +139,9 @@
     pub slowness: f64,
     /// What all instances have observed of its speed.
     speed: SpeedRecord,
+    window: Option<Window>,
+    /// The time since which the process is known.
+    since: Time,
     /// What the upstream, its entries and other instances said of its availability.
     record: AvailabilityRecord,
     /// The permits for its limit.
@@ -212,6 +222,11 @@
     reachability: DomainReachability,
     speeds: HashMap<Name, ServiceSpeed>,
     speed_changes: Vec<SpeedChange>,
+    /// The recent failures of upstreams, by the hashes of their ids.
+    failures: HashMap<u64, (u32, Time)>,
+    pace_changes: Vec<PaceChange>,
+    /// The unreported responses at upstreams whose windows have ended.
+    last_paces: Vec<PaceUpdate>,
 }
 
 impl Upstreams {
@@ -230,6 +245,9 @@
             reachability: DomainReachability::default(),
             speeds: HashMap::new(),
             speed_changes: Vec::new(),
+            failures: HashMap::new(),
+            pace_changes: Vec::new(),
+            last_paces: Vec::new(),
         }
     }
 
@@ -282,6 +300,8 @@
             local_load: UpstreamLoad::default(),
             slowness: 1.0,
             speed: SpeedRecord::default(),
+            window: None,
+            since: now,
             record,
             permits: PermitPool::default(),
             paused_until: None,
@@ -295,6 +315,7 @@
         let id = Name::clone(&row.entry.id);
         self.rows.insert(Name::clone(&id), row);
         self.estimate_new(&id);
+        self.pace_new(&id, now);
     }
 
     /// Removes an upstream whose entry was removed.
@@ -426,6 +447,7 @@
             row.slowness += (ratio - row.slowness) * SLOWNESS_SMOOTHING;
         }
         self.record_speed(ticket, now);
+        self.pace_first_event(ticket, now);
     }
 
     /// Ends a request; `outcome` is `None` if the caller disconnected first.
@@ -442,9 +464,18 @@
             .held_tokens
             .saturating_sub(ticket.held_tokens);
         if let Some(outcome) = outcome {
+            let was_avoided = row.health.is_avoided(now);
             row.health.record(outcome, &self.options, now);
+            let is_avoided = row.health.is_avoided(now);
+            if is_avoided && !was_avoided {
+                self.begin_window(&ticket.upstream, PaceCause::Failed, now);
+            } else if is_failure(outcome) {
+                self.pace_failure(&ticket.upstream, now);
+            }
         }
-        if outcome == Some(RequestOutcome::ConnectFailed) {
+        if outcome == Some(RequestOutcome::ConnectFailed)
+            && let Some(row) = self.rows.get(&ticket.upstream)
+        {
             self.reachability
                 .record_failure(&row.entry.domain, row.hash, now);
         }
@@ -459,6 +490,7 @@
             row.rejections += 1;
             row.paused_until = row.paused_until.max(Some(now + pause));
         }
+        self.pace_failure(id, now);
     }
 
     /// Returns the load of this instance's requests at each upstream that has any.
@@ -473,6 +505,13 @@
     }
 }
 
+const fn is_failure(outcome: RequestOutcome) -> bool {
+    !matches!(
+        outcome,
+        RequestOutcome::Responded | RequestOutcome::UpstreamError
+    )
+}
+
 fn process_of(entry: &UpstreamEntry) -> u64 {
     process_hash(&entry.id, entry.born_ms)
 }
--- a/crates/fleet/src/upstreams/speed.rs
+++ b/crates/fleet/src/upstreams/speed.rs
@@ -17,6 +17,7 @@
 use crate::speed::Spread;
 use crate::speed::Work;
 use crate::speed::WorkKind;
+use crate::speed::typical_ms;
 
 /// The time between two comparisons of a service's upstreams.
 const COMPARISON_INTERVAL: Duration = Duration::from_millis(500);
@@ -26,6 +27,15 @@
 pub(super) struct ServiceSpeed {
     compared: Option<Time>,
     spreads: [Option<Spread>; 2],
+    typical_ms: [Option<f64>; 2],
+}
+
+impl ServiceSpeed {
+    /// Returns the mean time of a unit of work at the service's upstreams, if it is known.
+    pub(super) fn typical(&self, kind: WorkKind) -> Option<Duration> {
+        let ms = self.typical_ms[kind.index()]?;
+        Duration::try_from_secs_f64(ms / 1_000.0).ok()
+    }
 }
 
 /// A change of how a service's upstreams are compared.
@@ -131,6 +141,7 @@
             let before = state.spreads[kind.index()];
             let spread = Spread::of(&evidence, before.is_some());
             state.spreads[kind.index()] = spread;
+            state.typical_ms[kind.index()] = typical_ms(&evidence);
             if spread.is_none() && before.is_none() {
                 continue;
             }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -56,6 +56,7 @@
             model: MODEL.into(),
             version,
         }],
+        cold: None,
     }
 }
 
--- a/crates/fleet/tests/support/pace_sim.rs
+++ b/crates/fleet/tests/support/pace_sim.rs
@@ -8,6 +8,10 @@
 use limpetsaddle_fleet::health::RequestOutcome;
 use limpetsaddle_fleet::heartbeat::Heartbeat;
 use limpetsaddle_fleet::heartbeat::SectionKind;
+use limpetsaddle_fleet::pace::PaceUpdate;
+use limpetsaddle_fleet::pace::WindowPart;
+use limpetsaddle_fleet::peers::PeerOptions;
+use limpetsaddle_fleet::peers::Peers;
 use limpetsaddle_fleet::peers::Registration;
 use limpetsaddle_fleet::placement::Placement;
 use limpetsaddle_fleet::placement::PlacementOptions;
@@ -78,6 +82,8 @@
         };
         let fleet = |own: u16| {
             let mut fleet = Fleet::new(entries.iter().map(|(e, _)| e.clone()).collect());
+            let name = format!("i{own}");
+            fleet.peers = Peers::new(name.as_str().into(), PeerOptions::default(), at(0));
             let others = (0..instances).filter(|i| *i != own);
             let others = others.map(registration).collect();
             fleet.peers.set_registrations(others, at(0));
@@ -159,11 +165,22 @@
             let fleet = &mut self.fleets[index];
             let mut heartbeat = Heartbeat::new(&format!("i{index}"), 1, self.now_ms);
             heartbeat.loads = fleet.upstreams.local_loads();
+            let counts = fleet.peers.peer_counts(now);
+            let place = WindowPart {
+                rank: fleet.peers.rank(now),
+                live: u32::try_from(counts.live).unwrap(),
+            };
+            let loads = fleet.peers.remote_loads(now);
+            fleet.upstreams.set_window_limits(&loads, place, now);
             let speeds = fleet.upstreams.take_speed_updates();
-            heartbeat.sections.add(SectionKind::Speed, &speeds).unwrap();
+            let paces = fleet.upstreams.take_pace_updates();
+            heartbeat
+                .sections
+                .add(SectionKind::Speed, &(speeds, paces))
+                .unwrap();
             let datagram = heartbeat.encode().unwrap().for_recipient(None).unwrap();
             let (received, _) = Heartbeat::decode(&datagram).unwrap();
-            let speeds: Vec<SpeedUpdate> =
+            let (speeds, paces): (Vec<SpeedUpdate>, Vec<PaceUpdate>) =
                 received.sections.get(SectionKind::Speed).unwrap().unwrap();
             for (_, other) in self
                 .fleets
@@ -173,6 +190,7 @@
             {
                 other.peers.record_heartbeat(&received, now);
                 other.upstreams.apply_speeds(&speeds, now);
+                other.upstreams.apply_paces(&paces, now);
             }
         }
     }
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -185,6 +185,7 @@
         sequence += 1;
         live = update_peer_counts(&instance, live);
         permits::release(&instance);
+        pace::refresh(&instance);
         if !send_round(&instance, &socket, &stopping, sequence).await {
             return;
         }
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -52,6 +52,7 @@
     life_checks: Counter<u64>,
     part_changes: Counter<u64>,
     request_changes: Counter<u64>,
+    pace_changes: Counter<u64>,
     first_event: Histogram<f64>,
     response_time: Histogram<f64>,
     outdated_weights: Histogram<f64>,
@@ -95,6 +96,7 @@
             life_checks: meter.u64_counter("limpetsaddle_life_checks").build(),
             part_changes: meter.u64_counter("limpetsaddle_part_changes").build(),
             request_changes: meter.u64_counter("limpetsaddle_request_changes").build(),
+            pace_changes: meter.u64_counter("limpetsaddle_pace_changes").build(),
             first_event: times("limpetsaddle_first_event_seconds"),
             response_time: times("limpetsaddle_answer_seconds"),
             outdated_weights: meter
@@ -106,6 +108,11 @@
         })
     }
 
+    /// Counts a change of the window of an upstream, by its cause.
+    pub fn record_pace_change(&self, cause: &'static str) {
+        self.pace_changes.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a received request.
     pub fn record_request(&self) {
         self.requests.add(1, &[]);
