--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -2,6 +2,8 @@
 
 mod availability;
 mod limits;
+mod pace;
+mod speed;
 mod weights;
 
 use std::collections::BTreeMap;
@@ -11,6 +13,9 @@
 
 use limpetsaddle_core::units::Time;
 
+pub use self::pace::PaceChange;
+use self::speed::ServiceSpeed;
+pub use self::speed::SpeedChange;
 use self::weights::raise_version;
 use crate::Name;
 use crate::availability::Availability;
@@ -24,8 +29,13 @@
 use crate::heartbeat::UpstreamLoad;
 use crate::heartbeat::name_hash;
 use crate::heartbeat::process_hash;
+use crate::pace::PaceCause;
+use crate::pace::PaceUpdate;
+use crate::pace::Window;
 use crate::permits::PermitPool;
 use crate::reachability::DomainReachability;
+use crate::speed::SpeedRecord;
+use crate::speed::Work;
 
 /// The phase of an upstream's life, as the upstream reports it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -66,6 +76,8 @@
     pub sequence: u64,
     /// The weights that it has loaded.
     pub weights: Vec<Weights>,
+    /// How much longer it is slow after its start, if it says so.
+    pub cold: Option<Duration>,
 }
 
 impl UpstreamEntry {
@@ -90,7 +102,9 @@
     is_long_prompt: bool,
     waiting_tokens: u32,
     held_tokens: u32,
+    born_ms: u64,
     started: Time,
+    work: Option<Work>,
 }
 
 /// The number of uncached tokens from which a prompt counts as long: during its
@@ -123,6 +137,11 @@
     pub local_load: UpstreamLoad,
     /// The moving average of the ratio of observed to expected time to the first event.
     pub slowness: f64,
+    /// What all instances have observed of its speed.
+    speed: SpeedRecord,
+    window: Option<Window>,
+    /// The time since which the process is known.
+    since: Time,
     /// What the upstream, its entries and other instances said of its availability.
     record: AvailabilityRecord,
     /// The permits for its limit.
@@ -201,6 +220,13 @@
     marked: Vec<Incarnation>,
     changes: Vec<AvailabilityChange>,
     reachability: DomainReachability,
+    speeds: HashMap<Name, ServiceSpeed>,
+    speed_changes: Vec<SpeedChange>,
+    /// The recent failures of upstreams, by the hashes of their ids.
+    failures: HashMap<u64, (u32, Time)>,
+    pace_changes: Vec<PaceChange>,
+    /// The unreported responses at upstreams whose windows have ended.
+    last_paces: Vec<PaceUpdate>,
 }
 
 impl Upstreams {
@@ -217,6 +243,11 @@
             marked: Vec::new(),
             changes: Vec::new(),
             reachability: DomainReachability::default(),
+            speeds: HashMap::new(),
+            speed_changes: Vec::new(),
+            failures: HashMap::new(),
+            pace_changes: Vec::new(),
+            last_paces: Vec::new(),
         }
     }
 
@@ -268,6 +299,9 @@
             health: Health::default(),
             local_load: UpstreamLoad::default(),
             slowness: 1.0,
+            speed: SpeedRecord::default(),
+            window: None,
+            since: now,
             record,
             permits: PermitPool::default(),
             paused_until: None,
@@ -278,7 +312,10 @@
             entry,
         };
         self.ids.insert(process, Name::clone(&row.entry.id));
-        self.rows.insert(Name::clone(&row.entry.id), row);
+        let id = Name::clone(&row.entry.id);
+        self.rows.insert(Name::clone(&id), row);
+        self.estimate_new(&id);
+        self.pace_new(&id, now);
     }
 
     /// Removes an upstream whose entry was removed.
@@ -387,7 +424,9 @@
             is_long_prompt,
             waiting_tokens,
             held_tokens,
+            born_ms: row.entry.born_ms,
             started: now,
+            work: None,
         })
     }
 
@@ -407,6 +446,8 @@
             let ratio = ratio.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
             row.slowness += (ratio - row.slowness) * SLOWNESS_SMOOTHING;
         }
+        self.record_speed(ticket, now);
+        self.pace_first_event(ticket, now);
     }
 
     /// Ends a request; `outcome` is `None` if the caller disconnected first.
@@ -423,9 +464,18 @@
             .held_tokens
             .saturating_sub(ticket.held_tokens);
         if let Some(outcome) = outcome {
+            let was_avoided = row.health.is_avoided(now);
             row.health.record(outcome, &self.options, now);
+            let is_avoided = row.health.is_avoided(now);
+            if is_avoided && !was_avoided {
+                self.begin_window(&ticket.upstream, PaceCause::Failed, now);
+            } else if is_failure(outcome) {
+                self.pace_failure(&ticket.upstream, now);
+            }
         }
-        if outcome == Some(RequestOutcome::ConnectFailed) {
+        if outcome == Some(RequestOutcome::ConnectFailed)
+            && let Some(row) = self.rows.get(&ticket.upstream)
+        {
             self.reachability
                 .record_failure(&row.entry.domain, row.hash, now);
         }
@@ -440,6 +490,7 @@
             row.rejections += 1;
             row.paused_until = row.paused_until.max(Some(now + pause));
         }
+        self.pace_failure(id, now);
     }
 
     /// Returns the load of this instance's requests at each upstream that has any.
@@ -454,6 +505,13 @@
     }
 }
 
+const fn is_failure(outcome: RequestOutcome) -> bool {
+    !matches!(
+        outcome,
+        RequestOutcome::Responded | RequestOutcome::UpstreamError
+    )
+}
+
 fn process_of(entry: &UpstreamEntry) -> u64 {
     process_hash(&entry.id, entry.born_ms)
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crash_scenario;
 pub mod crash_sim;
+pub mod pace_sim;
 pub mod permit_sim;
 pub mod request_sim;
 
@@ -55,6 +56,7 @@
             model: MODEL.into(),
             version,
         }],
+        cold: None,
     }
 }
 
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -25,6 +25,7 @@
 use monoio::net::udp::UdpSocket;
 
 use super::instance::FleetInstance;
+use super::pace;
 use super::permits;
 use super::reach;
 use super::upstream_calls;
@@ -158,6 +159,7 @@
     for report in &heartbeat.stores {
         instance.observe_kv_store(*report);
     }
+    pace::apply(instance, heartbeat, now);
     let mut upstreams = instance.upstreams.borrow_mut();
     for report in &heartbeat.weights {
         upstreams.apply_weights(report, now);
@@ -185,6 +187,7 @@
         sequence += 1;
         live = update_peer_counts(&instance, live);
         permits::release(&instance);
+        pace::refresh(&instance);
         if !send_round(&instance, &socket, &stopping, sequence).await {
             return;
         }
@@ -384,6 +387,8 @@
         heartbeat.stores = instance.kv_stores.borrow().statuses(now);
     }
     heartbeat.cached = instance.directory.borrow_mut().take_updates();
+    drop(upstreams);
+    pace::report(instance, &mut heartbeat);
     heartbeat
 }
 
