--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod availability;
 pub mod begin_limit;
+pub mod canary;
 pub mod configuration;
 pub mod directory;
 pub mod events;
