Decide on canary rollouts of a service's software

Cause: nothing limited, judged or recorded the move of a service to another software version. Change: crates/fleet/src/canary/ holds versions and the upstreams of a canary, the share that attempts earn, evidence from all instances, phases and what the holder of the lease records. Signatures changed: apply_order takes the status by reference, admit and admit_base take &self (admit_base no time), record_unsent takes the time; state() is added.

--- a/crates/fleet/src/canary.rs
+++ b/crates/fleet/src/canary.rs
@@ -4,8 +4,15 @@
 //! instance sends that version a small share of the requests that it sends itself, all
 //! instances judge the sum of the responses, and the holder of the lease records the outcome.
 
+mod evidence;
 mod report;
+mod rollout;
+mod service;
+mod versions;
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +20,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use self::evidence::Column;
+use self::rollout::FleetView;
+use self::rollout::MAX_PEERS;
+use self::rollout::Rollout;
+use self::service::Service;
 use crate::Name;
 use crate::limits::PeerCounts;
 use crate::settings::CanaryBounds;
@@ -111,6 +123,8 @@
     version: Name,
     /// The hash of the order that was in force.
     order: u64,
+    /// The phase of the rollout.
+    phase: Phase,
 }
 
 /// The outcome of an attempt.
@@ -136,85 +150,325 @@
     pub status: CanaryStatus,
 }
 
+/// What operators see of a rollout.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CanaryState {
+    /// The target.
+    pub target: Name,
+    /// The phase that this instance knows.
+    pub phase: Phase,
+    /// Whether a verdict against the target is known.
+    pub is_bad: bool,
+    /// Whether this instance hears enough of its peers to send requests to the target.
+    pub is_permitted: bool,
+    /// The attempts that this instance has sent to the target since it has read the order.
+    pub sent_target: u64,
+    /// All attempts that it has sent to the service since then.
+    pub sent: u64,
+}
+
+/// The time after which an instance without registered peers is alone, rather than one that has
+/// just started and has not read the registrations.
+const LONE_TIME: Duration = Duration::from_millis(3_500);
+
+/// The maximum number of rollouts in a report.
+const MAX_REPORTED: usize = 32;
+
+/// The bytes of a report beyond which no more responses are added.
+const MAX_REPORT_BYTES: usize = 3 * 1024;
+
 /// All rollouts that this instance knows.
 #[derive(Debug)]
 pub struct Canaries {
     bounds: CanaryBounds,
+    services: BTreeMap<Name, Service>,
+    orders_are_read: bool,
+    /// The last time stamp of this instance that each peer is known to have received.
+    echoes: HashMap<String, Time>,
+    /// The time until which this instance may send requests to target versions.
+    permitted_until: Option<Time>,
+    /// The time from which no peers were registered.
+    alone_since: Option<Time>,
+    /// The reports that were made, so that all rollouts get room in turn.
+    reports: usize,
 }
 
 impl Canaries {
     /// Returns the state of an instance that has not read any order yet.
     #[must_use]
-    pub const fn new(bounds: CanaryBounds) -> Self {
-        Self { bounds }
+    pub fn new(bounds: CanaryBounds) -> Self {
+        Self {
+            bounds,
+            services: BTreeMap::new(),
+            orders_are_read: false,
+            echoes: HashMap::new(),
+            permitted_until: None,
+            alone_since: None,
+            reports: 0,
+        }
     }
 
     /// Records that all orders have been read once. Until then, services with upstreams of
     /// several versions get no requests, as the version in force is unknown.
-    pub fn record_orders_read(&mut self) {}
+    pub const fn record_orders_read(&mut self) {
+        self.orders_are_read = true;
+    }
 
     /// Applies an order and its status as the store holds them.
-    pub fn apply_order(&mut self, _order: Order, _status: Option<CanaryStatus>, _now: Time) {}
+    pub fn apply_order(&mut self, order: Order, status: Option<&CanaryStatus>, now: Time) {
+        let share = self.bounds.exposure_share;
+        let name = Name::clone(&order.service);
+        let service = self.services.entry(name).or_default();
+        let known = service
+            .rollout
+            .as_mut()
+            .filter(|rollout| rollout.is_of(&order));
+        if let Some(rollout) = known {
+            let before = rollout.phase;
+            rollout.order = order;
+            rollout.apply_status(status, now);
+            service.follow_phase(before, share);
+            return;
+        }
+        service.drop_rollout();
+        match status {
+            Some(status) if status.phase == Phase::Completed => {
+                service.versions.complete(&status.target);
+            }
+            Some(status) if status.target != order.target => {
+                service.versions.reject(&status.target);
+            }
+            Some(_) | None => {}
+        }
+        let mut rollout = Rollout::new(order, now);
+        rollout.apply_status(status, now);
+        service.rollout = Some(rollout);
+        (service.sent, service.sent_target) = (0, 0);
+        service.update(share);
+    }
 
     /// Applies the removal of a service's order.
-    pub fn withdraw_order(&mut self, _service: &str, _now: Time) {}
+    pub fn withdraw_order(&mut self, service: &str, _now: Time) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.drop_rollout();
+            service.update(self.bounds.exposure_share);
+        }
+    }
 
     /// Replaces the known upstreams of a service. The list is complete, whatever the health and
     /// availability of the upstreams.
-    pub fn observe_upstreams(&mut self, _service: &str, _upstreams: &[UpstreamVersion]) {}
+    pub fn observe_upstreams(&mut self, service: &str, upstreams: &[UpstreamVersion]) {
+        let service = self.services.entry(service.into()).or_default();
+        service.versions.set_upstreams(upstreams);
+        service.update(self.bounds.exposure_share);
+    }
+
+    /// Returns whether this instance would know of a verdict, as it hears enough of its peers.
+    fn is_permitted(&self, now: Time) -> bool {
+        self.permitted_until.is_some_and(|until| now < until)
+    }
 
     /// Returns the upstreams that the next attempt may use, or `None` if all may be used.
     ///
     /// Retries, probes, hedged requests and resumed streams are attempts too. An admission
     /// without upstreams permits none.
-    pub fn admit(&mut self, _service: &str, _now: Time) -> Option<Admission> {
-        None
+    #[must_use]
+    pub fn admit(&self, service: &str, now: Time) -> Option<Admission> {
+        let base = self.admit_base(service)?;
+        let service = self.services.get(service)?;
+        let target = service.admits_target(self.is_permitted(now), now);
+        let target = target
+            .filter(|_| self.orders_are_read)
+            .map(|selection| Admission {
+                side: Side::Target,
+                upstreams: Rc::clone(&selection.upstreams),
+            });
+        Some(target.unwrap_or(base))
     }
 
     /// Returns the upstreams of the base version, for an attempt which none of those that
-    /// [`Self::admit`] returned can take.
-    pub fn admit_base(&mut self, _service: &str, _now: Time) -> Option<Admission> {
-        None
+    /// [`Self::admit`] returned can take, or `None` if all may be used.
+    #[must_use]
+    pub fn admit_base(&self, service: &str) -> Option<Admission> {
+        let service = self.services.get(service)?;
+        if service.has_only_base() {
+            return None;
+        }
+        let is_known = self.orders_are_read || service.versions.is_uniform();
+        Some(Admission {
+            side: Side::Base,
+            upstreams: if is_known {
+                service.base_upstreams()
+            } else {
+                [].into()
+            },
+        })
     }
 
     /// Counts an attempt that is sent to an upstream now, unless it is not permitted any more:
     /// then returns `None`, and nothing may be sent.
-    pub fn record_sent(&mut self, service: &str, _id: &str, _now: Time) -> Option<SentAttempt> {
+    pub fn record_sent(&mut self, service: &str, id: &str, now: Time) -> Option<SentAttempt> {
+        let is_permitted = self.is_permitted(now);
+        let orders_are_read = self.orders_are_read;
+        let Some((name, service)) = self.services.get_key_value(service) else {
+            return Some(SentAttempt {
+                side: Side::Base,
+                service: service.into(),
+                version: "".into(),
+                order: 0,
+                phase: Phase::Canary,
+            });
+        };
+        let name = Name::clone(name);
+        let version = Name::clone(service.versions.of(id)?);
+        let side = if service.versions.base() == Some(&version) {
+            Side::Base
+        } else {
+            let selection = service.admits_target(is_permitted, now)?;
+            selection.contains(id).then_some(Side::Target)?
+        };
+        if !orders_are_read && !service.versions.is_uniform() {
+            return None;
+        }
+        let share = service.share(now);
+        let service = self.services.get_mut(&name)?;
+        let mut order = 0;
+        let mut phase = Phase::Canary;
+        if let Some(rollout) = service.rollout.as_mut().filter(|r| r.is_running()) {
+            rollout.record_sent(side, share);
+            order = rollout.key;
+            phase = rollout.phase;
+            service.sent += 1;
+            service.sent_target += u64::from(side == Side::Target);
+        }
+        *service.running.entry(Name::clone(&version)).or_default() += 1;
         Some(SentAttempt {
-            side: Side::Base,
-            service: service.into(),
-            version: "".into(),
-            order: 0,
+            side,
+            service: name,
+            version,
+            order,
+            phase,
         })
     }
 
     /// Records that an attempt certainly has not reached its upstream: it counts for no share.
     /// [`Self::record_end`] is still to be called.
-    pub fn record_unsent(&mut self, _attempt: &SentAttempt) {}
+    pub fn record_unsent(&mut self, attempt: &SentAttempt, now: Time) {
+        let Some(service) = self.services.get_mut(&attempt.service) else {
+            return;
+        };
+        let share = service.share(now);
+        let rollout = service.rollout.as_mut();
+        if let Some(rollout) =
+            rollout.filter(|r| r.key == attempt.order && r.phase == attempt.phase)
+        {
+            rollout.record_unsent(attempt.side, share);
+            service.sent = service.sent.saturating_sub(1);
+            let target = u64::from(attempt.side == Side::Target);
+            service.sent_target = service.sent_target.saturating_sub(target);
+        }
+    }
 
     /// Records the response to an attempt, or that there will be none.
+    ///
+    /// The base version is compared over the times in which the target can get requests too.
     pub fn record_answer(
         &mut self,
-        _attempt: &SentAttempt,
-        _route: &str,
-        _outcome: AnswerOutcome,
-        _now: Time,
+        attempt: &SentAttempt,
+        route: &str,
+        outcome: AnswerOutcome,
+        now: Time,
     ) {
+        let is_permitted = self.is_permitted(now);
+        let Some(service) = self.services.get_mut(&attempt.service) else {
+            return;
+        };
+        let is_comparable = is_permitted && service.target(now).is_some();
+        let rollout = service.rollout.as_mut();
+        let Some(rollout) = rollout.filter(|rollout| rollout.key == attempt.order) else {
+            return;
+        };
+        let latency = match outcome {
+            AnswerOutcome::Failed => None,
+            AnswerOutcome::Answered { latency } => Some(latency),
+        };
+        match (attempt.side, attempt.phase) {
+            (Side::Base, Phase::Canary) if is_comparable => {
+                rollout.evidence.record(Column::Base, route, latency);
+            }
+            (Side::Base, _) => {}
+            (Side::Target, Phase::Canary) => {
+                rollout.evidence.record(Column::Target, route, latency);
+            }
+            (Side::Target, _) => rollout.evidence.record(Column::Moved, route, latency),
+        }
     }
 
     /// Records that an attempt has ended.
-    pub fn record_end(&mut self, _attempt: SentAttempt) {}
+    pub fn record_end(&mut self, attempt: SentAttempt) {
+        let SentAttempt {
+            service, version, ..
+        } = attempt;
+        let Some(service) = self.services.get_mut(&service) else {
+            return;
+        };
+        if let Some(running) = service.running.get_mut(&version) {
+            *running = running.saturating_sub(1);
+            if *running == 0 {
+                service.running.remove(&version);
+            }
+        }
+    }
 
     /// Returns whether streams at upstreams of the base version, which can be resumed, are to be
     /// moved to the target now.
     #[must_use]
-    pub fn moves_streams(&self, _service: &str, _now: Time) -> bool {
-        false
+    pub fn moves_streams(&self, service: &str, now: Time) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| service.moves_all(now) && self.is_permitted(now))
+    }
+
+    /// Returns the state of a service's rollout.
+    #[must_use]
+    pub fn state(&self, service: &str, now: Time) -> Option<CanaryState> {
+        let service = self.services.get(service)?;
+        let rollout = service.rollout.as_ref()?;
+        Some(CanaryState {
+            target: Name::clone(&rollout.order.target),
+            phase: rollout.phase,
+            is_bad: rollout.is_bad,
+            is_permitted: self.is_permitted(now),
+            sent_target: service.sent_target,
+            sent: service.sent,
+        })
     }
 
     /// Returns the report for the next heartbeat.
-    pub fn report(&mut self, _now: Time) -> CanaryReport {
-        CanaryReport::default()
+    pub fn report(&mut self, now: Time) -> CanaryReport {
+        let services = self.services.values();
+        let known: Vec<(&Service, &Rollout)> = services
+            .filter_map(|service| Some((service, service.rollout.as_ref()?)))
+            .collect();
+        let first = self.reports % known.len().max(1);
+        self.reports = self.reports.wrapping_add(1);
+        let mut rollouts: Vec<RolloutReport> = Vec::new();
+        let mut bytes = 0;
+        for (service, rollout) in known[first..].iter().chain(&known[..first]) {
+            if rollouts.len() == MAX_REPORTED {
+                break;
+            }
+            let routes: &[_] = if rollout.is_running() {
+                rollout.evidence.own()
+            } else {
+                &[]
+            };
+            let length = postcard::to_stdvec(routes).map_or(usize::MAX, |encoded| encoded.len());
+            let has_room = length <= MAX_REPORT_BYTES.saturating_sub(bytes);
+            let routes = if has_room { routes } else { &[] };
+            bytes += if has_room { length } else { 0 };
+            rollouts.push(rollout.report(routes, service.base_running(), now));
+        }
+        CanaryReport { rollouts }
     }
 
     /// Applies a peer's heartbeat, with an empty report if it has none. `echoed` is the last time
@@ -222,24 +476,93 @@
     /// don't count as recent ones.
     pub fn observe(
         &mut self,
-        _sender: &str,
-        _incarnation: u64,
-        _report: &CanaryReport,
-        _echoed: Option<Time>,
-        _now: Time,
+        sender: &str,
+        incarnation: u64,
+        report: &CanaryReport,
+        echoed: Option<Time>,
+        now: Time,
     ) {
+        if let Some(echoed) = echoed.map(|echoed| echoed.min(now)) {
+            if let Some(last) = self.echoes.get_mut(sender) {
+                *last = echoed.max(*last);
+            } else if self.echoes.len() < MAX_PEERS {
+                self.echoes.insert(sender.to_owned(), echoed);
+            }
+        }
+        let share = self.bounds.exposure_share;
+        for service in self.services.values_mut() {
+            let Some(rollout) = &mut service.rollout else {
+                continue;
+            };
+            let mut reports = report.rollouts.iter().take(MAX_REPORTED);
+            let Some(report) = reports.find(|report| report.order == rollout.key) else {
+                continue;
+            };
+            let before = rollout.phase;
+            rollout.observe(sender, incarnation, report, now);
+            service.follow_phase(before, share);
+        }
+    }
+
+    /// Renews the permission to send requests to target versions, which lasts while at least half
+    /// of the peers have been heard from. A verdict reaches this instance through them.
+    fn renew_permission(&mut self, peers: PeerCounts, now: Time) {
+        let validity = self.bounds.rollback / 2;
+        self.echoes
+            .retain(|_, echoed| now.since(*echoed) < validity);
+        let others = peers.registered.max(peers.live).saturating_sub(1);
+        if others > 0 {
+            self.alone_since = None;
+            let quorum = others.div_ceil(2);
+            let mut echoes: Vec<Time> = self.echoes.values().copied().collect();
+            echoes.sort_by_key(|echoed| Reverse(*echoed));
+            self.permitted_until = echoes.get(quorum - 1).map(|echoed| *echoed + validity);
+        } else {
+            let since = *self.alone_since.get_or_insert(now);
+            let is_alone = now.since(since) >= LONE_TIME;
+            self.permitted_until = is_alone.then(|| now + validity);
+        }
     }
 
     /// Judges, and returns what the holder of the lease has to write; nothing for others. To be
     /// called at each heartbeat.
-    pub fn step(&mut self, _holds_lease: bool, _peers: PeerCounts, _now: Time) -> Vec<CanaryWrite> {
-        Vec::new()
+    pub fn step(&mut self, holds_lease: bool, peers: PeerCounts, now: Time) -> Vec<CanaryWrite> {
+        self.renew_permission(peers, now);
+        let is_permitted = self.is_permitted(now);
+        let mut writes = Vec::new();
+        for (name, service) in &mut self.services {
+            let is_drained = service.base_running() == 0;
+            let moves_all = service.moves_all(now);
+            let Some(rollout) = &mut service.rollout else {
+                continue;
+            };
+            rollout.judge(now);
+            if !holds_lease {
+                continue;
+            }
+            let fleet = FleetView {
+                live: peers.live,
+                is_permitted,
+                is_drained,
+                moves_all,
+            };
+            let phase = rollout.next_write(&service.versions, fleet, now);
+            if let Some(phase) = phase {
+                let target = Name::clone(&rollout.order.target);
+                writes.push(CanaryWrite {
+                    service: Name::clone(name),
+                    status: CanaryStatus { phase, target },
+                });
+            }
+        }
+        writes
     }
 
     /// Returns whether the holder of the lease has something to write soon, so that one is
     /// needed.
     #[must_use]
     pub fn needs_lease(&self) -> bool {
-        false
+        let rollouts = self.services.values().filter_map(|s| s.rollout.as_ref());
+        rollouts.into_iter().any(Rollout::needs_write)
     }
 }
