--- a/crates/fleet/src/canary.rs
+++ b/crates/fleet/src/canary.rs
@@ -392,16 +392,14 @@
             AnswerOutcome::Failed => None,
             AnswerOutcome::Answered { latency } => Some(latency),
         };
-        match (attempt.side, attempt.phase) {
-            (Side::Base, Phase::Canary) if is_comparable => {
-                rollout.evidence.record(Column::Base, route, latency);
-            }
-            (Side::Base, _) => {}
-            (Side::Target, Phase::Canary) => {
-                rollout.evidence.record(Column::Target, route, latency);
-            }
-            (Side::Target, _) => rollout.evidence.record(Column::Moved, route, latency),
-        }
+        let column = match (attempt.side, attempt.phase) {
+            (Side::Base, _) if !is_comparable => return,
+            (Side::Base, Phase::Canary) => Column::Base,
+            (Side::Base, _) => Column::Remaining,
+            (Side::Target, Phase::Canary) => Column::Target,
+            (Side::Target, _) => Column::Moved,
+        };
+        rollout.evidence.record(column, route, latency);
     }
 
     /// Records that an attempt has ended.
@@ -515,8 +513,11 @@
             self.alone_since = None;
             let quorum = others.div_ceil(2);
             let mut echoes: Vec<Time> = self.echoes.values().copied().collect();
-            echoes.sort_by_key(|echoed| Reverse(*echoed));
-            self.permitted_until = echoes.get(quorum - 1).map(|echoed| *echoed + validity);
+            self.permitted_until = (quorum <= echoes.len()).then(|| {
+                let (_, oldest, _) =
+                    echoes.select_nth_unstable_by_key(quorum - 1, |echoed| Reverse(*echoed));
+                *oldest + validity
+            });
         } else {
             let since = *self.alone_since.get_or_insert(now);
             let is_alone = now.since(since) >= LONE_TIME;
@@ -525,7 +526,7 @@
     }
 
     /// Judges, and returns what the holder of the lease has to write; nothing for others. To be
-    /// called at each heartbeat.
+    /// called every 0.1 s, also where heartbeats are sent less often.
     pub fn step(&mut self, holds_lease: bool, peers: PeerCounts, now: Time) -> Vec<CanaryWrite> {
         self.renew_permission(peers, now);
         let is_permitted = self.is_permitted(now);
--- a/crates/fleet/src/canary/evidence.rs
+++ b/crates/fleet/src/canary/evidence.rs
@@ -38,6 +38,12 @@
 /// The failures beyond those to be expected that count whatever their fraction is.
 const MANY_FAILURES: f64 = 25.0;
 
+/// The bad responses without which a version isn't found bad, as one incident may cause a few.
+const MIN_BAD: u64 = 4;
+
+/// The responses of the base version from which it is compared while the service moves.
+const MIN_REMAINING: u64 = 10;
+
 /// The routes in a sum; further ones are counted together.
 const MAX_SUMMED_ROUTES: usize = 64;
 
@@ -106,6 +112,7 @@
     base: Counts,
     target: Counts,
     moved: Counts,
+    remaining: Counts,
 }
 
 impl From<&RouteReport> for Group {
@@ -114,6 +121,7 @@
             base: (&report.base).into(),
             target: (&report.target).into(),
             moved: (&report.moved).into(),
+            remaining: (&report.remaining).into(),
         }
     }
 }
@@ -123,6 +131,7 @@
         self.base += other.base;
         self.target += other.target;
         self.moved += other.moved;
+        self.remaining += other.remaining;
     }
 }
 
@@ -131,6 +140,7 @@
         self.base -= other.base;
         self.target -= other.target;
         self.moved -= other.moved;
+        self.remaining -= other.remaining;
     }
 }
 
@@ -153,7 +163,7 @@
     let all = as_f64(base.count + target.count);
     let share = as_f64(target.of) / as_f64((base.of + target.of).max(1));
     let observed = as_f64(target.count) / all.max(1.0);
-    if observed <= share || base.of == 0 {
+    if base.of == 0 || target.of == 0 || observed <= share {
         return 0.0;
     }
     let rest = if observed < 1.0 {
@@ -170,7 +180,11 @@
     if excess < min_excess && excess * as_f64(target.of) < many {
         return 0.0;
     }
-    unlikelihood(base, target)
+    let evidence = unlikelihood(base, target);
+    if target.count < MIN_BAD {
+        return evidence.min(SUSPICIOUS);
+    }
+    evidence
 }
 
 /// The differences of fractions from which they matter, for failures, slow and very slow
@@ -256,11 +270,16 @@
     }
 
     /// Returns the strongest evidence against the target, by route and of all. What the target
-    /// has answered while the service moves is compared with all earlier responses.
+    /// has answered while the service moves is compared with all earlier responses, and with
+    /// those of the base version meanwhile, as long as there are some.
     fn evidence(&self, all: &Self) -> f64 {
         let of_group = |group: &Group, all: &Group| {
             let canary = compare(&group.base, &group.target, CANARY_EXCESS, MANY_FAILURES);
-            let moving = compare(&all.base, &group.moved, MOVING_EXCESS, f64::INFINITY);
+            let against = |base| compare(base, &group.moved, MOVING_EXCESS, f64::INFINITY);
+            let mut moving = against(&all.base);
+            if all.remaining.responses >= MIN_REMAINING {
+                moving = moving.min(against(&all.remaining));
+            }
             canary.max(moving)
         };
         let routes = self.0.iter().map(|(route, group)| {
@@ -327,6 +346,8 @@
     Target,
     /// The target version, while the service moves to it.
     Moved,
+    /// The base version, while the service moves.
+    Remaining,
 }
 
 #[derive(Debug)]
@@ -375,6 +396,7 @@
             Column::Base => &mut report.base,
             Column::Target => &mut report.target,
             Column::Moved => &mut report.moved,
+            Column::Remaining => &mut report.remaining,
         };
         tally.responses = tally.responses.saturating_add(1);
         if latency.is_none() {
@@ -402,6 +424,10 @@
                 peer.incarnation = incarnation;
                 peer.routes.clear();
             }
+            // Totals only grow: the report was overtaken by a later one.
+            if responses(routes) < responses(&peer.routes) {
+                return;
+            }
             self.of_peers.replace(&peer.routes, routes);
             routes.clone_into(&mut peer.routes);
             return;
@@ -467,6 +493,14 @@
     }
 }
 
+/// Returns the number of all responses.
+fn responses(routes: &[RouteReport]) -> u64 {
+    let tallies = routes
+        .iter()
+        .flat_map(|r| [&r.base, &r.target, &r.moved, &r.remaining]);
+    tallies.map(|tally| u64::from(tally.responses)).sum()
+}
+
 fn as_f64(count: u64) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/fleet/src/canary/report.rs
+++ b/crates/fleet/src/canary/report.rs
@@ -34,6 +34,8 @@
     pub target: Tally,
     /// The responses of the target version while the service moves to it.
     pub moved: Tally,
+    /// The responses of the base version while the service moves.
+    pub remaining: Tally,
 }
 
 /// What an instance reports on one rollout.
--- a/crates/fleet/src/canary/rollout.rs
+++ b/crates/fleet/src/canary/rollout.rs
@@ -34,7 +34,7 @@
 /// whatever is known, gets all requests, and is completed though old requests still run.
 const ACCEPT: f64 = 0.667;
 const DECIDE: f64 = 0.85;
-const MOVE_ALL: f64 = 0.9;
+const MOVE_ALL: f64 = 0.8;
 const COMPLETE: f64 = 0.95;
 
 /// The steps in which requests move to the target, and the fraction of the duration that they
@@ -228,18 +228,14 @@
 
     /// Counts an attempt while the target gets a `share` of all.
     pub fn record_sent(&mut self, side: Side, share: f64) {
-        self.credit = (self.credit + share).min(MAX_CREDIT);
-        if side == Side::Target {
-            self.credit -= 1.0;
-        }
+        let used = if side == Side::Target { 1.0 } else { 0.0 };
+        self.credit = (self.credit + share - used).min(MAX_CREDIT);
     }
 
     /// Takes back an attempt that has not reached its upstream.
     pub fn record_unsent(&mut self, side: Side, share: f64) {
-        self.credit -= share;
-        if side == Side::Target {
-            self.credit = (self.credit + 1.0).min(MAX_CREDIT);
-        }
+        let used = if side == Side::Target { 1.0 } else { 0.0 };
+        self.credit = (self.credit - share + used).min(MAX_CREDIT);
     }
 
     /// Returns whether all new requests go to the target, which gets a `share` of all.
@@ -267,11 +263,13 @@
         self.started = self.started.min(Time::from_origin(started));
         self.is_bad |= report.is_bad;
         self.advance(report.phase, now);
-        if self.peers.len() < MAX_PEERS || self.peers.contains_key(sender) {
-            let state = PeerState {
-                heard: now,
-                has_moved: report.phase != Phase::Canary && report.base_running == 0,
-            };
+        let state = PeerState {
+            heard: now,
+            has_moved: report.phase != Phase::Canary && report.base_running == 0,
+        };
+        if let Some(known) = self.peers.get_mut(sender) {
+            *known = state;
+        } else if self.peers.len() < MAX_PEERS {
             self.peers.insert(sender.to_owned(), state);
         }
         if self.evidence.peers() < MAX_PEERS || self.evidence.knows(sender) {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod canary_fleet;
 pub mod crash_scenario;
 pub mod crash_sim;
 pub mod permit_sim;
