--- a/crates/fleet/src/canary.rs
+++ b/crates/fleet/src/canary.rs
@@ -259,8 +259,9 @@
     /// availability of the upstreams.
     pub fn observe_upstreams(&mut self, service: &str, upstreams: &[UpstreamVersion]) {
         let service = self.services.entry(service.into()).or_default();
-        service.versions.set_upstreams(upstreams);
-        service.update(self.bounds.exposure_share);
+        if service.versions.set_upstreams(upstreams) {
+            service.update(self.bounds.exposure_share);
+        }
     }
 
     /// Returns whether this instance would know of a verdict, as it hears enough of its peers.
@@ -384,6 +385,7 @@
             return;
         };
         let is_comparable = is_permitted && service.target(now).is_some();
+        let has_fewer = service.target_has_fewer();
         let rollout = service.rollout.as_mut();
         let Some(rollout) = rollout.filter(|rollout| rollout.key == attempt.order) else {
             return;
@@ -399,7 +401,9 @@
             (Side::Target, Phase::Canary) => Column::Target,
             (Side::Target, _) => Column::Moved,
         };
-        rollout.evidence.record(column, route, latency);
+        // Fewer upstreams than before get more load each, and may be slow for that reason.
+        let is_timed = column != Column::Moved || !has_fewer;
+        rollout.evidence.record(column, route, latency, is_timed);
     }
 
     /// Records that an attempt has ended.
--- a/crates/fleet/src/canary/evidence.rs
+++ b/crates/fleet/src/canary/evidence.rs
@@ -368,8 +368,15 @@
 }
 
 impl Evidence {
-    /// Records a response at this instance; without a time if it failed.
-    pub fn record(&mut self, column: Column, route: &str, latency: Option<Duration>) {
+    /// Records a response at this instance; without a time if it failed. The time doesn't count
+    /// unless `is_timed`.
+    pub fn record(
+        &mut self,
+        column: Column,
+        route: &str,
+        latency: Option<Duration>,
+        is_timed: bool,
+    ) {
         let hash = name_hash(route);
         let is_known = self.own.iter().any(|report| report.route == hash);
         let named = self.own.iter().filter(|report| report.route != 0).count();
@@ -402,7 +409,7 @@
         if latency.is_none() {
             tally.failures = tally.failures.saturating_add(1);
         }
-        if let Some(bucket) = bucket {
+        if let Some(bucket) = bucket.filter(|_| is_timed) {
             tally.times[bucket] = tally.times[bucket].saturating_add(1);
         }
     }
--- a/crates/fleet/src/canary/service.rs
+++ b/crates/fleet/src/canary/service.rs
@@ -83,6 +83,12 @@
         (!selection.upstreams.is_empty()).then_some((rollout, selection, share))
     }
 
+    /// Returns whether the target has fewer upstreams than the version in force.
+    pub fn target_has_fewer(&self) -> bool {
+        let selection = self.selection.as_ref();
+        selection.is_some_and(|selection| selection.upstreams.len() < self.base.len())
+    }
+
     /// Returns the share of the target.
     pub fn share(&self, now: Time) -> f64 {
         self.target(now).map_or(0.0, |(_, _, share)| share)
--- a/crates/fleet/src/canary/versions.rs
+++ b/crates/fleet/src/canary/versions.rs
@@ -58,13 +58,17 @@
 }
 
 impl Versions {
-    /// Replaces the upstreams. [`Self::update_base`] is to be called next.
-    pub fn set_upstreams(&mut self, upstreams: &[UpstreamVersion]) {
+    /// Replaces the upstreams. Returns whether they differ: then [`Self::update_base`] is to be
+    /// called next.
+    pub fn set_upstreams(&mut self, upstreams: &[UpstreamVersion]) -> bool {
         let entries = upstreams.iter().map(|upstream| {
             let version = Name::clone(&upstream.version);
             (Name::clone(&upstream.id), (version, upstream.born_ms))
         });
-        self.upstreams = entries.collect();
+        let entries = entries.collect();
+        let is_changed = self.upstreams != entries;
+        self.upstreams = entries;
+        is_changed
     }
 
     /// Records that a version is the target of a completed rollout.
--- a/crates/fleet/tests/canary_fleet.rs
+++ b/crates/fleet/tests/canary_fleet.rs
@@ -167,3 +167,45 @@
         }
     }
 }
+
+/// Guards against a fault that begins when the canary has been found good: the evidence is still
+/// judged while the service moves. The share doesn't hold any more then.
+#[test]
+fn verify_a_version_that_fails_during_the_move_is_rolled_back() {
+    for seed in 0..SEEDS {
+        let fault = Fault {
+            onset: 0.7,
+            ..failing(seed)
+        };
+        let outcome = Fleet::new(scenario(9, fault, seed)).run();
+        assert_eq!(outcome.ends(), [Phase::RolledBack], "{seed}: {outcome:?}");
+        let late = outcome.last_sent.zip(outcome.limit_reached);
+        let late = late.map_or(Duration::ZERO, |(last, limit)| last.since(limit));
+        assert!(late <= Duration::from_secs(5), "{seed}: {outcome:?}");
+    }
+}
+
+/// Guards against too little evidence where few instances have all the load, or where only few
+/// new upstreams have started.
+#[parameterized(
+    few_new = { 20, 1 },
+    few_old = { 3, 3 },
+    many_new = { 10, 10 },
+)]
+fn verify_any_number_of_upstreams_is_judged(old: usize, new: usize) {
+    for seed in 0..SEEDS {
+        for (fault, end) in [
+            (Fault::default(), Phase::Completed),
+            (failing(seed), Phase::RolledBack),
+            (slow(seed), Phase::RolledBack),
+        ] {
+            let outcome = Fleet::new(Scenario {
+                old,
+                new,
+                ..scenario(9, fault, seed)
+            })
+            .run();
+            check(&outcome, end, seed);
+        }
+    }
+}
