--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -117,6 +117,7 @@
         domain: ["a", "b", "c", "d"][usize::from(index % 4)].into(),
         phase: Phase::Ready,
         slots: 16,
+        software: None,
         born_ms: 1,
         sequence: 0,
         weights: vec![Weights {
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -60,6 +60,8 @@
     pub phase: Phase,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
+    /// The version of its software, if the entry states one.
+    pub software: Option<Name>,
     /// The start of its process, in milliseconds since the Unix epoch.
     pub born_ms: u64,
     /// The number of the entry among those of its process; 0 if it states none.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -50,6 +50,7 @@
         domain: "a".into(),
         phase: Phase::Ready,
         slots: 64,
+        software: None,
         born_ms: 1,
         sequence: 0,
         weights: vec![Weights {
