Send requests to a version of a service's software only as its order permits

Cause: requests went to upstreams of every version, whatever operators had ordered, and no order had an outcome.

Change: where `contracts` contains `rollout`, an instance watches the orders, selects upstreams for every attempt among those that the decisions of `fleet::canary` permit, checks again and counts when the attempt is sent, and records its outcome. Heartbeats carry the report of running rollouts as a section. The holder of the lease for orders to engines writes the status. While a service moves, resumable streams leave upstreams of the old version (`Failure::Moved`), within the budget of retries. The lease's tasks are now in `order_lease`. Without the feature, nothing is watched, called or sent.

One attempt of an instance connects to a version in its canary at a time: others would be withheld once connected, and be refused after three times.

--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -98,6 +98,7 @@
                 directory: &directory,
                 domain: "a",
                 attempted: &[],
+                permitted: None,
                 now,
                 random: u64::from(round),
             };
--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -34,11 +34,13 @@
     WithheldPart,
     /// The upstream had not begun the request when requests with its content were withheld.
     WithheldRequest,
+    /// The stream leaves an upstream whose version of the software is replaced.
+    Moved,
 }
 
 impl Failure {
     /// Every failure.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::ConnectFailed,
         Self::Rejected,
         Self::Withheld,
@@ -50,6 +52,7 @@
         Self::OutdatedWeights,
         Self::WithheldPart,
         Self::WithheldRequest,
+        Self::Moved,
     ];
 
     /// Returns the code in logs and metrics.
@@ -67,6 +70,7 @@
             Self::OutdatedWeights => "outdated",
             Self::WithheldPart => "withheld_part",
             Self::WithheldRequest => "withheld_request",
+            Self::Moved => "moved",
         }
     }
 
@@ -88,7 +92,8 @@
             | Self::TimedOut
             | Self::OutdatedWeights
             | Self::WithheldPart
-            | Self::WithheldRequest => true,
+            | Self::WithheldRequest
+            | Self::Moved => true,
         }
     }
 
@@ -102,7 +107,8 @@
             | Self::Misdirected
             | Self::OutdatedWeights
             | Self::WithheldPart
-            | Self::WithheldRequest => None,
+            | Self::WithheldRequest
+            | Self::Moved => None,
             Self::ConnectionLost | Self::InvalidResponse => Some(RequestOutcome::ConnectionLost),
             Self::UpstreamError => Some(RequestOutcome::UpstreamError),
             Self::TimedOut => Some(RequestOutcome::TimedOut),
@@ -183,6 +189,13 @@
         self.runs > 0
     }
 
+    /// Returns whether a stream may be moved to another upstream while its own still runs it.
+    #[must_use]
+    pub fn may_move(&self, now: Time) -> bool {
+        let left = self.runs + 1 < self.max_runs;
+        left && self.kind.may_repeat() && now + MIN_TIME_LEFT < self.deadline
+    }
+
     /// Records a failed attempt and decides whether to retry.
     ///
     /// `budget` withdraws one retry from the instance's budget; it is called only
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -17,6 +17,7 @@
 
 use crate::Name;
 use crate::availability::Incarnation;
+use crate::canary::Admission;
 use crate::directory::ChainedPart;
 use crate::directory::PrefixDirectory;
 use crate::peers::Peers;
@@ -104,6 +105,8 @@
     pub domain: &'a str,
     /// The upstreams that were attempted for this request.
     pub attempted: &'a [Name],
+    /// The upstreams that may be selected, if not all.
+    pub permitted: Option<&'a Admission>,
     /// The present time.
     pub now: Time,
     /// A random number that breaks ties.
@@ -111,6 +114,12 @@
 }
 
 impl<'a> PlacementContext<'a> {
+    /// Returns whether an upstream may be selected as far as its version is concerned.
+    fn permits(&self, row: &Upstream) -> bool {
+        self.permitted
+            .is_none_or(|admission| admission.permits(&row.entry.id))
+    }
+
     /// Returns the upstreams that may be selected.
     ///
     /// Avoided and paused upstreams are left out as long as others remain.
@@ -120,6 +129,7 @@
             .upstreams
             .of_service(service, self.now)
             .filter(not_attempted)
+            .filter(|row| self.permits(row))
             .collect();
         let usable = |row: &&&Upstream| {
             !self.upstreams.is_avoided(row, self.now) && !row.is_paused(self.now)
--- a/crates/fleet/src/placement/prompts.rs
+++ b/crates/fleet/src/placement/prompts.rs
@@ -354,6 +354,7 @@
     let prefix_hash = req.prompt.shared_hash(scope);
     let all = cx.upstreams.of_service(req.service, cx.now);
     // An engine with a limit can't take all requests with the prefix.
+    let all = all.filter(|row| cx.permits(row));
     all.max_by_key(|row| (row.limit().is_none(), mix(row.hash ^ prefix_hash)))
 }
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -125,6 +125,7 @@
             directory: &self.directory,
             domain: "a",
             attempted: &self.attempted,
+            permitted: None,
             now,
             random,
         }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod call;
+mod canary;
 mod crashes;
 mod exchange;
 mod first_events;
@@ -17,6 +18,7 @@
 mod life_signs;
 mod metrics;
 mod monitoring;
+mod order_lease;
 mod outage;
 mod pass_on;
 mod peer_requests;
@@ -28,6 +30,7 @@
 mod responses;
 mod resume;
 mod rollout;
+mod rollout_orders;
 mod run;
 mod serve;
 mod settings_file;
--- a/crates/router/src/fleet/attempts.rs
+++ b/crates/router/src/fleet/attempts.rs
@@ -17,6 +17,7 @@
 use limpetsaddle_fleet::weights::Outdated;
 use log::info;
 
+use super::canary;
 use super::crashes;
 use super::first_events;
 use super::forward::Forwarder;
@@ -156,6 +157,7 @@
     fn start(&'a self, placement: Placement) -> RunningAttempt<'a> {
         let request_load = self.request_load(&placement);
         let run = self.start_run(&placement);
+        canary::begin_connecting(self, &placement, run);
         let in_flight = InFlightGuard::new(self.instance, &placement, request_load, run);
         if self.sent.get() == 0 {
             self.instance.count_request(&self.service);
@@ -398,6 +400,7 @@
         response: relay::UpstreamResponse,
     ) -> PendingResponse {
         attempt.in_flight.record_first_event(&attempt.placement);
+        attempt.in_flight.record_response(response.is_success());
         self.waits.take();
         first_events::record(self, &attempt.placement, attempt.outdated, &response);
         if let relay::UpstreamResponse::Buffered(res) = &response {
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -15,6 +15,7 @@
 use limpetsaddle_fleet::admission;
 use limpetsaddle_fleet::attempt::Attempts;
 use limpetsaddle_fleet::begin_limit::Waiting;
+use limpetsaddle_fleet::canary::Admission;
 use limpetsaddle_fleet::configuration::KvStore;
 use limpetsaddle_fleet::configuration::Service;
 use limpetsaddle_fleet::configuration::share_hash;
@@ -39,6 +40,7 @@
 use limpetsaddle_platform_wire::headers::UpstreamFields;
 use log::info;
 
+use super::canary;
 use super::exchange::AcceptedRequest;
 use super::instance::FleetInstance;
 use super::pass_on;
@@ -286,7 +288,9 @@
         let outdated = self.outdated(weights);
         let is_current = outdated
             .is_none_or(|outdated| outdated.age < self.instance.placement.old_weights_max_age);
-        is_current && !self.attempted.borrow().contains(&row.entry.id)
+        is_current
+            && !self.attempted.borrow().contains(&row.entry.id)
+            && canary::may_use(self.instance, &self.service, &row.entry.id)
     }
 
     fn place_anywhere(&self) -> Result<Placement, Refusal> {
@@ -329,6 +333,15 @@
             let attempts = self.attempts.get();
             return Err(attempts.give_up(Reason::NotReady, NO_TARGET_RETRY_AFTER));
         }
+        canary::place(instance, &self.service, |admission| {
+            self.place_among(admission, now)
+        })
+    }
+
+    /// Selects one of the upstreams that an attempt may use.
+    fn place_among(&self, admission: Option<&Admission>, now: Time) -> Result<Placement, Refusal> {
+        let instance = self.instance;
+        let remaining = self.accepted.deadline.since(now);
         let service = self.accepted.configuration.service(&self.service);
         let upstreams = instance.upstreams.borrow();
         let peers = instance.peers.borrow();
@@ -340,6 +353,7 @@
             directory: &directory,
             domain: &instance.settings.domain,
             attempted: &attempted,
+            permitted: admission,
             now,
             random: instance.random.draw(),
         };
@@ -402,8 +416,9 @@
     }
 
     /// Returns the request for an upstream with the time that it has now, or `None` if no time
-    /// is left, the upstream's weights are too old by now, or a header field cannot be encoded.
-    pub fn upstream_request(&self, placement: &Placement) -> Option<Request> {
+    /// is left, the upstream's weights are too old by now, its version may get no request, or a
+    /// header field cannot be encoded.
+    pub fn upstream_request(&self, placement: &Placement, run: RunId) -> Option<Request> {
         let remaining = self.accepted.deadline.since(self.instance.now());
         if remaining < MIN_TIME_LEFT || self.check_begin(placement) == Waiting::Withdraw {
             return None;
@@ -422,7 +437,7 @@
             last_event: last_event.as_deref(),
         };
         match headers::set_upstream_fields(req.headers_mut(), &fields) {
-            Ok(()) => Some(req),
+            Ok(()) => canary::begin(self, placement, run).then_some(req),
             Err(error) => {
                 log::warn!(error:display; "cannot encode request for upstream");
                 None
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -24,6 +24,7 @@
 use log::warn;
 use monoio::net::udp::UdpSocket;
 
+use super::canary;
 use super::instance::FleetInstance;
 use super::permits;
 use super::reach;
@@ -142,6 +143,7 @@
     let mut lease = instance.lease.borrow_mut();
     lease.observe_fencing(heartbeat.fencing);
     drop(lease);
+    canary::observe_peer(instance, heartbeat, echo_ms);
     apply_peer_read(instance, heartbeat);
     apply_confirmation(instance, heartbeat, echo_ms);
     for usage in &delta.teams {
@@ -382,6 +384,7 @@
         heartbeat.stores = instance.kv_stores.borrow().statuses(now);
     }
     heartbeat.cached = instance.directory.borrow_mut().take_updates();
+    canary::add_report(instance, &mut heartbeat);
     heartbeat
 }
 
--- a/crates/router/src/fleet/in_flight.rs
+++ b/crates/router/src/fleet/in_flight.rs
@@ -12,6 +12,7 @@
 use limpetsaddle_fleet::upstreams::RequestLoad;
 use limpetsaddle_fleet::upstreams::Ticket;
 
+use super::canary;
 use super::instance::FleetInstance;
 
 /// Counts a request as in flight at an upstream until it is dropped.
@@ -61,6 +62,9 @@
     /// Records that the request failed at the upstream. Its health records `outcome`.
     pub fn fail(&mut self, failure: Failure, outcome: Option<RequestOutcome>) {
         self.outcome = outcome;
+        if let Some(run) = self.run {
+            canary::record_failure(&self.instance, run, failure);
+        }
         self.end_run(match failure {
             Failure::ConnectionLost => RunEnd::Broken,
             Failure::UpstreamError => RunEnd::Complete,
@@ -72,6 +76,14 @@
         if let Some(run) = self.run.take() {
             let now = self.instance.now();
             self.instance.runs.borrow_mut().end(run, end, now);
+            canary::record_end(&self.instance, run);
+        }
+    }
+
+    /// Records whether the upstream has answered well, as far as the first event shows it.
+    pub fn record_response(&self, is_success: bool) {
+        if let Some(run) = self.run {
+            canary::record_response(&self.instance, run, is_success);
         }
     }
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -46,6 +46,7 @@
 use log::info;
 
 use super::call::CallError;
+use super::canary::CanaryDesk;
 use super::crashes::Losses;
 use super::metrics::Metrics;
 use super::pass_on::Relays;
@@ -127,6 +128,8 @@
     pub has_listed_weights: Cell<bool>,
     /// The lease of the instance that gives orders to engines.
     pub lease: RefCell<OrderLease>,
+    /// The rollouts of software, where operators order them.
+    pub canary: Option<CanaryDesk>,
     /// The engines that are loading weights.
     pub rollout: RefCell<Rollout>,
     pub placement: PlacementOptions,
@@ -199,6 +202,7 @@
                 LeaseOptions::for_handover(bounds.order_handover),
                 now,
             )),
+            canary: (settings.features.rollouts).then(|| CanaryDesk::new(bounds.canary)),
             rollout: RefCell::new(Rollout::new(RolloutOptions {
                 max_weights_age: placement.old_weights_max_age,
             })),
--- a/crates/router/src/fleet/metrics.rs
+++ b/crates/router/src/fleet/metrics.rs
@@ -52,6 +52,8 @@
     life_checks: Counter<u64>,
     part_changes: Counter<u64>,
     request_changes: Counter<u64>,
+    rollout_attempts: Counter<u64>,
+    rollout_statuses: Counter<u64>,
     first_event: Histogram<f64>,
     response_time: Histogram<f64>,
     outdated_weights: Histogram<f64>,
@@ -95,6 +97,8 @@
             life_checks: meter.u64_counter("limpetsaddle_life_checks").build(),
             part_changes: meter.u64_counter("limpetsaddle_part_changes").build(),
             request_changes: meter.u64_counter("limpetsaddle_request_changes").build(),
+            rollout_attempts: meter.u64_counter("limpetsaddle_rollout_attempts").build(),
+            rollout_statuses: meter.u64_counter("limpetsaddle_rollout_statuses").build(),
             first_event: times("limpetsaddle_first_event_seconds"),
             response_time: times("limpetsaddle_answer_seconds"),
             outdated_weights: meter
@@ -238,6 +242,18 @@
         self.request_changes.add(1, &labels);
     }
 
+    /// Counts an attempt by the side of its upstream's version, and by what became of it.
+    pub fn record_rollout_attempt(&self, side: &'static str, event: &'static str) {
+        let labels = [KeyValue::new("side", side), KeyValue::new("event", event)];
+        self.rollout_attempts.add(1, &labels);
+    }
+
+    /// Counts a write of a rollout's status by its result.
+    pub fn record_rollout_status(&self, result: &'static str) {
+        self.rollout_statuses
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Returns all samples in the text format of Prometheus.
     ///
     /// # Errors
--- a/crates/router/src/fleet/outage.rs
+++ b/crates/router/src/fleet/outage.rs
@@ -8,6 +8,7 @@
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
 
+use super::canary;
 use super::forward::Forwarder;
 use super::permits;
 use super::permits::PermitWait;
@@ -130,6 +131,7 @@
     }
     let instance = forwarder.instance;
     let upstreams = instance.upstreams.borrow();
-    let attempted = forwarder.attempted.borrow();
-    upstreams.outage(&forwarder.service, &attempted, instance.now())
+    let mut excluded = canary::barred(instance, &forwarder.service);
+    excluded.extend_from_slice(&forwarder.attempted.borrow());
+    upstreams.outage(&forwarder.service, &excluded, instance.now())
 }
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -8,7 +8,6 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use http::response::Parts;
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::attempt::Failure;
 use limpetsaddle_fleet::configuration::RouteKind;
@@ -27,6 +26,7 @@
 use log::warn;
 use thiserror::Error as ThisError;
 
+use super::canary;
 use super::crashes;
 use super::forward::ForwardOutcome;
 use super::forward::Forwarder;
@@ -34,6 +34,7 @@
 use super::forward::elapsed_ms;
 use super::in_flight::InFlightGuard;
 use super::reach;
+use super::responses::split;
 use super::resume;
 use super::unfinished::CutOffCause;
 use super::unfinished::record_cut_off;
@@ -87,6 +88,14 @@
             Self::Stream(stream) => stream.head.headers(),
         }
     }
+
+    /// Returns whether the status is one of success.
+    pub fn is_success(&self) -> bool {
+        match self {
+            Self::Buffered(res) => res.status().is_success(),
+            Self::Stream(stream) => stream.head.status().is_success(),
+        }
+    }
 }
 
 /// A streamed response that is being read.
@@ -179,7 +188,7 @@
         address: placement.address,
     };
     let client = &instance.upstream_client;
-    let prepare = || forwarder.upstream_request(placement);
+    let prepare = || forwarder.upstream_request(placement, run);
     let res = match client.send(instance, &recipient, prepare, id).await {
         Ok(res) => res,
         Err(err) => return AttemptOutcome::caused(err.failure(), &err),
@@ -298,17 +307,6 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-fn split(res: limpetsaddle_http::Response) -> (Parts, limpetsaddle_http::Response) {
-    (clone_head(&res.head), res)
-}
-
-fn clone_head(head: &Parts) -> Parts {
-    let mut copy = Response::new(()).into_parts().0;
-    copy.status = head.status;
-    copy.headers = head.headers.clone();
-    copy
-}
-
 /// Reads a stream up to its first event.
 async fn open_stream(
     forwarder: &Forwarder<'_>,
@@ -595,5 +593,8 @@
         if event.id.is_some() {
             forwarder.last_event.replace(event.id);
         }
+        if canary::must_move(forwarder, stream.run) {
+            return CopyEnd::Failed(Failure::Moved);
+        }
     }
 }
--- a/crates/router/src/fleet/responses.rs
+++ b/crates/router/src/fleet/responses.rs
@@ -5,6 +5,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::response::Parts;
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_platform_wire as wire;
 
@@ -27,3 +28,15 @@
     }
     res
 }
+
+/// Returns a copy of the head of a response, and the response.
+pub fn split(res: limpetsaddle_http::Response) -> (Parts, limpetsaddle_http::Response) {
+    (clone_head(&res.head), res)
+}
+
+fn clone_head(head: &Parts) -> Parts {
+    let mut copy = Response::new(()).into_parts().0;
+    copy.status = head.status;
+    copy.headers = head.headers.clone();
+    copy
+}
--- a/crates/router/src/fleet/rollout.rs
+++ b/crates/router/src/fleet/rollout.rs
@@ -8,8 +8,6 @@
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::Name;
 use limpetsaddle_fleet::availability::Availability;
-use limpetsaddle_fleet::lease::LeaseWrite;
-use limpetsaddle_fleet::lease::LeaseWriteResult;
 use limpetsaddle_fleet::rollout;
 use limpetsaddle_fleet::rollout::LoadEnd;
 use limpetsaddle_fleet::rollout::Rollout;
@@ -21,27 +19,24 @@
 use limpetsaddle_platform_wire::engine::OrderResult;
 use limpetsaddle_platform_wire::engine::Report;
 use limpetsaddle_platform_wire::engine::WeightsOrder;
-use limpetsaddle_platform_wire::store::WriteResult;
 use log::info;
 use log::warn;
 
 use super::call::CallError;
+use super::canary;
 use super::instance::FleetInstance;
+use super::order_lease;
+use super::order_lease::ORDER_TIMEOUT;
 use super::permits;
 use super::response_limits::CallKind;
 use super::upstream_calls::Recipient;
 use super::upstream_calls::log_changes;
-use super::watch::LEASE_NAME;
-use super::watch::decode_lease;
 use crate::clock::millis;
 use crate::shutdown::Stopping;
 
 /// The time between two rollout steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The timeout for reports and orders.
-const ENGINE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// The time between two polls of an engine that is draining or loading.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -84,9 +79,9 @@
     instance.observe_lease_era();
     let write = instance.lease.borrow_mut().due_write(needed, rank, now);
     if let Some(write) = write {
-        monoio::spawn(write_lease(Rc::clone(instance), write));
+        monoio::spawn(order_lease::write(Rc::clone(instance), write));
     }
-    if !needed || order_fencing(instance).is_none() {
+    if !needed || order_lease::fencing(instance).is_none() {
         return;
     }
     let loads = {
@@ -105,14 +100,7 @@
     let targets = instance.target_weights.borrow();
     Rollout::is_needed(&instance.upstreams.borrow(), &targets)
         || instance.rollout.borrow().is_active()
-}
-
-/// Returns the fencing number if the timeout of an order that is sent now ends
-/// within this instance's lease.
-fn order_fencing(instance: &FleetInstance) -> Option<u64> {
-    let now = instance.now();
-    let (fencing, until) = instance.lease.borrow().active_fencing(now)?;
-    (until.since(now) > ENGINE_TIMEOUT).then_some(fencing)
+        || canary::needs_lease(instance)
 }
 
 /// Returns whether the lease still permits an order whose timeout ends at `deadline`.
@@ -124,41 +112,6 @@
     now < deadline && lease.is_some_and(|(held, until)| held == fencing && deadline < until)
 }
 
-async fn write_lease(instance: Rc<FleetInstance>, write: LeaseWrite) {
-    let kind = wire::store::COORDINATION;
-    let call = instance
-        .store
-        .put(kind, LEASE_NAME, write.expected, &write.record);
-    let result = call.await;
-    let now = instance.now();
-    let fencing = write.record.fencing;
-    let released = write.record.released;
-    instance.observe_lease_era();
-    let mut lease = instance.lease.borrow_mut();
-    match result {
-        Ok(WriteResult::Applied(object)) => {
-            let revision = object.revision;
-            if write.record.renewals == 0 || released || lease.active_fencing(now).is_none() {
-                info!(fencing, revision, released; "lease written");
-            }
-            lease.complete_write(LeaseWriteResult::Written(revision), now);
-        }
-        Ok(WriteResult::Conflict(stored)) => {
-            lease.complete_write(LeaseWriteResult::Conflict, now);
-            let stored = stored.and_then(|o| Some((o.revision, decode_lease(&o).ok()?)));
-            if stored.is_some() {
-                lease.observe(stored, now);
-            }
-            info!(fencing; "lease lost to a concurrent write");
-        }
-        Ok(WriteResult::NotFound) => lease.complete_write(LeaseWriteResult::Conflict, now),
-        Err(error) => {
-            warn!(fencing, error:display; "cannot write lease");
-            lease.complete_write(LeaseWriteResult::Unknown, now);
-        }
-    }
-}
-
 /// Drains one engine and orders it to load weights.
 async fn load_weights(instance: Rc<FleetInstance>, mut load: WeightsLoad) {
     let started = instance.now();
@@ -192,7 +145,7 @@
 async fn drain(instance: &FleetInstance, load: &WeightsLoad) -> Option<SwitchMode> {
     let started = instance.now();
     loop {
-        order_fencing(instance)?;
+        order_lease::fencing(instance)?;
         let now = instance.now();
         let waited = now.since(started);
         {
@@ -322,7 +275,7 @@
             poll = MAX_POLL_INTERVAL.min(poll * 2);
             continue;
         }
-        let Some(fencing) = order_fencing(instance) else {
+        let Some(fencing) = order_lease::fencing(instance) else {
             return LoadEnd::Failed;
         };
         if is_unconfirmed && !instance.rollout.borrow().may_load(&load.model) {
@@ -525,7 +478,7 @@
     };
     let client = &instance.upstream_client;
     client
-        .call(instance, &recipient, prepare, kind, ENGINE_TIMEOUT)
+        .call(instance, &recipient, prepare, kind, ORDER_TIMEOUT)
         .await
 }
 
@@ -593,7 +546,7 @@
 ) -> Result<(StatusCode, OrderResult), CallError> {
     wait_for_permit(instance, load).await;
     let req = wire::engine::order_request(order)?;
-    let deadline = instance.now() + ENGINE_TIMEOUT;
+    let deadline = instance.now() + ORDER_TIMEOUT;
     let prepare = || permits_order(instance, order.fencing, deadline).then_some(req);
     let (status, _) = call_upstream(instance, load, prepare, CallKind::Order).await?;
     Ok((status, wire::engine::order_result(status)?))
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -14,6 +14,7 @@
 use log::warn;
 use monoio::net::TcpListener;
 
+use super::canary;
 use super::heartbeats;
 use super::instance::FleetInstance;
 use super::kv_store;
@@ -122,6 +123,9 @@
     heartbeats::start(instance, ending)?;
     watch::start(instance, ending);
     monoio::spawn(rollout::run(Rc::clone(instance), ending.clone()));
+    if instance.canary.is_some() {
+        monoio::spawn(canary::run(Rc::clone(instance), ending.clone()));
+    }
     monoio::spawn(kv_store::run(Rc::clone(instance), ending.clone()));
     monoio::spawn(quarantine::run(Rc::clone(instance), ending.clone()));
     for listener in [readiness, metrics] {
--- a/crates/router/src/fleet/store.rs
+++ b/crates/router/src/fleet/store.rs
@@ -186,6 +186,24 @@
         self.write(&call).await
     }
 
+    /// Replaces the status of the object at `revision`.
+    pub async fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        revision: u64,
+        status: &impl Serialize,
+    ) -> Result<WriteResult, CallError> {
+        let status = &serde_json::value::to_raw_value(status).map_err(wire::Error::from)?;
+        let call = StoreCall::ReplaceStatus {
+            kind,
+            name,
+            revision,
+            status,
+        };
+        self.write(&call).await
+    }
+
     /// Makes a write call.
     pub async fn write(&self, call: &StoreCall<'_>) -> Result<WriteResult, CallError> {
         let (status, body) = self.call(call, CALL_TIMEOUT).await?;
--- a/crates/router/src/fleet/watch.rs
+++ b/crates/router/src/fleet/watch.rs
@@ -4,6 +4,7 @@
 mod confirmation;
 mod coordination;
 mod instances;
+mod rollouts;
 mod upstreams;
 mod weights;
 
@@ -21,6 +22,7 @@
 use self::configuration::ConfigurationWatcher;
 use self::coordination::CoordinationWatcher;
 use self::instances::InstanceWatcher;
+use self::rollouts::RolloutWatcher;
 use self::upstreams::UpstreamWatcher;
 use self::weights::WeightsWatcher;
 use super::call::CallError;
@@ -116,6 +118,9 @@
         CoordinationWatcher(shared()),
         stopping.clone(),
     ));
+    if instance.canary.is_some() {
+        monoio::spawn(watch(shared(), RolloutWatcher(shared()), stopping.clone()));
+    }
     monoio::spawn(confirmation::confirm(shared(), stopping.clone()));
 }
 
--- a/crates/router/src/fleet/watch/upstreams.rs
+++ b/crates/router/src/fleet/watch/upstreams.rs
@@ -19,6 +19,7 @@
 use super::SHORT_WATCH_WAIT;
 use super::WatchOptions;
 use super::Watcher;
+use crate::fleet::canary;
 use crate::fleet::instance::FleetInstance;
 use crate::fleet::upstream_calls;
 
@@ -98,11 +99,14 @@
         }
         let mut upstreams = self.0.upstreams.borrow_mut();
         upstreams.retain(&names, after_outage, now);
+        drop(upstreams);
+        canary::observe_upstreams(&self.0);
     }
 
     fn apply_change(&self, change: Change) {
         if !change.removed {
             self.apply(&change.object);
+            canary::observe_upstreams(&self.0);
             return;
         }
         let now = self.0.now();
@@ -114,6 +118,8 @@
         } else {
             upstreams.remove(upstream, now);
         }
+        drop(upstreams);
+        canary::observe_upstreams(&self.0);
         info!(upstream, after_outage; "upstream entry removed");
     }
 }
