Tell overloads during the move from faults of the target

Cause: a fleet that is overloaded as a whole while it moves rolled back sound versions, as the target's responses were compared with those from before. Change: the base version's responses meanwhile come first; requests move in two steps; a version that was suspicious shortly before isn't accepted early.

--- a/crates/fleet/src/canary/evidence.rs
+++ b/crates/fleet/src/canary/evidence.rs
@@ -229,6 +229,24 @@
         ))
 }
 
+/// Returns the evidence from what the target has answered on a route while the service moves. If
+/// the base version has few responses left there, those on other routes tell a common cause.
+fn compare_moved(group: &Group, all: &Group, total: &Group) -> f64 {
+    let against = |base| compare(base, &group.moved, MOVING_EXCESS, f64::INFINITY);
+    let remaining = all.remaining.responses;
+    if remaining >= ENOUGH && remaining >= all.moved.responses / 2 {
+        against(&all.remaining)
+    } else if remaining >= MIN_REMAINING {
+        against(&all.base).min(against(&all.remaining))
+    } else if total.remaining.responses >= MIN_REMAINING {
+        against(&all.base).min(against(&total.remaining))
+    } else if all.moved.responses >= ENOUGH {
+        against(&all.base)
+    } else {
+        0.0
+    }
+}
+
 /// The sums over instances by route.
 #[derive(Clone, Debug, Default)]
 struct Sums(BTreeMap<u64, Group>);
@@ -273,20 +291,16 @@
     /// has answered while the service moves is compared with all earlier responses, and with
     /// those of the base version meanwhile, as long as there are some.
     fn evidence(&self, all: &Self) -> f64 {
+        let total_of_all = all.total();
         let of_group = |group: &Group, all: &Group| {
             let canary = compare(&group.base, &group.target, CANARY_EXCESS, MANY_FAILURES);
-            let against = |base| compare(base, &group.moved, MOVING_EXCESS, f64::INFINITY);
-            let mut moving = against(&all.base);
-            if all.remaining.responses >= MIN_REMAINING {
-                moving = moving.min(against(&all.remaining));
-            }
-            canary.max(moving)
+            canary.max(compare_moved(group, all, &total_of_all))
         };
         let routes = self.0.iter().map(|(route, group)| {
             let all = all.0.get(route).unwrap_or(group);
             of_group(group, all)
         });
-        let total = of_group(&self.total(), &all.total());
+        let total = of_group(&self.total(), &total_of_all);
         routes.fold(total, f64::max)
     }
 }
@@ -482,7 +496,7 @@
     pub fn judge(&self) -> Judgement {
         let sums = self.sums();
         let mut evidence = sums.evidence(&sums);
-        if let Some(earlier) = self.snapshots.front() {
+        for earlier in &self.snapshots {
             evidence = evidence.max(sums.since(earlier).evidence(&sums));
         }
         let total = sums.total();
--- a/crates/fleet/src/canary/rollout.rs
+++ b/crates/fleet/src/canary/rollout.rs
@@ -38,8 +38,9 @@
 const COMPLETE: f64 = 0.95;
 
 /// The steps in which requests move to the target, and the fraction of the duration that they
-/// take.
-const MOVE_STEPS: f64 = 4.0;
+/// take. With more steps, the target's requests would be later ones than those of the base
+/// version, so that a common cause would look like a fault.
+const MOVE_STEPS: f64 = 2.0;
 const MOVE_TIME: f64 = 0.06;
 
 /// The time between the first write of the phase [`Phase::Moving`] and that of
@@ -97,6 +98,7 @@
     credit: f64,
     peers: HashMap<String, PeerState>,
     snapshots: u32,
+    last_suspicion: Option<Time>,
     last_write: Option<(Phase, Time)>,
 }
 
@@ -123,6 +125,7 @@
             credit: 0.0,
             peers: HashMap::new(),
             snapshots: 0,
+            last_suspicion: None,
             last_write: None,
         }
     }
@@ -287,7 +290,11 @@
             self.snapshots += 1;
             self.evidence.take_snapshot();
         }
-        self.is_bad = self.evidence.judge() == Judgement::Bad;
+        let judgement = self.evidence.judge();
+        if judgement == Judgement::Suspicious {
+            self.last_suspicion = Some(now);
+        }
+        self.is_bad = judgement == Judgement::Bad;
         self.is_bad
     }
 
@@ -352,12 +359,15 @@
         let has_upstreams = !versions.upstreams(&self.order.target).is_empty();
         let is_in_force = versions.base() == Some(&self.order.target);
         let responds = is_in_force || self.evidence.has_target_response();
+        // The evidence varies; it is not accepted at the first moment at which it is low.
+        let suspicion = self.last_suspicion.map(|at| now.since(at));
+        let is_suspected = suspicion.is_some_and(|since| since < self.order.duration / SNAPSHOTS);
         match self.evidence.judge() {
-            Judgement::Good if has_upstreams => Phase::Moving,
+            Judgement::Good if has_upstreams && !is_suspected => Phase::Moving,
             _ if progress < DECIDE => Phase::Canary,
             // Its upstreams may still start.
             _ if !has_upstreams && progress < COMPLETE => Phase::Canary,
-            Judgement::Unclear if has_upstreams && responds => Phase::Moving,
+            Judgement::Good | Judgement::Unclear if has_upstreams && responds => Phase::Moving,
             _ => Phase::RolledBack,
         }
     }
