--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -98,6 +98,7 @@
                 directory: &directory,
                 domain: "a",
                 attempted: &[],
+                permitted: None,
                 now,
                 random: u64::from(round),
             };
@@ -117,6 +118,7 @@
         domain: ["a", "b", "c", "d"][usize::from(index % 4)].into(),
         phase: Phase::Ready,
         slots: 16,
+        software: None,
         born_ms: 1,
         sequence: 0,
         weights: vec![Weights {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod availability;
 pub mod begin_limit;
 pub mod caller_resources;
+pub mod canary;
 pub mod configuration;
 pub mod directory;
 pub mod events;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod canary_fleet;
 pub mod crash_scenario;
 pub mod crash_sim;
 pub mod pace_sim;
@@ -50,6 +51,7 @@
         domain: "a".into(),
         phase: Phase::Ready,
         slots: 64,
+        software: None,
         born_ms: 1,
         sequence: 0,
         weights: vec![Weights {
@@ -125,6 +127,7 @@
             directory: &self.directory,
             domain: "a",
             attempted: &self.attempted,
+            permitted: None,
             now,
             random,
         }
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -24,6 +24,7 @@
 use log::warn;
 use monoio::net::udp::UdpSocket;
 
+use super::canary;
 use super::instance::FleetInstance;
 use super::pace;
 use super::permits;
@@ -143,6 +144,7 @@
     let mut lease = instance.lease.borrow_mut();
     lease.observe_fencing(heartbeat.fencing);
     drop(lease);
+    canary::observe_peer(instance, heartbeat, echo_ms);
     apply_peer_read(instance, heartbeat);
     apply_confirmation(instance, heartbeat, echo_ms);
     let sender = name_hash(&heartbeat.sender);
@@ -389,6 +391,7 @@
     heartbeat.cached = instance.directory.borrow_mut().take_updates();
     drop(upstreams);
     pace::report(instance, &mut heartbeat);
+    canary::add_report(instance, &mut heartbeat);
     heartbeat
 }
 
