--- a/crates/fleet/src/canary/evidence.rs
+++ b/crates/fleet/src/canary/evidence.rs
@@ -44,6 +44,9 @@
 /// The responses of the base version from which it is compared while the service moves.
 const MIN_REMAINING: u64 = 10;
 
+/// The responses of the base version shortly before the move that are enough for comparisons.
+const MIN_RECENT: u64 = 100;
+
 /// The routes in a sum; further ones are counted together.
 const MAX_SUMMED_ROUTES: usize = 64;
 
@@ -230,18 +233,27 @@
 }
 
 /// Returns the evidence from what the target has answered on a route while the service moves. If
-/// the base version has few responses left there, those on other routes tell a common cause.
-fn compare_moved(group: &Group, all: &Group, total: &Group) -> f64 {
+/// the base version has few responses left there, those on other routes tell a common cause, and
+/// so do its `recent` ones from shortly before the move.
+fn compare_moved(group: &Group, all: &Group, total: &Group, recent: &Counts) -> f64 {
     let against = |base| compare(base, &group.moved, MOVING_EXCESS, f64::INFINITY);
+    let earlier = || {
+        let evidence = against(&all.base);
+        if recent.responses >= ENOUGH {
+            evidence.min(against(recent))
+        } else {
+            evidence
+        }
+    };
     let remaining = all.remaining.responses;
     if remaining >= ENOUGH && remaining >= all.moved.responses / 2 {
         against(&all.remaining)
     } else if remaining >= MIN_REMAINING {
-        against(&all.base).min(against(&all.remaining))
+        earlier().min(against(&all.remaining))
     } else if total.remaining.responses >= MIN_REMAINING {
-        against(&all.base).min(against(&total.remaining))
+        earlier().min(against(&total.remaining))
     } else if all.moved.responses >= ENOUGH {
-        against(&all.base)
+        earlier()
     } else {
         0.0
     }
@@ -290,11 +302,12 @@
     /// Returns the strongest evidence against the target, by route and of all. What the target
     /// has answered while the service moves is compared with all earlier responses, and with
     /// those of the base version meanwhile, as long as there are some.
-    fn evidence(&self, all: &Self) -> f64 {
+    fn evidence(&self, all: &Self, recent: &Self) -> f64 {
         let total_of_all = all.total();
+        let total_of_recent = recent.total().base;
         let of_group = |group: &Group, all: &Group| {
             let canary = compare(&group.base, &group.target, CANARY_EXCESS, MANY_FAILURES);
-            canary.max(compare_moved(group, all, &total_of_all))
+            canary.max(compare_moved(group, all, &total_of_all, &total_of_recent))
         };
         let routes = self.0.iter().map(|(route, group)| {
             let all = all.0.get(route).unwrap_or(group);
@@ -379,6 +392,8 @@
     /// The sums over the peers and their earlier incarnations.
     of_peers: Sums,
     snapshots: VecDeque<Sums>,
+    /// The responses shortly before the service began to move.
+    recent: Sums,
 }
 
 impl Evidence {
@@ -486,6 +501,14 @@
         self.snapshots.push_back(sums);
     }
 
+    /// Keeps the latest responses of the base version for comparisons while the service moves.
+    pub fn begin_move(&mut self) {
+        let sums = self.sums();
+        let mut since = self.snapshots.iter().rev().map(|e| sums.since(e));
+        let recent = since.find(|since| since.total().base.responses >= MIN_RECENT);
+        self.recent = recent.unwrap_or_default();
+    }
+
     /// Returns whether the target version has responded at all.
     pub fn has_target_response(&self) -> bool {
         let target = self.sums().total().target;
@@ -495,9 +518,9 @@
     /// Judges the target version.
     pub fn judge(&self) -> Judgement {
         let sums = self.sums();
-        let mut evidence = sums.evidence(&sums);
+        let mut evidence = sums.evidence(&sums, &self.recent);
         for earlier in &self.snapshots {
-            evidence = evidence.max(sums.since(earlier).evidence(&sums));
+            evidence = evidence.max(sums.since(earlier).evidence(&sums, &self.recent));
         }
         let total = sums.total();
         let is_enough = |group: &Group| group.target.responses >= ENOUGH;
--- a/crates/fleet/src/canary/rollout.rs
+++ b/crates/fleet/src/canary/rollout.rs
@@ -171,7 +171,10 @@
         self.phase = phase;
         self.credit = 0.0;
         match phase {
-            Phase::Moving => self.moving_since = Some(now),
+            Phase::Moving => {
+                self.moving_since = Some(now);
+                self.evidence.begin_move();
+            }
             Phase::RolledBack => self.is_bad = true,
             Phase::Canary | Phase::Completed => {}
         }
