--- a/crates/fleet/examples/placement_cost.rs
+++ b/crates/fleet/examples/placement_cost.rs
@@ -27,6 +27,7 @@
 use limpetsaddle_fleet::prompt::CacheSalt;
 use limpetsaddle_fleet::prompt::Part;
 use limpetsaddle_fleet::prompt::Prompt;
+use limpetsaddle_fleet::upstreams::Adaptation;
 use limpetsaddle_fleet::upstreams::Phase;
 use limpetsaddle_fleet::upstreams::UpstreamEntry;
 use limpetsaddle_fleet::upstreams::Upstreams;
@@ -61,6 +62,7 @@
 fn cost(engines: u8, instances: u32) -> Result<Duration, Box<dyn Error>> {
     let now = Time::from_origin(Duration::from_secs(5));
     let mut upstreams = Upstreams::new(HealthOptions::default());
+    upstreams.adapt(Adaptation::ALL);
     for index in 0..engines {
         upstreams.upsert(engine(index), now);
     }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -6,6 +6,7 @@
 
 use crate::Name;
 use crate::limits::LimitOptions;
+use crate::upstreams::Adaptation;
 
 /// The limits that the operators set for the behaviour of the fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -64,6 +65,8 @@
     pub rollouts: bool,
     /// Requests compete for the room at upstreams, and both sides may read slowly.
     pub pressure: bool,
+    /// What is adapted to the observed responses of upstreams.
+    pub adaptation: Adaptation,
 }
 
 /// The resources of an instance, where its platform states them.
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -206,6 +206,23 @@
 /// The time after an outage of the platform in which missing upstreams may register again.
 pub const REAPPEAR_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// What is adapted to the observed responses of upstreams.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Adaptation {
+    /// Placement follows the observed speed of upstreams that differ.
+    pub speed: bool,
+    /// Upstreams that have just started or recovered have a window of concurrent work.
+    pub windows: bool,
+}
+
+impl Adaptation {
+    /// Everything is adapted.
+    pub const ALL: Self = Self {
+        speed: true,
+        windows: true,
+    };
+}
+
 /// All upstreams that are registered at the platform.
 #[derive(Debug, Default)]
 pub struct Upstreams {
@@ -224,6 +241,7 @@
     reachability: DomainReachability,
     speeds: HashMap<Name, ServiceSpeed>,
     speed_changes: Vec<SpeedChange>,
+    adaptation: Adaptation,
     /// The recent failures of upstreams, by the hashes of their ids.
     failures: HashMap<u64, (u32, Time)>,
     pace_changes: Vec<PaceChange>,
@@ -248,11 +266,17 @@
             speeds: HashMap::new(),
             speed_changes: Vec::new(),
             failures: HashMap::new(),
+            adaptation: Adaptation::default(),
             pace_changes: Vec::new(),
             last_paces: Vec::new(),
         }
     }
 
+    /// Sets what is adapted to observations of upstreams; by default nothing is.
+    pub const fn adapt(&mut self, adaptation: Adaptation) {
+        self.adaptation = adaptation;
+    }
+
     /// Inserts or updates an upstream from its own entry.
     ///
     /// A restarted process has lost its state, so everything observed of the previous
--- a/crates/fleet/src/upstreams/pace.rs
+++ b/crates/fleet/src/upstreams/pace.rs
@@ -59,7 +59,8 @@
 impl Upstreams {
     /// Begins the window of a process that has started beside others of its service.
     pub(super) fn pace_new(&mut self, id: &str, now: Time) {
-        let Some(row) = self.rows.get(id) else {
+        let row = self.rows.get(id).filter(|_| self.adaptation.windows);
+        let Some(row) = row else {
             return;
         };
         let is_known = |other: &&Upstream| {
@@ -80,6 +81,9 @@
 
     /// Begins the window of an upstream.
     pub(super) fn begin_window(&mut self, id: &str, cause: PaceCause, now: Time) {
+        if !self.adaptation.windows {
+            return;
+        }
         self.failures
             .retain(|_, (_, at)| now.since(*at) < FAILURE_MEMORY_TIME);
         let Some(row) = self.rows.get_mut(id) else {
--- a/crates/fleet/src/upstreams/speed.rs
+++ b/crates/fleet/src/upstreams/speed.rs
@@ -76,7 +76,7 @@
 impl Upstreams {
     /// Records the time to a request's first event.
     pub(super) fn record_speed(&mut self, ticket: &Ticket, now: Time) {
-        let Some(work) = ticket.work else {
+        let Some(work) = ticket.work.filter(|_| self.adaptation.speed) else {
             return;
         };
         let Some(sample) = work.sample(now.since(ticket.started)) else {
@@ -94,6 +94,9 @@
 
     /// Applies another instance's samples.
     pub fn apply_speeds(&mut self, updates: &[SpeedUpdate], now: Time) {
+        if !self.adaptation.speed {
+            return;
+        }
         for update in updates.iter().take(MAX_REPORTED) {
             let Some(row) = self.by_process(update.process) else {
                 continue;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -26,6 +26,7 @@
 use limpetsaddle_fleet::request_key::RequestContent;
 use limpetsaddle_fleet::request_key::RequestKey;
 use limpetsaddle_fleet::runs::RunContent;
+use limpetsaddle_fleet::upstreams::Adaptation;
 use limpetsaddle_fleet::upstreams::Phase;
 use limpetsaddle_fleet::upstreams::UpstreamEntry;
 use limpetsaddle_fleet::upstreams::Upstreams;
@@ -108,6 +109,7 @@
     /// Returns a state with the given upstreams and no peers.
     pub fn new(entries: Vec<UpstreamEntry>) -> Self {
         let mut upstreams = Upstreams::new(HealthOptions::default());
+        upstreams.adapt(Adaptation::ALL);
         for entry in entries {
             upstreams.upsert(entry, at(0));
         }
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -179,6 +179,8 @@
             ..ClientOptions::default()
         };
         let callers = caller_budget(&settings);
+        let mut upstreams = Upstreams::new(HealthOptions::default());
+        upstreams.adapt(settings.features.adaptation);
         Ok(Rc::new(Self {
             clock,
             random: Random::from_seed(seed),
@@ -196,7 +198,7 @@
             freshness: RefCell::new(Freshness::new(FreshnessOptions::for_withdrawal(
                 bounds.withdrawal,
             ))),
-            upstreams: RefCell::new(Upstreams::new(HealthOptions::default())),
+            upstreams: RefCell::new(upstreams),
             runs: RefCell::new(RunLog::default()),
             quarantine: RefCell::new(Quarantine::new(QuarantineOptions::default(), now)),
             quarantine_record: QuarantineStore::default(),
