--- a/crates/fleet/src/canary.rs
+++ b/crates/fleet/src/canary.rs
@@ -264,7 +264,7 @@
         }
     }
 
-    /// Returns whether this instance would know of a verdict, as it hears enough of its peers.
+    /// Returns whether recent heartbeats of enough peers would have reported a verdict.
     fn is_permitted(&self, now: Time) -> bool {
         self.permitted_until.is_some_and(|until| now < until)
     }
--- a/crates/fleet/src/canary/evidence.rs
+++ b/crates/fleet/src/canary/evidence.rs
@@ -38,7 +38,7 @@
 /// The failures beyond those to be expected that count whatever their fraction is.
 const MANY_FAILURES: f64 = 25.0;
 
-/// The bad responses without which a version isn't found bad, as one incident may cause a few.
+/// The minimum number of bad responses for the verdict *bad*: a single fault may cause a few.
 const MIN_BAD: u64 = 4;
 
 /// The responses of the base version from which it is compared while the service moves.
@@ -492,7 +492,7 @@
         sums
     }
 
-    /// Keeps the present sums for comparisons of what comes later.
+    /// Stores the current sums, so that later responses can be compared separately.
     pub fn take_snapshot(&mut self) {
         if self.snapshots.len() == MAX_SNAPSHOTS {
             self.snapshots.pop_front();
--- a/crates/fleet/src/canary/rollout.rs
+++ b/crates/fleet/src/canary/rollout.rs
@@ -66,7 +66,7 @@
     has_moved: bool,
 }
 
-/// What the holder of the lease knows of the fleet.
+/// The state of the fleet as seen by the holder of the lease.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetView {
     /// The number of live instances.
@@ -113,7 +113,7 @@
             &order.revision.to_le_bytes(),
         ];
         Self {
-            // 0 stands for no order.
+            // 0 is reserved for reports without an order.
             key: stable_hash(&parts).max(1),
             order,
             phase: Phase::Canary,
@@ -227,7 +227,7 @@
     }
 
     /// Returns whether one more attempt may be sent to the target now, which gets a `share` of
-    /// all. `is_permitted` says whether this instance would know of a verdict.
+    /// all. `is_permitted` states whether recent heartbeats would have reported a verdict.
     pub fn admits_target(&self, share: f64, is_permitted: bool) -> bool {
         self.is_running() && !self.is_bad && is_permitted && self.credit + share >= 1.0
     }
@@ -343,7 +343,7 @@
             && fleet.is_drained
             && fleet.moves_all
             && self.have_peers_moved(fleet.live, now);
-        // The status tells those instances that are not heard of.
+        // Instances without recent heartbeats read the phase from the status.
         self.stored == Some(Phase::Moving)
             && moving >= MIN_MOVING_TIME.min(self.order.duration / 20)
             && (is_done || self.progress(now) >= COMPLETE)
--- a/crates/fleet/src/canary/versions.rs
+++ b/crates/fleet/src/canary/versions.rs
@@ -58,8 +58,8 @@
 }
 
 impl Versions {
-    /// Replaces the upstreams. Returns whether they differ: then [`Self::update_base`] is to be
-    /// called next.
+    /// Replaces the upstreams and returns whether they differ; the caller must then call
+    /// [`Self::update_base`].
     pub fn set_upstreams(&mut self, upstreams: &[UpstreamVersion]) -> bool {
         let entries = upstreams.iter().map(|upstream| {
             let version = Name::clone(&upstream.version);
--- a/crates/fleet/src/limits/contention.rs
+++ b/crates/fleet/src/limits/contention.rs
@@ -38,8 +38,8 @@
 /// The time for which an instance saves up its share of the refill, in seconds.
 const CREDIT_SECONDS: f64 = 0.5;
 
-/// The fraction of its share of what is left with which an instance enters contention, as
-/// instances that see the demand rise later still admit at its rate.
+/// The fraction of an instance's share of the remaining units that is its initial credit in
+/// contention: instances that detect the rise later still admit at the rate of the demand.
 const INITIAL_CREDIT_FRACTION: f64 = 0.25;
 
 /// The fraction of a bucket below which it is contended.
@@ -218,7 +218,7 @@
         self.estimated = None;
     }
 
-    /// Records that another instance has been heard of at `now`; a report of no use is left out.
+    /// Records a heartbeat of another instance at `now`, also if it reports no use.
     pub fn record_heard(&mut self, sender: u64, now: Time) {
         let report = self.reports.get(&sender);
         if report.is_some_and(|report| report.at < now) {
@@ -408,7 +408,7 @@
     /// Returns this instance's share of the team's limit, from 0 to 1.
     fn share(&self, budget: &Budget) -> f64 {
         let even = 1.0 / budget.instances.max(1.0);
-        // As much as one second of the refill tells of an instance's share.
+        // The even share has the weight of one second of the refill.
         let prior = budget.refill;
         let used = self.own.sum + self.others.sum + self.unreported + prior;
         EVEN_PART * even + (1.0 - EVEN_PART) * (self.own.sum + prior * even) / used.max(1.0)
--- a/crates/router/src/fleet/canary.rs
+++ b/crates/router/src/fleet/canary.rs
@@ -1,5 +1,5 @@
 //! Rollouts of the software of services: which upstreams an attempt may use, what its outcome
-//! says of their version, and what instances and the platform are told of it.
+//! shows about their version, and the reports to other instances and to the platform.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -297,8 +297,8 @@
         record_unsent(instance, run);
         return;
     }
-    // What an upstream turns away says nothing of its version: it may be full, or the request
-    // may have been meant for others.
+    // A rejected request is no evidence against the version: the upstream may be full, or the
+    // request may have been misdirected.
     let blames_upstream = failure.outcome().is_some();
     record(instance, run, |_| {
         blames_upstream.then_some(AnswerOutcome::Failed)
@@ -373,8 +373,8 @@
     canaries.record_answer(&run.attempt, &run.route, outcome, instance.now());
 }
 
-/// Returns whether a stream that runs at an upstream of the old version is to be resumed at one
-/// of the new version now, and both the route and the budget of retries permit that.
+/// Returns whether a stream at an upstream of the old version must be resumed now at one of the
+/// new version, as the route and the budget of retries permit.
 pub fn must_move(forwarder: &Forwarder<'_>, run: RunId) -> bool {
     let instance = forwarder.instance;
     let Some(desk) = &instance.canary else {
