--- a/review/stand-ins-2/standins.py
+++ b/review/stand-ins-2/standins.py
@@ -495,6 +495,8 @@
         self.ready = (self.ip, 8001)
         self.settings = os.path.join(folder, name + ".conf")
         self.process = None
+        self.is_over = False
+        self.lock = threading.Lock()
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(settings(name, self.ip, store.name, zone) + lines)
 
@@ -502,11 +504,13 @@
         program = os.path.join(ROOT, "target", "release", "limpetsaddle")
         if not os.path.exists(program):
             raise CannotRun("target/release/limpetsaddle is missing: run the build of the deploy file")
-        log = open(os.path.join(self.folder, self.name + ".log"), "ab")
         env = {"PATH": os.environ.get("PATH", ""), "LIMPETSADDLE_SETTINGS": self.settings}
-        self.process = subprocess.Popen([program, "fleet"], cwd=ROOT, env=env,
-                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log)
-        log.close()
+        with self.lock:
+            if self.is_over:
+                return
+            with open(os.path.join(self.folder, self.name + ".log"), "ab") as log:
+                self.process = subprocess.Popen([program, "fleet"], cwd=ROOT, env=env,
+                                                stdin=subprocess.DEVNULL, stdout=log, stderr=log)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -519,6 +523,12 @@
             self.process.kill()
         self.process.wait()
 
+    def end(self):
+        """Kills the process; it isn't started again."""
+        with self.lock:
+            self.is_over = True
+        self.kill()
+
     def is_ready(self):
         try:
             return request(self.ready, "GET", "/limpetsaddle/ready", [], timeout=1.0).status == 200
@@ -681,7 +691,7 @@
             print("the case could not run: %s" % error, file=sys.stderr)
         finally:
             for daemon in self.daemons:
-                daemon.kill()
+                daemon.end()
             if os.environ.get("KEEP_LOGS"):
                 for daemon in self.daemons:
                     print(daemon.name, self.temporary, file=sys.stderr)
