Give addresses and teams shares of what callers may have, and count what is read ahead

Cause: one address or team could take all memory and descriptors of callers with requests that never stall, for as long as it went on. Bytes that arrived while a request was in progress were buffered up to the largest head, and with the capacity of an earlier one, without being counted. What a request needs beside its head and body was not counted either. The kernel's receive buffer of a connection grew with each large body.

Done: a holder may have three times what is left (75 per cent while no other has anything), of memory, connections and descriptors; then its own connections end, else it is refused. The first connection and request of a holder and its first 64 KiB are limited by the whole alone. Requests without a team's key count as those of one team. Responses that wait for a caller count for its address and team. Bytes read ahead are reserved before they are read, or left in the kernel; buffers of long heads have the size that is reserved. A request counts 12 KiB more. Connections without a request end for others from 100 ms on, since what they had sent at once was not read yet. The kernel holds 64 KiB unread for a connection of a caller or peer.

--- a/crates/fleet/src/caller_resources.rs
+++ b/crates/fleet/src/caller_resources.rs
@@ -13,6 +13,13 @@
 /// reports of upstreams.
 const OWN_DESCRIPTORS: u64 = 32;
 
+/// The part that one address may have while others have nothing, in percent. Callers behind a
+/// balancer may all have one.
+const DEFAULT_ADDRESS_SHARE: u8 = 75;
+
+/// The part that one team may have while others have nothing, in percent.
+const DEFAULT_TEAM_SHARE: u8 = 75;
+
 /// The limits on what all callers make an instance hold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerResources {
@@ -23,6 +30,10 @@
     /// The number of connections and requests together, as each request needs a descriptor for
     /// its upstream.
     pub descriptors: u64,
+    /// The part of each of these that one address may have, in percent.
+    pub address_share: u8,
+    /// The part of memory and descriptors that the requests of one team may have, in percent.
+    pub team_share: u8,
 }
 
 impl CallerResources {
@@ -54,6 +65,8 @@
             memory: resources.caller_memory_bytes.unwrap_or(memory / 8 * 3),
             connections: resources.caller_connections.unwrap_or(connections).max(1),
             descriptors: descriptors.saturating_sub(OWN_DESCRIPTORS).max(2),
+            address_share: resources.address_share.unwrap_or(DEFAULT_ADDRESS_SHARE),
+            team_share: resources.team_share.unwrap_or(DEFAULT_TEAM_SHARE),
         }
     }
 }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -80,6 +80,10 @@
     pub caller_memory_bytes: Option<u64>,
     /// The number of connections of callers, in place of a part of the descriptors.
     pub caller_connections: Option<u64>,
+    /// What one address may have of what callers get, in percent.
+    pub address_share: Option<u8>,
+    /// What one team may have of what callers get, in percent.
+    pub team_share: Option<u8>,
 }
 
 impl Default for Bounds {
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -1,6 +1,7 @@
 //! The accept loop of a server.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 use std::time::Instant;
@@ -101,10 +102,10 @@
     F: Fn(Connection) -> R,
     R: Future<Output = ()> + 'static,
 {
-    let start = |stream: TcpStream| {
+    let start = |stream: TcpStream, address: SocketAddr| {
         let mut conn = Connection::new(stream, options.clone());
         if let Some(budget) = &budget {
-            conn.set_budget(budget);
+            conn.set_budget_at(budget, address.ip());
         }
         let task = handler(conn);
         // The panic hook reports the panic; unwinding drops the connection.
@@ -114,15 +115,20 @@
         let accept = std::pin::pin!(listener.accept());
         match futures::future::select(&mut shutdown, accept).await {
             Either::Left(_) => break,
-            Either::Right((Ok((stream, _)), _)) => {
+            Either::Right((Ok((stream, address)), _)) => {
                 if let Some(budget) = &budget {
-                    let room = std::pin::pin!(budget.make_room());
-                    if let Either::Left(_) = futures::future::select(&mut shutdown, room).await {
-                        start(stream);
-                        break;
+                    let room = std::pin::pin!(budget.make_room(address.ip()));
+                    match futures::future::select(&mut shutdown, room).await {
+                        Either::Left(_) => {
+                            start(stream, address);
+                            break;
+                        }
+                        // Closing it without reading promises that nothing has run.
+                        Either::Right((false, _)) => continue,
+                        Either::Right((true, _)) => {}
                     }
                 }
-                start(stream);
+                start(stream, address);
             }
             Either::Right((Err(_), _)) => monoio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
@@ -131,8 +137,8 @@
     while Instant::now() < end {
         let begun = Instant::now();
         match monoio::time::timeout(EMPTY_QUEUE_TIME, listener.accept()).await {
-            Ok(Ok((stream, _))) => {
-                start(stream);
+            Ok(Ok((stream, address))) => {
+                start(stream, address);
                 if accept_rest(&listener, &start) {
                     return;
                 }
@@ -149,10 +155,10 @@
 ///
 /// The driver takes the listener for readable until an accept would block, so each of these
 /// calls reaches the kernel without waiting for the driver.
-fn accept_rest(listener: &TcpListener, start: &impl Fn(TcpStream)) -> bool {
+fn accept_rest(listener: &TcpListener, start: &impl Fn(TcpStream, SocketAddr)) -> bool {
     loop {
         match listener.accept().now_or_never() {
-            Some(Ok((stream, _))) => start(stream),
+            Some(Ok((stream, address))) => start(stream, address),
             Some(Err(_)) => return false,
             None => return true,
         }
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -8,6 +8,7 @@
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::shares::Share;
 
 /// The size in bytes up to which something may use the reserve, so that small bodies are read
 /// also while large ones have used up the rest.
@@ -40,6 +41,8 @@
     used: Arc<AtomicUsize>,
     /// The budget of which this one is a part.
     whole: Option<Arc<Self>>,
+    /// The shares that reservations count for.
+    shares: Arc<[Share]>,
 }
 
 impl BufferBudget {
@@ -50,6 +53,7 @@
             limit,
             used: Arc::default(),
             whole: None,
+            shares: Arc::default(),
         }
     }
 
@@ -71,6 +75,17 @@
             limit,
             used: Arc::default(),
             whole: Some(Arc::new(self.clone())),
+            shares: Arc::default(),
+        }
+    }
+
+    /// Returns this budget with reservations that also count for `shares`, and are limited by
+    /// them.
+    #[must_use]
+    pub fn charged_to(&self, shares: &Arc<[Share]>) -> Self {
+        Self {
+            shares: Arc::clone(shares),
+            ..self.clone()
         }
     }
 
@@ -119,6 +134,32 @@
             && whole.is_none_or(|whole| whole.permits_change(held, bytes))
     }
 
+    /// Returns the share that doesn't permit a part of `held` bytes to have `bytes` bytes.
+    ///
+    /// What is alone but for a reserve may be as large as the budget permits, and a holder that
+    /// has little isn't limited.
+    fn exhausted_share(&self, held: usize, bytes: usize) -> Option<&Share> {
+        let root = self.root();
+        let others = root.used().saturating_sub(held);
+        let reserve = root.limit / RESERVE_PART;
+        if others <= reserve {
+            return None;
+        }
+        let usable = if bytes <= SMALL_BYTES {
+            root.limit
+        } else {
+            root.limit - reserve
+        };
+        let free = usable.saturating_sub(others.saturating_add(bytes));
+        let own = |share: &Share| share.memory().saturating_sub(held).saturating_add(bytes);
+        let mut shares = self.shares.iter();
+        shares.find(|share| own(share) > SMALL_BYTES && !share.permits(own(share), free))
+    }
+
+    fn root(&self) -> &Self {
+        self.whole.as_ref().map_or(self, |whole| whole.root())
+    }
+
     fn change(&self, held: usize, bytes: usize) {
         self.used.fetch_add(bytes, Ordering::Relaxed);
         self.used.fetch_sub(held, Ordering::Relaxed);
@@ -146,20 +187,36 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::OversizedBody`] and keeps the size when the budget has no more for it.
+    /// Returns [`Error::OversizedBody`] and keeps the size when the budget, or a share that the
+    /// reservation counts for, has no more for it.
     pub fn resize(&mut self, bytes: usize) -> Result<()> {
-        if bytes > self.bytes && !self.budget.permits_change(self.bytes, bytes) {
+        let is_permitted = bytes <= self.bytes
+            || (self.budget.permits_change(self.bytes, bytes)
+                && self.exhausted_share(bytes).is_none());
+        if !is_permitted {
             return Err(Error::OversizedBody);
         }
+        self.change(bytes);
+        Ok(())
+    }
+
+    /// Returns the share that doesn't permit `bytes` bytes, if there is one.
+    pub(crate) fn exhausted_share(&self, bytes: usize) -> Option<&Share> {
+        self.budget.exhausted_share(self.bytes, bytes)
+    }
+
+    fn change(&mut self, bytes: usize) {
         self.budget.change(self.bytes, bytes);
+        for share in self.budget.shares.iter() {
+            share.change_memory(self.bytes, bytes);
+        }
         self.bytes = bytes;
-        Ok(())
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.change(self.bytes, 0);
+        self.change(0);
     }
 }
 
--- a/crates/http/src/callers.rs
+++ b/crates/http/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -10,11 +11,17 @@
 use std::time::Instant;
 
 use futures::channel::oneshot;
+use futures::future::Either;
 
 use crate::budget::BufferBudget;
 use crate::budget::Reservation;
 use crate::error::Error;
 use crate::error::Result;
+use crate::shares::Holder;
+use crate::shares::Share;
+use crate::shares::ShareId;
+use crate::shares::SharePercent;
+use crate::shares::Shares;
 use crate::slots::Shortage;
 use crate::slots::SlotState;
 use crate::slots::Slots;
@@ -23,6 +30,13 @@
 /// a test build.
 const CONNECTION_BYTES: usize = 8 * 1024;
 
+/// The memory of a request in progress beside its head and body: its tasks and the connection
+/// to its upstream, as in a test build.
+const REQUEST_BYTES: usize = 12 * 1024;
+
+/// The id of no connection.
+const NO_ID: u64 = u64::MAX;
+
 /// The time between two looks at what connections that end have returned.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -44,6 +58,15 @@
     pub descriptors: usize,
 }
 
+/// What one holder may have of what all callers get.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerShares {
+    /// What the callers of one address may have of the memory, connections and descriptors.
+    pub address: SharePercent,
+    /// What the requests of one team may have of the memory and descriptors.
+    pub team: SharePercent,
+}
+
 /// The causes for which connections or requests of callers ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallerEnd {
@@ -57,16 +80,22 @@
     NoMemory,
     /// A request for which there was no descriptor.
     NoDescriptor,
+    /// A request or connection for which its caller's address had its share.
+    AddressShare,
+    /// A request for which its team had its share.
+    TeamShare,
 }
 
 impl CallerEnd {
     /// Every cause.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 7] = [
         Self::Idle,
         Self::Head,
         Self::Body,
         Self::NoMemory,
         Self::NoDescriptor,
+        Self::AddressShare,
+        Self::TeamShare,
     ];
 
     /// Returns the code in metrics.
@@ -78,6 +107,8 @@
             Self::Body => "body",
             Self::NoMemory => "no_memory",
             Self::NoDescriptor => "no_descriptor",
+            Self::AddressShare => "address_share",
+            Self::TeamShare => "team_share",
         }
     }
 }
@@ -102,6 +133,7 @@
 #[derive(Clone, Debug)]
 pub struct CallerBudget {
     options: CallerBudgetOptions,
+    shares: CallerShares,
     memory: BufferBudget,
     ends: CallerEnds,
     registry: Rc<RefCell<Registry>>,
@@ -110,12 +142,13 @@
 #[derive(Debug, Default)]
 struct Registry {
     slots: Slots,
+    shares: Shares,
     enders: HashMap<u64, oneshot::Sender<()>>,
 }
 
 impl CallerBudget {
-    /// Returns a budget with the limits in `options`. Connections get at most half of the
-    /// memory.
+    /// Returns a budget with the limits in `options`, of which one address or team may have all.
+    /// Connections get at most half of the memory.
     #[must_use]
     pub fn new(options: CallerBudgetOptions) -> Self {
         let connections = options
@@ -126,12 +159,23 @@
                 connections: connections.max(1),
                 ..options
             },
+            shares: CallerShares {
+                address: SharePercent::ALL,
+                team: SharePercent::ALL,
+            },
             memory: BufferBudget::new(options.memory),
             ends: CallerEnds::default(),
             registry: Rc::default(),
         }
     }
 
+    /// Returns this budget with limits on what one address or team may have.
+    #[must_use]
+    pub const fn with_shares(mut self, shares: CallerShares) -> Self {
+        self.shares = shares;
+        self
+    }
+
     /// Returns the memory, which responses to callers take as well.
     #[must_use]
     pub const fn memory(&self) -> &BufferBudget {
@@ -144,14 +188,58 @@
         &self.ends
     }
 
-    /// Waits until a connection may be added, and ends others for it.
-    pub(crate) async fn make_room(&self) {
-        while !self.has_room() {
-            if !self.registry.borrow().slots.has_ending() {
-                self.end_one(Shortage::Descriptors, u64::MAX);
+    /// Waits until a connection of a caller at `address` may be added, and ends others for it.
+    ///
+    /// Returns whether it may: if the address has its share, only its own connections end, and
+    /// nothing is waited for.
+    pub(crate) async fn make_room(&self, address: IpAddr) -> bool {
+        let share = self.address_share(address);
+        for check in 0.. {
+            if !self.has_share(&share) {
+                let wait = self.wait_for_end(Some(share.id), Shortage::Descriptors, NO_ID, check);
+                if !wait.await {
+                    self.ends.record(CallerEnd::AddressShare);
+                    return false;
+                }
+                continue;
+            }
+            if self.has_room() {
+                break;
             }
-            monoio::time::sleep(ROOM_INTERVAL).await;
+            let is_ending = self.registry.borrow().slots.has_ending()
+                || self.end_one(None, Shortage::Descriptors, NO_ID);
+            let interval = if is_ending {
+                CHECK_INTERVAL
+            } else {
+                ROOM_INTERVAL
+            };
+            monoio::time::sleep(interval).await;
         }
+        true
+    }
+
+    fn address_share(&self, address: IpAddr) -> Share {
+        let mut registry = self.registry.borrow_mut();
+        let percent = self.shares.address;
+        registry.shares.get(&Holder::at(address), percent)
+    }
+
+    /// Returns whether the holder of `share` may have a further connection. The first one is
+    /// not limited by it.
+    fn has_share(&self, share: &Share) -> bool {
+        let registry = self.registry.borrow();
+        let held = registry.slots.held(share.id);
+        let connections = registry.slots.len() + 1;
+        let descriptors = connections + registry.slots.requests();
+        let limits = &self.options;
+        let shares = [share.clone()].into();
+        let reservation = self.memory.charged_to(&shares).reservation();
+        let free_connections = limits.connections.saturating_sub(connections);
+        let free_descriptors = limits.descriptors.saturating_sub(descriptors);
+        held.connections == 0
+            || (share.permits(held.connections + 1, free_connections)
+                && share.permits(held.connections + held.requests + 1, free_descriptors)
+                && reservation.exhausted_share(CONNECTION_BYTES).is_none())
     }
 
     fn has_room(&self) -> bool {
@@ -163,10 +251,12 @@
             && self.memory.holds(CONNECTION_BYTES)
     }
 
-    /// Ends the connection that the shortage costs first, and returns whether there is one.
-    fn end_one(&self, shortage: Shortage, own: u64) -> bool {
+    /// Ends the connection that the shortage costs first, of those of `share` if there is one,
+    /// and returns whether there is one.
+    fn end_one(&self, share: Option<ShareId>, shortage: Shortage, own: u64) -> bool {
         let mut registry = self.registry.borrow_mut();
-        let Some(id) = registry.slots.select(shortage, own, Instant::now()) else {
+        let now = Instant::now();
+        let Some(id) = registry.slots.select_of(share, shortage, own, now) else {
             return false;
         };
         match registry.slots.state(id) {
@@ -182,81 +272,184 @@
     }
 }
 
+/// What a connection holds beside its own memory, in bytes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Parts {
+    /// The head of the request that is read or in progress, if it is long.
+    head: usize,
+    /// What is read ahead of further requests.
+    ahead: usize,
+    /// The request in progress.
+    request: usize,
+}
+
+impl Parts {
+    const fn sum(self) -> usize {
+        CONNECTION_BYTES + self.head + self.ahead + self.request
+    }
+}
+
 /// The part of a connection in the budget, which is returned when it is dropped.
 pub struct CallerSlot {
     budget: CallerBudget,
     id: u64,
     reservation: Reservation,
+    parts: Parts,
+    /// The share of the caller's address.
+    address: Option<Share>,
+    /// The shares of the caller's address and the request's team.
+    shares: Arc<[Share]>,
 }
 
 impl CallerSlot {
-    /// Adds a connection, which gets a signal when it has to end.
-    pub fn open(budget: &CallerBudget) -> (Self, oneshot::Receiver<()>) {
+    /// Adds a connection, which gets a signal when it has to end. One without an `address`
+    /// counts for no address.
+    pub fn open(budget: &CallerBudget, address: Option<IpAddr>) -> (Self, oneshot::Receiver<()>) {
         let (sender, ended) = oneshot::channel();
+        let address = address.map(|address| budget.address_share(address));
         let id = {
             let mut registry = budget.registry.borrow_mut();
             let id = registry.slots.open(Instant::now());
             registry.enders.insert(id, sender);
+            let share = address.as_ref().map(|share| share.id);
+            registry.slots.set_address(id, share);
             id
         };
-        let mut reservation = budget.memory.reservation();
+        let shares = address.iter().cloned().collect();
+        let mut reservation = budget.memory.charged_to(&shares).reservation();
         // Connections that are not limited in number may find the memory used up.
         let _ = reservation.resize(CONNECTION_BYTES);
         let slot = Self {
             budget: budget.clone(),
             id,
             reservation,
+            parts: Parts::default(),
+            address,
+            shares,
         };
         (slot, ended)
     }
 
     /// Changes what the connection is doing.
     pub fn set_state(&mut self, state: SlotState) {
-        if state == SlotState::Idle {
-            // Returns the memory of a long head.
-            let _ = self.reservation.resize(CONNECTION_BYTES);
-        }
         let mut registry = self.budget.registry.borrow_mut();
         registry.slots.set_state(self.id, state, Instant::now());
     }
 
-    /// Reserves memory for a head of up to `bytes`.
+    /// Reserves memory for a head of up to `bytes`, of which some may have been read ahead.
     pub async fn reserve_head(&mut self, bytes: usize) -> Result<()> {
-        let bytes = CONNECTION_BYTES + bytes;
-        if bytes <= self.reservation.bytes() {
-            return Ok(());
+        self.reserve(Parts {
+            head: bytes,
+            ahead: 0,
+            ..self.parts
+        })
+        .await
+    }
+
+    /// Counts what was read ahead for the head of the next request.
+    pub fn take_ahead(&mut self) {
+        self.parts.head = std::mem::take(&mut self.parts.ahead);
+    }
+
+    /// Reserves memory for up to `bytes` that were read ahead of the next request.
+    pub async fn reserve_ahead(&mut self, bytes: usize) -> Result<()> {
+        self.reserve(Parts {
+            ahead: bytes,
+            ..self.parts
+        })
+        .await
+    }
+
+    /// Does what [`reserve_ahead`](Self::reserve_ahead) does if there is enough memory without
+    /// an end of others, and returns whether it is reserved.
+    pub fn try_reserve_ahead(&mut self, bytes: usize) -> bool {
+        let parts = Parts {
+            ahead: bytes,
+            ..self.parts
+        };
+        let is_reserved = self.reservation.resize(parts.sum()).is_ok();
+        if is_reserved {
+            self.parts = parts;
         }
+        is_reserved
+    }
+
+    /// Returns whether memory is reserved for a long head.
+    pub const fn has_long_head(&self) -> bool {
+        self.parts.head > 0
+    }
+
+    /// Returns the memory of a request that has ended, but for what `keeps_ahead` of others.
+    pub fn end_request(&mut self, keeps_ahead: bool) {
+        let ahead = self.parts.ahead.max(self.parts.head);
+        self.parts = Parts {
+            ahead: if keeps_ahead { ahead } else { 0 },
+            ..Parts::default()
+        };
+        // A reservation can always become smaller.
+        let _ = self.reservation.resize(self.parts.sum());
+    }
+
+    async fn reserve(&mut self, parts: Parts) -> Result<()> {
         let budget = self.budget.clone();
-        reserve(&budget, self.id, &mut self.reservation, bytes).await
+        reserve(&budget, self.id, &mut self.reservation, parts.sum()).await?;
+        self.parts = parts;
+        Ok(())
+    }
+
+    /// Counts the next request for `team`, until it ends.
+    pub fn set_team(&mut self, team: Option<Rc<str>>) {
+        let mut registry = self.budget.registry.borrow_mut();
+        let percent = self.budget.shares.team;
+        let team = team.map(|team| registry.shares.get(&Holder::Team(team), percent));
+        let share = team.as_ref().map(|share| share.id);
+        registry.slots.set_team(self.id, share);
+        self.shares = self.address.iter().cloned().chain(team).collect();
+    }
+
+    /// Returns the shares that the request counts for.
+    pub const fn shares(&self) -> &Arc<[Share]> {
+        &self.shares
     }
 
     /// Begins a request, which may have a body, and takes a descriptor for its upstream.
     pub async fn begin_request(&mut self, expected: usize, limit: Duration) -> Result<()> {
         let budget = &self.budget;
         for check in 0.. {
-            {
+            let exhausted = {
                 let mut registry = budget.registry.borrow_mut();
-                let descriptors = registry.slots.len() + registry.slots.requests();
-                if descriptors < budget.options.descriptors {
-                    let now = Instant::now();
-                    registry.slots.begin_body(self.id, expected, limit, now);
-                    return Ok(());
+                let slots = &mut registry.slots;
+                let used = slots.len() + slots.requests() + 1;
+                let free = budget.options.descriptors.saturating_sub(used);
+                let own = |share: &&Share| {
+                    let held = slots.held(share.id);
+                    held.requests > 0 && !share.permits(held.connections + held.requests + 1, free)
+                };
+                let exhausted = self.shares.iter().find(own);
+                if exhausted.is_none() && used <= budget.options.descriptors {
+                    slots.begin_body(self.id, expected, limit, Instant::now());
+                    break;
                 }
-            }
-            if !budget
-                .wait_for_end(Shortage::Descriptors, self.id, check)
-                .await
-            {
-                break;
+                exhausted
+            };
+            let share = exhausted.map(|share| share.id);
+            let wait = budget.wait_for_end(share, Shortage::Descriptors, self.id, check);
+            if !wait.await {
+                let cause = exhausted.map_or(CallerEnd::NoDescriptor, Share::cause);
+                budget.ends.record(cause);
+                return Err(Error::OverBudget);
             }
         }
-        budget.ends.record(CallerEnd::NoDescriptor);
-        Err(Error::OverBudget)
+        self.reserve(Parts {
+            request: REQUEST_BYTES,
+            ..self.parts
+        })
+        .await
     }
 
     /// Returns a reservation for the body of the request.
     pub fn body_reservation(&self) -> Reservation {
-        self.budget.memory.reservation()
+        self.budget.memory.charged_to(&self.shares).reservation()
     }
 
     /// Changes the size of a reservation for the body of the request.
@@ -280,11 +473,17 @@
 }
 
 impl CallerBudget {
-    /// Ends a connection unless one is about to end, waits for a moment, and returns whether
-    /// another try may succeed.
-    async fn wait_for_end(&self, shortage: Shortage, own: u64, check: u32) -> bool {
-        let is_ending = self.registry.borrow().slots.has_ending();
-        if check >= MAX_CHECKS || (!is_ending && !self.end_one(shortage, own)) {
+    /// Ends a connection, of those of `share` if there is one, unless one is about to end,
+    /// waits for a moment, and returns whether another try may succeed.
+    async fn wait_for_end(
+        &self,
+        share: Option<ShareId>,
+        shortage: Shortage,
+        own: u64,
+        check: u32,
+    ) -> bool {
+        let is_ending = self.registry.borrow().slots.has_ending_of(share);
+        if check >= MAX_CHECKS || (!is_ending && !self.end_one(share, shortage, own)) {
             return false;
         }
         monoio::time::sleep(CHECK_INTERVAL).await;
@@ -306,10 +505,30 @@
         if reservation.resize(bytes).is_ok() {
             return Ok(());
         }
-        if !budget.wait_for_end(Shortage::Memory, own, check).await {
+        let share = reservation.exhausted_share(bytes).map(|share| share.id);
+        let wait = budget.wait_for_end(share, Shortage::Memory, own, check);
+        if !wait.await {
             break;
         }
     }
-    budget.ends.record(CallerEnd::NoMemory);
+    let exhausted = reservation.exhausted_share(bytes);
+    budget
+        .ends
+        .record(exhausted.map_or(CallerEnd::NoMemory, Share::cause));
     Err(Error::OverBudget)
 }
+
+/// Returns the result of `future`, or `None` if the connection has to end before.
+pub async fn unless_ended<T>(
+    ended: &mut Option<oneshot::Receiver<()>>,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let Some(ended) = ended else {
+        return Some(future.await);
+    };
+    let future = std::pin::pin!(future);
+    match futures::future::select(future, ended).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right(_) => None,
+    }
+}
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -6,6 +6,7 @@
 use http::Version;
 use http::header;
 use http::header::HeaderName;
+use http::request;
 
 use crate::error::Error;
 use crate::error::Result;
@@ -134,3 +135,17 @@
         .split(|b| *b == b',')
         .any(|item| item.trim_ascii().eq_ignore_ascii_case(token))
 }
+
+/// Checks that a request names one host.
+pub fn check_host(head: &request::Parts) -> Result<()> {
+    let hosts = head.headers.get_all(header::HOST).iter().count();
+    let named = hosts == 1 || (hosts == 0 && head.version == Version::HTTP_10);
+    named.then_some(()).ok_or(Error::MalformedHead)
+}
+
+/// Returns whether the caller waits for an interim response before it sends the body.
+pub fn expects_continue(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::EXPECT)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,29 +1,29 @@
 //! Server side of a connection.
 
 use std::future;
+use std::net::IpAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures::channel::oneshot;
-use futures::future::Either;
 use http::HeaderMap;
 use http::Method;
 use http::Response;
 use http::StatusCode;
 use http::Version;
-use http::header;
-use http::request;
 use monoio::net::TcpStream;
 use monoio_http::h1::codec::decoder::RequestHeadDecoder;
 
 use crate::Request;
 use crate::body::Body;
+use crate::budget::BufferBudget;
 use crate::budget::Reservation;
 use crate::budget::ReservedBody;
 use crate::callers::CallerBudget;
 use crate::callers::CallerSlot;
+use crate::callers::unless_ended;
 use crate::encode;
 use crate::encode::DeclaredLength;
 use crate::error::Error;
@@ -31,6 +31,7 @@
 use crate::error::Result;
 use crate::framing;
 use crate::framing::BodyLength;
+use crate::shares::TeamLookup;
 use crate::slots::SlotState;
 use crate::stream::BufferedStream;
 use crate::stream::READ_BYTES;
@@ -134,6 +135,8 @@
     response: ResponseState,
     /// The part in the budget for callers, if there is one.
     slot: Option<CallerSlot>,
+    /// Returns the team whose key a request carries.
+    team_of: Option<TeamLookup>,
     /// The signal that the connection has to end, as something is short.
     ended: Option<oneshot::Receiver<()>>,
 }
@@ -152,17 +155,41 @@
             peer_closed: false,
             response: ResponseState::Complete,
             slot: None,
+            team_of: None,
             ended: None,
         }
     }
 
     /// Takes what the connection holds out of `budget`, from the next request on.
     pub fn set_budget(&mut self, budget: &CallerBudget) {
-        let (slot, ended) = CallerSlot::open(budget);
+        self.open_slot(budget, None);
+    }
+
+    /// Does what [`set_budget`](Self::set_budget) does, and counts the connection for the share
+    /// of the caller's `address`.
+    pub fn set_budget_at(&mut self, budget: &CallerBudget, address: IpAddr) {
+        self.open_slot(budget, Some(address));
+    }
+
+    fn open_slot(&mut self, budget: &CallerBudget, address: Option<IpAddr>) {
+        let (slot, ended) = CallerSlot::open(budget, address);
         self.slot = Some(slot);
         self.ended = Some(ended);
     }
 
+    /// Counts each request for the share of the team that `team_of` returns, before its body is
+    /// read.
+    pub fn set_team_lookup(&mut self, team_of: TeamLookup) {
+        self.team_of = Some(team_of);
+    }
+
+    /// Returns `budget`, counted for the shares of the caller and team of the current request.
+    #[must_use]
+    pub fn charge(&self, budget: &BufferBudget) -> BufferBudget {
+        let shares = self.slot.as_ref().map(CallerSlot::shares);
+        shares.map_or_else(|| budget.clone(), |shares| budget.charged_to(shares))
+    }
+
     /// Replaces the limits, from the next request on.
     pub const fn set_options(&mut self, options: ServerOptions) {
         self.options = options;
@@ -246,6 +273,7 @@
             self.keep_alive = false;
             // What was read of the request is not needed any more.
             self.stream.buf = BytesMut::new();
+            self.end_request();
         } else {
             self.set_state(SlotState::Busy);
         }
@@ -344,10 +372,12 @@
     /// Waits until the caller has closed or reset the connection.
     ///
     /// Buffers bytes that arrive meanwhile for the next request, up to the maximum size of
-    /// a head; beyond that it stops reading and never returns. Cancel-safe.
+    /// a head, or less if its budget has no room; beyond that it stops reading and never
+    /// returns. Cancel-safe.
     pub async fn closed(&mut self) {
         while !self.peer_closed {
-            if self.stream.buf.len() > self.options.max_head_bytes {
+            let limit = self.options.max_head_bytes;
+            if self.stream.buf.len() > limit || !self.reserve_ahead(limit) {
                 return future::pending().await;
             }
             let read = self.stream.fill(READ_BYTES).await;
@@ -372,11 +402,8 @@
             return false;
         }
         let filled = unless_ended(&mut self.ended, self.stream.fill(READ_BYTES)).await;
-        let Some(filled) = filled else {
-            self.keep_alive = false;
-            return false;
-        };
-        matches!(filled, Ok(n) if n > 0)
+        self.keep_alive &= filled.is_some();
+        matches!(filled, Some(Ok(n)) if n > 0)
     }
 
     fn set_state(&mut self, state: SlotState) {
@@ -388,10 +415,13 @@
     async fn read_request(&mut self) -> Result<Request> {
         let limit = self.options.max_head_bytes;
         self.set_state(SlotState::Head);
-        if let Some(slot) = &mut self.slot
-            && !self.stream.has_head()
-        {
-            slot.reserve_head(limit).await?;
+        if let Some(slot) = &mut self.slot {
+            if self.stream.has_head() {
+                slot.take_ahead();
+            } else {
+                slot.reserve_head(limit).await?;
+                self.stream.grow(limit + READ_BYTES);
+            }
         }
         let mut decoder = RequestHeadDecoder;
         let read = self.stream.read_head(&mut decoder, limit);
@@ -400,7 +430,14 @@
         self.version = head.version;
         self.keep_alive =
             head.version == Version::HTTP_11 && !framing::asks_to_close(&head.headers);
-        check_host(&head)?;
+        framing::check_host(&head)?;
+        if let Some(slot) = self.slot.as_mut().filter(|slot| slot.has_long_head()) {
+            if self.stream.buf.len() > READ_BYTES {
+                slot.reserve_ahead(limit).await?;
+            }
+            // What follows the head doesn't share its memory.
+            self.stream.shrink();
+        }
         let length = framing::request_length(&head.headers, head.version)?;
         let body = with_timeout(
             self.options.body_timeout,
@@ -422,6 +459,9 @@
         };
         let mut reservation = None;
         if let Some(slot) = &mut self.slot {
+            if let Some(team_of) = &self.team_of {
+                slot.set_team(team_of(headers));
+            }
             slot.begin_request(expected, self.options.body_timeout)
                 .await?;
             let bytes = match length {
@@ -434,7 +474,7 @@
         if length == BodyLength::Fixed(0) {
             return Ok(Bytes::new());
         }
-        if self.stream.buf.is_empty() && expects_continue(headers) {
+        if self.stream.buf.is_empty() && framing::expects_continue(headers) {
             self.write(Bytes::from_static(encode::CONTINUE)).await?;
         }
         let body = match length {
@@ -479,6 +519,8 @@
                 slot.record_bytes(piece.len());
             }
         }
+        // What follows stays, without the memory that chunks were read into.
+        self.stream.shrink();
         if let Some(reservation) = reservation {
             reservation.resize(collected.capacity())?;
         }
@@ -502,6 +544,32 @@
             let _ = unless_ended(&mut self.ended, linger).await;
         } else {
             self.set_state(SlotState::Idle);
+            self.end_request();
+        }
+    }
+
+    /// Returns whether there is memory for more of what arrives ahead of the next request.
+    fn reserve_ahead(&mut self, limit: usize) -> bool {
+        match &mut self.slot {
+            Some(slot) if !self.stream.buf.is_empty() => {
+                let is_reserved = slot.try_reserve_ahead(limit);
+                if is_reserved {
+                    self.stream.grow(limit + READ_BYTES);
+                }
+                is_reserved
+            }
+            _ => true,
+        }
+    }
+
+    /// Returns the memory of a request that has ended.
+    fn end_request(&mut self) {
+        let keeps_ahead = self.stream.buf.len() > READ_BYTES;
+        if let Some(slot) = &mut self.slot {
+            if !keeps_ahead {
+                self.stream.shrink();
+            }
+            slot.end_request(keeps_ahead);
         }
     }
 
@@ -527,30 +595,3 @@
         written
     }
 }
-
-/// Returns the result of `future`, or `None` if the connection has to end before.
-async fn unless_ended<T>(
-    ended: &mut Option<oneshot::Receiver<()>>,
-    future: impl Future<Output = T>,
-) -> Option<T> {
-    let Some(ended) = ended else {
-        return Some(future.await);
-    };
-    let future = std::pin::pin!(future);
-    match futures::future::select(future, ended).await {
-        Either::Left((result, _)) => Some(result),
-        Either::Right(_) => None,
-    }
-}
-
-fn check_host(head: &request::Parts) -> Result<()> {
-    let hosts = head.headers.get_all(header::HOST).iter().count();
-    let named = hosts == 1 || (hosts == 0 && head.version == Version::HTTP_10);
-    named.then_some(()).ok_or(Error::MalformedHead)
-}
-
-fn expects_continue(headers: &HeaderMap) -> bool {
-    headers
-        .get(header::EXPECT)
-        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
-}
--- a/crates/http/src/slots.rs
+++ b/crates/http/src/slots.rs
@@ -4,10 +4,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::shares::ShareId;
+
 /// The age from which the head or body of a request may be ended. Requests that arrive at once
 /// are younger.
 const MIN_AGE: Duration = Duration::from_millis(500);
 
+/// The age from which a connection without a request may be ended. What its caller sent at once
+/// was read by then.
+const MIN_UNUSED_AGE: Duration = Duration::from_millis(100);
+
 /// The span over which the pace of a body is measured, and without a byte after which it is
 /// zero.
 const PACE_WINDOW: Duration = Duration::from_millis(500);
@@ -33,6 +39,15 @@
     }
 }
 
+/// The number of connections and requests that one address or team has.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Held {
+    /// The number of connections.
+    pub connections: usize,
+    /// The number of requests whose head was read.
+    pub requests: usize,
+}
+
 /// What is short.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shortage {
@@ -70,11 +85,16 @@
     open: BTreeMap<u64, Slot>,
     /// The number of requests whose head was read.
     requests: usize,
+    held: BTreeMap<ShareId, Held>,
 }
 
 #[derive(Debug)]
 struct Slot {
     state: SlotState,
+    /// The share of the caller's address.
+    address: Option<ShareId>,
+    /// The share of the request's team.
+    team: Option<ShareId>,
     since: Instant,
     /// Whether a request was served.
     is_used: bool,
@@ -150,6 +170,8 @@
         self.next_id += 1;
         let slot = Slot {
             state: SlotState::Idle,
+            address: None,
+            team: None,
             since: now,
             is_used: false,
             ends: false,
@@ -161,11 +183,29 @@
 
     /// Removes a connection.
     pub fn close(&mut self, id: u64) {
+        self.set_address(id, None);
+        self.set_team(id, None);
         if let Some(slot) = self.open.remove(&id) {
             self.requests -= usize::from(slot.state.is_request());
         }
     }
 
+    /// Counts a connection for the share of its caller's address.
+    pub fn set_address(&mut self, id: u64, share: Option<ShareId>) {
+        self.change_shares(id, |slot| slot.address = share);
+    }
+
+    /// Counts a connection for the share of its request's team, until the request ends.
+    pub fn set_team(&mut self, id: u64, share: Option<ShareId>) {
+        self.change_shares(id, |slot| slot.team = share);
+    }
+
+    /// Returns what an address or team has.
+    #[must_use]
+    pub fn held(&self, share: ShareId) -> Held {
+        self.held.get(&share).copied().unwrap_or_default()
+    }
+
     /// Returns the number of connections.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -187,21 +227,53 @@
     /// Returns whether a connection was selected that has not ended yet.
     #[must_use]
     pub fn has_ending(&self) -> bool {
+        self.has_ending_of(None)
+    }
+
+    /// Does what [`has_ending`](Self::has_ending) does, among the connections of `share` if
+    /// there is one.
+    #[must_use]
+    pub fn has_ending_of(&self, share: Option<ShareId>) -> bool {
         let mut slots = self.open.values();
-        slots.any(|slot| slot.ends && slot.state != SlotState::Busy)
+        slots.any(|slot| slot.ends && slot.state != SlotState::Busy && slot.is_of(share))
     }
 
     /// Changes what a connection is doing.
     pub fn set_state(&mut self, id: u64, state: SlotState, now: Instant) {
-        let Some(slot) = self.open.get_mut(&id) else {
+        let Some(slot) = self.open.get(&id) else {
             return;
         };
         self.requests += usize::from(state.is_request());
         self.requests -= usize::from(slot.state.is_request());
-        slot.is_used |= slot.state == SlotState::Busy;
-        slot.state = state;
-        slot.since = now;
-        slot.body = None;
+        self.change_shares(id, |slot| {
+            slot.is_used |= slot.state == SlotState::Busy;
+            slot.team = slot.team.filter(|_| state.is_request());
+            slot.state = state;
+            slot.since = now;
+            slot.body = None;
+        });
+    }
+
+    /// Changes a connection and what its shares have.
+    fn change_shares(&mut self, id: u64, change: impl FnOnce(&mut Slot)) {
+        let Some(slot) = self.open.get_mut(&id) else {
+            return;
+        };
+        for share in slot.shares() {
+            if let Some(held) = self.held.get_mut(&share) {
+                held.connections -= 1;
+                held.requests -= usize::from(slot.state.is_request());
+                if *held == Held::default() {
+                    self.held.remove(&share);
+                }
+            }
+        }
+        change(slot);
+        for share in slot.shares() {
+            let held = self.held.entry(share).or_default();
+            held.connections += 1;
+            held.requests += usize::from(slot.state.is_request());
+        }
     }
 
     /// Begins the body of a request, which has at most `expected` bytes and `limit` to arrive.
@@ -223,7 +295,20 @@
     /// Returns the connection other than `own` that ends next, if one may, and counts it as
     /// ending.
     pub fn select(&mut self, shortage: Shortage, own: u64, now: Instant) -> Option<u64> {
+        self.select_of(None, shortage, own, now)
+    }
+
+    /// Does what [`select`](Self::select) does, among the connections of `share` if there is
+    /// one.
+    pub fn select_of(
+        &mut self,
+        share: Option<ShareId>,
+        shortage: Shortage,
+        own: u64,
+        now: Instant,
+    ) -> Option<u64> {
         let others = self.open.iter().filter(|(id, _)| **id != own);
+        let others = others.filter(|(_, slot)| slot.is_of(share));
         let candidates = others.filter_map(|(id, slot)| Some((slot.rank(shortage, now)?, *id)));
         let (_, id) = candidates.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         self.open.get_mut(&id)?.ends = true;
@@ -255,17 +340,27 @@
 }
 
 impl Slot {
+    fn shares(&self) -> impl Iterator<Item = ShareId> + use<> {
+        self.address.into_iter().chain(self.team)
+    }
+
+    /// Returns whether the connection counts for `share`, if there is one.
+    fn is_of(&self, share: Option<ShareId>) -> bool {
+        share.is_none_or(|share| self.address == Some(share) || self.team == Some(share))
+    }
+
     /// Returns the place in the order, or `None` if the connection is not ended for this
     /// shortage.
     fn rank(&self, shortage: Shortage, now: Instant) -> Option<Rank> {
         if self.ends {
             return None;
         }
-        let is_old = now.duration_since(self.since) >= MIN_AGE;
+        let age = now.duration_since(self.since);
+        let is_old = age >= MIN_AGE;
         let body = self.body.as_ref();
         let class = match (self.state, shortage) {
             (SlotState::Lingering, Shortage::Descriptors) => 0,
-            (SlotState::Idle, Shortage::Descriptors) if !self.is_used => 1,
+            (SlotState::Idle, Shortage::Descriptors) if !self.is_used && age >= MIN_UNUSED_AGE => 1,
             (SlotState::Head, Shortage::Descriptors) if is_old => 2,
             (SlotState::Body, _) if is_old && body.is_some_and(|body| body.is_slow(now)) => 3,
             (SlotState::Idle, Shortage::Descriptors) if is_old => 4,
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -106,6 +106,21 @@
         }
     }
 
+    /// Moves the bytes in the buffer to memory of their size, so that none is kept for what was
+    /// read before.
+    pub fn shrink(&mut self) {
+        self.buf = BytesMut::from(&self.buf[..]);
+    }
+
+    /// Gives the buffer memory for `bytes` in all, and no more.
+    pub fn grow(&mut self, bytes: usize) {
+        if self.buf.capacity() < bytes {
+            let mut buf = BytesMut::with_capacity(bytes);
+            buf.extend_from_slice(&self.buf);
+            self.buf = buf;
+        }
+    }
+
     /// Returns whether the end of a head is in the buffer.
     pub fn has_head(&self) -> bool {
         find(&self.buf, HEAD_END).is_some()
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -17,6 +17,7 @@
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_fleet::request_key::RequestContent;
 use limpetsaddle_fleet::request_key::RequestKey;
+use limpetsaddle_http::BufferBudget;
 use limpetsaddle_http::Connection;
 use limpetsaddle_http::Request;
 use limpetsaddle_platform_wire::headers;
@@ -55,6 +56,8 @@
     pub cost: u64,
     /// Whether a peer has passed the request on.
     pub from_peer: bool,
+    /// The memory for responses, counted for the caller's address and the team.
+    pub relayed: BufferBudget,
 }
 
 /// The sender of a request.
@@ -82,6 +85,7 @@
     let accepted = match accept(instance, &req, begun, arrived) {
         Ok(accepted) => AcceptedRequest {
             from_peer: sender == Sender::Peer,
+            relayed: conn.charge(&accepted.relayed),
             ..accepted
         },
         Err(Declined {
@@ -265,6 +269,7 @@
         arrived,
         cost,
         from_peer: false,
+        relayed: instance.upstream_client.buffers.relayed.clone(),
     })
 }
 
--- a/crates/router/src/fleet/instance.rs
+++ b/crates/router/src/fleet/instance.rs
@@ -46,8 +46,10 @@
 use limpetsaddle_fleet::weights::TargetWeights;
 use limpetsaddle_http::CallerBudget;
 use limpetsaddle_http::CallerBudgetOptions;
+use limpetsaddle_http::CallerShares;
 use limpetsaddle_http::ClientOptions;
 use limpetsaddle_http::Connection;
+use limpetsaddle_http::SharePercent;
 use log::info;
 
 use super::call::CallError;
@@ -469,4 +471,8 @@
         connections: size(resources.connections),
         descriptors: size(resources.descriptors),
     })
+    .with_shares(CallerShares {
+        address: SharePercent::new(resources.address_share),
+        team: SharePercent::new(resources.team_share),
+    })
 }
--- a/crates/router/src/fleet/pass_on.rs
+++ b/crates/router/src/fleet/pass_on.rs
@@ -327,7 +327,7 @@
         monoio::time::timeout(remaining, copied).await
     } else {
         let buffers = &instance.upstream_client.buffers;
-        let read = res.collect_within(buffers.limits.relayed, &buffers.relayed);
+        let read = res.collect_within(buffers.limits.relayed, &forwarder.accepted.relayed);
         match monoio::time::timeout(remaining, read).await {
             Ok(Ok(body)) => Ok(respond(conn, head, body).await),
             Ok(Err(error)) => {
--- a/crates/router/src/fleet/peer_requests.rs
+++ b/crates/router/src/fleet/peer_requests.rs
@@ -92,7 +92,9 @@
     mut conn: Connection,
     requests: &Rc<Cell<u32>>,
 ) {
+    // The address is that of an instance, which passes on requests of many callers.
     conn.set_budget(&instance.callers);
+    conn.set_team_lookup(serve::team_lookup(instance));
     conn.set_options(ServerOptions {
         idle_timeout: IDLE_TIMEOUT,
         ..serve::options(instance)
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -267,7 +267,10 @@
     } else {
         buffers.limits.error
     };
-    let body = match res.collect_within(max_bytes, &buffers.relayed).await {
+    let body = match res
+        .collect_within(max_bytes, &forwarder.accepted.relayed)
+        .await
+    {
         Ok(body) => body,
         Err(error) => return AttemptOutcome::caused(read_failure(&error), &error),
     };
@@ -317,7 +320,6 @@
     let (head, res) = split(res);
     let mut head = Response::from_parts(head, ());
     limpetsaddle_http::remove_hop_by_hop(head.headers_mut());
-    let buffers = &forwarder.instance.upstream_client.buffers;
     let mut stream = Stream {
         head,
         unframed: res.ends_with_connection.then_some(recipient),
@@ -325,7 +327,7 @@
         res,
         run,
         events: NewEvents::new(EventLimits::default()),
-        reservation: buffers.relayed.reservation(),
+        reservation: forwarder.accepted.relayed.reservation(),
         next: None,
         ended: false,
         last_event_at: forwarder.instance.now(),
--- a/crates/router/src/fleet/run.rs
+++ b/crates/router/src/fleet/run.rs
@@ -30,6 +30,7 @@
 use crate::logging;
 use crate::run::block_on;
 use crate::run::listen;
+use crate::run::listen_bounded;
 use crate::running::DrainOptions;
 use crate::running::drain;
 use crate::shutdown::SignalHandlers;
@@ -116,10 +117,10 @@
     closed: oneshot::Receiver<()>,
 ) -> Result<()> {
     let settings = &instance.settings;
-    let callers = listen(settings.callers)?;
+    let callers = listen_bounded(settings.callers)?;
     let readiness = listen(settings.readiness)?;
     let metrics = listen(SocketAddr::from((settings.ip, METRICS_PORT)))?;
-    let peers = listen(SocketAddr::from((settings.ip, settings.heartbeat_port)))?;
+    let peers = listen_bounded(SocketAddr::from((settings.ip, settings.heartbeat_port)))?;
     heartbeats::start(instance, ending)?;
     watch::start(instance, ending);
     monoio::spawn(rollout::run(Rc::clone(instance), ending.clone()));
--- a/crates/router/src/fleet/serve.rs
+++ b/crates/router/src/fleet/serve.rs
@@ -13,6 +13,8 @@
 use limpetsaddle_http::Error as HttpError;
 use limpetsaddle_http::Request;
 use limpetsaddle_http::ServerOptions;
+use limpetsaddle_http::TeamLookup;
+use limpetsaddle_platform_wire::headers;
 use log::info;
 
 use super::exchange;
@@ -42,6 +44,9 @@
 /// that stall are ended after half a second.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The name under which requests without a team's key count, which no team has.
+const STRANGERS: &str = "";
+
 /// The number of log lines a second about requests that cannot be read.
 const MAX_UNREAD_LINES: u32 = 10;
 
@@ -75,6 +80,7 @@
 /// Serves the requests of one connection, one after the other.
 pub async fn serve_connection(instance: Rc<FleetInstance>, mut conn: Connection) {
     conn.set_options(options(&instance));
+    conn.set_team_lookup(team_lookup(&instance));
     while let Some(running) = wait_for_request(&instance, &mut conn).await {
         let begun = instance.now();
         conn.set_options(options(&instance));
@@ -89,6 +95,21 @@
     }
 }
 
+/// Returns what finds the team whose key a request carries. Where there are teams, requests
+/// without the key of one count as those of a further team.
+pub fn team_lookup(instance: &Rc<FleetInstance>) -> TeamLookup {
+    let instance = Rc::clone(instance);
+    Rc::new(move |fields| {
+        let configuration = instance.configuration()?;
+        let key = headers::team_key(fields);
+        let team = key.and_then(|key| configuration.team_of(key));
+        match team {
+            Some(team) => Some(Rc::clone(&team.name)),
+            None => configuration.has_teams().then(|| STRANGERS.into()),
+        }
+    })
+}
+
 fn limits(instance: &FleetInstance) -> CallerLimits {
     let configuration = instance.configuration();
     configuration.map_or_else(CallerLimits::default, |c| c.limits)
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -49,6 +49,10 @@
 /// The time limit for the last writes to the platform during a stop.
 const LAST_WRITES_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The bytes of a connection that the kernel holds unread. A body of 4 MiB arrives within its
+/// time over links of 150 ms and back.
+const UNREAD_BYTES: usize = 64 * 1024;
+
 /// Runs a daemon until it receives a stop signal.
 ///
 /// # Errors
@@ -185,8 +189,24 @@
 ///
 /// Returns [`Error::Listen`] if the address cannot be bound.
 pub fn listen(address: SocketAddr) -> Result<TcpListener> {
+    listen_with(address, ListenerOpts::new())
+}
+
+/// Does what [`listen`] does for connections of which the kernel holds little that is unread.
+///
+/// Without this limit, the kernel accepts ever more behind large bodies, also while nothing is
+/// read.
+///
+/// # Errors
+///
+/// Returns the errors of [`listen`].
+pub fn listen_bounded(address: SocketAddr) -> Result<TcpListener> {
+    listen_with(address, ListenerOpts::new().recv_buf_size(UNREAD_BYTES))
+}
+
+fn listen_with(address: SocketAddr, options: ListenerOpts) -> Result<TcpListener> {
     // With port reuse, two processes could share an address unnoticed.
-    let exclusive = ListenerOpts::new().reuse_port(false);
+    let exclusive = options.reuse_port(false);
     TcpListener::bind_with_config(address, &exclusive)
         .map_err(|source| Error::Listen { address, source })
 }
