--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -267,10 +267,8 @@
     } else {
         buffers.limits.error
     };
-    let body = match res
-        .collect_within(max_bytes, &forwarder.accepted.relayed)
-        .await
-    {
+    let budget = &forwarder.accepted.relayed;
+    let body = match res.collect_within(max_bytes, budget).await {
         Ok(body) => body,
         Err(error) => return AttemptOutcome::caused(read_failure(&error), &error),
     };
