End anyone's stalled bodies where nothing is left, and bound the monitoring ports

Cause: two gaps in the shares. Where many holders had used everything up, one that had little was refused for its share, though stalled bodies of others could end for it. And connections to the port for readiness checks had no limit: strangers could take the descriptors of calls there.

Done: a holder is limited by its share from a sixteenth of the whole on. If the whole is short, anyone's connections end that may, but for a holder that has over half of it, which ends its own. Readiness checks and metrics are served within budgets of their own, 8 connections and 1 MiB a port.

--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -8,7 +8,9 @@
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::shares::Lack;
 use crate::shares::Share;
+use crate::shares::Use;
 
 /// The size in bytes up to which something may use the reserve, so that small bodies are read
 /// also while large ones have used up the rest.
@@ -134,15 +136,16 @@
             && whole.is_none_or(|whole| whole.permits_change(held, bytes))
     }
 
-    /// Returns the share that doesn't permit a part of `held` bytes to have `bytes` bytes.
+    /// Returns what is lacking for a part of `held` bytes to have `bytes` bytes.
     ///
     /// What is alone but for a reserve may be as large as the budget permits, and a holder that
-    /// has little isn't limited.
-    fn exhausted_share(&self, held: usize, bytes: usize) -> Option<&Share> {
+    /// has little isn't limited by its share.
+    fn lack(&self, held: usize, bytes: usize) -> Option<Lack<'_>> {
+        let has_room = self.permits_change(held, bytes);
         let root = self.root();
         let others = root.used().saturating_sub(held);
         let reserve = root.limit / RESERVE_PART;
-        if others <= reserve {
+        if has_room && others <= reserve {
             return None;
         }
         let usable = if bytes <= SMALL_BYTES {
@@ -150,10 +153,13 @@
         } else {
             root.limit - reserve
         };
-        let free = usable.saturating_sub(others.saturating_add(bytes));
+        let used = Use {
+            limit: root.limit,
+            free: usable.saturating_sub(others.saturating_add(bytes)),
+            has_room,
+        };
         let own = |share: &Share| share.memory().saturating_sub(held).saturating_add(bytes);
-        let mut shares = self.shares.iter();
-        shares.find(|share| own(share) > SMALL_BYTES && !share.permits(own(share), free))
+        used.lack(&self.shares, own)
     }
 
     fn root(&self) -> &Self {
@@ -190,19 +196,16 @@
     /// Returns [`Error::OversizedBody`] and keeps the size when the budget, or a share that the
     /// reservation counts for, has no more for it.
     pub fn resize(&mut self, bytes: usize) -> Result<()> {
-        let is_permitted = bytes <= self.bytes
-            || (self.budget.permits_change(self.bytes, bytes)
-                && self.exhausted_share(bytes).is_none());
-        if !is_permitted {
+        if bytes > self.bytes && self.lack(bytes).is_some() {
             return Err(Error::OversizedBody);
         }
         self.change(bytes);
         Ok(())
     }
 
-    /// Returns the share that doesn't permit `bytes` bytes, if there is one.
-    pub(crate) fn exhausted_share(&self, bytes: usize) -> Option<&Share> {
-        self.budget.exhausted_share(self.bytes, bytes)
+    /// Returns what is lacking for `bytes` bytes.
+    pub(crate) fn lack(&self, bytes: usize) -> Option<Lack<'_>> {
+        self.budget.lack(self.bytes, bytes)
     }
 
     fn change(&mut self, bytes: usize) {
--- a/crates/http/src/callers.rs
+++ b/crates/http/src/callers.rs
@@ -18,10 +18,13 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::shares::Holder;
+use crate::shares::Lack;
 use crate::shares::Share;
 use crate::shares::ShareId;
 use crate::shares::SharePercent;
 use crate::shares::Shares;
+use crate::shares::Use;
+use crate::slots::Held;
 use crate::slots::Shortage;
 use crate::slots::SlotState;
 use crate::slots::Slots;
@@ -193,19 +196,21 @@
     /// Returns whether it may: if the address has its share, only its own connections end, and
     /// nothing is waited for.
     pub(crate) async fn make_room(&self, address: IpAddr) -> bool {
-        let share = self.address_share(address);
+        let shares: Arc<[Share]> = [self.address_share(address)].into();
+        let memory = self.memory.charged_to(&shares).reservation();
         for check in 0.. {
-            if !self.has_share(&share) {
-                let wait = self.wait_for_end(Some(share.id), Shortage::Descriptors, NO_ID, check);
+            let id = match self.lack(&shares, &memory) {
+                None => break,
+                Some(lack) => lack.share_id(),
+            };
+            if id.is_some() {
+                let wait = self.wait_for_end(id, Shortage::Descriptors, NO_ID, check);
                 if !wait.await {
                     self.ends.record(CallerEnd::AddressShare);
                     return false;
                 }
                 continue;
             }
-            if self.has_room() {
-                break;
-            }
             let is_ending = self.registry.borrow().slots.has_ending()
                 || self.end_one(None, Shortage::Descriptors, NO_ID);
             let interval = if is_ending {
@@ -224,31 +229,41 @@
         registry.shares.get(&Holder::at(address), percent)
     }
 
-    /// Returns whether the holder of `share` may have a further connection. The first one is
-    /// not limited by it.
-    fn has_share(&self, share: &Share) -> bool {
+    /// Returns what is lacking for a connection that counts for `shares`, whose memory `memory`
+    /// will hold. The first one of a holder is not limited by its share.
+    fn lack<'a>(&self, shares: &'a [Share], memory: &'a Reservation) -> Option<Lack<'a>> {
         let registry = self.registry.borrow();
-        let held = registry.slots.held(share.id);
-        let connections = registry.slots.len() + 1;
-        let descriptors = connections + registry.slots.requests();
-        let limits = &self.options;
-        let shares = [share.clone()].into();
-        let reservation = self.memory.charged_to(&shares).reservation();
-        let free_connections = limits.connections.saturating_sub(connections);
-        let free_descriptors = limits.descriptors.saturating_sub(descriptors);
-        held.connections == 0
-            || (share.permits(held.connections + 1, free_connections)
-                && share.permits(held.connections + held.requests + 1, free_descriptors)
-                && reservation.exhausted_share(CONNECTION_BYTES).is_none())
-    }
-
-    fn has_room(&self) -> bool {
-        let registry = self.registry.borrow();
-        let connections = registry.slots.len();
-        let descriptors = connections + registry.slots.requests();
-        connections < self.options.connections
-            && descriptors < self.options.descriptors
-            && self.memory.holds(CONNECTION_BYTES)
+        let slots = &registry.slots;
+        let held = |share: &Share| slots.held(share.id);
+        let connections = slots.len() + 1;
+        let limit = self.options.connections;
+        let of_connections = Use {
+            limit,
+            free: limit.saturating_sub(connections),
+            has_room: connections <= limit,
+        };
+        let of_descriptors = self.descriptors(connections + slots.requests());
+        let lack = of_connections.lack(shares, |share| match held(share).connections {
+            0 => 0,
+            connections => connections + 1,
+        });
+        let lack = lack.or_else(|| {
+            of_descriptors.lack(shares, |share| match held(share) {
+                Held { connections: 0, .. } => 0,
+                held => held.descriptors() + 1,
+            })
+        });
+        lack.or_else(|| memory.lack(CONNECTION_BYTES))
+    }
+
+    /// Returns the use of descriptors if `used` are used.
+    const fn descriptors(&self, used: usize) -> Use {
+        let limit = self.options.descriptors;
+        Use {
+            limit,
+            free: limit.saturating_sub(used),
+            has_room: used <= limit,
+        }
     }
 
     /// Ends the connection that the shortage costs first, of those of `share` if there is one,
@@ -416,27 +431,23 @@
     pub async fn begin_request(&mut self, expected: usize, limit: Duration) -> Result<()> {
         let budget = &self.budget;
         for check in 0.. {
-            let exhausted = {
+            let lack = {
                 let mut registry = budget.registry.borrow_mut();
                 let slots = &mut registry.slots;
-                let used = slots.len() + slots.requests() + 1;
-                let free = budget.options.descriptors.saturating_sub(used);
-                let own = |share: &&Share| {
-                    let held = slots.held(share.id);
-                    held.requests > 0 && !share.permits(held.connections + held.requests + 1, free)
-                };
-                let exhausted = self.shares.iter().find(own);
-                if exhausted.is_none() && used <= budget.options.descriptors {
+                let used = budget.descriptors(slots.len() + slots.requests() + 1);
+                let lack = used.lack(&self.shares, |share| match slots.held(share.id) {
+                    Held { requests: 0, .. } => 0,
+                    held => held.descriptors() + 1,
+                });
+                let Some(lack) = lack else {
                     slots.begin_body(self.id, expected, limit, Instant::now());
                     break;
-                }
-                exhausted
+                };
+                lack
             };
-            let share = exhausted.map(|share| share.id);
-            let wait = budget.wait_for_end(share, Shortage::Descriptors, self.id, check);
+            let wait = budget.wait_for_end(lack.share_id(), Shortage::Descriptors, self.id, check);
             if !wait.await {
-                let cause = exhausted.map_or(CallerEnd::NoDescriptor, Share::cause);
-                budget.ends.record(cause);
+                budget.ends.record(lack.cause(CallerEnd::NoDescriptor));
                 return Err(Error::OverBudget);
             }
         }
@@ -505,16 +516,14 @@
         if reservation.resize(bytes).is_ok() {
             return Ok(());
         }
-        let share = reservation.exhausted_share(bytes).map(|share| share.id);
+        let share = reservation.lack(bytes).and_then(Lack::share_id);
         let wait = budget.wait_for_end(share, Shortage::Memory, own, check);
         if !wait.await {
             break;
         }
     }
-    let exhausted = reservation.exhausted_share(bytes);
-    budget
-        .ends
-        .record(exhausted.map_or(CallerEnd::NoMemory, Share::cause));
+    let lack = reservation.lack(bytes).unwrap_or(Lack::Whole);
+    budget.ends.record(lack.cause(CallerEnd::NoMemory));
     Err(Error::OverBudget)
 }
 
--- a/crates/http/src/shares.rs
+++ b/crates/http/src/shares.rs
@@ -15,6 +15,12 @@
 /// The number of shares from which those that are unused are removed.
 const MIN_SWEEP: usize = 64;
 
+/// The part of the whole up to which no holder is limited by its share, as a divisor.
+const FREE_PART: usize = 16;
+
+/// The part of the whole beyond which a holder alone bears that nothing is left, as a divisor.
+const LARGE_PART: usize = 2;
+
 /// The bits of an IPv6 address that a site gets; a caller may use any of the others.
 const IPV6_PREFIX_BITS: u32 = 64;
 
@@ -92,6 +98,64 @@
         let percent = self.0 as usize;
         held.saturating_mul(100 - percent) <= free.saturating_mul(percent)
     }
+
+    const fn limits(self) -> bool {
+        self.0 < 100
+    }
+}
+
+/// What there is too little of for a request or connection.
+#[derive(Clone, Copy, Debug)]
+pub enum Lack<'a> {
+    /// The whole, so that anyone's connection may end for it.
+    Whole,
+    /// The share of one holder, so that only its own connections may end for it.
+    Share(&'a Share),
+}
+
+impl Lack<'_> {
+    /// Returns the share whose connections may end, or `None` if all may.
+    pub fn share_id(self) -> Option<ShareId> {
+        match self {
+            Self::Whole => None,
+            Self::Share(share) => Some(share.id),
+        }
+    }
+
+    /// Returns the cause of what is refused, which for want of the whole is `whole`.
+    pub const fn cause(self, whole: CallerEnd) -> CallerEnd {
+        match self {
+            Self::Whole => whole,
+            Self::Share(share) => share.cause,
+        }
+    }
+}
+
+/// The use of something that is divided among all.
+#[derive(Clone, Copy, Debug)]
+pub struct Use {
+    /// What all may have.
+    pub limit: usize,
+    /// What is left to all.
+    pub free: usize,
+    /// Whether there is room for what is asked for.
+    pub has_room: bool,
+}
+
+impl Use {
+    /// Returns what is lacking, if one of the holders of `shares` has what `held` returns.
+    pub fn lack(self, shares: &[Share], held: impl Fn(&Share) -> usize) -> Option<Lack<'_>> {
+        let mut shares = shares.iter().filter(|share| share.percent.limits());
+        let least = self.limit / if self.has_room { FREE_PART } else { LARGE_PART };
+        let exhausted = shares.find(|share| {
+            let held = held(share);
+            held > least && !share.percent.permits(held, self.free)
+        });
+        match exhausted {
+            Some(share) => Some(Lack::Share(share)),
+            None => (!self.has_room).then_some(Lack::Whole),
+        }
+    }
 }
 
 /// The share of one holder. Clones share what it has.
@@ -106,16 +170,6 @@
 }
 
 impl Share {
-    /// Returns whether the holder may have `held`, which leaves `free`.
-    #[must_use]
-    pub const fn permits(&self, held: usize, free: usize) -> bool {
-        self.percent.permits(held, free)
-    }
-
-    pub(crate) const fn cause(&self) -> CallerEnd {
-        self.cause
-    }
-
     /// Returns the memory of the holder in bytes.
     #[must_use]
     pub fn memory(&self) -> usize {
--- a/crates/http/src/slots.rs
+++ b/crates/http/src/slots.rs
@@ -48,6 +48,14 @@
     pub requests: usize,
 }
 
+impl Held {
+    /// Returns the number of descriptors, of which a request has one for its upstream.
+    #[must_use]
+    pub const fn descriptors(self) -> usize {
+        self.connections + self.requests
+    }
+}
+
 /// What is short.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shortage {
--- a/crates/http/tests/shares.rs
+++ b/crates/http/tests/shares.rs
@@ -3,6 +3,7 @@
 mod serving;
 mod support;
 
+use std::cell::Cell;
 use std::io::Write as _;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -161,6 +162,29 @@
     assert_eq!(select(110), Some(id));
 }
 
+/// Guards against holders that have little and are refused where others end for anyone.
+#[test]
+fn verify_only_large_holders_are_limited_when_nothing_is_left() {
+    let budget = BufferBudget::new(8 * MIB);
+    let mut shares = Shares::default();
+    let [large, little, other] = [1, 2, 3].map(|last| shares.get(&address(last), percent(75)));
+    let mut held = [(&large, 80), (&little, 10), (&other, 18)].map(|(share, count)| {
+        let reserve = |_| {
+            let mut reservation = charged(&budget, share).reservation();
+            reservation.resize(64 << 10).unwrap();
+            reservation
+        };
+        (0..count).map(reserve).collect::<Vec<_>>()
+    });
+    assert!(large.memory() > 4 * MIB && budget.used() < 7 * MIB);
+    // The share limits one who has more than a sixteenth, but not one who has less.
+    let mut reservation = charged(&budget, &large).reservation();
+    assert!(reservation.resize(64 << 10).is_err());
+    drop(held[1].drain(6..));
+    let mut reservation = charged(&budget, &little).reservation();
+    reservation.resize(64 << 10).unwrap();
+}
+
 /// Guards against counts that drift from what the connections are doing.
 #[test]
 fn verify_connections_and_requests_count_for_their_shares() {
@@ -294,6 +318,46 @@
     assert!(accepted.contains(" 100 "), "{accepted}");
 }
 
+thread_local! {
+    /// The number of callers, each of which has an address of its own.
+    static CALLERS: Cell<u32> = const { Cell::new(0) };
+}
+
+/// Answers one request of a caller with an address of its own.
+async fn serve_apart(mut connection: Connection) {
+    CALLERS.set(CALLERS.get() + 1);
+    let address = Ipv4Addr::from_bits(CALLERS.get());
+    BUDGET.with(|budget| connection.set_budget_at(budget, address.into()));
+    let text = match connection.next_request().await {
+        Ok(None) => return,
+        Ok(Some(req)) => req.body().len().to_string(),
+        Err(error) => format!("{error:?}"),
+    };
+    let _ = connection.respond(Response::new(Bytes::from(text))).await;
+}
+
+/// Guards against a share that keeps a caller from memory which the stalled bodies of others
+/// hold.
+#[test]
+fn verify_stalled_bodies_of_others_end_for_a_holder_that_has_little() {
+    const LENGTH: usize = 200 << 10;
+    let server = Server::start(ServerOptions::default(), serve_apart);
+    let mut bytes = head("/", LENGTH, "Connection: close\r\n").into_bytes();
+    bytes.resize(bytes.len() + LENGTH - 1, b'a');
+    let stalled: Vec<TcpStream> = (0..4)
+        .map(|_| {
+            let mut stream = server.connect();
+            stream.write_all(&bytes).unwrap();
+            stream
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(1_200));
+    bytes.push(b'a');
+    let text = exchange(&server, &bytes);
+    assert!(text.ends_with(&LENGTH.to_string()), "{text}");
+    drop(stalled);
+}
+
 /// Guards against bytes that are read ahead while a request is in progress and count for
 /// nothing.
 #[test]
--- a/crates/router/src/documents.rs
+++ b/crates/router/src/documents.rs
@@ -6,6 +6,8 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use limpetsaddle_http::CallerBudget;
+use limpetsaddle_http::CallerBudgetOptions;
 use limpetsaddle_http::Connection;
 use limpetsaddle_http::Request;
 use limpetsaddle_http::ServerOptions;
@@ -23,13 +25,36 @@
 where
     F: Fn(&Request) -> Response<Bytes> + Clone + 'static,
 {
+    let handler = move |conn| serve_connection(conn, respond.clone());
+    let ended = end_with(stopping);
+    limpetsaddle_http::serve(listener, ServerOptions::default(), ended, handler).await;
+}
+
+/// Does what [`serve`] does within a budget of its own, which strangers may use up without harm
+/// to others.
+pub async fn serve_within<F>(
+    listener: TcpListener,
+    budget: CallerBudgetOptions,
+    stopping: Stopping,
+    respond: F,
+) where
+    F: Fn(&Request) -> Response<Bytes> + Clone + 'static,
+{
+    let handler = move |conn| serve_connection(conn, respond.clone());
+    let ended = end_with(stopping);
+    let budget = CallerBudget::new(budget);
+    let options = ServerOptions::default();
+    limpetsaddle_http::serve_within(listener, options, budget, ended, handler).await;
+}
+
+/// Returns a channel that closes when the instance stops.
+fn end_with(stopping: Stopping) -> oneshot::Receiver<()> {
     let (end, ended) = oneshot::channel();
     monoio::spawn(async move {
         stopping.closed().await;
         drop(end);
     });
-    let handler = move |conn| serve_connection(conn, respond.clone());
-    limpetsaddle_http::serve(listener, ServerOptions::default(), ended, handler).await;
+    ended
 }
 
 /// Returns the response with metrics, or status 500 if they cannot be rendered.
--- a/crates/router/src/fleet/monitoring.rs
+++ b/crates/router/src/fleet/monitoring.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
+use limpetsaddle_http::CallerBudgetOptions;
 use limpetsaddle_http::Request;
 use limpetsaddle_platform_wire::READINESS_PATH;
 use monoio::net::TcpListener;
@@ -22,9 +23,18 @@
 
 const WITHHELD_PARTS_PATH: &str = "/withheld-parts";
 
+/// What the requests of one listener may use. Balancers and operators send small ones, one
+/// after the other.
+const BUDGET: CallerBudgetOptions = CallerBudgetOptions {
+    memory: 1024 * 1024,
+    connections: 8,
+    descriptors: 16,
+};
+
 /// Serves readiness and metrics until the instance stops.
 pub async fn serve(instance: Rc<FleetInstance>, listener: TcpListener, stopping: Stopping) {
-    documents::serve(listener, stopping, move |req| respond(&instance, req)).await;
+    let respond = move |req: &Request| respond(&instance, req);
+    documents::serve_within(listener, BUDGET, stopping, respond).await;
 }
 
 fn respond(instance: &FleetInstance, req: &Request) -> Response<Bytes> {
