Test that a holder with little is not limited by its share

Cause: the test passed also with holders that have little limited like others, as enough was left in it.

Done: what others hold leaves less than a third of what the holder has.

--- a/crates/http/tests/shares.rs
+++ b/crates/http/tests/shares.rs
@@ -167,22 +167,25 @@
 fn verify_only_large_holders_are_limited_when_nothing_is_left() {
     let budget = BufferBudget::new(8 * MIB);
     let mut shares = Shares::default();
-    let [large, little, other] = [1, 2, 3].map(|last| shares.get(&address(last), percent(75)));
-    let mut held = [(&large, 80), (&little, 10), (&other, 18)].map(|(share, count)| {
-        let reserve = |_| {
-            let mut reservation = charged(&budget, share).reservation();
-            reservation.resize(64 << 10).unwrap();
-            reservation
-        };
-        (0..count).map(reserve).collect::<Vec<_>>()
-    });
-    assert!(large.memory() > 4 * MIB && budget.used() < 7 * MIB);
-    // The share limits one who has more than a sixteenth, but not one who has less.
-    let mut reservation = charged(&budget, &large).reservation();
-    assert!(reservation.resize(64 << 10).is_err());
-    drop(held[1].drain(6..));
-    let mut reservation = charged(&budget, &little).reservation();
-    reservation.resize(64 << 10).unwrap();
+    let [large, little] = [1, 2].map(|last| shares.get(&address(last), percent(75)));
+    let reserve = |budget: &BufferBudget| {
+        let mut reservation = budget.reservation();
+        reservation.resize(64 << 10).map(|()| reservation)
+    };
+    let budgets = [
+        (charged(&budget, &large), 80),
+        (charged(&budget, &little), 6),
+    ];
+    let rest = (budget.clone(), 39);
+    let parts = budgets.iter().chain([&rest]);
+    let held: Vec<_> = parts
+        .flat_map(|(budget, count)| (0..*count).map(|_| reserve(budget).unwrap()))
+        .collect();
+    // A sixteenth is 512 KiB; three times what would be left is less than either has then.
+    assert_eq!(budget.used(), 8 * MIB - (192 << 10));
+    assert!(reserve(&budgets[0].0).is_err());
+    assert!(reserve(&budgets[1].0).is_ok());
+    drop(held);
 }
 
 /// Guards against counts that drift from what the connections are doing.
