--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -182,8 +182,7 @@
         self.changed = asyncio.Event()
         self.era = None
         self.oldest = 0
-        # Called with the request; returns whether the call is served.
-        self.admits = lambda message: True
+        self.is_down = False
 
     # The operator's and the replicas' way to write.
     def write(self, kind, name, spec, status=None):
@@ -212,15 +211,20 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def set_down(self, is_down):
+        """Resets all connections, and every new one for as long as the store is down."""
+        self.is_down = is_down
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def fields(self):
         return [] if self.era is None else [("Store-Era", str(self.era))]
 
     async def serve(self, reader, writer):
         while True:
             message = await read_message(reader)
-            if not self.admits(message):
-                # Silence until the caller gives up.
-                await reader.read(-1)
+            if self.is_down:
+                writer.transport.abort()
                 return
             writer.write(await self.answer(message))
             await writer.drain()
