End the instances of a case also if it is stopped

Cause: a script that got SIGTERM left its instances running; run.sh didn't show that it passes TROUBLE on.

Changed: SIGTERM ends a case with 2 after its instances.

--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -696,6 +696,8 @@
                     await instance.process.wait()
 
     code = 2
+    # The instances end with the case, also if it is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         record.say(f"disruption: {'yes' if trouble else 'no'}")
         broken = asyncio.run(run())
