Remove a caller's hop-by-hop fields before the instance sets its own

Cause: the HTTP client removes the fields that `Connection` names from each request it sends, and a forwarded request still had the caller's `Connection`. Whatever the instance had set before went with it: the team, the upstream's id, the version of the weights, the cache salt, the deadline, the priority, and the secret of a peer that a request is passed on to.

Change: the hop-by-hop fields are removed once, when the request was read. All attempts, retries, resumed streams and requests to peers start from the result, which has no `Connection`, so the client finds nothing to remove. The fields of the protocol, `Host` and the fields that say how to read the body are forwarded whatever `Connection` names: the instance has judged the request by them. Other named fields still end here.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -159,7 +159,7 @@
             address,
             mut stream,
         } = self;
-        remove_hop_by_hop(req.headers_mut());
+        remove_hop_by_hop(req.headers_mut(), &[]);
         let (head, body) = req.into_parts();
         let bytes = encode::request_head(
             &head,
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -26,6 +26,16 @@
     header::UPGRADE,
 ];
 
+/// The fields that say how to understand a message, for each of its recipients. `Connection`
+/// cannot make them hop-by-hop.
+const MESSAGE_FIELDS: [HeaderName; 5] = [
+    header::CONTENT_ENCODING,
+    header::CONTENT_LENGTH,
+    header::CONTENT_RANGE,
+    header::CONTENT_TYPE,
+    header::HOST,
+];
+
 /// The way in which the end of a body is determined.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyLength {
@@ -71,24 +81,32 @@
         .any(|value| has_token(value.as_bytes(), b"close"))
 }
 
-/// Removes the hop-by-hop fields, including those that `Connection` names.
+/// Removes the hop-by-hop fields, including those that `Connection` names, except the
+/// `end_to_end` fields and those that say how to understand the message.
+///
+/// An intermediary that forwards a message has to do so before it sets fields of its own: the
+/// sender of the message chooses the names in `Connection`.
 ///
 /// ```
 /// use http::HeaderMap;
+/// use http::HeaderName;
 ///
 /// let mut headers = HeaderMap::new();
-/// headers.insert("connection", "x-trace".parse().unwrap());
+/// headers.insert("connection", "x-trace, x-id, host".parse().unwrap());
 /// headers.insert("x-trace", "1".parse().unwrap());
-/// headers.insert("accept", "*/*".parse().unwrap());
-/// limpetsaddle_http::remove_hop_by_hop(&mut headers);
-/// assert_eq!(headers.len(), 1);
+/// headers.insert("x-id", "7".parse().unwrap());
+/// headers.insert("host", "a.example".parse().unwrap());
+/// limpetsaddle_http::remove_hop_by_hop(&mut headers, &[HeaderName::from_static("x-id")]);
+/// assert_eq!(headers.len(), 2);
+/// assert_eq!(headers["x-id"], "7");
 /// ```
-pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+pub fn remove_hop_by_hop(headers: &mut HeaderMap, end_to_end: &[HeaderName]) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
         .flat_map(|value| value.as_bytes().split(|b| *b == b','))
         .filter_map(|token| HeaderName::from_bytes(token.trim_ascii()).ok())
+        .filter(|name| !end_to_end.contains(name) && !MESSAGE_FIELDS.contains(name))
         .collect();
     for name in named.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -12,6 +12,7 @@
 mod first_events;
 mod forward;
 mod heartbeats;
+mod hop_by_hop;
 mod in_flight;
 mod instance;
 mod kv_store;
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -26,6 +26,7 @@
 
 use super::forward;
 use super::forward::ForwardOutcome;
+use super::hop_by_hop;
 use super::instance::FleetInstance;
 use super::peer_requests;
 use super::responses;
@@ -73,11 +74,13 @@
 pub async fn handle(
     instance: &Rc<FleetInstance>,
     conn: &mut Connection,
-    req: Request,
+    mut req: Request,
     begun: Time,
     sender: Sender,
 ) -> bool {
     instance.metrics.record_request();
+    // Before anything is added that the sender's `Connection` may name.
+    hop_by_hop::remove(req.headers_mut());
     let arrived = instance.now();
     let id = headers::request_fields(req.headers())
         .ok()
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -88,7 +88,7 @@
 /// Forwards one request, in one or more attempts.
 pub struct Forwarder<'a> {
     pub instance: &'a Rc<FleetInstance>,
-    /// The request as read from the caller.
+    /// The request as read from the caller, without hop-by-hop header fields.
     pub req: &'a Request,
     pub accepted: &'a AcceptedRequest,
     /// The service that was drawn from the route's shares.
@@ -574,7 +574,7 @@
 /// Returns a response that was read whole, without hop-by-hop header fields.
 pub fn buffered_response(head: http::response::Parts, body: Bytes) -> Response<Bytes> {
     let mut res = Response::from_parts(head, body);
-    limpetsaddle_http::remove_hop_by_hop(res.headers_mut());
+    limpetsaddle_http::remove_hop_by_hop(res.headers_mut(), &[]);
     res
 }
 
--- a/crates/router/src/fleet/pass_on.rs
+++ b/crates/router/src/fleet/pass_on.rs
@@ -323,7 +323,7 @@
     let mut head = http::Response::new(());
     *head.status_mut() = status;
     std::mem::swap(head.headers_mut(), &mut res.head.headers);
-    limpetsaddle_http::remove_hop_by_hop(head.headers_mut());
+    limpetsaddle_http::remove_hop_by_hop(head.headers_mut(), &[]);
     let streams = matches!(forwarder.accepted.route.kind, RouteKind::Stream { .. });
     let remaining = forwarder.accepted.deadline.since(instance.now());
     let result = if streams && status.is_success() {
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -317,7 +317,7 @@
 ) -> AttemptOutcome {
     let (head, res) = split(res);
     let mut head = Response::from_parts(head, ());
-    limpetsaddle_http::remove_hop_by_hop(head.headers_mut());
+    limpetsaddle_http::remove_hop_by_hop(head.headers_mut(), &[]);
     let mut stream = Stream {
         head,
         unframed: res.ends_with_connection.then_some(recipient),
--- a/crates/router/src/serve/forward.rs
+++ b/crates/router/src/serve/forward.rs
@@ -45,7 +45,7 @@
 /// Returns the headers of a message without credentials and hop-by-hop headers.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut kept = headers.clone();
-    remove_hop_by_hop(&mut kept);
+    remove_hop_by_hop(&mut kept, &[]);
     let is_secret = |name: &HeaderName, value: &HeaderValue| {
         is_credential_header(name.as_str()) || contains_key_prefix(value.as_bytes())
     };
