Forward answers' fields that their `Connection` names

Callers would see: an answer whose upstream names X-Limpetsaddle-Response-Signature, X-Limpetsaddle-Request-Id or X-Limpetsaddle-Weight-Versions in `Connection` arrives without them, so that it counts as no answer (PROTOCOL.md: the replica's status, body and signature are returned unchanged).

Cause: as with requests, all fields that `Connection` names were removed from answers, those of the protocol too.

Change: answers of upstreams and peers keep the fields of the protocol whatever `Connection` names. The instance has always read them before.

--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -43,6 +43,7 @@
 use super::canary;
 use super::exchange;
 use super::exchange::AcceptedRequest;
+use super::hop_by_hop;
 use super::instance::FleetInstance;
 use super::pass_on;
 use super::permits;
@@ -574,7 +575,7 @@
 /// Returns a response that was read whole, without hop-by-hop header fields.
 pub fn buffered_response(head: http::response::Parts, body: Bytes) -> Response<Bytes> {
     let mut res = Response::from_parts(head, body);
-    limpetsaddle_http::remove_hop_by_hop(res.headers_mut(), &[]);
+    hop_by_hop::remove(res.headers_mut());
     res
 }
 
--- a/crates/router/src/fleet/pass_on.rs
+++ b/crates/router/src/fleet/pass_on.rs
@@ -34,6 +34,7 @@
 use super::forward::Forwarder;
 use super::forward::buffered_response;
 use super::forward::elapsed_ms;
+use super::hop_by_hop;
 use super::instance::FleetInstance;
 use super::peer_requests::DECLINED;
 use super::peer_requests::SECRET;
@@ -323,7 +324,7 @@
     let mut head = http::Response::new(());
     *head.status_mut() = status;
     std::mem::swap(head.headers_mut(), &mut res.head.headers);
-    limpetsaddle_http::remove_hop_by_hop(head.headers_mut(), &[]);
+    hop_by_hop::remove(head.headers_mut());
     let streams = matches!(forwarder.accepted.route.kind, RouteKind::Stream { .. });
     let remaining = forwarder.accepted.deadline.since(instance.now());
     let result = if streams && status.is_success() {
--- a/crates/router/src/fleet/relay.rs
+++ b/crates/router/src/fleet/relay.rs
@@ -32,6 +32,7 @@
 use super::forward::Forwarder;
 use super::forward::buffered_response;
 use super::forward::elapsed_ms;
+use super::hop_by_hop;
 use super::in_flight::InFlightGuard;
 use super::reach;
 use super::responses::split;
@@ -315,11 +316,10 @@
     recipient: Recipient,
     run: RunId,
 ) -> AttemptOutcome {
-    let (head, res) = split(res);
-    let mut head = Response::from_parts(head, ());
-    limpetsaddle_http::remove_hop_by_hop(head.headers_mut(), &[]);
+    let (mut head, res) = split(res);
+    hop_by_hop::remove(&mut head.headers);
     let mut stream = Stream {
-        head,
+        head: Response::from_parts(head, ()),
         unframed: res.ends_with_connection.then_some(recipient),
         has_event: false,
         res,
