--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod outage;
 pub mod pace;
 pub mod part_key;
+pub mod part_list;
 pub mod patience;
 pub mod peers;
 pub mod permit_issuer;
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -10,16 +10,19 @@
 mod answers;
 mod change;
 mod crash;
+mod encoding;
 mod evidence;
 mod news;
 mod options;
+mod presence;
 mod register;
 mod repeats;
 mod report;
+mod reporting;
 mod standing;
 mod subject;
 
-use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -29,16 +32,12 @@
 use self::crash::Onset;
 use self::evidence::CrashLog;
 use self::evidence::Explained;
-use self::news::MAX_NEWS;
 use self::news::News;
-use self::news::take_news;
 use self::register::Register;
 use self::report::CrashReport;
-use self::report::EntryReport;
-use self::report::SurvivalReport;
-use self::report::age_ms;
 use self::report::time_of;
 use crate::part_key::PartKey;
+use crate::part_list::PartList;
 use crate::request_key::RequestKey;
 use crate::runs::CrashedRun;
 use crate::runs::RunLog;
@@ -187,12 +186,16 @@
         if requests.is_some_and(|e| !e.was_answered && e.crashes > max_crashes) {
             return false;
         }
-        !parts.iter().any(|part| {
+        let least = 1 + self
+            .options
+            .max_repeated_moments
+            .min(self.options.max_repeated_moments_of_arrival);
+        !self.log.present(parts, least).into_iter().any(|part| {
             let answers = Answers::default();
             Onset::ALL.into_iter().any(|onset| {
                 let evidence =
                     self.log
-                        .evidence(*part, onset, explained, &answers, &self.options, now);
+                        .evidence(part, onset, explained, &answers, &self.options, now);
                 let max_moments = match onset {
                     Onset::Answer => self.options.max_repeated_moments,
                     Onset::Arrival => self.options.max_repeated_moments_of_arrival,
@@ -237,13 +240,6 @@
         }
     }
 
-    fn report(&mut self, crash: OwnCrash) {
-        self.own_crashes.push(News::new(crash));
-        if self.own_crashes.len() > MAX_NEWS {
-            self.own_crashes.remove(0);
-        }
-    }
-
     /// Records that a process lived at `at`, and withdraws the suspicion that it had ended before.
     pub fn record_life(&mut self, process: u64, at: Time) {
         if self.log.record_life(process, at) {
@@ -259,21 +255,6 @@
         }
     }
 
-    /// Selects the suspects to report: first those with the most crashes, then those that were
-    /// sent, or whose response had started, last.
-    fn runs_to_report(&self, mut runs: Vec<CrashedRun>) -> Vec<CrashedRun> {
-        runs.sort_by_cached_key(|run| {
-            let crashes = self.log.crashes_of_request(run.key);
-            (Reverse(crashes), run.since_progress_ms())
-        });
-        let (mut plain, mut prompts): (Vec<_>, Vec<_>) =
-            runs.into_iter().partition(|run| run.parts.is_empty());
-        prompts.truncate(report::MAX_RUNS);
-        plain.truncate(report::MAX_PLAIN_RUNS);
-        prompts.append(&mut plain);
-        prompts
-    }
-
     /// Takes over what another instance reports. [`review`](Self::review) returns the changes.
     pub fn apply_report(&mut self, report: &QuarantineReport, runs: &mut RunLog, now: Time) {
         for crash in &report.crashes {
@@ -300,7 +281,10 @@
                 if !own.is_empty() {
                     self.record(process, at, own, crash.standing);
                 }
-                let reported = crash.runs.clone();
+                let mut reported = crash.runs.clone();
+                for run in &mut reported {
+                    run.parts = runs.intern(&run.parts);
+                }
                 self.is_stale |= self.log.record(process, at, reported, is_confirmed);
             }
         }
@@ -418,22 +402,29 @@
         if !self.log.has_open_suspects() {
             return;
         }
-        let parts = runs.survivals(now);
-        let parts = parts.map(|(part, at)| (Subject::Part(part), at));
+        let survivals: Vec<(PartList, Vec<Time>)> = runs.survivals(now).collect();
+        let mut answered: BTreeMap<PartKey, Vec<&[Time]>> = BTreeMap::new();
+        for (parts, times) in &survivals {
+            for part in parts.iter().filter(|part| self.log.is_open(**part)) {
+                answered.entry(*part).or_default().push(times);
+            }
+        }
+        let mut news: Vec<(Subject, Time)> = Vec::new();
+        for (part, times) in answered {
+            let at = self.log.record_survivals(part.into(), &times);
+            news.extend(at.map(|at| (part.into(), at)));
+        }
         let requests = self.log.open_requests();
         let answered = requests.filter_map(|key| Some((key, runs.answered_at(key)?)));
-        let answered = answered.chain(runs.under_way(now));
-        let answered = answered.map(|(key, at)| (Subject::Request(key), at));
-        let all: Vec<(Subject, Time)> = parts.chain(answered).collect();
-        for (subject, at) in all {
-            if self.log.record_survival(subject, at) {
-                self.survivals.retain(|news| news.item.0 != subject);
-                self.survivals.push(News::new((subject, at)));
-                if self.survivals.len() > MAX_NEWS {
-                    self.survivals.remove(0);
-                }
+        let answered: Vec<(RequestKey, Time)> = answered.chain(runs.under_way(now)).collect();
+        for (key, at) in answered {
+            if self.log.record_survival(key.into(), at) {
+                news.push((key.into(), at));
             }
         }
+        for (subject, at) in news {
+            self.report_survival(subject, at);
+        }
     }
 
     /// Releases the parts on which answers came well under way before they were withheld, if
@@ -495,55 +486,6 @@
         });
     }
 
-    fn announce(&mut self, subject: Subject) {
-        self.entries.retain(|news| news.item != subject);
-        self.entries.push(News::new(subject));
-    }
-
-    /// Returns whether there is anything to report to other instances, now or later.
-    #[must_use]
-    pub fn has_reports(&self) -> bool {
-        let has_news = !self.own_crashes.is_empty() || !self.survivals.is_empty();
-        has_news || !self.register.is_empty()
-    }
-
-    /// Returns what is to be reported to all other instances now, if anything. Every
-    /// `repeat_interval`, if there is one, the report has all entries, for instances that have
-    /// missed a change.
-    pub fn take_report(
-        &mut self,
-        sender: &str,
-        repeat_interval: Option<Duration>,
-        now: Time,
-    ) -> Option<QuarantineReport> {
-        let mut report = QuarantineReport::new(sender);
-        let crashes = take_news(&mut self.own_crashes, report::MAX_CRASHES).into_iter();
-        let crashes = crashes.map(|crash| CrashReport {
-            process: crash.process,
-            standing: crash.standing,
-            age_ms: age_ms(crash.at, now),
-            runs: crash.runs,
-        });
-        report.crashes = crashes.collect();
-        let survivals = take_news(&mut self.survivals, report::MAX_SURVIVALS).into_iter();
-        let survivals = survivals.map(|(subject, at)| SurvivalReport {
-            subject,
-            age_ms: age_ms(at, now),
-        });
-        report.survivals = survivals.collect();
-        let announced = take_news(&mut self.entries, 2 * MAX_ENTRIES);
-        let is_due = |interval| self.repeated.is_none_or(|at| now.since(at) >= interval);
-        let repeats_all = repeat_interval.is_some_and(is_due);
-        if repeats_all {
-            self.repeated = Some(now);
-        }
-        let entries = self.register.iter(now);
-        let entries = entries.filter(|(e, ..)| repeats_all || announced.contains(&e.subject));
-        let entries = entries.map(|(entry, idle, held)| EntryReport::new(entry, idle, held));
-        report.entries = entries.collect();
-        (!report.is_empty()).then_some(report)
-    }
-
     /// Returns the entries with the time since each was last needed.
     pub fn entries(&self, now: Time) -> impl Iterator<Item = (&Entry, Duration)> {
         let all = self.register.iter(now);
--- a/crates/fleet/src/quarantine/answers.rs
+++ b/crates/fleet/src/quarantine/answers.rs
@@ -10,9 +10,14 @@
 
 use super::evidence::as_f64;
 use crate::part_key::PartKey;
+use crate::part_list::PartList;
+
+/// The number of parts in a sample, if there are so many: as many others as each have a larger
+/// share of the answers than the inverse of this number are in it as well.
+const MIN_SAMPLED: usize = 64;
 
 /// The largest number of parts in a sample.
-const MAX_SAMPLED: usize = 64;
+const MAX_SAMPLED: usize = 4 * 1_024;
 
 /// The answers on a part that an instance may not have got by chance, where others have.
 const UNSEEN_ANSWERS: f64 = 3.0;
@@ -44,21 +49,28 @@
 
 impl AnswerSample {
     /// Returns the sample of answers on prompts with these parts.
-    pub fn of<'a>(prompts: impl Iterator<Item = &'a [PartKey]>) -> Self {
-        let mut counts: HashMap<PartKey, usize> = HashMap::new();
+    pub fn of<'a>(prompts: impl Iterator<Item = &'a PartList>) -> Self {
+        let mut lists: HashMap<*const (), (&PartList, usize)> = HashMap::new();
         let mut answers = 0;
         for parts in prompts {
             answers += 1;
-            for part in parts {
-                *counts.entry(*part).or_default() += 1;
+            lists.entry(parts.identity()).or_insert((parts, 0)).1 += 1;
+        }
+        let mut counts: HashMap<PartKey, usize> = HashMap::new();
+        for (parts, answers) in lists.into_values() {
+            for part in parts.iter() {
+                *counts.entry(*part).or_default() += answers;
             }
         }
         let parts = counts.into_iter();
         let parts = parts.map(|(part, answers)| SampledPart { part, answers });
         let mut parts: Vec<SampledPart> = parts.collect();
         parts.sort_by(|a, b| b.answers.cmp(&a.answers).then(a.part.cmp(&b.part)));
-        let unlisted = parts.get(MAX_SAMPLED).map_or(0, |first| first.answers);
-        parts.truncate(MAX_SAMPLED);
+        let is_common = |sampled: &SampledPart| sampled.answers > answers / MIN_SAMPLED;
+        let common = parts.partition_point(is_common);
+        let listed = common.clamp(MIN_SAMPLED, MAX_SAMPLED);
+        let unlisted = parts.get(listed).map_or(0, |first| first.answers);
+        parts.truncate(listed);
         Self {
             answers,
             parts,
@@ -107,7 +119,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Answers<'a> {
     /// The parts of each prompt that this instance got an answer on, with the time.
-    own: Vec<(&'a [PartKey], Time)>,
+    own: Vec<(&'a PartList, Time)>,
     /// Earlier answers, if this instance has got too few itself.
     earlier: Option<&'a AnswerSample>,
     /// The number of instances that get such prompts.
@@ -118,7 +130,7 @@
     /// Returns the answers on prompts with these parts, each with the time, at one of several
     /// instances. `earlier` counts as well if there are less than `min_answers`.
     pub fn new(
-        own: impl Iterator<Item = (&'a [PartKey], Time)>,
+        own: impl Iterator<Item = (&'a PartList, Time)>,
         earlier: &'a AnswerSample,
         min_answers: usize,
         instances: usize,
@@ -139,9 +151,18 @@
 
     fn with(&self, part: PartKey) -> f64 {
         let own = self.own.iter();
-        let own = own.filter(|(parts, _)| parts.contains(&part)).count();
-        let earlier = self.earlier.map_or(0, |sample| sample.with(part));
-        as_f64(earlier.saturating_add(own))
+        let own = own.filter(|(parts, _)| parts.contains(part)).count();
+        as_f64(self.earlier(part).saturating_add(own))
+    }
+
+    /// Returns the number of earlier answers on a part that count.
+    pub fn earlier(&self, part: PartKey) -> usize {
+        self.earlier.map_or(0, |sample| sample.with(part))
+    }
+
+    /// Returns the parts of each prompt that this instance got an answer on.
+    pub fn own_lists(&self) -> impl Iterator<Item = &PartList> {
+        self.own.iter().map(|(parts, _)| *parts)
     }
 
     /// Returns an estimate of the share of a part among all prompts, rather a high one if it may
@@ -162,7 +183,7 @@
     pub fn others(&self, part: PartKey, since: Time, until: Time) -> usize {
         let others = self.own.iter();
         let others =
-            others.filter(|(parts, at)| (since..until).contains(at) && !parts.contains(&part));
+            others.filter(|(parts, at)| (since..until).contains(at) && !parts.contains(part));
         others.count()
     }
 
--- a/crates/fleet/src/quarantine/crash.rs
+++ b/crates/fleet/src/quarantine/crash.rs
@@ -12,9 +12,18 @@
 /// The largest number of suspects of one crash that are remembered.
 const MAX_RUNS: usize = 48;
 
+/// The number of suspects of one crash that are remembered however many parts they have: as many
+/// as one instance reports.
+const MIN_RUNS: usize = 8;
+
+/// The largest number of parts of the further ones.
+const MAX_PARTS: usize = 8 * 1_024;
+
 /// The end of an upstream's process.
 #[derive(Clone, Debug)]
 pub struct Crash {
+    /// Distinguishes the crash from the others in its log.
+    pub number: u64,
     pub process: u64,
     pub at: Time,
     /// Whether the process has ended, rather than being suspected to.
@@ -77,7 +86,7 @@
         };
         let runs = self.runs.iter();
         let mut causes = runs.filter(|run| run.is_cause(withheld)).peekable();
-        causes.peek().is_none() || causes.any(|run| run.parts.contains(&part) && !was_seen(run.key))
+        causes.peek().is_none() || causes.any(|run| run.parts.contains(part) && !was_seen(run.key))
     }
 
     /// Returns whether any prompt was present that shares parts with others.
@@ -92,7 +101,7 @@
 
     pub fn involves(&self, part: PartKey, onset: Onset) -> bool {
         let mut suspects = self.suspects(onset);
-        suspects.any(|run| run.parts.contains(&part))
+        suspects.any(|run| run.parts.contains(part))
     }
 
     /// Returns whether any of these parts was present.
@@ -101,14 +110,18 @@
     }
 
     pub fn is_explained_by(&self, parts: &BTreeSet<PartKey>, onset: Onset) -> bool {
-        let mut all = self.suspects(onset).flat_map(|run| &run.parts);
-        all.any(|part| parts.contains(part))
+        !parts.is_empty()
+            && self
+                .suspects(onset)
+                .any(|run| run.parts.contains_any(parts))
     }
 
-    /// Adds the suspects that another instance has seen, but those that it has sent after the end.
-    pub fn merge(&mut self, at: Time, runs: Vec<CrashedRun>) {
+    /// Adds the suspects that another instance has seen, but those that it has sent after the
+    /// end. Returns whether any is new, or has more parts, or the end was earlier than known.
+    pub fn merge(&mut self, at: Time, runs: Vec<CrashedRun>) -> bool {
         let later = at.since(self.at);
         let earlier = self.at.since(at);
+        let mut has_changed = !earlier.is_zero();
         self.at = self.at.min(at);
         self.runs.retain_mut(|run| run.move_end(earlier));
         for mut run in runs {
@@ -116,12 +129,25 @@
                 continue;
             }
             let known = self.runs.iter_mut().find(|r| r.request == run.request);
-            match known {
-                Some(known) => known.begun_ms = known.begun_ms.or(run.begun_ms),
-                None => self.runs.push(run),
+            if let Some(known) = known {
+                known.begun_ms = known.begun_ms.or(run.begun_ms);
+                // Reports of a long list of parts come in pieces.
+                let parts = known.parts.union(&run.parts);
+                has_changed |= parts.len() > known.parts.len();
+                known.parts = parts;
+            } else {
+                has_changed = true;
+                self.runs.push(run);
             }
         }
         self.runs.sort_by_key(CrashedRun::since_progress_ms);
-        self.runs.truncate(MAX_RUNS);
+        let mut parts = 0;
+        let mut numbered = self.runs.iter().enumerate();
+        let excess = numbered.find_map(|(index, run)| {
+            parts += run.parts.len();
+            (index >= MIN_RUNS && parts > MAX_PARTS).then_some(index)
+        });
+        self.runs.truncate(excess.unwrap_or(MAX_RUNS).min(MAX_RUNS));
+        has_changed
     }
 }
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -12,14 +12,20 @@
 use super::crash::Crash;
 use super::crash::Onset;
 use super::options::QuarantineOptions;
+use super::presence::representatives;
 use super::subject::Subject;
 use crate::part_key::PartKey;
+use crate::part_list::PartList;
 use crate::request_key::RequestKey;
 use crate::runs::CrashedRun;
 
 /// The largest number of crashes that are remembered.
 const MAX_CRASHES: usize = 64;
 
+/// The largest number of parts in the different lists of all suspects. The oldest crashes are
+/// forgotten beyond it.
+const MAX_PARTS: usize = 128 * 1_024;
+
 /// The largest number of processes whose signs of life are remembered.
 const MAX_ALIVE: usize = 256;
 
@@ -116,6 +122,10 @@
 /// The latest crash and response of a suspect.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SuspectTimes {
+    /// The crashes at which it was present since it was last answered, or more.
+    crashes: usize,
+    /// The number of the last of them.
+    counted: Option<u64>,
     /// The last crash at which it was present.
     pub last_crash: Time,
     /// The last time at which it was answered: an answer on the part came well under way, or
@@ -128,12 +138,30 @@
     fn is_open(&self) -> bool {
         self.last_survival < Some(self.last_crash)
     }
+
+    fn record_crash(&mut self, crash: &Crash) {
+        self.last_crash = self.last_crash.max(crash.at);
+        if Some(crash.at) > self.last_survival && self.counted != Some(crash.number) {
+            self.crashes += 1;
+            self.counted = Some(crash.number);
+        }
+    }
+
+    fn record_survival(&mut self, at: Time) {
+        self.last_survival = Some(at);
+        if !self.is_open() {
+            self.crashes = 0;
+            self.counted = None;
+        }
+    }
 }
 
 /// The recent crashes, and when their suspects were answered.
 #[derive(Debug, Default)]
 pub struct CrashLog {
     pub crashes: VecDeque<Crash>,
+    /// The number of the next crash.
+    next: u64,
     pub suspects: HashMap<Subject, SuspectTimes>,
     /// The processes that have shown a sign of life after a crash, with the last one.
     alive: VecDeque<(u64, Time)>,
@@ -177,7 +205,9 @@
                 if self.crashes.len() == MAX_CRASHES {
                     self.crashes.pop_front();
                 }
+                self.next += 1;
                 self.crashes.push_back(Crash {
+                    number: self.next,
                     process,
                     at,
                     is_confirmed,
@@ -188,18 +218,33 @@
         };
         let crash = &mut self.crashes[index];
         crash.is_confirmed |= is_confirmed;
-        crash.merge(at, runs);
-        let parts = crash.runs.iter().flat_map(|run| &run.parts);
-        let parts = parts.map(|part| Subject::Part(*part));
-        let requests = crash.runs.iter().filter(|run| !run.is_answered);
-        let requests = requests.map(|run| Subject::Request(run.key));
-        for subject in parts.chain(requests) {
-            let times = self.suspects.entry(subject).or_default();
-            times.last_crash = times.last_crash.max(crash.at);
+        if crash.merge(at, runs) {
+            let parts = lists(&crash.runs).flat_map(|parts| parts.iter());
+            let parts = parts.map(|part| Subject::Part(*part));
+            let requests = crash.runs.iter().filter(|run| !run.is_answered);
+            let requests = requests.map(|run| Subject::Request(run.key));
+            for subject in parts.chain(requests) {
+                self.suspects
+                    .entry(subject)
+                    .or_default()
+                    .record_crash(crash);
+            }
+            self.forget_excess();
         }
         true
     }
 
+    /// Removes the oldest crashes whose suspects have too many parts, but the last one.
+    fn forget_excess(&mut self) {
+        let parts = |crashes: &VecDeque<Crash>| -> usize {
+            let runs = crashes.iter().flat_map(|crash| &crash.runs);
+            lists(runs).map(|parts| parts.len()).sum()
+        };
+        while self.crashes.len() > 1 && parts(&self.crashes) > MAX_PARTS {
+            self.crashes.pop_front();
+        }
+    }
+
     /// Records that a process lived at `at`: it had not ended before, if it was suspected to.
     /// Returns whether such a crash was known.
     pub fn record_life(&mut self, process: u64, at: Time) -> bool {
@@ -245,11 +290,36 @@
             .last_survival
             .is_none_or(|known| at > known && is_later(known));
         if is_news {
-            times.last_survival = Some(at);
+            times.record_survival(at);
         }
         is_news
     }
 
+    /// Records responses to a suspect at the times in these lists, each in ascending order, one
+    /// after the other as [`record_survival`](Self::record_survival) does. Returns the last one
+    /// that other instances need to be told of.
+    pub fn record_survivals(&mut self, subject: Subject, lists: &[&[Time]]) -> Option<Time> {
+        let mut news = None;
+        loop {
+            let suspect = self.suspects.get(&subject)?;
+            let after = suspect.last_survival.map_or(Time::ZERO, |known| {
+                suspect.last_crash.min(known + SURVIVAL_INTERVAL)
+            });
+            let next =
+                |times: &&[Time]| times.get(times.partition_point(|at| *at < after)).copied();
+            match lists.iter().filter_map(next).min() {
+                Some(at) if self.record_survival(subject, at) => news = Some(at),
+                _ => return news,
+            }
+        }
+    }
+
+    /// Returns whether a part was present at a crash that has not been outlived.
+    pub fn is_open(&self, part: PartKey) -> bool {
+        let times = self.suspects.get(&Subject::Part(part));
+        times.is_some_and(SuspectTimes::is_open)
+    }
+
     /// Forgets the crashes at which a subject was present, as it is released: they say nothing
     /// of the parts beside it either.
     pub fn dismiss(&mut self, subject: Subject, now: Time) {
@@ -264,10 +334,31 @@
         self.crashes.retain(|crash| !is_present(crash));
     }
 
-    /// Returns whether a part was present at a crash that has not been outlived.
-    pub fn is_open(&self, part: PartKey) -> bool {
-        let times = self.suspects.get(&Subject::Part(part));
-        times.is_some_and(SuspectTimes::is_open)
+    /// Returns the parts that were present at so many crashes which have not been outlived, or a
+    /// few others.
+    fn open_parts(&self, crashes: usize) -> impl Iterator<Item = PartKey> {
+        let open = self.suspects.iter().filter(|(_, times)| times.is_open());
+        let open = open.filter(move |(_, times)| times.crashes >= crashes);
+        open.filter_map(|(subject, _)| match subject {
+            Subject::Part(part) => Some(*part),
+            Subject::Request(_) => None,
+        })
+    }
+
+    /// Returns which of these parts may have been present at so many crashes since an answer on
+    /// them: one of several that were present at the same ones.
+    pub fn present(&self, parts: &[PartKey], crashes: usize) -> Vec<PartKey> {
+        let is_present = |part: &&PartKey| {
+            let times = self.suspects.get(&Subject::Part(**part));
+            times.is_some_and(|times| times.crashes >= crashes)
+        };
+        let present: Vec<PartKey> = parts.iter().filter(is_present).copied().collect();
+        representatives(self, &Answers::default(), present)
+    }
+
+    /// Returns when a part was last answered, as far as that matters for it as a suspect.
+    pub fn last_survival(&self, part: PartKey) -> Option<Time> {
+        self.suspects.get(&Subject::Part(part))?.last_survival
     }
 
     /// Returns whether anything was present at a crash that has not been outlived.
@@ -320,7 +411,7 @@
         let absent = open().filter(is_near).filter(is_absent);
         let absent: Vec<&Crash> = absent.collect();
         let runs = counted.iter().flat_map(|crash| crash.suspects(onset));
-        let runs: Vec<&CrashedRun> = runs.filter(|run| run.parts.contains(&part)).collect();
+        let runs: Vec<&CrashedRun> = runs.filter(|run| run.parts.contains(part)).collect();
         let requests: BTreeSet<RequestKey> = runs.iter().map(|run| run.key).collect();
         let depths = runs
             .iter()
@@ -376,22 +467,16 @@
         options: &QuarantineOptions,
         now: Time,
     ) -> Option<Evidence> {
-        let mut crashes: HashMap<PartKey, usize> = HashMap::new();
-        for crash in &self.crashes {
-            let parts = crash.runs.iter().flat_map(|run| &run.parts);
-            let parts: BTreeSet<PartKey> = parts.copied().collect();
-            for part in parts.difference(explained.parts) {
-                *crashes.entry(*part).or_default() += 1;
-            }
-        }
-        crashes.retain(|part, crashes| *crashes >= options.min_requests && self.is_open(*part));
-        if crashes.is_empty() {
+        let parts = self.open_parts(options.min_requests);
+        let parts: Vec<PartKey> = parts
+            .filter(|part| !explained.parts.contains(part))
+            .collect();
+        if parts.is_empty() {
             return None;
         }
         let answers = answers();
-        let all = crashes
-            .keys()
-            .flat_map(|part| Onset::ALL.map(|onset| (*part, onset)));
+        let parts = representatives(self, &answers, parts).into_iter();
+        let all = parts.flat_map(|part| Onset::ALL.map(|onset| (part, onset)));
         let all = all.filter_map(|(part, onset)| {
             self.evidence(part, onset, explained, &answers, options, now)
         });
@@ -400,6 +485,13 @@
     }
 }
 
+/// Returns the different lists of parts of some runs.
+fn lists<'a>(runs: impl IntoIterator<Item = &'a CrashedRun>) -> impl Iterator<Item = &'a PartList> {
+    let runs = runs.into_iter();
+    let lists: HashMap<_, _> = runs.map(|run| (run.parts.identity(), &run.parts)).collect();
+    lists.into_values()
+}
+
 /// Returns the estimated probability that a crash has another cause than a part that was
 /// present at some moments and absent from other crashes.
 fn other_cause(absences: usize, moments: usize) -> f64 {
@@ -474,7 +566,7 @@
     crashes.sort_by_key(|crash| crash.at);
     let mut moments: Vec<Moment> = Vec::new();
     for crash in crashes {
-        let has_part = |run: &&CrashedRun| run.parts.contains(&part);
+        let has_part = |run: &&CrashedRun| run.parts.contains(part);
         let suspects = crash.suspects(onset).count();
         let with_part = crash.suspects(onset).filter(has_part).count();
         let elapsed_ms = crash.suspects(onset).filter(has_part);
--- a/crates/fleet/src/quarantine/report.rs
+++ b/crates/fleet/src/quarantine/report.rs
@@ -7,17 +7,13 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use super::encoding;
 use super::register::Entry;
-use super::register::MAX_ENTRIES;
 use super::register::State;
 use super::standing::Standing;
 use super::subject::Subject;
 use crate::runs::CrashedRun;
 
-/// The version of the datagram's layout. It differs from those of heartbeats and notices,
-/// which arrive at the same port.
-const LAYOUT: u8 = 132;
-
 /// The largest number of crashes in a report.
 pub const MAX_CRASHES: usize = 8;
 
@@ -28,10 +24,10 @@
 pub const MAX_PLAIN_RUNS: usize = 16;
 
 /// The largest number of survivals in a report.
-pub const MAX_SURVIVALS: usize = 64;
+pub const MAX_SURVIVALS: usize = 1_024;
 
 /// The end of an upstream's process, as one instance has seen or suspects it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CrashReport {
     /// The hash of the process; see [`process_hash`](crate::heartbeat::process_hash).
     pub process: u64,
@@ -40,7 +36,8 @@
     /// The time since then in milliseconds, or since the sign of life that shows that the process
     /// has not ended.
     pub age_ms: u32,
-    /// The requests that may have been the cause.
+    /// The requests that may have been the cause. One with very many parts comes in pieces, in
+    /// several reports.
     pub runs: Vec<CrashedRun>,
 }
 
@@ -86,6 +83,12 @@
         }
     }
 
+    /// Returns what the entry is of.
+    #[must_use]
+    pub const fn subject(&self) -> Subject {
+        self.subject
+    }
+
     /// Returns the entry.
     #[must_use]
     pub const fn entry(&self) -> Entry {
@@ -101,9 +104,8 @@
 }
 
 /// What an instance reports to all others.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct QuarantineReport {
-    layout: u8,
     /// The sender's name.
     pub sender: String,
     /// The crashes that the sender has seen lately.
@@ -128,6 +130,14 @@
         /// What they are.
         kind: &'static str,
     },
+    /// A list of parts refers to more parts of the one before than that has.
+    #[error("a list of parts begins with {shared} parts of a list of {length}")]
+    InvalidList {
+        /// The number of parts.
+        shared: usize,
+        /// The number of parts of the list before.
+        length: usize,
+    },
 }
 
 impl QuarantineReport {
@@ -135,7 +145,6 @@
     #[must_use]
     pub fn new(sender: &str) -> Self {
         Self {
-            layout: LAYOUT,
             sender: sender.to_owned(),
             ..Self::default()
         }
@@ -144,7 +153,7 @@
     /// Returns whether a datagram has the layout of a report.
     #[must_use]
     pub fn is_report(datagram: &[u8]) -> bool {
-        datagram.first() == Some(&LAYOUT)
+        encoding::is_report(datagram)
     }
 
     /// Returns whether there is nothing to report.
@@ -169,7 +178,7 @@
     /// # Ok::<(), limpetsaddle_fleet::quarantine::ReportError>(())
     /// ```
     pub fn encode(&self) -> Result<Vec<u8>, ReportError> {
-        Ok(postcard::to_stdvec(self)?)
+        encoding::encode(self)
     }
 
     /// Decodes a datagram.
@@ -178,30 +187,7 @@
     ///
     /// Returns [`ReportError`] if the bytes are not a report that an instance sends.
     pub fn decode(datagram: &[u8]) -> Result<Self, ReportError> {
-        let report: Self = postcard::from_bytes(datagram)?;
-        let runs = |are_plain: bool| {
-            let crashes = report.crashes.iter();
-            let runs = crashes.map(|crash| {
-                let runs = crash.runs.iter();
-                runs.filter(|run| run.parts.is_empty() == are_plain).count()
-            });
-            runs.max().unwrap_or_default()
-        };
-        let of_requests = |entry: &&EntryReport| matches!(entry.subject, Subject::Request(_));
-        let requests = report.entries.iter().filter(of_requests).count();
-        let parts = report.entries.len() - requests;
-        let bounds = [
-            (report.crashes.len(), MAX_CRASHES, "crashes"),
-            (runs(false), MAX_RUNS, "prompts of a crash"),
-            (runs(true), MAX_PLAIN_RUNS, "other suspects of a crash"),
-            (report.survivals.len(), MAX_SURVIVALS, "survivals"),
-            (parts, MAX_ENTRIES, "entries"),
-            (requests, MAX_ENTRIES, "entries of requests"),
-        ];
-        match bounds.iter().find(|(items, max, _)| items > max) {
-            Some(&(items, _, kind)) => Err(ReportError::Oversized { items, kind }),
-            None => Ok(report),
-        }
+        encoding::decode(datagram)
     }
 }
 
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -6,14 +6,13 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::rc::Rc;
 use std::time::Duration;
 
 use limpetsaddle_core::units::Time;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::part_key::PartKey;
+use crate::part_list::PartList;
+use crate::part_list::PartLists;
 use crate::request_key::RequestKey;
 
 /// Options for how runs are judged and remembered.
@@ -26,6 +25,9 @@
     pub memory_time: Duration,
     /// The largest number of ended runs that are remembered.
     pub max_ended: usize,
+    /// The largest number of parts of all prompts among them. The longer prompts are, the fewer
+    /// of them are remembered, each with all its parts.
+    pub max_ended_parts: usize,
     /// The longest time between the end of an engine and its notice.
     pub max_notice_delay: Duration,
 }
@@ -36,14 +38,12 @@
             under_way_after: Duration::from_millis(500),
             memory_time: Duration::from_secs(30),
             max_ended: 1_024,
+            max_ended_parts: 512 * 1_024,
             max_notice_delay: Duration::from_secs(1),
         }
     }
 }
 
-/// The largest number of parts of one prompt that are remembered.
-const MAX_PARTS: usize = 32;
-
 /// The largest number of ended processes that are remembered.
 const MAX_CRASHED: usize = 256;
 
@@ -84,7 +84,7 @@
 }
 
 /// A request that an upstream had not answered, or not answered well into, when it ended.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CrashedRun {
     /// The hash of the request's id.
     pub request: u32,
@@ -98,7 +98,7 @@
     /// had begun to answer.
     pub begun_ms: Option<u16>,
     /// The parts of the prompt in order, but the last one; none if it is no prompt.
-    pub parts: Vec<PartKey>,
+    pub parts: PartList,
 }
 
 impl CrashedRun {
@@ -129,7 +129,7 @@
     process: u64,
     request: u32,
     key: RequestKey,
-    parts: Option<Rc<[PartKey]>>,
+    parts: Option<PartList>,
     sent: Time,
     head: Option<Time>,
     first_event: Option<Time>,
@@ -161,7 +161,7 @@
             age_ms: millis(self.sent),
             is_answered,
             begun_ms: self.head.map(millis),
-            parts: self.parts.as_deref().unwrap_or_default().to_vec(),
+            parts: self.parts.clone().unwrap_or_default(),
         }
     }
 }
@@ -231,8 +231,12 @@
     options: RunOptions,
     started: u64,
     running: HashMap<RunId, Run>,
+    /// The lists of parts in use.
+    lists: PartLists,
     /// The ended runs of prompts.
     ended: VecDeque<EndedRun>,
+    /// The number of parts of all ended runs.
+    ended_parts: usize,
     /// The ended runs of other requests, until the end of their upstreams would be known.
     ended_plain: VecDeque<EndedRun>,
     answered: AnsweredRequests,
@@ -256,12 +260,11 @@
         self.forget(now);
         self.started += 1;
         let id = RunId(self.started);
-        let parts = |parts: &[PartKey]| parts.iter().take(MAX_PARTS).copied().collect();
         let run = Run {
             process,
             request: content.request,
             key: content.key,
-            parts: content.parts.map(parts),
+            parts: content.parts.map(|parts| self.lists.intern(parts)),
             sent: now,
             head: None,
             first_event: None,
@@ -307,8 +310,11 @@
             if end == RunEnd::Complete || under_way_at.is_some_and(|at| at <= now) {
                 self.answered.record(run.key, now);
             }
-            let ended = match run.parts {
-                Some(_) => &mut self.ended,
+            let ended = match &run.parts {
+                Some(parts) => {
+                    self.ended_parts += parts.len();
+                    &mut self.ended
+                }
                 None => &mut self.ended_plain,
             };
             ended.push_back(EndedRun { run, at: now, end });
@@ -487,18 +493,28 @@
         self.ended.len()
     }
 
-    /// Returns the parts of prompts whose answers came well under way, each with the time.
-    pub fn survivals(&self, now: Time) -> impl Iterator<Item = (PartKey, Time)> {
-        let survived = self.survived(now);
-        survived.flat_map(|(parts, at)| parts.iter().map(move |part| (*part, at)))
+    /// Returns the lists of parts of prompts whose answers came well under way, each with the
+    /// times in ascending order.
+    pub fn survivals(&self, now: Time) -> impl Iterator<Item = (PartList, Vec<Time>)> {
+        let mut survivals: HashMap<*const (), (PartList, Vec<Time>)> = HashMap::new();
+        for (parts, at) in self.answered(now) {
+            let new = || (parts.clone(), Vec::new());
+            let (_, times) = survivals.entry(parts.identity()).or_insert_with(new);
+            times.push(at);
+        }
+        survivals.into_values().map(|(parts, mut times)| {
+            times.sort_unstable();
+            (parts, times)
+        })
     }
 
-    /// Returns the parts of each prompt whose answer came well under way, with the time.
-    pub fn answered(&self, now: Time) -> impl Iterator<Item = (&[PartKey], Time)> {
-        self.survived(now)
+    /// Returns the stored list of these parts, which runs of prompts with the same ones share.
+    pub fn intern(&mut self, parts: &[PartKey]) -> PartList {
+        self.lists.intern(parts)
     }
 
-    fn survived(&self, now: Time) -> impl Iterator<Item = (&[PartKey], Time)> {
+    /// Returns the parts of each prompt whose answer came well under way, with the time.
+    pub fn answered(&self, now: Time) -> impl Iterator<Item = (&PartList, Time)> {
         let ended = self.ended.iter().map(|ended| (&ended.run, Some(ended)));
         let running = self.running.values().map(|run| (run, None));
         ended.chain(running).filter_map(move |(run, ended)| {
@@ -507,7 +523,7 @@
             let crashed_before = self.crashed.iter().any(|(process, crashed)| {
                 *process == run.process && run.first_event <= Some(*crashed) && *crashed < at
             });
-            let parts = run.parts.as_deref()?;
+            let parts = run.parts.as_ref()?;
             (was_running && !crashed_before && at <= now).then_some((parts, at))
         })
     }
@@ -515,9 +531,12 @@
     fn forget(&mut self, now: Time) {
         let is_old = |at: Time| now.since(at) >= self.options.memory_time;
         while self.ended.len() > self.options.max_ended
+            || self.ended_parts > self.options.max_ended_parts
             || self.ended.front().is_some_and(|ended| is_old(ended.at))
         {
-            self.ended.pop_front();
+            let ended = self.ended.pop_front();
+            let parts = ended.and_then(|ended| ended.run.parts);
+            self.ended_parts -= parts.map_or(0, |parts| parts.len());
         }
         let is_settled = |at: Time| now.since(at) >= self.options.max_notice_delay * 2;
         while self.ended_plain.len() > self.options.max_ended
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -100,7 +100,9 @@
     }
 
     fn report(&mut self, millis: u64) -> Option<QuarantineReport> {
-        self.quarantine.take_report("a-1", None, at(millis))
+        let mut reports = self.quarantine.take_reports("a-1", None, at(millis));
+        assert!(reports.len() <= 1);
+        reports.pop()
     }
 
     fn apply(&mut self, report: &QuarantineReport, millis: u64) {
@@ -242,8 +244,9 @@
     assert_eq!(repeats.count(), 3);
     let all = decides
         .quarantine
-        .take_report("a-1", Some(Duration::from_secs(1)), at(9_000));
-    assert_eq!(all.unwrap().entries.len(), 1);
+        .take_reports("a-1", Some(Duration::from_secs(1)), at(9_000));
+    assert_eq!(all.len(), 1);
+    assert_eq!(all[0].entries.len(), 1);
 }
 
 #[test]
@@ -278,13 +281,13 @@
     hears.runs.end(run, RunEnd::Complete, at(280));
     hears.apply(&report, 320);
     let report = hears.report(330).unwrap();
-    assert_eq!(report.crashes[0].runs[0].parts, [part(HARMFUL)]);
+    assert_eq!(*report.crashes[0].runs[0].parts, [part(HARMFUL)]);
     // The engine has not outlived that answer.
     assert!(
         hears
             .runs
             .survivals(at(2_000))
-            .all(|(p, _)| p != part(HARMFUL))
+            .all(|(parts, _)| !parts.contains(part(HARMFUL)))
     );
 }
 
--- a/crates/fleet/tests/quarantine_sim.rs
+++ b/crates/fleet/tests/quarantine_sim.rs
@@ -18,6 +18,9 @@
 /// The seeds that each scenario is run with.
 const SEEDS: Range<u64> = 1..13;
 
+/// The seeds of scenarios whose runs take long.
+const FEW_SEEDS: Range<u64> = 1..4;
+
 const SMALL: Scenario = Scenario {
     seed: 0,
     instances: 9,
@@ -31,6 +34,8 @@
     resets: 0,
     place: 1,
     served_before: false,
+    common_parts: 0,
+    own_parts: 0,
     first_parts: 4,
     second_parts: 80,
     ordinary: OrdinaryCrashes::None,
@@ -114,6 +119,45 @@
     verify_seeds(scenario, SEEDS);
 }
 
+/// Guards against a part that goes on ending engines, or a sound one that is withheld for it, as
+/// its prompts have many other parts.
+#[parameterized(
+    place_33 = { Scenario { common_parts: 31, ..HARMFUL } },
+    place_38 = { Scenario { common_parts: 36, ..HARMFUL } },
+    place_100 = { Scenario { common_parts: 98, ..HARMFUL } },
+    place_1_000 = { Scenario { common_parts: 998, ..HARMFUL } },
+    before_their_first_byte = { Scenario { common_parts: 998, ..EARLY } },
+    two_parts = { Scenario { common_parts: 300, harmful_parts: 2, ..HARMFUL } },
+    parts_of_their_own = { Scenario { common_parts: 100, own_parts: 300, ..HARMFUL } },
+    beside_ordinary_crashes = { Scenario { common_parts: 300, ordinary: OrdinaryCrashes::OneIn(200), ..HARMFUL } },
+    busy = { Scenario { common_parts: 100, own_parts: 20, sound_rate: 200, harmful_rate: 20, duration: Duration::from_secs(15), ..HARMFUL } },
+    lossy_reports = { Scenario { common_parts: 300, own_parts: 50, loss: 3, ..HARMFUL } },
+    beside_a_restart = { Scenario {
+        common_parts: 300,
+        harmful_from: Duration::from_secs(30),
+        restart_at: Some(Duration::from_millis(30_300)),
+        duration: Duration::from_secs(45),
+        ..HARMFUL
+    } },
+)]
+fn verify_a_harmful_part_is_withheld_in_long_prompts_and_no_other(scenario: Scenario) {
+    verify_seeds(scenario, FEW_SEEDS);
+}
+
+#[test]
+fn verify_ordinary_crashes_withhold_no_part_of_long_prompts() {
+    let scenario = Scenario {
+        common_parts: 300,
+        own_parts: 20,
+        ordinary: OrdinaryCrashes::OneIn(70),
+        ..SMALL
+    };
+    for seed in FEW_SEEDS {
+        let outcome = run(Scenario { seed, ..scenario });
+        assert!(outcome.withheld.is_empty(), "seed {seed}: {outcome:?}");
+    }
+}
+
 const FLEET_OF_295: Scenario = Scenario {
     instances: 295,
     engines: 160,
--- a/crates/fleet/tests/repeats.rs
+++ b/crates/fleet/tests/repeats.rs
@@ -90,7 +90,9 @@
     }
 
     fn report(&mut self, millis: u64) -> Option<QuarantineReport> {
-        self.quarantine.take_report("a-1", None, at(millis))
+        let mut reports = self.quarantine.take_reports("a-1", None, at(millis));
+        assert!(reports.len() <= 1);
+        reports.pop()
     }
 
     fn apply(&mut self, report: &QuarantineReport, millis: u64) {
--- a/crates/fleet/tests/runs.rs
+++ b/crates/fleet/tests/runs.rs
@@ -33,7 +33,12 @@
 }
 
 fn survivors(runs: &RunLog, now: u64) -> Vec<PartKey> {
-    let mut parts: Vec<PartKey> = runs.survivals(at(now)).map(|(part, _)| part).collect();
+    let mut parts: Vec<PartKey> = {
+        let survived = runs.survivals(at(now));
+        survived
+            .flat_map(|(parts, times)| times.into_iter().flat_map(move |_| parts.to_vec()))
+            .collect()
+    };
     parts.sort();
     parts
 }
@@ -141,8 +146,32 @@
         runs.end(run, RunEnd::Complete, at(number));
     }
     assert!(survivors(&runs, 2_000).len() <= 10);
+}
+
+/// Guards against parts that are never suspected as they are deep in a prompt, and against
+/// memory that grows with the length of prompts.
+#[test]
+fn verify_runs_are_remembered_with_all_parts_or_not_at_all() {
+    const PARTS: u64 = 1_000;
+    let options = RunOptions {
+        max_ended_parts: 10_000,
+        ..RunOptions::default()
+    };
+    let mut runs = RunLog::new(options);
+    for number in 0..100 {
+        // No two prompts share a part.
+        let parts = (0..PARTS).map(|n| part(&format!("{:x}", PARTS * number + n)));
+        let parts: Vec<PartKey> = parts.collect();
+        let run = runs.start(ENGINE, &run_of(0, Some(&parts)), at(number));
+        runs.record_first_event(run, at(number));
+        runs.end(run, RunEnd::Complete, at(number + 500));
+    }
+    assert_eq!(runs.ended_count(), 10);
+    let lists: Vec<_> = runs.survivals(at(2_000)).collect();
+    assert_eq!(lists.len(), 10);
+    assert!(lists.iter().all(|(parts, _)| parts.len() == 1_000));
     let many: Vec<PartKey> = (0..100_000).map(|n| part(&format!("{n:x}"))).collect();
     runs.start(ENGINE, &run_of(0, Some(&many)), at(3_000));
     let (crashed, _) = runs.record_crash(ENGINE, at(3_000));
-    assert!(crashed.iter().all(|run| run.parts.len() <= 32));
+    assert!(crashed.iter().any(|run| *run.parts == *many));
 }
--- a/crates/fleet/tests/support/crash_scenario.rs
+++ b/crates/fleet/tests/support/crash_scenario.rs
@@ -72,6 +72,10 @@
     pub place: usize,
     /// Whether harmful parts are sound before.
     pub served_before: bool,
+    /// The parts that all prompts begin with.
+    pub common_parts: u64,
+    /// The parts that each prompt has for itself behind these.
+    pub own_parts: u64,
     /// The first parts that all prompts share.
     pub first_parts: u64,
     /// The second parts.
@@ -101,6 +105,8 @@
             resets: 0,
             place: 1,
             served_before: false,
+            common_parts: 0,
+            own_parts: 0,
             first_parts: 4,
             second_parts: 80,
             ordinary: OrdinaryCrashes::None,
--- a/crates/fleet/tests/support/crash_sim.rs
+++ b/crates/fleet/tests/support/crash_sim.rs
@@ -44,6 +44,9 @@
 /// The crashes after which a harmful part must be withheld.
 const KNOWN_AFTER: usize = 5;
 
+/// The most bytes that a UDP datagram can hold.
+const MAX_DATAGRAM_BYTES: usize = 65_507;
+
 /// The time after which an instance suspects an engine that doesn't answer.
 const DOUBT_TIME: Duration = Duration::from_millis(30);
 
@@ -73,6 +76,13 @@
     }
 }
 
+/// Returns a report as others receive it.
+fn transmitted(report: &QuarantineReport) -> QuarantineReport {
+    let datagram = report.encode().unwrap();
+    assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+    QuarantineReport::decode(&datagram).unwrap()
+}
+
 struct Instance {
     runs: RunLog,
     quarantine: Quarantine,
@@ -226,6 +236,10 @@
             parts.insert(scenario.place, harmful_key(harmful));
         }
         self.requests += 1;
+        let common = (0..scenario.common_parts).map(|n| format!("c{n:x}"));
+        let own = (0..scenario.own_parts).map(|n| format!("d{:x}{n:04x}", self.requests));
+        let preceding = common.chain(own).map(|id| PartKey::of(&id));
+        let parts = preceding.chain(parts).collect();
         let instance = self.random.index(scenario.instances);
         self.send(instance, self.requests, parts, harmful, 1);
     }
@@ -469,13 +483,13 @@
             let name = format!("a-{index}");
             let repeat = (index < 3).then_some(Duration::from_secs(1));
             let quarantine = &mut self.instances[index].quarantine;
-            let Some(report) = quarantine.take_report(&name, repeat, now) else {
-                continue;
-            };
-            for receiver in (0..self.instances.len()).filter(|r| *r != index) {
-                if self.random.below(scenario.loss) > 0 {
-                    let delay = Duration::from_millis(1 + self.random.below(30));
-                    self.in_flight.push((now + delay, receiver, report.clone()));
+            for report in quarantine.take_reports(&name, repeat, now) {
+                let report = transmitted(&report);
+                for receiver in (0..self.instances.len()).filter(|r| *r != index) {
+                    if self.random.below(scenario.loss) > 0 {
+                        let delay = Duration::from_millis(1 + self.random.below(30));
+                        self.in_flight.push((now + delay, receiver, report.clone()));
+                    }
                 }
             }
         }
--- a/crates/fleet/tests/support/request_sim.rs
+++ b/crates/fleet/tests/support/request_sim.rs
@@ -299,17 +299,16 @@
             if quarantine.is_pending() {
                 quarantine.review(runs, instances, 7, now);
             }
-            let Some(report) = quarantine.take_report("a", None, now) else {
-                continue;
-            };
-            for to in 0..instances {
-                if to != number
-                    && self.are_connected(number, to)
-                    && !self.happens(self.scenario.loss)
-                {
-                    let delay = u64::try_from(self.below(40)).unwrap();
-                    let at = now + Duration::from_millis(5 + delay);
-                    self.reports.push((at, to, report.clone()));
+            for report in quarantine.take_reports("a", None, now) {
+                for to in 0..instances {
+                    if to != number
+                        && self.are_connected(number, to)
+                        && !self.happens(self.scenario.loss)
+                    {
+                        let delay = u64::try_from(self.below(40)).unwrap();
+                        let at = now + Duration::from_millis(5 + delay);
+                        self.reports.push((at, to, report.clone()));
+                    }
                 }
             }
         }
--- a/crates/fleet/tests/suspicion.rs
+++ b/crates/fleet/tests/suspicion.rs
@@ -56,7 +56,7 @@
                 age_ms: 40,
                 is_answered: false,
                 begun_ms: None,
-                parts: vec![part(HARMFUL)],
+                parts: [part(HARMFUL)].into(),
             }];
             let (process, lost) = (100 + u64::from(number), at(300 * u64::from(number)));
             self.quarantine.record_suspicion(process, lost, runs);
@@ -80,8 +80,14 @@
     /// Sends the reports of this instance to another.
     fn tell(&mut self, other: &mut Self, millis: u64) {
         let now = at(millis);
-        while let Some(report) = self.quarantine.take_report("a-1", None, now) {
-            other.quarantine.apply_report(&report, &mut other.runs, now);
+        loop {
+            let reports = self.quarantine.take_reports("a-1", None, now);
+            if reports.is_empty() {
+                break;
+            }
+            for report in reports {
+                other.quarantine.apply_report(&report, &mut other.runs, now);
+            }
         }
     }
 
--- a/crates/router/src/fleet/attempts.rs
+++ b/crates/router/src/fleet/attempts.rs
@@ -11,7 +11,6 @@
 use limpetsaddle_fleet::attempt::NextStep;
 use limpetsaddle_fleet::health::RequestOutcome;
 use limpetsaddle_fleet::placement::Placement;
-use limpetsaddle_fleet::prompt::Prompt;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_fleet::weights::Outdated;
@@ -266,9 +265,9 @@
         if !self.has_lost_upstream.get() {
             return true;
         }
-        let parts = self.prompt().map(Prompt::shared_keys).unwrap_or_default();
+        let parts = self.accepted.parts.as_deref().unwrap_or_default();
         let quarantine = self.instance.quarantine.borrow();
-        quarantine.permits_repeat(self.accepted.key, &parts, self.instance.now())
+        quarantine.permits_repeat(self.accepted.key, parts, self.instance.now())
     }
 
     /// Returns the refusal after the last attempt.
--- a/crates/router/src/fleet/crashes.rs
+++ b/crates/router/src/fleet/crashes.rs
@@ -32,6 +32,9 @@
 use super::upstream_calls::Recipient;
 use crate::clock::millis;
 
+/// The largest number of parts of a prompt in a log line. The last ones are shared least.
+const MAX_LOGGED_PARTS: usize = 32;
+
 /// The longest time for which a request waits until it is known whether its upstream has ended.
 const CHECK_WAIT: Duration = Duration::from_millis(30);
 
@@ -293,7 +296,12 @@
 /// upstream had begun to answer, the time since then.
 fn describe(runs: &[CrashedRun]) -> String {
     let run = |run: &CrashedRun| {
-        let parts: Vec<String> = run.parts.iter().map(ToString::to_string).collect();
+        let omitted = run.parts.len().saturating_sub(MAX_LOGGED_PARTS);
+        let parts = run.parts.iter().skip(omitted);
+        let mut parts: Vec<String> = parts.map(ToString::to_string).collect();
+        if omitted > 0 {
+            parts.insert(0, format!("{omitted} more"));
+        }
         let begun = run.begun_ms.map_or(String::new(), |ms| format!("+{ms}ms"));
         let (request, key, age_ms) = (run.request, run.key, run.age_ms);
         format!("{request:08x}/{key}@{age_ms}ms{begun}:{}", parts.join(","))
--- a/crates/router/src/fleet/exchange.rs
+++ b/crates/router/src/fleet/exchange.rs
@@ -13,6 +13,7 @@
 use limpetsaddle_fleet::configuration::Team;
 use limpetsaddle_fleet::limits::Demand;
 use limpetsaddle_fleet::newer_versions::Reliance;
+use limpetsaddle_fleet::part_list::PartList;
 use limpetsaddle_fleet::refusal::Reason;
 use limpetsaddle_fleet::refusal::Refusal;
 use limpetsaddle_fleet::request_key::RequestContent;
@@ -49,6 +50,8 @@
     pub fields: RequestFields,
     /// The key of the content.
     pub key: RequestKey,
+    /// The parts of the prompt that other prompts share, if the request has a prompt.
+    pub parts: Option<PartList>,
     /// The time at which the request was read.
     pub arrived: Time,
     /// The time by which the response is due.
@@ -265,6 +268,10 @@
         // The caller waits from when it sent the request, whose body may take long.
         deadline: begun + timeout,
         key: content_key(req, &host, team.as_deref()),
+        parts: fields.prompt.as_ref().map(|prompt| {
+            let keys = prompt.shared_keys();
+            instance.runs.borrow_mut().intern(&keys)
+        }),
         configuration,
         route,
         team,
--- a/crates/router/src/fleet/forward.rs
+++ b/crates/router/src/fleet/forward.rs
@@ -236,12 +236,11 @@
 
     /// Records that the request is about to be sent to an upstream.
     pub fn start_run(&self, placement: &Placement) -> RunId {
-        let parts = self.prompt().map(Prompt::shared_keys);
         let id = self.accepted.fields.id.as_deref().unwrap_or_default();
         let content = RunContent {
             request: request_hash(id),
             key: self.accepted.key,
-            parts: parts.as_deref(),
+            parts: self.accepted.parts.as_deref(),
         };
         let process = placement.incarnation().process();
         let now = self.instance.now();
@@ -459,8 +458,8 @@
     /// request, unless it is a trial.
     pub fn withheld_subject(&self) -> Option<Subject> {
         let quarantine = self.instance.quarantine.borrow();
-        let parts = self.prompt().map(Prompt::shared_keys).unwrap_or_default();
-        if let Some(part) = quarantine.withheld(&parts) {
+        let parts = self.accepted.parts.as_deref().unwrap_or_default();
+        if let Some(part) = quarantine.withheld(parts) {
             return Some(part.into());
         }
         let key = self.accepted.key;
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -317,33 +317,33 @@
     stopping: Stopping,
 ) {
     while stopping.pause(NOTICE_INTERVAL).await {
-        let Some(report) = next_report(&instance) else {
-            continue;
-        };
-        match report.encode() {
-            Ok(datagram) => {
-                let now = instance.now();
-                let recipients: Vec<_> = instance.peers.borrow().heartbeat_targets(now).collect();
-                for (address, _) in recipients {
-                    send_to(&socket, address, datagram.clone()).await;
+        for report in next_reports(&instance) {
+            match report.encode() {
+                Ok(datagram) => {
+                    let now = instance.now();
+                    let recipients: Vec<_> =
+                        instance.peers.borrow().heartbeat_targets(now).collect();
+                    for (address, _) in recipients {
+                        send_to(&socket, address, datagram.clone()).await;
+                    }
                 }
+                Err(error) => warn!(error:display; "cannot encode report of crashes"),
             }
-            Err(error) => warn!(error:display; "cannot encode report of crashes"),
         }
     }
 }
 
-/// Returns what is to be reported of crashes and withheld parts now, if anything.
-fn next_report(instance: &FleetInstance) -> Option<QuarantineReport> {
+/// Returns what is to be reported of crashes and withheld parts now.
+fn next_reports(instance: &FleetInstance) -> Vec<QuarantineReport> {
     let mut quarantine = instance.quarantine.borrow_mut();
     if !quarantine.has_reports() {
-        return None;
+        return Vec::new();
     }
     let now = instance.now();
     let peers = instance.peers.borrow();
     let interval = peers.heartbeat_interval() * REPEAT_HEARTBEATS;
     let repeat_interval = peers.is_confirmer(now).then_some(interval);
-    quarantine.take_report(&instance.settings.name, repeat_interval, now)
+    quarantine.take_reports(&instance.settings.name, repeat_interval, now)
 }
 
 async fn send_to(socket: &UdpSocket, address: SocketAddr, datagram: Vec<u8>) {
