Bound the cached parts that a heartbeat reports

Callers would see: requests that are refused, or limits that are applied as if instances were gone, while an instance serves prompts of very many parts.

Cause: a heartbeat reports all parts of the prompts that were cached since the last one, in one datagram. Twenty prompts of 1,000 parts take 174 KB in the new test, and UDP carries 65,507 bytes; the send fails with a debug line, each time anew.

Change: a heartbeat reports up to 4,096 keys, the oldest updates first, and the rest waits for the next ones. Of a longer prompt the first parts are reported. Up to 64 Ki keys wait; they are hints for placement.

Test: verify_heartbeats_fit_into_a_datagram_however_long_prompts_are, failed without the bound (173,882 bytes), passes.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -6,6 +6,7 @@
 //! from the tokens that were added since.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use limpetsaddle_core::hash::stable_hash;
@@ -44,6 +45,10 @@
 /// The least number of keys above which unused ones are removed.
 const MIN_PRUNE_THRESHOLD: usize = 8_192;
 
+/// The largest number of keys that wait for a heartbeat. The oldest updates beyond it are only
+/// known to this instance.
+const MAX_WAITING_KEYS: usize = 64 * 1_024;
+
 /// The hash of a part of a prompt together with all parts before it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -104,7 +109,10 @@
 pub struct PrefixDirectory {
     entries: HashMap<ChainKey, Vec<HolderEntry>>,
     positions: HashMap<u64, u64>,
-    updates: Vec<CacheUpdate>,
+    /// The updates that no heartbeat has carried yet.
+    updates: VecDeque<CacheUpdate>,
+    /// The number of their keys.
+    waiting_keys: usize,
     /// The number of keys above which unused ones are removed; it grows with the number of
     /// used ones, so that the cost of an update doesn't.
     prune_threshold: usize,
@@ -115,7 +123,8 @@
         Self {
             entries: HashMap::new(),
             positions: HashMap::new(),
-            updates: Vec::new(),
+            updates: VecDeque::new(),
+            waiting_keys: 0,
             prune_threshold: MIN_PRUNE_THRESHOLD,
         }
     }
@@ -125,7 +134,17 @@
     /// Records a prompt of this instance as cached, and queues it for the next heartbeat.
     pub fn record_read(&mut self, update: CacheUpdate, now: Time) {
         self.apply_update(&update, now);
-        self.updates.push(update);
+        self.waiting_keys += update.keys.len();
+        self.updates.push_back(update);
+        while self.waiting_keys > MAX_WAITING_KEYS && self.updates.len() > 1 {
+            self.pop_update();
+        }
+    }
+
+    fn pop_update(&mut self) -> Option<CacheUpdate> {
+        let update = self.updates.pop_front()?;
+        self.waiting_keys -= update.keys.len();
+        Some(update)
     }
 
     /// Applies the report of another instance.
@@ -211,9 +230,22 @@
         self.entries.is_empty()
     }
 
-    /// Takes the updates that no heartbeat has carried yet.
-    pub fn take_updates(&mut self) -> Vec<CacheUpdate> {
-        std::mem::take(&mut self.updates)
+    /// Takes the oldest updates that no heartbeat has carried yet, with up to `max_keys` keys in
+    /// all. Of a prompt with more parts than that, the first ones are reported.
+    pub fn take_updates(&mut self, max_keys: usize) -> Vec<CacheUpdate> {
+        let mut taken = Vec::new();
+        let mut left = max_keys;
+        while let Some(next) = self.updates.front() {
+            if next.keys.len() > left && !taken.is_empty() {
+                break;
+            }
+            if let Some(mut update) = self.pop_update() {
+                update.keys.truncate(max_keys);
+                left = left.saturating_sub(update.keys.len());
+                taken.push(update);
+            }
+        }
+        taken
     }
 
     fn holds(&self, holder: u64, key: ChainKey, max_tokens_since: u64, now: Time) -> bool {
--- a/crates/fleet/tests/long_prompts.rs
+++ b/crates/fleet/tests/long_prompts.rs
@@ -3,8 +3,16 @@
 mod support;
 
 use limpetsaddle_core::units::Time;
+use limpetsaddle_fleet::directory::CacheUpdate;
+use limpetsaddle_fleet::directory::ChainedPart;
+use limpetsaddle_fleet::directory::PrefixDirectory;
+use limpetsaddle_fleet::directory::chain;
+use limpetsaddle_fleet::heartbeat::Heartbeat;
 use limpetsaddle_fleet::part_key::PartKey;
 use limpetsaddle_fleet::part_list::PartList;
+use limpetsaddle_fleet::prompt::CacheSalt;
+use limpetsaddle_fleet::prompt::Part;
+use limpetsaddle_fleet::prompt::Prompt;
 use limpetsaddle_fleet::quarantine::Quarantine;
 use limpetsaddle_fleet::quarantine::QuarantineOptions;
 use limpetsaddle_fleet::quarantine::QuarantineRecord;
@@ -278,3 +286,60 @@
         &raw const *runs.intern(&parts)
     ));
 }
+
+/// Returns the shared parts of a prompt that has so many, in no other prompt.
+fn chain_of(name: u64, parts: u64) -> Vec<ChainedPart> {
+    let part = |part: PartKey| Part {
+        id: part.to_string().into(),
+        tokens: 10,
+    };
+    let prompt = Prompt {
+        parts: parts_of(name, parts + 1).into_iter().map(part).collect(),
+        ..Prompt::default()
+    };
+    chain(&prompt, &CacheSalt::new("m", 1, None))
+}
+
+/// Returns the report that a holder has cached a prompt with so many shared parts of its own.
+fn cached(holder: u64, parts: u64) -> CacheUpdate {
+    let links = chain_of(holder, parts);
+    CacheUpdate {
+        holder,
+        keys: links.iter().map(|link| link.key).collect(),
+        new_tokens: 10,
+    }
+}
+
+/// Guards against heartbeats that grow with the length of prompts until no datagram can hold them.
+#[test]
+fn verify_heartbeats_fit_into_a_datagram_however_long_prompts_are() {
+    const KEYS: usize = 4_096;
+    let mut directory = PrefixDirectory::default();
+    directory.record_read(cached(0, 10_000), at(0));
+    for holder in 1..20 {
+        directory.record_read(cached(holder, 1_000), at(0));
+    }
+    let mut holders = Vec::new();
+    loop {
+        let mut heartbeat = Heartbeat::new("a-1", 1, 1);
+        heartbeat.cached = directory.take_updates(KEYS);
+        if heartbeat.cached.is_empty() {
+            break;
+        }
+        let datagram = heartbeat.encode().unwrap().for_recipient(Some(1)).unwrap();
+        assert!(
+            datagram.len() <= MAX_DATAGRAM_BYTES / 2,
+            "{}",
+            datagram.len()
+        );
+        holders.extend(heartbeat.cached.iter().map(|update| update.holder));
+    }
+    assert_eq!(holders, (0..20).collect::<Vec<u64>>());
+    for holder in 0..1_000 {
+        directory.record_read(cached(holder, 1_000), at(0));
+    }
+    // What waits is bounded.
+    let waiting = directory.take_updates(usize::MAX);
+    assert!(waiting.len() < 100, "{}", waiting.len());
+    assert_eq!(waiting.last().unwrap().holder, 999);
+}
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -37,6 +37,9 @@
 
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
+/// The largest number of keys of cached parts in a heartbeat, which take up to six bytes each.
+const MAX_CACHED_KEYS: usize = 4 * 1024;
+
 /// The number of heartbeats that are sent in one burst.
 const BURST_SIZE: usize = 21;
 
@@ -388,7 +391,10 @@
     if KvStoreMonitor::is_prober(rank) {
         heartbeat.stores = instance.kv_stores.borrow().statuses(now);
     }
-    heartbeat.cached = instance.directory.borrow_mut().take_updates();
+    heartbeat.cached = instance
+        .directory
+        .borrow_mut()
+        .take_updates(MAX_CACHED_KEYS);
     drop(upstreams);
     pace::report(instance, &mut heartbeat);
     canary::add_report(instance, &mut heartbeat);
