Bound the directory of cached parts

Callers would see: an instance that runs out of memory while prompts have very many parts of their own.

Cause: the directory holds a key for each shared part of the last half minute, however many.

Change: beyond 256 Ki keys the least recently used half is removed. They are hints for placement.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -45,6 +45,9 @@
 /// The least number of keys above which unused ones are removed.
 const MIN_PRUNE_THRESHOLD: usize = 8_192;
 
+/// The largest number of keys. Half of them, the least recently used ones, are removed beyond it.
+const MAX_KEYS: usize = 256 * 1_024;
+
 /// The largest number of keys that wait for a heartbeat. The oldest updates beyond it are only
 /// known to this instance.
 const MAX_WAITING_KEYS: usize = 64 * 1_024;
@@ -165,7 +168,11 @@
         }
         if self.entries.len() > self.prune_threshold {
             self.remove_unused(now);
-            self.prune_threshold = (self.entries.len() * 2).max(MIN_PRUNE_THRESHOLD);
+            if self.entries.len() > MAX_KEYS / 2 {
+                self.remove_least_recent(MAX_KEYS / 2);
+            }
+            let threshold = (self.entries.len() * 2).max(MIN_PRUNE_THRESHOLD);
+            self.prune_threshold = threshold.min(MAX_KEYS);
         }
     }
 
@@ -261,6 +268,18 @@
         now.since(entry.used) < MAX_UNUSED_TIME && tokens_since < max_tokens_since
     }
 
+    /// Removes the least recently used keys beyond a number of them.
+    fn remove_least_recent(&mut self, max_keys: usize) {
+        let last_used = |entries: &Vec<HolderEntry>| entries.iter().map(|entry| entry.used).max();
+        let mut times: Vec<_> = self.entries.values().map(last_used).collect();
+        let excess = times.len().saturating_sub(max_keys);
+        let (_, oldest, _) = times.select_nth_unstable(excess);
+        let oldest = *oldest;
+        // Keys that were last used at the same time are removed together.
+        self.entries
+            .retain(|_, entries| last_used(entries) > oldest);
+    }
+
     fn remove_unused(&mut self, now: Time) {
         let is_recent = |entry: &HolderEntry| now.since(entry.used) < MAX_UNUSED_TIME;
         for entries in self.entries.values_mut() {
--- a/crates/fleet/tests/long_prompts.rs
+++ b/crates/fleet/tests/long_prompts.rs
@@ -4,6 +4,7 @@
 
 use limpetsaddle_core::units::Time;
 use limpetsaddle_fleet::directory::CacheUpdate;
+use limpetsaddle_fleet::directory::Certainty;
 use limpetsaddle_fleet::directory::ChainedPart;
 use limpetsaddle_fleet::directory::PrefixDirectory;
 use limpetsaddle_fleet::directory::chain;
@@ -343,3 +344,19 @@
     assert!(waiting.len() < 100, "{}", waiting.len());
     assert_eq!(waiting.last().unwrap().holder, 999);
 }
+
+/// Guards against memory that grows with the length of prompts.
+#[test]
+fn verify_the_keys_of_cached_parts_are_bounded() {
+    const MAX_KEYS: usize = 256 * 1_024;
+    let mut directory = PrefixDirectory::default();
+    for number in 0..1_000 {
+        directory.apply_update(&cached(number, 1_000), at(number));
+    }
+    assert!(directory.len() <= MAX_KEYS, "{}", directory.len());
+    // The last ones are known.
+    assert!(directory.len() >= MAX_KEYS / 4, "{}", directory.len());
+    let links = chain_of(999, 1_000);
+    let depth = directory.depth(999, &links, 1_000_000, Certainty::Likely, at(1_000));
+    assert_eq!(depth, 1_000);
+}
