Describe reports of long prompts in usual terms

The comments on due reports, samples and candidates, and the names of two tests, said it in words of their own. No code changes; clippy and the style check pass.

--- a/crates/fleet/src/quarantine/answers.rs
+++ b/crates/fleet/src/quarantine/answers.rs
@@ -12,8 +12,8 @@
 use crate::part_key::PartKey;
 use crate::part_list::PartList;
 
-/// The number of parts in a sample, if there are so many: as many others as each have a larger
-/// share of the answers than the inverse of this number are in it as well.
+/// The number of parts in a sample, unless more have a larger share of the answers than one in
+/// this number.
 const MIN_SAMPLED: usize = 64;
 
 /// The largest number of parts in a sample.
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -297,7 +297,7 @@
 
     /// Records responses to a suspect at the times in these lists, each in ascending order, one
     /// after the other as [`record_survival`](Self::record_survival) does. Returns the last one
-    /// that other instances need to be told of.
+    /// that has to be reported to other instances.
     pub fn record_survivals(&mut self, subject: Subject, lists: &[&[Time]]) -> Option<Time> {
         let mut news = None;
         loop {
@@ -334,8 +334,8 @@
         self.crashes.retain(|crash| !is_present(crash));
     }
 
-    /// Returns the parts that were present at so many crashes which have not been outlived, or a
-    /// few others.
+    /// Returns the parts that were present at so many crashes which have not been outlived. Some of
+    /// them may have been present at fewer.
     fn open_parts(&self, crashes: usize) -> impl Iterator<Item = PartKey> {
         let open = self.suspects.iter().filter(|(_, times)| times.is_open());
         let open = open.filter(move |(_, times)| times.crashes >= crashes);
@@ -345,8 +345,8 @@
         })
     }
 
-    /// Returns which of these parts may have been present at so many crashes since an answer on
-    /// them: one of several that were present at the same ones.
+    /// Returns which of these parts may have been present at so many crashes since they were last
+    /// answered, and of parts that were present at the same ones a single one.
     pub fn present(&self, parts: &[PartKey], crashes: usize) -> Vec<PartKey> {
         let is_present = |part: &&PartKey| {
             let times = self.suspects.get(&Subject::Part(**part));
--- a/crates/fleet/src/quarantine/reporting.rs
+++ b/crates/fleet/src/quarantine/reporting.rs
@@ -73,9 +73,9 @@
         has_news || !self.register.is_empty()
     }
 
-    /// Returns what is to be reported to all other instances now, in reports that each fit into a
-    /// datagram. Every `repeat_interval`, if there is one, they have all entries, for instances
-    /// that have missed a change.
+    /// Returns the due reports to all other instances, each of which fits into a datagram. Every
+    /// `repeat_interval`, if there is one, they have all entries, for instances that have missed a
+    /// change.
     pub fn take_reports(
         &mut self,
         sender: &str,
--- a/crates/fleet/tests/long_prompts.rs
+++ b/crates/fleet/tests/long_prompts.rs
@@ -97,10 +97,10 @@
     }
 }
 
-/// Guards against reports that no datagram can hold, so that other instances never hear of a
-/// crash, and against lists that lose parts on the way.
+/// Guards against reports that exceed a datagram, so that other instances don't receive a crash,
+/// and against lists that lose parts on the way.
 #[test]
-fn verify_crashes_of_long_prompts_are_heard_of() {
+fn verify_crashes_of_long_prompts_reach_other_instances() {
     const PROMPTS: u64 = 8;
     let mut sees = Instance::new();
     let mut hears = Instance::new();
@@ -154,7 +154,7 @@
 /// Guards against sound parts that are withheld as only some of those on which an answer came
 /// are reported.
 #[test]
-fn verify_answers_on_all_parts_of_a_long_prompt_are_heard_of() {
+fn verify_answers_on_all_parts_of_a_long_prompt_reach_other_instances() {
     let common = parts_of(1, 2_000);
     let mut sees = Instance::new();
     let mut hears = Instance::new();
@@ -271,7 +271,7 @@
     }
 }
 
-/// A crash at which very many prompts of one list were present costs little more than one.
+/// Guards against memory that grows with the number of prompts of the same parts.
 #[test]
 fn verify_prompts_with_the_same_parts_share_them() {
     let mut runs = RunLog::default();
@@ -311,7 +311,7 @@
     }
 }
 
-/// Guards against heartbeats that grow with the length of prompts until no datagram can hold them.
+/// Guards against heartbeats that grow with the length of prompts until they exceed a datagram.
 #[test]
 fn verify_heartbeats_fit_into_a_datagram_however_long_prompts_are() {
     const KEYS: usize = 4_096;
--- a/crates/router/src/fleet/heartbeats.rs
+++ b/crates/router/src/fleet/heartbeats.rs
@@ -336,7 +336,7 @@
     }
 }
 
-/// Returns what is to be reported of crashes and withheld parts now.
+/// Returns the due reports of crashes and withheld parts.
 fn next_reports(instance: &FleetInstance) -> Vec<QuarantineReport> {
     let mut quarantine = instance.quarantine.borrow_mut();
     if !quarantine.has_reports() {
