Count the answers of all instances before a part may be busy

Cause: an instance takes a part for possibly busy until it has got 20 answers itself.

Change: 20 answers at all instances suffice, estimated from the own ones and the number of live instances. Each instance reports its answers on suspects within report_time, so that a part which is busy elsewhere counts as answered. The share of the part among prompts still rests on the own answers.

--- a/crates/fleet/src/quarantine/answers.rs
+++ b/crates/fleet/src/quarantine/answers.rs
@@ -149,6 +149,13 @@
         earlier.saturating_add(self.own.len())
     }
 
+    /// Returns an estimate of the number of answers at all instances, over which callers are
+    /// spread. Each instance reports its answers on suspects, so that those of the others tell
+    /// whether a part may be busy too.
+    pub fn fleet_count(&self) -> f64 {
+        as_f64(self.count()) * self.instances.max(1.0)
+    }
+
     fn with(&self, part: PartKey) -> f64 {
         let own = self.own.iter();
         let own = own.filter(|(parts, _)| parts.contains(part)).count();
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -63,7 +63,7 @@
     pub log_likelihood: f64,
     /// Whether answers on the part came well under way shortly before the first crash.
     pub was_answered: bool,
-    /// Whether the part was answered, or this instance knows of too few answers to tell.
+    /// Whether the part was answered, or there are too few answers at all instances to tell.
     pub may_be_busy: bool,
     /// The answers of this instance on other prompts since the first crash.
     pub others: usize,
@@ -421,7 +421,7 @@
         let until = time_before(now, options.report_time);
         let others = answers.others(part, first, until);
         let was_answered = survival.is_some_and(|at| first.since(at) < options.answered_time);
-        let may_be_busy = was_answered || answers.count() < options.min_answers;
+        let may_be_busy = was_answered || answers.fleet_count() < as_f64(options.min_answers);
         // If the part was only caught in a crash, its suspects are a sample of all prompts too.
         let mut share = answers.share(part, may_be_busy);
         let for_presence = |moment: &Moment| {
--- a/crates/fleet/src/quarantine/options.rs
+++ b/crates/fleet/src/quarantine/options.rs
@@ -29,8 +29,8 @@
     pub min_regularity: f64,
     /// The logarithm of that improbability from which on it suffices by itself.
     pub sufficient_regularity: f64,
-    /// The answers that an instance must know of to judge how rare a part is, and from which on
-    /// it records them for restarted instances.
+    /// The answers that all instances must have got for one to judge how rare a part is, and that
+    /// one must have got to record them for restarted instances.
     pub min_answers: usize,
     /// The time after which the record at the platform gets newer answers.
     pub sample_time: Duration,
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -354,6 +354,24 @@
     assert!(!restarted.withholds("common"));
 }
 
+/// Guards against a part that goes on ending engines while each of several instances has got few
+/// answers, though together they have got enough.
+#[test]
+fn verify_few_answers_at_each_of_several_instances_suffice() {
+    for (instances, is_withheld) in [(1, false), (9, true)] {
+        let mut instance = Instance::restarted();
+        for number in 0..8 {
+            instance.answer(&[&format!("a{number}")], number);
+        }
+        for number in 0..6 {
+            instance.crash(number, &[HARMFUL, &format!("e{number}")]);
+        }
+        let Instance { runs, quarantine } = &mut instance;
+        quarantine.review(runs, instances, 7, at(2_500));
+        assert_eq!(instance.withholds(HARMFUL), is_withheld);
+    }
+}
+
 #[test]
 fn verify_a_restarted_instance_without_recorded_answers_withholds_no_common_part() {
     let mut restarted = Instance::restarted();
