--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -297,7 +297,7 @@
 
     /// Records responses to a suspect at the times in these lists, each in ascending order, one
     /// after the other as [`record_survival`](Self::record_survival) does. Returns the last one
-    /// that has to be reported to other instances.
+    /// to report to other instances.
     pub fn record_survivals(&mut self, subject: Subject, lists: &[&[Time]]) -> Option<Time> {
         let mut news = None;
         loop {
